--- /dev/null
+++ b/crates/core/src/host.rs
@@ -0,0 +1,108 @@
+//! What the decisions need from whoever runs them, and the plain types that both sides use.
+//! Nodes and routes are small indices given out at the door; times are whole nanoseconds.
+
+pub type Nanos = u64;
+/// A cache node, or the origin.
+pub type Node = usize;
+/// An exchange: one client try that a proxy has accepted and owes one final answer.
+pub type Xchg = u64;
+
+/// The acts that the decisions can ask for. Each takes effect at once, in the order of the calls.
+pub trait Host {
+    /// Starts the exchange's next upstream try; the tries of an exchange count from 0.
+    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos);
+    /// Final answer: the client may safely come back, after `pause` where it heeds that.
+    fn shed(&mut self, xchg: Xchg, pause: Nanos);
+    /// Final answer without any promise.
+    fn error(&mut self, xchg: Xchg);
+    /// Stops waiting for an upstream try.
+    fn withdraw(&mut self, xchg: Xchg, try_no: usize);
+    /// The exchange has its answer and no try is out: its number will not be used again.
+    fn forget(&mut self, xchg: Xchg);
+    /// Asks for `Balance::woke` with this token at that time.
+    fn wake(&mut self, at: Nanos, token: u64);
+    /// Asks for `Balance::probed`.
+    fn probe(&mut self, node: Node);
+    /// Asks discovery for changes from now on.
+    fn follow(&mut self);
+    /// Sends a short text to every peer.
+    fn tell(&mut self, news: &str);
+    fn log(&mut self, line: &str);
+}
+
+/// An exchange as the client asked for it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ask {
+    pub route: usize,
+    pub tenant: Option<usize>,
+    pub key: Option<u64>,
+    pub write: bool,
+    /// The work to expect, where clients say so.
+    pub hint: Option<Nanos>,
+    /// How long this client waits.
+    pub grace: Nanos,
+    /// The client says that it asked before.
+    pub retry: bool,
+}
+
+/// How an upstream try ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Completed,
+    Errored,
+    /// Turned away unseen.
+    Saturated,
+    Overdue,
+    /// No connection came about.
+    Unreachable,
+    Severed,
+    Withdrawn,
+    /// The host did not send it.
+    Unsent,
+    /// The cache node lacks the key.
+    Missed,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the try had no effect.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Saturated | Outcome::Unreachable | Outcome::Unsent | Outcome::Missed)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    #[default]
+    Gone,
+}
+
+/// A node as discovery lists it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Listed {
+    /// A hash of the node's address, the same at every proxy.
+    pub identity: u64,
+    pub zone: usize,
+    pub cell: u64,
+    pub standing: Standing,
+    /// When its process started; 0 for long ago.
+    pub started: Nanos,
+    pub origin: bool,
+}
+
+/// Whether an exchange of a route may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Retriable,
+    /// Repeats are discarded by the nodes of this scope.
+    Deduped(Scope),
+    NonRetriable,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    Fleet,
+    Zone,
+    Cell,
+}
--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,159 @@
+//! What the decisions remember: plain records, no choices.
+
+use crate::host::{Ask, Listed, Nanos, Node, Repeat, Scope, Standing, Xchg};
+use crate::ring::Ring;
+use crate::settings::Settings;
+
+const SECOND: Nanos = 1_000_000_000;
+
+/// A cache node, or the origin, as this proxy knows it.
+#[derive(Clone, Debug)]
+pub struct Cache {
+    pub listed: Listed,
+    pub in_flight: usize,
+    /// In flight from each peer, as it last told.
+    pub peers: Vec<usize>,
+    /// What this proxy last told its peers.
+    pub told: usize,
+    /// In flight as the node last reported, and this proxy's own part at that time.
+    pub report: Option<Report>,
+    /// Answers over the last seconds.
+    pub answers: Ring,
+    /// Work sent over the cold budget's window.
+    pub sent: Ring,
+    /// When it last answered, and when it last refused.
+    pub answered: Nanos,
+    pub refused: Nanos,
+    /// Failures since the last answer.
+    pub failures: usize,
+    /// Set aside, with the count of probes answered since.
+    pub aside: Option<usize>,
+    pub unreachable: bool,
+    pub probing: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    pub at: Nanos,
+    pub in_flight: usize,
+    pub own: usize,
+}
+
+impl Cache {
+    pub fn new(peers: usize, window: Nanos) -> Self {
+        Cache {
+            listed: Listed::default(),
+            in_flight: 0,
+            peers: vec![0; peers],
+            told: 0,
+            report: None,
+            answers: Ring::new(2 * SECOND, 8),
+            sent: Ring::new(window, 8),
+            answered: 0,
+            refused: 0,
+            failures: 0,
+            aside: None,
+            unreachable: false,
+            probing: false,
+        }
+    }
+
+    pub fn ready(&self) -> bool {
+        self.listed.standing == Standing::Ready && !self.listed.origin
+    }
+}
+
+/// A member of a key's set.
+#[derive(Clone, Copy, Debug)]
+pub struct Member {
+    pub node: Node,
+    pub picked: Nanos,
+}
+
+/// An exchange that is not wholly over: it awaits its final answer, or outcomes of its tries.
+#[derive(Clone, Debug)]
+pub struct Cx {
+    pub ask: Ask,
+    pub arrived: Nanos,
+    pub tries: Vec<Try>,
+    pub missed: Vec<Node>,
+    /// Has its final answer.
+    pub over: bool,
+    /// The answer has begun to stream.
+    pub under_way: bool,
+    /// Fetches its key from the origin for others too.
+    pub fetching: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Try {
+    pub node: Node,
+    pub sent: Nanos,
+    pub out: bool,
+    pub may_have_run: bool,
+}
+
+impl Cx {
+    pub fn new(ask: Ask, now: Nanos) -> Self {
+        Cx {
+            ask,
+            arrived: now,
+            tries: Vec::new(),
+            missed: Vec::new(),
+            over: false,
+            under_way: false,
+            fetching: false,
+        }
+    }
+
+    pub fn out(&self) -> usize {
+        self.tries.iter().filter(|t| t.out).count()
+    }
+
+    pub fn ends(&self) -> Nanos {
+        self.arrived + self.ask.grace
+    }
+}
+
+/// A key that is being fetched from the origin, and who waits for it.
+#[derive(Clone, Debug)]
+pub struct Fetch {
+    /// The node that will hold the key.
+    pub fills: Node,
+    pub waiting: Vec<Xchg>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Route {
+    pub objective: Nanos,
+    pub repeat: Repeat,
+    pub window: Nanos,
+    pub payoff: f64,
+    pub late_payoff: f64,
+}
+
+impl Route {
+    pub fn all(settings: &Settings) -> Vec<Route> {
+        (0..settings.number("routes", 0.0) as usize).map(|at| Route::one(settings, at)).collect()
+    }
+
+    fn one(settings: &Settings, at: usize) -> Route {
+        let name = |field: &str| format!("route.{at}.{field}");
+        let scope = match settings.text(&name("scope")) {
+            "zone" => Scope::Zone,
+            "cell" => Scope::Cell,
+            _ => Scope::Fleet,
+        };
+        Route {
+            objective: settings.time(&name("objective"), SECOND),
+            repeat: match settings.text(&name("repeat")) {
+                "retriable" => Repeat::Retriable,
+                "deduped" => Repeat::Deduped(scope),
+                _ => Repeat::NonRetriable,
+            },
+            window: settings.time(&name("window"), 0),
+            payoff: settings.number(&name("payoff"), 1.0),
+            late_payoff: settings.number(&name("late_payoff"), 0.0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/simhost/src/instance.rs
@@ -0,0 +1,188 @@
+//! One proxy: its decisions, and the names that its indices stand for.
+
+use crate::NANOS;
+use crate::names;
+use crate::wire::{Entry, Fields, Wire, outcome};
+use anyhow::{Context, Result, bail};
+use pumicebay_core::{Ask, Balance, Listed, Nanos, Node, Standing, Xchg};
+use serde_json::Value as Json;
+use std::collections::{BTreeMap, HashMap};
+
+pub struct Instance {
+    balance: Balance<Wire>,
+    nodes: HashMap<String, Node>,
+    routes: Vec<String>,
+    tenants: Vec<String>,
+    zones: Vec<String>,
+    origin_kind: Option<String>,
+    /// Where a load report says how much is in flight.
+    in_flight: Option<usize>,
+    last: Xchg,
+}
+
+impl Instance {
+    pub fn attach(now: Nanos, fields: &Fields) -> Result<Instance> {
+        let settings: Json = fields.get(2)?;
+        let kinds = names::list(&settings, "/skus", "");
+        let origin = settings.pointer("/domain/origin-kind").and_then(Json::as_u64);
+        let columns = names::list(&settings, "/telemetry/columns", "");
+        let wire = Wire { proxy: fields.get(0)?, ..Wire::default() };
+        Ok(Instance {
+            balance: Balance::new(wire, names::translate(&settings), fields.get(1)?, now),
+            nodes: HashMap::new(),
+            routes: names::list(&settings, "/routes", "/name"),
+            tenants: names::list(&settings, "/orgs", "/name"),
+            zones: names::list(&settings, "/failure-domains", ""),
+            origin_kind: origin.and_then(|kind| kinds.get(kind as usize).cloned()),
+            in_flight: columns.iter().position(|column| column == "concurrent"),
+            last: 0,
+        })
+    }
+
+    pub fn take_actions(&mut self, reply: &mut String) {
+        reply.push_str(&self.balance.host.out);
+        self.balance.host.out.clear();
+    }
+
+    pub fn topology(&mut self, now: Nanos, fields: &Fields, banks: &BTreeMap<u64, Vec<Entry>>) -> Result<()> {
+        let form: u64 = fields.get(1)?;
+        if form == 2 {
+            self.balance.list_failed();
+            return Ok(());
+        }
+        let bank: u64 = fields.get(3)?;
+        let entries = banks.get(&bank).with_context(|| format!("Topology: no list {bank}"))?;
+        let mut named = Vec::with_capacity(entries.len());
+        for entry in entries {
+            let node = self.node(&entry.2);
+            let listed = self.describe(entry)?;
+            self.balance.listed(now, node, listed);
+            named.push(node);
+        }
+        match form {
+            0 => {}
+            3 | 4 => self.balance.listed_all(&named),
+            _ => bail!("Topology: unknown form {form}"),
+        }
+        Ok(())
+    }
+
+    fn describe(&self, entry: &Entry) -> Result<Listed> {
+        let Entry(cell, started, address, _, zone, mode, kind) = entry;
+        Ok(Listed {
+            identity: identity(address),
+            zone: self.zones.iter().position(|name| Some(name) == zone.as_ref()).unwrap_or(self.zones.len()),
+            cell: cell.unwrap_or(0),
+            standing: match mode {
+                2 => Standing::Ready,
+                0 => Standing::Draining,
+                1 => Standing::Gone,
+                _ => bail!("List: unknown state {mode}"),
+            },
+            started: started.unwrap_or(0) * NANOS,
+            origin: kind.is_some() && *kind == self.origin_kind,
+        })
+    }
+
+    /// The index of an address, new ones in the order they come.
+    fn node(&mut self, address: &str) -> Node {
+        if let Some(&node) = self.nodes.get(address) {
+            return node;
+        }
+        self.nodes.insert(address.to_string(), self.nodes.len());
+        self.balance.host.addresses.push(address.to_string());
+        self.nodes.len() - 1
+    }
+
+    pub fn arrival(&mut self, now: Nanos, fields: &Fields) -> Result<()> {
+        let tid: &str = fields.get(1)?;
+        let route: &str = fields.get(2)?;
+        let tenant: Json = fields.get(6)?;
+        let ask = Ask {
+            route: self.routes.iter().position(|name| name == route).context("Arrival: unknown route")?,
+            tenant: tenant.as_str().and_then(|tenant| self.tenants.iter().position(|name| name == tenant)),
+            write: fields.get::<Option<bool>>(3)?.unwrap_or(false),
+            key: fields.get(5)?,
+            hint: fields.get::<Option<u64>>(7)?.map(|hint| hint * NANOS),
+            grace: fields.get::<u64>(8)? * NANOS,
+            retry: fields.get::<Option<bool>>(9)?.unwrap_or(false),
+        };
+        if self.balance.host.xchgs.contains_key(tid) {
+            return Ok(());
+        }
+        self.last += 1;
+        self.balance.host.xchgs.insert(tid.to_string(), self.last);
+        self.balance.host.tids.insert(self.last, tid.to_string());
+        self.balance.arrived(now, self.last, ask);
+        Ok(())
+    }
+
+    pub fn end(&mut self, now: Nanos, fields: &Fields) -> Result<()> {
+        let outcome = outcome(fields.get(2)?)?;
+        let over: bool = fields.get(3)?;
+        let try_no: usize = fields.get(6)?;
+        self.report(now, fields, 7, 8)?;
+        if let Some(xchg) = self.xchg(fields)? {
+            self.balance.ended(now, xchg, try_no, outcome, over);
+        }
+        Ok(())
+    }
+
+    pub fn dropped(&mut self, fields: &Fields) -> Result<()> {
+        if let Some(xchg) = self.xchg(fields)? {
+            self.balance.dropped(xchg);
+        }
+        Ok(())
+    }
+
+    pub fn under_way(&mut self, fields: &Fields) -> Result<()> {
+        let try_no = fields.get(2)?;
+        if let Some(xchg) = self.xchg(fields)? {
+            self.balance.under_way(xchg, try_no);
+        }
+        Ok(())
+    }
+
+    pub fn timeout(&mut self, now: Nanos, fields: &Fields) -> Result<()> {
+        if let Ok(token) = fields.get::<&str>(1)?.parse() {
+            self.balance.woke(now, token);
+        }
+        Ok(())
+    }
+
+    pub fn probe_done(&mut self, now: Nanos, fields: &Fields) -> Result<()> {
+        let outcome = outcome(fields.get(2)?)?;
+        self.report(now, fields, 1, 4)?;
+        if let Some(&node) = self.nodes.get(fields.get::<&str>(1)?) {
+            self.balance.probed(now, node, outcome);
+        }
+        Ok(())
+    }
+
+    pub fn message(&mut self, now: Nanos, fields: &Fields) -> Result<()> {
+        let news: String = fields.get(2)?;
+        self.balance.peer_said(now, fields.get(1)?, &news);
+        Ok(())
+    }
+
+    fn xchg(&self, fields: &Fields) -> Result<Option<Xchg>> {
+        Ok(self.balance.host.xchgs.get(fields.get::<&str>(1)?).copied())
+    }
+
+    /// Passes on how much a node reports in flight, where the event carries a report.
+    fn report(&mut self, now: Nanos, fields: &Fields, node: usize, load: usize) -> Result<()> {
+        let row: Option<Vec<Option<f64>>> = fields.get(load)?;
+        let value = self.in_flight.and_then(|column| *row?.get(column)?);
+        if let (Some(value), Some(&node)) = (value, self.nodes.get(fields.get::<&str>(node)?)) {
+            self.balance.reported(now, node, value);
+        }
+        Ok(())
+    }
+}
+
+/// The same for an address at every proxy (FNV-1a).
+fn identity(address: &str) -> u64 {
+    address
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
--- /dev/null
+++ b/crates/simhost/src/names.rs
@@ -0,0 +1,97 @@
+//! The wire's settings under this project's names.
+
+use crate::NANOS;
+use pumicebay_core::Settings;
+use pumicebay_core::settings::Value;
+use serde_json::Value as Json;
+
+/// Where the wire keeps a setting, and what the decisions call it. Times end in `-us` on the wire.
+const SETTINGS: &[(&str, &str)] = &[
+    ("/clients/marks-retry", "marks_retry"),
+    ("/domain/mode", "mode"),
+    ("/domain/ordered", "ordered"),
+    ("/domain/origin-fall-multiple", "origin_fall_multiple"),
+    ("/domain/origin-fall-us", "origin_fall"),
+    ("/fleet-size", "fleet"),
+    ("/me", "me"),
+    ("/payoff-by", "payoff_by"),
+    ("/permissions/cancel", "cancel"),
+    ("/permissions/max-retry-after-us", "max_pause"),
+    ("/permissions/may-probe", "probes"),
+    ("/permissions/most-upstream-tries", "most_tries"),
+    ("/permissions/peers", "peers"),
+    ("/permissions/retry-after", "pauses"),
+    ("/permissions/second-copies", "second_copies"),
+    ("/permissions/streams-per-conn", "streams"),
+    ("/rules/answer-slack-us", "answer_slack"),
+    ("/rules/cold-us", "cold"),
+    ("/rules/drain-grace-us", "drain_grace"),
+    ("/rules/fall-multiple", "fall_multiple"),
+    ("/rules/fall-us", "fall"),
+    ("/rules/start-capacity", "start_capacity"),
+    ("/surplus-payoff", "surplus_payoff"),
+    ("/telemetry/via", "reports"),
+];
+
+const ROUTE: &[(&str, &str)] = &[
+    ("/dedup-scope", "scope"),
+    ("/latency-objective-us", "objective"),
+    ("/late-payoff", "late_payoff"),
+    ("/overall-timeout-us", "overall_timeout"),
+    ("/payoff", "payoff"),
+    ("/stream", "stream"),
+    ("/window-us", "window"),
+];
+
+const TENANT: &[(&str, &str)] = &[("/quota-per-s", "quota"), ("/share", "share")];
+
+pub fn translate(wire: &Json) -> Settings {
+    let mut settings = Settings::default();
+    copy(&mut settings, wire, SETTINGS, "");
+    settings.put("ask_for_list", Value::Flag(text(wire, "/discovery") == "ask"));
+    for (list, name, fields) in [("/routes", "route", ROUTE), ("/orgs", "tenant", TENANT)] {
+        let members = wire.pointer(list).and_then(Json::as_array).map_or(&[][..], |members| members);
+        settings.put(format!("{name}s"), Value::Number(members.len() as f64));
+        for (at, member) in members.iter().enumerate() {
+            copy(&mut settings, member, fields, &format!("{name}.{at}."));
+            if name == "route" {
+                let repeat = match text(member, "/effect") {
+                    "repeatable" => "retriable",
+                    "by_key" => "deduped",
+                    _ => "non_retriable",
+                };
+                settings.put(format!("route.{at}.repeat"), Value::Text(repeat.into()));
+            }
+        }
+    }
+    settings
+}
+
+fn copy(settings: &mut Settings, wire: &Json, table: &[(&str, &str)], prefix: &str) {
+    for (place, name) in table {
+        let value = match wire.pointer(place) {
+            Some(Json::Bool(flag)) => Value::Flag(*flag),
+            Some(Json::String(text)) => Value::Text(text.clone()),
+            Some(Json::Number(number)) => match number.as_u64() {
+                Some(time) if place.ends_with("-us") => Value::Time(time * NANOS),
+                _ => Value::Number(number.as_f64().unwrap_or_default()),
+            },
+            _ => continue,
+        };
+        settings.put(format!("{prefix}{name}"), value);
+    }
+}
+
+pub fn text<'a>(wire: &'a Json, place: &str) -> &'a str {
+    wire.pointer(place).and_then(Json::as_str).unwrap_or_default()
+}
+
+/// The names in a list of the settings; their positions are the decisions' indices.
+pub fn list(wire: &Json, place: &str, field: &str) -> Vec<String> {
+    let members = wire.pointer(place).and_then(Json::as_array).map_or(&[][..], |members| members);
+    let name = |member: &Json| match field {
+        "" => member.as_str().unwrap_or_default().to_string(),
+        _ => text(member, field).to_string(),
+    };
+    members.iter().map(name).collect()
+}
--- /dev/null
+++ b/crates/simhost/src/wire.rs
@@ -0,0 +1,128 @@
+//! The wire's fields going in, and the `Host` whose acts become the wire's actions going out.
+
+use crate::NANOS;
+use anyhow::{Context, Result};
+use pumicebay_core::{Host, Nanos, Node, Outcome, Xchg};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::collections::HashMap;
+use std::fmt::Write;
+
+/// The values of one event, in the wire's order; those left out at the end count as null.
+pub struct Fields<'a> {
+    pub name: &'a str,
+    pub values: &'a [&'a RawValue],
+}
+
+impl<'a> Fields<'a> {
+    pub fn get<T: Deserialize<'a>>(&self, place: usize) -> Result<T> {
+        let text = self.values.get(place).map_or("null", |value| value.get());
+        serde_json::from_str(text).with_context(|| format!("{}: field {}", self.name, place + 1))
+    }
+}
+
+/// A node of a `List`: cell, start, address, rating, zone, state and kind.
+#[derive(Deserialize)]
+pub struct Entry(
+    pub Option<u64>,
+    pub Option<u64>,
+    pub String,
+    pub serde::de::IgnoredAny,
+    pub Option<String>,
+    pub u64,
+    pub Option<String>,
+);
+
+pub fn outcome(reason: &str) -> Result<Outcome> {
+    Ok(match reason {
+        "completed" => Outcome::Completed,
+        "errored" => Outcome::Errored,
+        "saturated" => Outcome::Saturated,
+        "overdue" => Outcome::Overdue,
+        "refused_conn" => Outcome::Unreachable,
+        "severed" => Outcome::Severed,
+        "recalled" => Outcome::Withdrawn,
+        "superseded" => Outcome::Unsent,
+        "lookup_miss" => Outcome::Missed,
+        _ => anyhow::bail!("unknown outcome {reason}"),
+    })
+}
+
+/// One instance's actions since they were last taken, and what its indices stand for.
+#[derive(Default)]
+pub struct Wire {
+    pub proxy: u64,
+    pub out: String,
+    pub addresses: Vec<String>,
+    pub xchgs: HashMap<String, Xchg>,
+    pub tids: HashMap<Xchg, String>,
+}
+
+impl Wire {
+    fn text(text: &str) -> String {
+        serde_json::to_string(text).expect("text is always JSON")
+    }
+
+    /// Writes an action whose further values are already JSON.
+    fn act(&mut self, name: &str, values: std::fmt::Arguments) {
+        write!(self.out, "[\"{name}\",{}{values}],", self.proxy).expect("a string takes all");
+    }
+}
+
+impl Host for Wire {
+    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
+        write!(
+            self.out,
+            "[\"Try\",{},{},{},{}],",
+            self.proxy,
+            Self::text(&self.tids[&xchg]),
+            timeout.div_ceil(NANOS),
+            Self::text(&self.addresses[node])
+        )
+        .expect("a string takes all");
+    }
+
+    fn shed(&mut self, xchg: Xchg, pause: Nanos) {
+        let tid = Self::text(&self.tids[&xchg]);
+        self.act("Busy", format_args!(",{tid},{}", pause / NANOS));
+    }
+
+    fn error(&mut self, xchg: Xchg) {
+        let tid = Self::text(&self.tids[&xchg]);
+        self.act("GiveUp", format_args!(",{tid}"));
+    }
+
+    fn withdraw(&mut self, xchg: Xchg, try_no: usize) {
+        let tid = Self::text(&self.tids[&xchg]);
+        self.act("Recall", format_args!(",{tid},{try_no}"));
+    }
+
+    fn forget(&mut self, xchg: Xchg) {
+        if let Some(tid) = self.tids.remove(&xchg) {
+            self.xchgs.remove(&tid);
+        }
+    }
+
+    fn wake(&mut self, at: Nanos, token: u64) {
+        self.act("SetTimer", format_args!(",\"{token}\",{}", at.div_ceil(NANOS)));
+    }
+
+    fn probe(&mut self, node: Node) {
+        let address = Self::text(&self.addresses[node]);
+        self.act("Check", format_args!(",{address}"));
+    }
+
+    fn follow(&mut self) {
+        self.act("Follow", format_args!(",true"));
+    }
+
+    fn tell(&mut self, news: &str) {
+        let news = Self::text(news);
+        self.act("Signal", format_args!(",null,{news}"));
+    }
+
+    fn log(&mut self, line: &str) {
+        let line = Self::text(line);
+        self.act("SayLog", format_args!(",{line}"));
+    }
+}
