--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod ring;
 pub mod settings;
 pub mod state;
+pub mod table;
 
 pub use balance::Balance;
 pub use host::{Ask, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
--- a/crates/core/src/ring.rs
+++ b/crates/core/src/ring.rs
@@ -1,39 +1,68 @@
-//! A sum over the recent past, kept in fixed buckets of time that are used again in a ring.
+//! Counts and sums over the recent past, kept in fixed buckets of time that are used again in a ring.
 
 use crate::host::Nanos;
 
 #[derive(Clone, Debug)]
 pub struct Ring {
     width: Nanos,
-    /// Which stretch of time a bucket holds, and its sum.
-    buckets: Vec<(u64, f64)>,
+    buckets: Vec<Bucket>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    /// Which stretch of time it holds; 0 for none yet.
+    stretch: u64,
+    count: u32,
+    sum: f64,
 }
 
 impl Ring {
     /// Covers `span`, in `count` buckets.
     pub fn new(span: Nanos, count: usize) -> Self {
-        Ring { width: (span / count as u64).max(1), buckets: vec![(0, 0.0); count] }
+        Ring { width: (span / count as u64).max(1), buckets: vec![Bucket::default(); count] }
     }
 
     pub fn add(&mut self, now: Nanos, amount: f64) {
         let stretch = now / self.width + 1;
         let place = stretch as usize % self.buckets.len();
         let bucket = &mut self.buckets[place];
-        if bucket.0 != stretch {
-            *bucket = (stretch, 0.0);
+        if bucket.stretch != stretch {
+            *bucket = Bucket { stretch, ..Bucket::default() };
         }
-        bucket.1 += amount;
+        bucket.count += 1;
+        bucket.sum += amount;
+    }
+
+    fn live(&self, now: Nanos) -> impl Iterator<Item = &Bucket> {
+        let (stretch, span) = (now / self.width + 1, self.buckets.len() as u64);
+        self.buckets.iter().filter(move |bucket| bucket.stretch > 0 && bucket.stretch + span > stretch)
     }
 
-    /// The sum over the span that ends now; the oldest bucket may be partly past it.
     pub fn sum(&self, now: Nanos) -> f64 {
-        let stretch = now / self.width + 1;
-        let live = |bucket: &&(u64, f64)| bucket.0 + self.buckets.len() as u64 > stretch;
-        self.buckets.iter().filter(live).map(|bucket| bucket.1).sum()
+        self.live(now).map(|bucket| bucket.sum).sum()
     }
 
-    /// The sum a second.
+    /// Additions a second over the whole span.
     pub fn rate(&self, now: Nanos) -> f64 {
-        self.sum(now) * 1e9 / (self.width * self.buckets.len() as u64) as f64
+        let count: u32 = self.live(now).map(|bucket| bucket.count).sum();
+        f64::from(count) * 1e9 / (self.width * self.buckets.len() as u64) as f64
+    }
+
+    /// Additions a second in the fullest bucket.
+    pub fn peak_rate(&self, now: Nanos) -> f64 {
+        let most = self.live(now).map(|bucket| bucket.count).max();
+        f64::from(most.unwrap_or(0)) * 1e9 / self.width as f64
+    }
+
+    /// What an addition is on average.
+    pub fn mean(&self, now: Nanos) -> Option<f64> {
+        let (count, sum) = self.live(now).fold((0, 0.0), |(n, sum), b| (n + b.count, sum + b.sum));
+        (count > 0).then(|| sum / f64::from(count))
+    }
+
+    /// The average of the bucket where it is least, of those with so many additions.
+    pub fn least_mean(&self, now: Nanos, enough: u32) -> Option<f64> {
+        let full = self.live(now).filter(|bucket| bucket.count >= enough);
+        full.map(|bucket| bucket.sum / f64::from(bucket.count)).reduce(f64::min)
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -15,23 +15,28 @@
     pub peers: Vec<usize>,
     /// What this proxy last told its peers.
     pub told: usize,
-    /// In flight as the node last reported, and this proxy's own part at that time.
     pub report: Option<Report>,
-    /// Answers over the last seconds.
+    /// Any word from it: an outcome or a report.
+    pub heard: bool,
+    /// How long its answers took, in seconds: lately, and over the last minute.
     pub answers: Ring,
+    pub minute: Ring,
     /// Work sent over the cold budget's window.
     pub sent: Ring,
-    /// When it last answered, and when it last refused.
-    pub answered: Nanos,
-    pub refused: Nanos,
+    /// Since when it owes an answer without having given one.
+    pub owes_since: Nanos,
+    /// Until when it counts as refusing.
+    pub refuses_until: Nanos,
     /// Failures since the last answer.
     pub failures: usize,
     /// Set aside, with the count of probes answered since.
     pub aside: Option<usize>,
+    /// No connection came about since the last answer: its process may be new.
     pub unreachable: bool,
     pub probing: bool,
 }
 
+/// What a node reported in flight, and this proxy's own part at that time.
 #[derive(Clone, Copy, Debug)]
 pub struct Report {
     pub at: Nanos,
@@ -47,10 +52,12 @@
             peers: vec![0; peers],
             told: 0,
             report: None,
+            heard: false,
             answers: Ring::new(2 * SECOND, 8),
-            sent: Ring::new(window, 8),
-            answered: 0,
-            refused: 0,
+            minute: Ring::new(60 * SECOND, 40),
+            sent: Ring::new(window, 10),
+            owes_since: 0,
+            refuses_until: 0,
             failures: 0,
             aside: None,
             unreachable: false,
@@ -59,15 +66,13 @@
     }
 
     pub fn ready(&self) -> bool {
-        self.listed.standing == Standing::Ready && !self.listed.origin
+        self.listed.standing == Standing::Ready
     }
-}
 
-/// A member of a key's set.
-#[derive(Clone, Copy, Debug)]
-pub struct Member {
-    pub node: Node,
-    pub picked: Nanos,
+    /// How long it has owed an answer.
+    pub fn silent(&self, now: Nanos) -> Nanos {
+        if self.in_flight > 0 { now.saturating_sub(self.owes_since) } else { 0 }
+    }
 }
 
 /// An exchange that is not wholly over: it awaits its final answer, or outcomes of its tries.
@@ -76,12 +81,11 @@
     pub ask: Ask,
     pub arrived: Nanos,
     pub tries: Vec<Try>,
-    pub missed: Vec<Node>,
     /// Has its final answer.
     pub over: bool,
     /// The answer has begun to stream.
     pub under_way: bool,
-    /// Fetches its key from the origin for others too.
+    /// Fetches its key for others too.
     pub fetching: bool,
 }
 
@@ -90,29 +94,32 @@
     pub node: Node,
     pub sent: Nanos,
     pub out: bool,
+    pub missed: bool,
     pub may_have_run: bool,
 }
 
 impl Cx {
     pub fn new(ask: Ask, now: Nanos) -> Self {
-        Cx {
-            ask,
-            arrived: now,
-            tries: Vec::new(),
-            missed: Vec::new(),
-            over: false,
-            under_way: false,
-            fetching: false,
-        }
+        Cx { ask, arrived: now, tries: Vec::new(), over: false, under_way: false, fetching: false }
     }
 
     pub fn out(&self) -> usize {
         self.tries.iter().filter(|t| t.out).count()
     }
 
+    /// Awaits a decision: no answer yet and nothing out.
+    pub fn held(&self) -> bool {
+        !self.over && self.out() == 0
+    }
+
     pub fn ends(&self) -> Nanos {
         self.arrived + self.ask.grace
     }
+
+    /// The first node that lacked the key: the origin's answer will be kept there.
+    pub fn missed(&self) -> Option<Node> {
+        self.tries.iter().find(|t| t.missed).map(|t| t.node)
+    }
 }
 
 /// A key that is being fetched from the origin, and who waits for it.
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -2,7 +2,7 @@
 
 use crate::NANOS;
 use crate::names;
-use crate::wire::{Entry, Fields, Wire, outcome};
+use crate::wire::{Entry, Fields, Wire, identity, mark, news, outcome};
 use anyhow::{Context, Result, bail};
 use pumicebay_core::{Ask, Balance, Listed, Nanos, Node, Standing, Xchg};
 use serde_json::Value as Json;
@@ -11,6 +11,7 @@
 pub struct Instance {
     balance: Balance<Wire>,
     nodes: HashMap<String, Node>,
+    marks: HashMap<u64, Node>,
     routes: Vec<String>,
     tenants: Vec<String>,
     zones: Vec<String>,
@@ -30,6 +31,7 @@
         Ok(Instance {
             balance: Balance::new(wire, names::translate(&settings), fields.get(1)?, now),
             nodes: HashMap::new(),
+            marks: HashMap::new(),
             routes: names::list(&settings, "/routes", "/name"),
             tenants: names::list(&settings, "/orgs", "/name"),
             zones: names::list(&settings, "/failure-domains", ""),
@@ -89,6 +91,7 @@
         if let Some(&node) = self.nodes.get(address) {
             return node;
         }
+        self.marks.insert(mark(address), self.nodes.len());
         self.nodes.insert(address.to_string(), self.nodes.len());
         self.balance.host.addresses.push(address.to_string());
         self.nodes.len() - 1
@@ -128,9 +131,9 @@
         Ok(())
     }
 
-    pub fn dropped(&mut self, fields: &Fields) -> Result<()> {
+    pub fn dropped(&mut self, now: Nanos, fields: &Fields) -> Result<()> {
         if let Some(xchg) = self.xchg(fields)? {
-            self.balance.dropped(xchg);
+            self.balance.dropped(now, xchg);
         }
         Ok(())
     }
@@ -160,8 +163,14 @@
     }
 
     pub fn message(&mut self, now: Nanos, fields: &Fields) -> Result<()> {
-        let news: String = fields.get(2)?;
-        self.balance.peer_said(now, fields.get(1)?, &news);
+        let (peer, text): (usize, String) = (fields.get(1)?, fields.get(2)?);
+        let Some((kind, mark, figure)) = news(&text) else { return Ok(()) };
+        let Some(&node) = self.marks.get(&mark) else { return Ok(()) };
+        match kind {
+            "l" if figure <= u64::from(u16::MAX) => self.balance.peer_load(peer, node, figure as usize),
+            "j" => self.balance.peer_joined(now, node, figure),
+            _ => {}
+        }
         Ok(())
     }
 
@@ -179,10 +188,3 @@
         Ok(())
     }
 }
-
-/// The same for an address at every proxy (FNV-1a).
-fn identity(address: &str) -> u64 {
-    address
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
-}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -93,7 +93,7 @@
             "Topology" => instance.topology(now, &fields, &self.banks)?,
             "Arrival" => instance.arrival(now, &fields)?,
             "Ended" => instance.end(now, &fields)?,
-            "Dropped" => instance.dropped(&fields)?,
+            "Dropped" => instance.dropped(now, &fields)?,
             "TimeoutFired" => instance.timeout(now, &fields)?,
             "ProbeDone" => instance.probe_done(now, &fields)?,
             "UnderWay" => instance.under_way(&fields)?,
--- a/crates/simhost/src/names.rs
+++ b/crates/simhost/src/names.rs
@@ -12,6 +12,7 @@
     ("/domain/ordered", "ordered"),
     ("/domain/origin-fall-multiple", "origin_fall_multiple"),
     ("/domain/origin-fall-us", "origin_fall"),
+    ("/discovery", "discovery"),
     ("/fleet-size", "fleet"),
     ("/me", "me"),
     ("/payoff-by", "payoff_by"),
@@ -48,7 +49,7 @@
 pub fn translate(wire: &Json) -> Settings {
     let mut settings = Settings::default();
     copy(&mut settings, wire, SETTINGS, "");
-    settings.put("ask_for_list", Value::Flag(text(wire, "/discovery") == "ask"));
+
     for (list, name, fields) in [("/routes", "route", ROUTE), ("/orgs", "tenant", TENANT)] {
         let members = wire.pointer(list).and_then(Json::as_array).map_or(&[][..], |members| members);
         settings.put(format!("{name}s"), Value::Number(members.len() as f64));
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -48,6 +48,27 @@
     })
 }
 
+/// The same for an address at every proxy (FNV-1a).
+pub fn identity(address: &str) -> u64 {
+    address
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// What stands for a node in news between peers.
+pub fn mark(address: &str) -> u64 {
+    identity(address) >> 32
+}
+
+/// Reads news from a peer: its kind, the node's mark and a figure. Anything else is dropped.
+pub fn news(text: &str) -> Option<(&str, u64, u64)> {
+    let mut words = text.split(' ');
+    let kind = words.next()?;
+    let mut number = || u64::from_str_radix(words.next()?, 16).ok();
+    let read = (kind, number()?, number()?);
+    words.next().is_none().then_some(read)
+}
+
 /// One instance's actions since they were last taken, and what its indices stand for.
 #[derive(Default)]
 pub struct Wire {
@@ -116,9 +137,14 @@
         self.act("Follow", format_args!(",true"));
     }
 
-    fn tell(&mut self, news: &str) {
-        let news = Self::text(news);
-        self.act("Signal", format_args!(",null,{news}"));
+    fn tell_load(&mut self, node: Node, in_flight: usize) {
+        let mark = mark(&self.addresses[node]);
+        self.act("Signal", format_args!(",null,\"l {mark:x} {in_flight:x}\""));
+    }
+
+    fn tell_joined(&mut self, node: Node, key: u64) {
+        let mark = mark(&self.addresses[node]);
+        self.act("Signal", format_args!(",null,\"j {mark:x} {key:x}\""));
     }
 
     fn log(&mut self, line: &str) {
