--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -47,6 +47,13 @@
     pub retry: bool,
 }
 
+impl Ask {
+    /// Its work as far as known: by the client's hint, in milliseconds, else each alike.
+    pub fn work(&self) -> f64 {
+        self.hint.map_or(1.0, |hint| hint as f64 / 1e6)
+    }
+}
+
 /// How an upstream try ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions remember: plain records, no choices.
 
-use crate::host::{Ask, Listed, Nanos, Node, Repeat, Scope, Standing, Xchg};
+use crate::host::{Ask, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing, Xchg};
 use crate::ring::Ring;
 use crate::settings::Settings;
 
@@ -39,7 +39,6 @@
 /// What a node reported in flight, and this proxy's own part at that time.
 #[derive(Clone, Copy, Debug)]
 pub struct Report {
-    pub at: Nanos,
     pub in_flight: usize,
     pub own: usize,
 }
@@ -65,10 +64,38 @@
         }
     }
 
+    /// Listed as ready; the origin as well as caches.
     pub fn ready(&self) -> bool {
         self.listed.standing == Standing::Ready
     }
 
+    /// A ready cache that is not set aside.
+    pub fn serves(&self) -> bool {
+        self.ready() && !self.listed.origin && self.aside.is_none()
+    }
+
+    pub fn send(&mut self, now: Nanos, work: f64) {
+        if self.in_flight == 0 {
+            self.owes_since = now;
+        }
+        self.in_flight += 1;
+        self.sent.add(now, work);
+    }
+
+    /// Counts an outcome: any sign of life ends its silence.
+    pub fn end(&mut self, now: Nanos, sent: Nanos, outcome: Outcome) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.heard = true;
+        if !matches!(outcome, Outcome::Overdue | Outcome::Withdrawn | Outcome::Unsent) {
+            self.owes_since = now;
+        }
+        if matches!(outcome, Outcome::Completed | Outcome::Missed) {
+            let took = now.saturating_sub(sent) as f64 / SECOND as f64;
+            self.answers.add(now, took);
+            self.minute.add(now, took);
+        }
+    }
+
     /// How long it has owed an answer.
     pub fn silent(&self, now: Nanos) -> Nanos {
         if self.in_flight > 0 { now.saturating_sub(self.owes_since) } else { 0 }
@@ -87,6 +114,8 @@
     pub under_way: bool,
     /// Fetches its key for others too.
     pub fetching: bool,
+    /// How long it is held at most.
+    pub until: Nanos,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -100,7 +129,20 @@
 
 impl Cx {
     pub fn new(ask: Ask, now: Nanos) -> Self {
-        Cx { ask, arrived: now, tries: Vec::new(), over: false, under_way: false, fetching: false }
+        Cx { ask, arrived: now, tries: Vec::new(), over: false, under_way: false, fetching: false, until: 0 }
+    }
+
+    pub fn start(&mut self, now: Nanos, node: Node) {
+        self.tries.push(Try { node, sent: now, out: true, missed: false, may_have_run: true });
+    }
+
+    /// Notes how a try ended; nothing for one that is not out.
+    pub fn end(&mut self, try_no: usize, outcome: Outcome) -> Option<Try> {
+        let this = self.tries.get_mut(try_no).filter(|t| t.out)?;
+        this.out = false;
+        this.missed = outcome == Outcome::Missed;
+        this.may_have_run = !outcome.never_ran();
+        Some(*this)
     }
 
     pub fn out(&self) -> usize {
