Full members count as over T within quota; the origin's line is kept sorted

Symptom: all answers late. Cause: CPU; the line was scanned with hash look-ups at every outcome, and each pick scanned all nodes; told from a slow origin by the wire's own times, which were in time. A member without room shed its exchange although other caches had room; now it counts as over T.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -11,8 +11,9 @@
 use crate::settings::Settings;
 use crate::state::{Cache, Cx, Fetch, Report, Route};
 use crate::table::{Table, rendezvous};
+use hashbrown::HashMap;
 use oorandom::Rand32;
-use std::collections::HashMap;
+use std::collections::BTreeSet;
 use std::num::NonZeroUsize;
 
 const MS: Nanos = 1_000_000;
@@ -56,8 +57,9 @@
     table: Table,
     xchgs: HashMap<Xchg, Cx>,
     fetches: HashMap<u64, Fetch>,
-    /// Misses that wait for a place at the origin, and what may be in flight there.
-    line: Vec<Xchg>,
+    /// Misses that wait for a place at the origin, by how many others wait for their fetch, and what
+    /// may be in flight there.
+    line: BTreeSet<(usize, Xchg)>,
     origin_bound: usize,
     /// Arrivals by tenant, and its quota.
     asked: Vec<(Ring, f64)>,
@@ -82,7 +84,7 @@
             table: Table::new(TABLE_KEYS, UNPICKED),
             xchgs: HashMap::new(),
             fetches: HashMap::new(),
-            line: Vec::new(),
+            line: BTreeSet::new(),
             origin_bound: FEW,
             asked: tenants.map(|tenant| (Ring::new(2 * SECOND, 8), quota(tenant))).collect(),
             normal: 0.0,
@@ -237,7 +239,7 @@
             None => self.seed(xchg, key, mean)?,
         };
         let threshold = (T_FACTOR * mean).max(T_FLOOR);
-        if self.load(chosen, mean) > threshold
+        if (self.load(chosen, mean) > threshold || self.crowds_out(xchg, chosen))
             && let Some(joins) = self.least_overall(xchg, mean)
             && self.load(joins, mean) < threshold
         {
@@ -304,7 +306,11 @@
 
     fn wait_for_fetch(&mut self, xchg: Xchg) {
         if let Some(fetch) = self.xchgs[&xchg].ask.key.and_then(|key| self.fetches.get_mut(&key)) {
+            let in_line = self.line.remove(&(fetch.waiting.len(), fetch.by));
             fetch.waiting.push(xchg);
+            if in_line {
+                self.line.insert((fetch.waiting.len(), fetch.by));
+            }
         }
         self.hold(xchg);
     }
@@ -320,12 +326,12 @@
                 return self.wait_for_fetch(xchg);
             }
             cx.fetching = true;
-            self.fetches.insert(key, Fetch { fills, waiting: Vec::new() });
+            self.fetches.insert(key, Fetch { by: xchg, fills, waiting: Vec::new() });
         }
         if self.caches[origin].in_flight < self.origin_bound {
             return self.send(xchg, origin);
         }
-        self.line.push(xchg);
+        self.line.insert((self.waiters(xchg), xchg));
         self.hold(xchg);
     }
 
@@ -338,31 +344,31 @@
         self.origin_bound = (bound as usize).max(FEW);
     }
 
+    /// How many wait for this exchange's fetch.
+    fn waiters(&self, xchg: Xchg) -> usize {
+        let fetch = self.xchgs[&xchg].ask.key.and_then(|key| self.fetches.get(&key));
+        fetch.filter(|fetch| fetch.by == xchg).map_or(0, |fetch| fetch.waiting.len())
+    }
+
     /// Lets the line into the origin: first who brings an answer to most, of those the latest.
     fn serve_line(&mut self) {
         let Some(origin) = self.origin else { return };
-        while !self.line.is_empty() && self.caches[origin].in_flight < self.origin_bound {
-            let waiters = |xchg: &Xchg| {
-                let key = self.xchgs.get(xchg).and_then(|cx| cx.ask.key);
-                key.and_then(|key| self.fetches.get(&key)).map_or(0, |fetch| fetch.waiting.len())
-            };
-            let best = (0..self.line.len()).max_by_key(|&at| (waiters(&self.line[at]), at)).unwrap_or(0);
-            let xchg = self.line.remove(best);
-            if self.xchgs.get(&xchg).is_some_and(Cx::held) {
-                self.ask_origin(xchg);
-            }
+        while self.caches[origin].in_flight < self.origin_bound
+            && let Some((_, xchg)) = self.line.pop_last()
+        {
+            self.ask_origin(xchg);
         }
     }
 
     /// After a fetch those that waited read the cache; if it came to nothing, the first of them fetches.
     fn end_fetch(&mut self, key: u64, fetched: bool) {
-        let Some(Fetch { fills, mut waiting }) = self.fetches.remove(&key) else { return };
+        let Some(Fetch { fills, mut waiting, .. }) = self.fetches.remove(&key) else { return };
         waiting.retain(|xchg| self.xchgs.get(xchg).is_some_and(Cx::held));
         if fetched || waiting.is_empty() {
             return waiting.into_iter().for_each(|waiter| self.place(waiter));
         }
         let first = waiting.remove(0);
-        self.fetches.insert(key, Fetch { fills, waiting });
+        self.fetches.insert(key, Fetch { by: first, fills, waiting });
         let cx = self.xchgs.get_mut(&first).expect("held exchanges are known");
         cx.fetching = true;
         if cx.missed().is_none() && self.may_take(first, fills) {
@@ -463,6 +469,7 @@
 
     /// An exchange with its answer is forgotten when the last of its tries ended.
     fn settle(&mut self, xchg: Xchg, fetched: bool) {
+        self.line.remove(&(self.waiters(xchg), xchg));
         let cx = self.xchgs.get_mut(&xchg).expect("settled exchanges are known");
         let fetching = std::mem::take(&mut cx.fetching);
         let key = cx.ask.key.filter(|_| fetching);
@@ -505,6 +512,11 @@
         cache.in_flight < FEW || (cache.in_flight as f64) < cache.answers.rate(self.now) * time
     }
 
+    /// Whether an exchange within its tenant's quota finds no room at a member.
+    fn crowds_out(&self, xchg: Xchg, node: Node) -> bool {
+        !self.surplus(self.xchgs[&xchg].ask.tenant) && !self.has_room(xchg, node)
+    }
+
     /// Whether the tenant asks for more than its quota, judged from this proxy's part of the traffic.
     fn surplus(&self, tenant: Option<usize>) -> bool {
         let Some((asked, quota)) = tenant.and_then(|tenant| self.asked.get(tenant)) else { return false };
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,7 +1,7 @@
 //! The start-up settings: a plain map of names to values. Members of a list go by `name.index.field`.
 
 use crate::host::Nanos;
-use std::collections::BTreeMap;
+use hashbrown::HashMap;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Value {
@@ -12,7 +12,7 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Settings(BTreeMap<String, Value>);
+pub struct Settings(HashMap<String, Value>);
 
 impl Settings {
     pub fn put(&mut self, name: impl Into<String>, value: Value) {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -167,6 +167,7 @@
 /// A key that is being fetched from the origin, and who waits for it.
 #[derive(Clone, Debug)]
 pub struct Fetch {
+    pub by: Xchg,
     /// The node that will hold the key.
     pub fills: Node,
     pub waiting: Vec<Xchg>,
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -4,9 +4,10 @@
 use crate::names;
 use crate::wire::{Entry, Fields, Wire, identity, mark, news, outcome};
 use anyhow::{Context, Result, bail};
+use hashbrown::HashMap;
 use pumicebay_core::{Ask, Balance, Listed, Nanos, Node, Standing, Xchg};
 use serde_json::Value as Json;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 pub struct Instance {
     balance: Balance<Wire>,
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -2,10 +2,10 @@
 
 use crate::NANOS;
 use anyhow::{Context, Result};
+use hashbrown::HashMap;
 use pumicebay_core::{Host, Nanos, Node, Outcome, Xchg};
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::collections::HashMap;
 use std::fmt::Write;
 
 /// The values of one event, in the wire's order; those left out at the end count as null.
