--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -7,13 +7,12 @@
 //! lacks the key says so, and the origin is asked. All else here is for when that goes wrong.
 
 use crate::host::{Ask, Host, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing, Xchg};
-use crate::ring::Ring;
 use crate::settings::Settings;
-use crate::state::{Cache, Cx, Fetch, Report, Route};
+use crate::state::{Cache, Cx, Fetch, Report, Route, Tenant};
 use crate::table::{Table, rendezvous};
 use hashbrown::HashMap;
 use oorandom::Rand32;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::num::NonZeroUsize;
 
 const MS: Nanos = 1_000_000;
@@ -33,13 +32,16 @@
 const PROBES: usize = 2;
 /// In flight at a node without measuring: enough to see its rate.
 const FEW: usize = 4;
+const NODE_FEW: usize = 2;
 /// Buckets need so many answers to be a measure of a node's time.
 const ENOUGH: u32 = 10;
 /// Room to find out that the origin can do more than it was asked.
 const GAIN: f64 = 2.0;
 /// The part of the objective that exchanges in flight at a node may take; less for surplus.
-const ROOM: f64 = 0.9;
-const SURPLUS_ROOM: f64 = 0.4;
+const ROOM: f64 = 3.0;
+const SURPLUS_ROOM: f64 = 1.0;
+/// The part of the objective that an exchange waits for room, as a divisor.
+const PATIENCE: u64 = 4;
 const TICK: Nanos = 100 * MS;
 /// The wake-up token of the tick; exchanges count from 1.
 const TICK_TOKEN: u64 = 0;
@@ -61,8 +63,12 @@
     /// may be in flight there.
     line: BTreeSet<(usize, Xchg)>,
     origin_bound: usize,
-    /// Arrivals by tenant, and its quota.
-    asked: Vec<(Ring, f64)>,
+    /// Exchanges that wait for room at a cache, and answers a second from all caches.
+    queue: VecDeque<Xchg>,
+    rate: f64,
+    tenants: Vec<Tenant>,
+    /// What all tenants ask of their quotas here, as a part.
+    usage: f64,
     /// What a warm cache is sent over the cold budget's window, on average.
     normal: f64,
     following: bool,
@@ -71,8 +77,6 @@
 impl<H: Host> Balance<H> {
     pub fn new(host: H, settings: Settings, seed: u64, now: Nanos) -> Self {
         let routes = Route::all(&settings);
-        let quota = |tenant| settings.number(&format!("tenant.{tenant}.quota"), f64::MAX);
-        let tenants = 0..settings.number("tenants", 0.0) as usize;
         let mut balance = Balance {
             host,
             rng: Rand32::new(seed),
@@ -86,7 +90,10 @@
             fetches: HashMap::new(),
             line: BTreeSet::new(),
             origin_bound: FEW,
-            asked: tenants.map(|tenant| (Ring::new(2 * SECOND, 8), quota(tenant))).collect(),
+            queue: VecDeque::new(),
+            rate: 0.0,
+            tenants: Tenant::all(&settings),
+            usage: 0.0,
             normal: 0.0,
             following: false,
             settings,
@@ -99,8 +106,8 @@
 
     pub fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
         self.now = now;
-        if let Some((asked, _)) = ask.tenant.and_then(|tenant| self.asked.get_mut(tenant)) {
-            asked.add(now, 1.0);
+        if let Some(tenant) = ask.tenant.and_then(|tenant| self.tenants.get_mut(tenant)) {
+            tenant.asked.add(now, 1.0);
         }
         self.xchgs.insert(xchg, Cx::new(ask, now));
         self.place(xchg);
@@ -122,6 +129,7 @@
             self.again(xchg, this.node, outcome);
         }
         self.serve_line();
+        self.serve_queue();
     }
 
     /// The answer streams: the try now belongs to the client.
@@ -221,9 +229,10 @@
         }
         match self.pick(xchg, ask.key) {
             Some(node) if self.filling(ask.key, node) => self.wait_for_fetch(xchg),
-            Some(node) if self.has_room(xchg, node) => self.send(xchg, node),
+            Some(node) if self.has_room(xchg, node) => self.serve(xchg, node),
+            Some(_) => self.wait_for_room(xchg),
             None if self.origin.is_some() => self.ask_origin(xchg),
-            _ => self.conclude(xchg),
+            None => self.conclude(xchg),
         }
     }
 
@@ -239,18 +248,32 @@
             None => self.seed(xchg, key, mean)?,
         };
         let threshold = (T_FACTOR * mean).max(T_FLOOR);
-        if (self.load(chosen, mean) > threshold || self.crowds_out(xchg, chosen))
+        if self.load(chosen, mean) > threshold
             && let Some(joins) = self.least_overall(xchg, mean)
             && self.load(joins, mean) < threshold
         {
             chosen = joins;
         }
-        if self.table.pick(self.now, key, chosen) && self.settings.flag("peers") {
-            self.host.tell_joined(chosen, key);
-        }
         Some(chosen)
     }
 
+    /// Sends the exchange to a cache, which joins its key's set.
+    fn serve(&mut self, xchg: Xchg, node: Node) {
+        let cx = &self.xchgs[&xchg];
+        if let Some(tenant) = cx.ask.tenant.and_then(|tenant| self.tenants.get_mut(tenant))
+            && cx.tries.is_empty()
+        {
+            tenant.served.add(self.now, 1.0);
+        }
+        if let Some(key) = cx.ask.key
+            && self.table.pick(self.now, key, node)
+            && self.settings.flag("peers")
+        {
+            self.host.tell_joined(node, key);
+        }
+        self.send(xchg, node);
+    }
+
     /// The less busy of the key's two highest rendezvous-hash caches.
     fn seed(&mut self, xchg: Xchg, key: u64, mean: f64) -> Option<Node> {
         let mut ranked = self.all(xchg);
@@ -420,7 +443,7 @@
         let allowed = self.settings.flag("second_copies") && cx.out() == 1 && !cx.over && !cx.under_way;
         if silent && allowed && self.now >= last.sent + self.routes[cx.ask.route].objective / 2 {
             let other = self.pick(xchg, cx.ask.key).filter(|&node| self.has_room(xchg, node));
-            other.into_iter().for_each(|node| self.send(xchg, node));
+            other.into_iter().for_each(|node| self.serve(xchg, node));
         }
     }
 
@@ -504,23 +527,46 @@
         self.host.wake(cx.until, xchg);
     }
 
+    /// No cache has room: within quota the exchange waits for some, but only in a queue so short that
+    /// its waits mostly end in an answer, bounded by rate times time.
+    fn wait_for_room(&mut self, xchg: Xchg) {
+        let cx = self.xchgs.get_mut(&xchg).expect("held exchanges are known");
+        let patience = self.routes[cx.ask.route].objective / PATIENCE;
+        let (tenant, most) = (cx.ask.tenant, self.rate * patience as f64 / SECOND as f64);
+        cx.until = (cx.arrived + patience).max(self.now).min(cx.ends());
+        if self.surplus(tenant) || self.queue.len() as f64 >= most || self.now >= self.xchgs[&xchg].until {
+            return self.conclude(xchg);
+        }
+        self.host.wake(self.xchgs[&xchg].until, xchg);
+        self.queue.push_back(xchg);
+    }
+
+    /// An outcome may have made room: the queue moves on.
+    fn serve_queue(&mut self) {
+        for _ in 0..self.queue.len() {
+            let Some(xchg) = self.queue.pop_front() else { return };
+            let Some(cx) = self.xchgs.get(&xchg).filter(|cx| cx.held()) else { continue };
+            match self.pick(xchg, cx.ask.key) {
+                Some(node) if !self.has_room(xchg, node) => self.queue.push_back(xchg),
+                _ => return self.place(xchg),
+            }
+        }
+    }
+
     /// Bounds what is in flight at a node by rate times time, so that its answers meet the objective.
     fn has_room(&self, xchg: Xchg, node: Node) -> bool {
         let (ask, cache) = (&self.xchgs[&xchg].ask, &self.caches[node]);
         let part = if self.surplus(ask.tenant) { SURPLUS_ROOM } else { ROOM };
-        let time = part * self.routes[ask.route].objective as f64 / SECOND as f64;
-        cache.in_flight < FEW || (cache.in_flight as f64) < cache.answers.rate(self.now) * time
-    }
-
-    /// Whether an exchange within its tenant's quota finds no room at a member.
-    fn crowds_out(&self, xchg: Xchg, node: Node) -> bool {
-        !self.surplus(self.xchgs[&xchg].ask.tenant) && !self.has_room(xchg, node)
+        let _ = ask;
+        (cache.in_flight as f64) < (cache.bound * part).max(NODE_FEW as f64)
     }
 
-    /// Whether the tenant asks for more than its quota, judged from this proxy's part of the traffic.
+    /// Whether the tenant has had this proxy's part of its quota already and asks for more of it than
+    /// the tenants do on average. The average guards against uneven proxies, where a part misleads.
     fn surplus(&self, tenant: Option<usize>) -> bool {
-        let Some((asked, quota)) = tenant.and_then(|tenant| self.asked.get(tenant)) else { return false };
-        asked.rate(self.now) * self.settings.number("fleet", 1.0) > *quota
+        let Some(tenant) = tenant.and_then(|tenant| self.tenants.get(tenant)) else { return false };
+        let part = tenant.quota / self.settings.number("fleet", 1.0);
+        tenant.served.rate(self.now) > part && tenant.asked.rate(self.now) > self.usage * tenant.quota
     }
 
     // ---- Health ---------------------------------------------------------------------------------
@@ -582,6 +628,8 @@
         for node in 0..self.caches.len() {
             let silent = self.silent(node);
             let cache = &mut self.caches[node];
+            let minute = &cache.minute;
+            cache.bound = minute.peak_rate(self.now) * minute.least_mean(self.now, ENOUGH).unwrap_or(0.0);
             if silent {
                 cache.refuses_until = self.now + REFUSAL;
             }
@@ -591,6 +639,12 @@
             }
         }
         self.measure_normal();
+        let caches = self.caches.iter().filter(|cache| cache.serves());
+        let (asked, quota) = self.tenants.iter().fold((0.0, 0.0), |(asked, quota), tenant| {
+            (asked + tenant.asked.rate(self.now), quota + tenant.quota)
+        });
+        self.usage = asked / quota;
+        self.rate = caches.map(|cache| cache.answers.rate(self.now)).sum();
         self.measure_origin();
         if !self.following && self.settings.text("discovery") == "ask" {
             self.following = true;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -21,6 +21,7 @@
     /// How long its answers took, in seconds: lately, and over the last minute.
     pub answers: Ring,
     pub minute: Ring,
+    pub bound: f64,
     /// Work sent over the cold budget's window.
     pub sent: Ring,
     /// Since when it owes an answer without having given one.
@@ -53,7 +54,8 @@
             report: None,
             heard: false,
             answers: Ring::new(2 * SECOND, 8),
-            minute: Ring::new(60 * SECOND, 40),
+            bound: 0.0,
+            minute: Ring::new(60 * SECOND, 20),
             sent: Ring::new(window, 10),
             owes_since: 0,
             refuses_until: 0,
@@ -207,3 +209,20 @@
         }
     }
 }
+
+/// What a tenant asks of this proxy and gets, and its quota over all proxies, a second.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    pub asked: Ring,
+    pub served: Ring,
+    pub quota: f64,
+}
+
+impl Tenant {
+    pub fn all(settings: &Settings) -> Vec<Tenant> {
+        let quota = |at| settings.number(&format!("tenant.{at}.quota"), f64::INFINITY);
+        let ring = || Ring::new(2 * SECOND, 8);
+        let tenants = 0..settings.number("tenants", 0.0) as usize;
+        tenants.map(|at| Tenant { asked: ring(), served: ring(), quota: quota(at) }).collect()
+    }
+}
