--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -6,20 +6,21 @@
 //! member serves; past the threshold T the least loaded cache of all joins the set. A member that
 //! lacks the key says so, and the origin is asked. All else here is for when that goes wrong.
 
+use crate::fetches::{Fetch, Fetches};
 use crate::host::{Ask, Host, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing, Xchg};
 use crate::settings::Settings;
-use crate::state::{Cache, Cx, Fetch, Report, Route, Tenant};
+use crate::state::{Cache, Cx, Report, Route, Tenant};
 use crate::table::{Table, rendezvous};
 use hashbrown::HashMap;
 use oorandom::Rand32;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
 use std::num::NonZeroUsize;
 
 const MS: Nanos = 1_000_000;
 const SECOND: Nanos = 1000 * MS;
 /// T is this multiple of the mean load over the ready caches, and no less than its floor.
 const T_FACTOR: f64 = 1.5;
-const T_FLOOR: f64 = 2.0;
+const T_FLOOR: f64 = 4.0;
 /// Keys in the table; members leave their set when unpicked for so long.
 const TABLE_KEYS: NonZeroUsize = NonZeroUsize::new(1 << 16).unwrap();
 const UNPICKED: Nanos = 10 * SECOND;
@@ -30,17 +31,14 @@
 /// Failures in a row that set a node aside, and answered probes that bring it back.
 const FAILURES: usize = 3;
 const PROBES: usize = 2;
-/// In flight at a node without measuring: enough to see its rate.
-const FEW: usize = 4;
-const NODE_FEW: usize = 2;
-/// Buckets need so many answers to be a measure of a node's time.
-const ENOUGH: u32 = 10;
-/// Room to find out that the origin can do more than it was asked.
-const GAIN: f64 = 2.0;
-/// The part of the objective that exchanges in flight at a node may take; less for surplus.
-const ROOM: f64 = 3.0;
+/// In flight at a node is bounded by what it held when it did best (answers enough to tell), times
+/// this room to find out that it can do more; a few go there unmeasured.
+const ORIGIN_ROOM: f64 = 2.0;
+const ROOM: f64 = 1.5;
 const SURPLUS_ROOM: f64 = 1.0;
-/// The part of the objective that an exchange waits for room, as a divisor.
+const ENOUGH: u32 = 10;
+const FEW: f64 = 4.0;
+/// The part of its objective that an exchange waits for room at a cache, as a divisor.
 const PATIENCE: u64 = 4;
 const TICK: Nanos = 100 * MS;
 /// The wake-up token of the tick; exchanges count from 1.
@@ -58,11 +56,7 @@
     origin: Option<Node>,
     table: Table,
     xchgs: HashMap<Xchg, Cx>,
-    fetches: HashMap<u64, Fetch>,
-    /// Misses that wait for a place at the origin, by how many others wait for their fetch, and what
-    /// may be in flight there.
-    line: BTreeSet<(usize, Xchg)>,
-    origin_bound: usize,
+    fetches: Fetches,
     /// Exchanges that wait for room at a cache, and answers a second from all caches.
     queue: VecDeque<Xchg>,
     rate: f64,
@@ -87,9 +81,7 @@
             origin: None,
             table: Table::new(TABLE_KEYS, UNPICKED),
             xchgs: HashMap::new(),
-            fetches: HashMap::new(),
-            line: BTreeSet::new(),
-            origin_bound: FEW,
+            fetches: Fetches::default(),
             queue: VecDeque::new(),
             rate: 0.0,
             tenants: Tenant::all(&settings),
@@ -228,7 +220,10 @@
             return self.ask_origin(xchg);
         }
         match self.pick(xchg, ask.key) {
-            Some(node) if self.filling(ask.key, node) => self.wait_for_fetch(xchg),
+            // This node is about to get the key from the origin.
+            Some(node) if self.fetches.get(ask.key).is_some_and(|fetch| fetch.fills == node) => {
+                self.wait_for_fetch(xchg)
+            }
             Some(node) if self.has_room(xchg, node) => self.serve(xchg, node),
             Some(_) => self.wait_for_room(xchg),
             None if self.origin.is_some() => self.ask_origin(xchg),
@@ -322,18 +317,9 @@
 
     // ---- Misses and the origin ----------------------------------------------------------------
 
-    /// Whether this node is about to get the key from the origin.
-    fn filling(&self, key: Option<u64>, node: Node) -> bool {
-        key.and_then(|key| self.fetches.get(&key)).is_some_and(|fetch| fetch.fills == node)
-    }
-
     fn wait_for_fetch(&mut self, xchg: Xchg) {
-        if let Some(fetch) = self.xchgs[&xchg].ask.key.and_then(|key| self.fetches.get_mut(&key)) {
-            let in_line = self.line.remove(&(fetch.waiting.len(), fetch.by));
-            fetch.waiting.push(xchg);
-            if in_line {
-                self.line.insert((fetch.waiting.len(), fetch.by));
-            }
+        if let Some(key) = self.xchgs[&xchg].ask.key {
+            self.fetches.wait(key, xchg);
         }
         self.hold(xchg);
     }
@@ -344,40 +330,44 @@
             return self.conclude(xchg);
         };
         let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
-        if let (Some(key), Some(fills), false) = (cx.ask.key, cx.missed(), cx.fetching) {
-            if self.fetches.contains_key(&key) {
+        let key = cx.ask.key;
+        if let (Some(key), Some(fills), false) = (key, cx.missed(), cx.fetching) {
+            if self.fetches.get(Some(key)).is_some() {
                 return self.wait_for_fetch(xchg);
             }
             cx.fetching = true;
-            self.fetches.insert(key, Fetch { by: xchg, fills, waiting: Vec::new() });
+            self.fetches.start(key, Fetch { by: xchg, fills, waiting: Vec::new() });
         }
-        if self.caches[origin].in_flight < self.origin_bound {
+        if self.origin_has_room(origin) {
             return self.send(xchg, origin);
         }
-        self.line.insert((self.waiters(xchg), xchg));
+        self.fetches.line_up(key, xchg);
         self.hold(xchg);
+        self.shorten_line(origin);
     }
 
-    /// Guards the origin: in flight is bounded by its best rate times its best time. A bound from
-    /// what it does just now would follow a growing queue upwards, or a stall down to nothing.
-    fn measure_origin(&mut self) {
-        let Some(origin) = self.origin else { return };
-        let minute = &self.caches[origin].minute;
-        let bound = GAIN * minute.peak_rate(self.now) * minute.least_mean(self.now, ENOUGH).unwrap_or(0.0);
-        self.origin_bound = (bound as usize).max(FEW);
+    /// Guards the origin against more than it does well. A bound from what it does just now would
+    /// follow a growing queue upwards, or a stall down to nothing.
+    fn origin_has_room(&self, origin: Node) -> bool {
+        let cache = &self.caches[origin];
+        (cache.in_flight as f64) < (ORIGIN_ROOM * cache.best).max(FEW)
     }
 
-    /// How many wait for this exchange's fetch.
-    fn waiters(&self, xchg: Xchg) -> usize {
-        let fetch = self.xchgs[&xchg].ask.key.and_then(|key| self.fetches.get(&key));
-        fetch.filter(|fetch| fetch.by == xchg).map_or(0, |fetch| fetch.waiting.len())
+    /// The line is no longer than the origin's rate times an objective: the least awaited is shed.
+    fn shorten_line(&mut self, origin: Node) {
+        let most = self.caches[origin].answers.rate(self.now) * self.shortest as f64 / SECOND as f64;
+        if self.fetches.in_line() as f64 > most.max(FEW)
+            && let Some(xchg) = self.fetches.least_awaited()
+        {
+            self.conclude(xchg);
+        }
     }
 
     /// Lets the line into the origin: first who brings an answer to most, of those the latest.
     fn serve_line(&mut self) {
         let Some(origin) = self.origin else { return };
-        while self.caches[origin].in_flight < self.origin_bound
-            && let Some((_, xchg)) = self.line.pop_last()
+        while self.origin_has_room(origin)
+            && let Some(xchg) = self.fetches.take_most_awaited()
         {
             self.ask_origin(xchg);
         }
@@ -385,13 +375,13 @@
 
     /// After a fetch those that waited read the cache; if it came to nothing, the first of them fetches.
     fn end_fetch(&mut self, key: u64, fetched: bool) {
-        let Some(Fetch { fills, mut waiting, .. }) = self.fetches.remove(&key) else { return };
+        let Some(Fetch { fills, mut waiting, .. }) = self.fetches.end(key) else { return };
         waiting.retain(|xchg| self.xchgs.get(xchg).is_some_and(Cx::held));
         if fetched || waiting.is_empty() {
             return waiting.into_iter().for_each(|waiter| self.place(waiter));
         }
         let first = waiting.remove(0);
-        self.fetches.insert(key, Fetch { by: first, fills, waiting });
+        self.fetches.start(key, Fetch { by: first, fills, waiting });
         let cx = self.xchgs.get_mut(&first).expect("held exchanges are known");
         cx.fetching = true;
         if cx.missed().is_none() && self.may_take(first, fills) {
@@ -492,8 +482,8 @@
 
     /// An exchange with its answer is forgotten when the last of its tries ended.
     fn settle(&mut self, xchg: Xchg, fetched: bool) {
-        self.line.remove(&(self.waiters(xchg), xchg));
         let cx = self.xchgs.get_mut(&xchg).expect("settled exchanges are known");
+        self.fetches.leave_line(cx.ask.key, xchg);
         let fetching = std::mem::take(&mut cx.fetching);
         let key = cx.ask.key.filter(|_| fetching);
         if cx.out() == 0 {
@@ -553,12 +543,10 @@
         }
     }
 
-    /// Bounds what is in flight at a node by rate times time, so that its answers meet the objective.
     fn has_room(&self, xchg: Xchg, node: Node) -> bool {
-        let (ask, cache) = (&self.xchgs[&xchg].ask, &self.caches[node]);
-        let part = if self.surplus(ask.tenant) { SURPLUS_ROOM } else { ROOM };
-        let _ = ask;
-        (cache.in_flight as f64) < (cache.bound * part).max(NODE_FEW as f64)
+        let cache = &self.caches[node];
+        let room = if self.surplus(self.xchgs[&xchg].ask.tenant) { SURPLUS_ROOM } else { ROOM };
+        (cache.in_flight as f64) < (room * cache.best).max(FEW)
     }
 
     /// Whether the tenant has had this proxy's part of its quota already and asks for more of it than
@@ -628,8 +616,7 @@
         for node in 0..self.caches.len() {
             let silent = self.silent(node);
             let cache = &mut self.caches[node];
-            let minute = &cache.minute;
-            cache.bound = minute.peak_rate(self.now) * minute.least_mean(self.now, ENOUGH).unwrap_or(0.0);
+            cache.measure(self.now, ENOUGH);
             if silent {
                 cache.refuses_until = self.now + REFUSAL;
             }
@@ -638,26 +625,24 @@
                 self.host.probe(node);
             }
         }
-        self.measure_normal();
-        let caches = self.caches.iter().filter(|cache| cache.serves());
-        let (asked, quota) = self.tenants.iter().fold((0.0, 0.0), |(asked, quota), tenant| {
-            (asked + tenant.asked.rate(self.now), quota + tenant.quota)
-        });
-        self.usage = asked / quota;
-        self.rate = caches.map(|cache| cache.answers.rate(self.now)).sum();
-        self.measure_origin();
+        self.measure();
         if !self.following && self.settings.text("discovery") == "ask" {
             self.following = true;
             self.host.follow();
         }
     }
 
-    fn measure_normal(&mut self) {
-        let coldest = self.now.saturating_sub(self.settings.time("cold", 0));
-        let warm = |cache: &&Cache| cache.serves() && cache.listed.started <= coldest;
-        let sent = self.caches.iter().filter(warm).map(|cache| cache.sent.sum(self.now));
-        let (count, total) = sent.fold((0u32, 0.0), |(count, total), sent| (count + 1, total + sent));
-        self.normal = total / f64::from(count.max(1));
+    fn measure(&mut self) {
+        let now = self.now;
+        let coldest = now.saturating_sub(self.settings.time("cold", 0));
+        let serving = || self.caches.iter().filter(|cache| cache.serves());
+        let warm = || serving().filter(|cache| cache.listed.started <= coldest);
+        let sent: f64 = warm().map(|cache| cache.sent.sum(now)).sum();
+        let asked: f64 = self.tenants.iter().map(|tenant| tenant.asked.rate(now)).sum();
+        let quota: f64 = self.tenants.iter().map(|tenant| tenant.quota).sum();
+        self.rate = serving().map(|cache| cache.answers.rate(now)).sum();
+        self.normal = sent / warm().count().max(1) as f64;
+        self.usage = asked / quota;
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions of pumicebay, free of wire, I/O and clock. Start reading at [`balance`].
 
 pub mod balance;
+pub mod fetches;
 pub mod host;
 pub mod ring;
 pub mod settings;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions remember: plain records, no choices.
 
-use crate::host::{Ask, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing, Xchg};
+use crate::host::{Ask, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing};
 use crate::ring::Ring;
 use crate::settings::Settings;
 
@@ -21,7 +21,8 @@
     /// How long its answers took, in seconds: lately, and over the last minute.
     pub answers: Ring,
     pub minute: Ring,
-    pub bound: f64,
+    /// How many it held in flight when it did best: its best rate times its best time.
+    pub best: f64,
     /// Work sent over the cold budget's window.
     pub sent: Ring,
     /// Since when it owes an answer without having given one.
@@ -54,7 +55,7 @@
             report: None,
             heard: false,
             answers: Ring::new(2 * SECOND, 8),
-            bound: 0.0,
+            best: 0.0,
             minute: Ring::new(60 * SECOND, 20),
             sent: Ring::new(window, 10),
             owes_since: 0,
@@ -76,6 +77,11 @@
         self.ready() && !self.listed.origin && self.aside.is_none()
     }
 
+    /// Measures `best`, from stretches with enough answers to tell.
+    pub fn measure(&mut self, now: Nanos, enough: u32) {
+        self.best = self.minute.peak_rate(now) * self.minute.least_mean(now, enough).unwrap_or(0.0);
+    }
+
     pub fn send(&mut self, now: Nanos, work: f64) {
         if self.in_flight == 0 {
             self.owes_since = now;
@@ -166,15 +172,6 @@
     }
 }
 
-/// A key that is being fetched from the origin, and who waits for it.
-#[derive(Clone, Debug)]
-pub struct Fetch {
-    pub by: Xchg,
-    /// The node that will hold the key.
-    pub fills: Node,
-    pub waiting: Vec<Xchg>,
-}
-
 #[derive(Clone, Debug)]
 pub struct Route {
     pub objective: Nanos,
