--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -9,7 +9,7 @@
 use crate::fetches::{Fetch, Fetches};
 use crate::host::{Ask, Host, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing, Xchg};
 use crate::settings::Settings;
-use crate::state::{Cache, Cx, Report, Route, Tenant};
+use crate::state::{Cache, Cx, Report, Route, Tenants, Try};
 use crate::table::{Table, rendezvous};
 use hashbrown::HashMap;
 use oorandom::Rand32;
@@ -60,9 +60,7 @@
     /// Exchanges that wait for room at a cache, and answers a second from all caches.
     queue: VecDeque<Xchg>,
     rate: f64,
-    tenants: Vec<Tenant>,
-    /// What all tenants ask of their quotas here, as a part.
-    usage: f64,
+    tenants: Tenants,
     /// What a warm cache is sent over the cold budget's window, on average.
     normal: f64,
     following: bool,
@@ -84,8 +82,7 @@
             fetches: Fetches::default(),
             queue: VecDeque::new(),
             rate: 0.0,
-            tenants: Tenant::all(&settings),
-            usage: 0.0,
+            tenants: Tenants::new(&settings),
             normal: 0.0,
             following: false,
             settings,
@@ -98,9 +95,7 @@
 
     pub fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
         self.now = now;
-        if let Some(tenant) = ask.tenant.and_then(|tenant| self.tenants.get_mut(tenant)) {
-            tenant.asked.add(now, 1.0);
-        }
+        self.tenants.ask(now, ask.tenant);
         self.xchgs.insert(xchg, Cx::new(ask, now));
         self.place(xchg);
     }
@@ -219,11 +214,9 @@
         if ask.write && self.origin.is_some() {
             return self.ask_origin(xchg);
         }
+        let filling = self.fetches.get(ask.key).map(|fetch| fetch.fills);
         match self.pick(xchg, ask.key) {
-            // This node is about to get the key from the origin.
-            Some(node) if self.fetches.get(ask.key).is_some_and(|fetch| fetch.fills == node) => {
-                self.wait_for_fetch(xchg)
-            }
+            node if node.is_some() && node == filling => self.wait_for_fetch(xchg),
             Some(node) if self.has_room(xchg, node) => self.serve(xchg, node),
             Some(_) => self.wait_for_room(xchg),
             None if self.origin.is_some() => self.ask_origin(xchg),
@@ -234,7 +227,7 @@
     /// The set's least loaded member; past T, the least loaded cache overall joins it.
     fn pick(&mut self, xchg: Xchg, key: Option<u64>) -> Option<Node> {
         let mean = self.mean_load();
-        let Some(key) = key else { return self.least_overall(xchg, mean) };
+        let Some(key) = key else { return self.least(&self.takers(xchg), mean) };
         let caches = &self.caches;
         let mut set = self.table.set(self.now, key, |node| caches[node].serves());
         set.retain(|&node| self.may_take(xchg, node));
@@ -244,7 +237,7 @@
         };
         let threshold = (T_FACTOR * mean).max(T_FLOOR);
         if self.load(chosen, mean) > threshold
-            && let Some(joins) = self.least_overall(xchg, mean)
+            && let Some(joins) = self.least(&self.takers(xchg), mean)
             && self.load(joins, mean) < threshold
         {
             chosen = joins;
@@ -254,13 +247,11 @@
 
     /// Sends the exchange to a cache, which joins its key's set.
     fn serve(&mut self, xchg: Xchg, node: Node) {
-        let cx = &self.xchgs[&xchg];
-        if let Some(tenant) = cx.ask.tenant.and_then(|tenant| self.tenants.get_mut(tenant))
-            && cx.tries.is_empty()
-        {
-            tenant.served.add(self.now, 1.0);
+        let Ask { key, tenant, .. } = self.xchgs[&xchg].ask;
+        if self.xchgs[&xchg].tries.is_empty() {
+            self.tenants.serve(self.now, tenant);
         }
-        if let Some(key) = cx.ask.key
+        if let Some(key) = key
             && self.table.pick(self.now, key, node)
             && self.settings.flag("peers")
         {
@@ -271,18 +262,13 @@
 
     /// The less busy of the key's two highest rendezvous-hash caches.
     fn seed(&mut self, xchg: Xchg, key: u64, mean: f64) -> Option<Node> {
-        let mut ranked = self.all(xchg);
+        let mut ranked = self.takers(xchg);
         ranked.sort_by_cached_key(|&n| std::cmp::Reverse(rendezvous(key, self.caches[n].listed.identity)));
         ranked.truncate(2);
         self.least(&ranked, mean)
     }
 
-    fn least_overall(&mut self, xchg: Xchg, mean: f64) -> Option<Node> {
-        let all = self.all(xchg);
-        self.least(&all, mean)
-    }
-
-    fn all(&self, xchg: Xchg) -> Vec<Node> {
+    fn takers(&self, xchg: Xchg) -> Vec<Node> {
         (0..self.caches.len()).filter(|&node| self.may_take(xchg, node)).collect()
     }
 
@@ -321,7 +307,7 @@
         if let Some(key) = self.xchgs[&xchg].ask.key {
             self.fetches.wait(key, xchg);
         }
-        self.hold(xchg);
+        self.hold_for_origin(xchg);
     }
 
     /// One fetch a key, the others wait for it; past the origin's bound a fetch waits in line.
@@ -342,7 +328,7 @@
             return self.send(xchg, origin);
         }
         self.fetches.line_up(key, xchg);
-        self.hold(xchg);
+        self.hold_for_origin(xchg);
         self.shorten_line(origin);
     }
 
@@ -398,15 +384,15 @@
         cx.start(self.now, node);
         self.caches[node].send(self.now, cx.ask.work());
         self.host.send(xchg, node, cx.ends().saturating_sub(self.now));
-        self.host.wake(self.now + self.routes[cx.ask.route].objective / 2, xchg);
+        self.host.wake(self.now + self.objective(xchg) / 2, xchg);
         self.tell_load(node);
     }
 
     /// Peers hear of a load that changed much.
     fn tell_load(&mut self, node: Node) {
         let cache = &mut self.caches[node];
-        if cache.in_flight.abs_diff(cache.told) >= NEWS && self.settings.flag("peers") && !cache.listed.origin
-        {
+        let news = cache.in_flight.abs_diff(cache.told) >= NEWS && !cache.listed.origin;
+        if news && self.settings.flag("peers") {
             cache.told = cache.in_flight;
             self.host.tell_load(node, cache.in_flight);
         }
@@ -415,12 +401,14 @@
     /// Nothing is out and the last try failed at this node.
     fn again(&mut self, xchg: Xchg, node: Node, outcome: Outcome) {
         let cx = &self.xchgs[&xchg];
-        let lost = outcome == Outcome::Unsent || self.now >= cx.ends() || cx.under_way;
-        match Some(node) == self.origin {
-            _ if lost => self.conclude(xchg),
-            true if outcome == Outcome::Saturated => self.conclude(xchg),
-            true => self.ask_origin(xchg),
-            false => self.place(xchg),
+        let at_origin = Some(node) == self.origin;
+        let lost = outcome == Outcome::Unsent || at_origin && outcome == Outcome::Saturated;
+        if lost || cx.under_way || self.now >= cx.ends() {
+            self.conclude(xchg);
+        } else if at_origin {
+            self.ask_origin(xchg);
+        } else {
+            self.place(xchg);
         }
     }
 
@@ -431,7 +419,7 @@
         let Some(last) = cx.tries.iter().find(|t| t.out) else { return };
         let silent = !self.caches[last.node].listed.origin && self.silent(last.node);
         let allowed = self.settings.flag("second_copies") && cx.out() == 1 && !cx.over && !cx.under_way;
-        if silent && allowed && self.now >= last.sent + self.routes[cx.ask.route].objective / 2 {
+        if silent && allowed && self.now >= last.sent + self.objective(xchg) / 2 {
             let other = self.pick(xchg, cx.ask.key).filter(|&node| self.has_room(xchg, node));
             other.into_iter().for_each(|node| self.serve(xchg, node));
         }
@@ -440,13 +428,12 @@
     /// Whether the rules let this exchange go to this node now, and the node may be sent it.
     fn may_take(&self, xchg: Xchg, node: Node) -> bool {
         let (cx, cache) = (&self.xchgs[&xchg], &self.caches[node]);
-        let here = |t: &crate::state::Try| t.node == node && (t.out || !t.missed);
-        let takes = match cache.listed.origin {
-            true => cache.ready(),
-            false => cache.serves() && !cx.tries.iter().any(here) && self.within_budget(cache, cx.ask.work()),
-        };
+        let here = |t: &Try| t.node == node && (t.out || !t.missed);
+        let origin = cache.listed.origin && cache.ready();
+        let takes = origin || cache.serves() && self.within_budget(cache, cx.ask.work());
         let most = || self.settings.number("most_tries", 1.0) as usize;
-        takes && (cx.tries.is_empty() || cx.tries.len() < most() && self.may_repeat(cx, node))
+        let again = || cx.tries.len() < most() && self.may_repeat(cx, node);
+        takes && (cx.tries.is_empty() || again() && (origin || !cx.tries.iter().any(here)))
     }
 
     /// Rule 2: no effect twice.
@@ -507,30 +494,39 @@
 
     // ---- Waiting, and shedding what would wait too long ------------------------------------------
 
-    /// Holds an exchange with nothing out; it is shed when the objective gets out of reach.
-    fn hold(&mut self, xchg: Xchg) {
+    /// Holds an exchange with nothing out, for so long since it arrived; then it is shed.
+    fn hold(&mut self, xchg: Xchg, patience: Nanos) {
         let cx = self.xchgs.get_mut(&xchg).expect("held exchanges are known");
-        let objective = self.routes[cx.ask.route].objective;
-        let fetch = self.origin.and_then(|node| self.caches[node].answers.mean(self.now)).unwrap_or(0.0);
-        let patience = objective.saturating_sub((1.5 * fetch * SECOND as f64) as u64).max(objective / 4);
         cx.until = (cx.arrived + patience.min(cx.ask.grace)).max(self.now);
         self.host.wake(cx.until, xchg);
     }
 
+    /// A wait for the origin leaves time for the fetch within the objective.
+    fn hold_for_origin(&mut self, xchg: Xchg) {
+        let objective = self.objective(xchg);
+        let fetch = self.origin.and_then(|node| self.caches[node].answers.mean(self.now)).unwrap_or(0.0);
+        let fetch = (1.5 * fetch * SECOND as f64) as u64;
+        self.hold(xchg, objective.saturating_sub(fetch).max(objective / PATIENCE));
+    }
+
     /// No cache has room: within quota the exchange waits for some, but only in a queue so short that
     /// its waits mostly end in an answer, bounded by rate times time.
     fn wait_for_room(&mut self, xchg: Xchg) {
-        let cx = self.xchgs.get_mut(&xchg).expect("held exchanges are known");
-        let patience = self.routes[cx.ask.route].objective / PATIENCE;
-        let (tenant, most) = (cx.ask.tenant, self.rate * patience as f64 / SECOND as f64);
-        cx.until = (cx.arrived + patience).max(self.now).min(cx.ends());
-        if self.surplus(tenant) || self.queue.len() as f64 >= most || self.now >= self.xchgs[&xchg].until {
+        let patience = self.objective(xchg) / PATIENCE;
+        let most = self.rate * patience as f64 / SECOND as f64;
+        let Cx { arrived, ask, .. } = &self.xchgs[&xchg];
+        let waited = self.now - arrived >= patience;
+        if waited || self.surplus(ask.tenant) || self.queue.len() as f64 >= most {
             return self.conclude(xchg);
         }
-        self.host.wake(self.xchgs[&xchg].until, xchg);
+        self.hold(xchg, patience);
         self.queue.push_back(xchg);
     }
 
+    fn objective(&self, xchg: Xchg) -> Nanos {
+        self.routes[self.xchgs[&xchg].ask.route].objective
+    }
+
     /// An outcome may have made room: the queue moves on.
     fn serve_queue(&mut self) {
         for _ in 0..self.queue.len() {
@@ -552,22 +548,21 @@
     /// Whether the tenant has had this proxy's part of its quota already and asks for more of it than
     /// the tenants do on average. The average guards against uneven proxies, where a part misleads.
     fn surplus(&self, tenant: Option<usize>) -> bool {
-        let Some(tenant) = tenant.and_then(|tenant| self.tenants.get(tenant)) else { return false };
+        let Some(tenant) = self.tenants.get(tenant) else { return false };
         let part = tenant.quota / self.settings.number("fleet", 1.0);
-        tenant.served.rate(self.now) > part && tenant.asked.rate(self.now) > self.usage * tenant.quota
+        tenant.served.rate(self.now) > part && tenant.asked.rate(self.now) > self.tenants.usage * tenant.quota
     }
 
     // ---- Health ---------------------------------------------------------------------------------
 
     /// Rule 4: a cold node gets the part of normal work that it can surely do, or one exchange a window.
     fn within_budget(&self, cache: &Cache, work: f64) -> bool {
-        let age = self.now.saturating_sub(cache.listed.started);
-        let cold = || self.settings.time("cold", 0);
-        if cache.listed.started == 0 || age >= cold() {
+        let age = cache.age(self.now) as f64 / self.settings.time("cold", 1) as f64;
+        if cache.listed.started == 0 || age >= 1.0 {
             return true;
         }
         let start = self.settings.number("start_capacity", 1.0);
-        let part = start + (1.0 - start) * age as f64 / cold() as f64;
+        let part = start + (1.0 - start) * age;
         let sent = cache.sent.sum(self.now);
         sent == 0.0 || sent + work <= self.normal * part
     }
@@ -634,15 +629,13 @@
 
     fn measure(&mut self) {
         let now = self.now;
-        let coldest = now.saturating_sub(self.settings.time("cold", 0));
+        let cold = self.settings.time("cold", 0);
         let serving = || self.caches.iter().filter(|cache| cache.serves());
-        let warm = || serving().filter(|cache| cache.listed.started <= coldest);
+        let warm = || serving().filter(|cache| cache.listed.started == 0 || cache.age(now) >= cold);
         let sent: f64 = warm().map(|cache| cache.sent.sum(now)).sum();
-        let asked: f64 = self.tenants.iter().map(|tenant| tenant.asked.rate(now)).sum();
-        let quota: f64 = self.tenants.iter().map(|tenant| tenant.quota).sum();
         self.rate = serving().map(|cache| cache.answers.rate(now)).sum();
         self.normal = sent / warm().count().max(1) as f64;
-        self.usage = asked / quota;
+        self.tenants.measure(now);
     }
 }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// How long ago its process started.
+    pub fn age(&self, now: Nanos) -> Nanos {
+        now.saturating_sub(self.listed.started)
+    }
+
     /// How long it has owed an answer.
     pub fn silent(&self, now: Nanos) -> Nanos {
         if self.in_flight > 0 { now.saturating_sub(self.owes_since) } else { 0 }
@@ -215,11 +220,40 @@
     pub quota: f64,
 }
 
-impl Tenant {
-    pub fn all(settings: &Settings) -> Vec<Tenant> {
+#[derive(Clone, Debug)]
+pub struct Tenants {
+    each: Vec<Tenant>,
+    /// What all of them ask of their quotas here, as a part.
+    pub usage: f64,
+}
+
+impl Tenants {
+    pub fn new(settings: &Settings) -> Self {
         let quota = |at| settings.number(&format!("tenant.{at}.quota"), f64::INFINITY);
         let ring = || Ring::new(2 * SECOND, 8);
         let tenants = 0..settings.number("tenants", 0.0) as usize;
-        tenants.map(|at| Tenant { asked: ring(), served: ring(), quota: quota(at) }).collect()
+        let each = tenants.map(|at| Tenant { asked: ring(), served: ring(), quota: quota(at) }).collect();
+        Tenants { each, usage: 0.0 }
+    }
+
+    pub fn get(&self, tenant: Option<usize>) -> Option<&Tenant> {
+        self.each.get(tenant?)
+    }
+
+    pub fn ask(&mut self, now: Nanos, tenant: Option<usize>) {
+        if let Some(tenant) = tenant.and_then(|tenant| self.each.get_mut(tenant)) {
+            tenant.asked.add(now, 1.0);
+        }
+    }
+
+    pub fn serve(&mut self, now: Nanos, tenant: Option<usize>) {
+        if let Some(tenant) = tenant.and_then(|tenant| self.each.get_mut(tenant)) {
+            tenant.served.add(now, 1.0);
+        }
+    }
+
+    pub fn measure(&mut self, now: Nanos) {
+        let asked: f64 = self.each.iter().map(|tenant| tenant.asked.rate(now)).sum();
+        self.usage = asked / self.each.iter().map(|tenant| tenant.quota).sum::<f64>();
     }
 }
