--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -16,8 +16,7 @@
 use std::collections::VecDeque;
 use std::num::NonZeroUsize;
 
-const MS: Nanos = 1_000_000;
-const SECOND: Nanos = 1000 * MS;
+const SECOND: Nanos = 1_000_000_000;
 /// T is this multiple of the mean load over the ready caches, and no less than its floor.
 const T_FACTOR: f64 = 1.5;
 const T_FLOOR: f64 = 4.0;
@@ -27,7 +26,7 @@
 /// A change of load that peers hear of.
 const NEWS: usize = 4;
 /// How long a refusal counts as over T.
-const REFUSAL: Nanos = 100 * MS;
+const REFUSAL: Nanos = SECOND / 10;
 /// Failures in a row that set a node aside, and answered probes that bring it back.
 const FAILURES: usize = 3;
 const PROBES: usize = 2;
@@ -40,7 +39,7 @@
 const FEW: f64 = 4.0;
 /// The part of its objective that an exchange waits for room at a cache, as a divisor.
 const PATIENCE: u64 = 4;
-const TICK: Nanos = 100 * MS;
+const TICK: Nanos = SECOND / 10;
 /// The wake-up token of the tick; exchanges count from 1.
 const TICK_TOKEN: u64 = 0;
 
@@ -136,11 +135,10 @@
 
     pub fn woke(&mut self, now: Nanos, token: u64) {
         self.now = now;
-        match self.xchgs.get(&token) {
-            Some(cx) if cx.held() && now >= cx.until => self.conclude(token),
-            Some(cx) if !cx.held() => self.unanswered(token),
-            None if token == TICK_TOKEN => self.tick(),
-            _ => {}
+        if token == TICK_TOKEN {
+            self.tick();
+        } else if self.xchgs.get(&token).is_some_and(|cx| cx.held() && now >= cx.until) {
+            self.conclude(token);
         }
     }
 
@@ -153,8 +151,8 @@
         let cache = &mut self.caches[node];
         let started = listed.started.max(cache.listed.started);
         if started > cache.listed.started && started + self.settings.time("cold", 0) > now {
-            let age = now.saturating_sub(started) / MS;
-            self.host.log(&format!("node {node} cold: {age} ms old, warm nodes get {:.1}", self.normal));
+            let age = now.saturating_sub(started) as f64 / SECOND as f64;
+            self.host.log(&format!("node {node} cold: {age:.1} s old, warm nodes get {:.1}", self.normal));
         }
         cache.listed = Listed { started, ..listed };
         if listed.origin {
@@ -184,14 +182,19 @@
     }
 
     pub fn probed(&mut self, now: Nanos, node: Node, outcome: Outcome) {
-        self.now = now;
         let Some(cache) = self.caches.get_mut(node) else { return };
         cache.probing = false;
         let Some(answered) = &mut cache.aside else { return };
         *answered = if outcome == Outcome::Completed { *answered + 1 } else { 0 };
-        if *answered >= PROBES {
-            self.bring_back(node);
+        if *answered < PROBES {
+            return;
         }
+        (cache.aside, cache.failures) = (None, 0);
+        if cache.unreachable {
+            // Guards a process that restarted cold before the list says so.
+            cache.listed.started = now;
+        }
+        self.host.log(&format!("node {node} back: {PROBES} probes answered"));
     }
 
     pub fn peer_load(&mut self, peer: usize, node: Node, in_flight: usize) {
@@ -288,7 +291,7 @@
     /// A refusal counts as over T, a cache not yet heard from as carrying the mean.
     fn load(&self, node: Node, mean: f64) -> f64 {
         let cache = &self.caches[node];
-        match known_load(cache) {
+        match cache.load() {
             load if self.now < cache.refuses_until => load + 2.0 * mean + T_FLOOR,
             load if cache.heard => load,
             load => load.max(mean),
@@ -296,7 +299,7 @@
     }
 
     fn mean_load(&self) -> f64 {
-        let loads = self.caches.iter().filter(|cache| cache.serves()).map(known_load);
+        let loads = self.caches.iter().filter(|cache| cache.serves()).map(Cache::load);
         let (count, total) = loads.fold((0u32, 0.0), |(count, total), load| (count + 1, total + load));
         total / f64::from(count.max(1))
     }
@@ -304,9 +307,7 @@
     // ---- Misses and the origin ----------------------------------------------------------------
 
     fn wait_for_fetch(&mut self, xchg: Xchg) {
-        if let Some(key) = self.xchgs[&xchg].ask.key {
-            self.fetches.wait(key, xchg);
-        }
+        self.fetches.wait(self.xchgs[&xchg].ask.key, xchg);
         self.hold_for_origin(xchg);
     }
 
@@ -335,8 +336,7 @@
     /// Guards the origin against more than it does well. A bound from what it does just now would
     /// follow a growing queue upwards, or a stall down to nothing.
     fn origin_has_room(&self, origin: Node) -> bool {
-        let cache = &self.caches[origin];
-        (cache.in_flight as f64) < (ORIGIN_ROOM * cache.best).max(FEW)
+        self.caches[origin].has_room(ORIGIN_ROOM, FEW)
     }
 
     /// The line is no longer than the origin's rate times an objective: the least awaited is shed.
@@ -363,7 +363,8 @@
     fn end_fetch(&mut self, key: u64, fetched: bool) {
         let Some(Fetch { fills, mut waiting, .. }) = self.fetches.end(key) else { return };
         waiting.retain(|xchg| self.xchgs.get(xchg).is_some_and(Cx::held));
-        if fetched || waiting.is_empty() {
+        let stands = self.origin.is_some_and(|node| self.caches[node].ready());
+        if fetched || !stands || waiting.is_empty() {
             return waiting.into_iter().for_each(|waiter| self.place(waiter));
         }
         let first = waiting.remove(0);
@@ -384,7 +385,6 @@
         cx.start(self.now, node);
         self.caches[node].send(self.now, cx.ask.work());
         self.host.send(xchg, node, cx.ends().saturating_sub(self.now));
-        self.host.wake(self.now + self.objective(xchg) / 2, xchg);
         self.tell_load(node);
     }
 
@@ -412,19 +412,6 @@
         }
     }
 
-    /// A try is out for long at a node that gives no answer at all: where second copies are allowed,
-    /// another cache gets one. Guards against nodes that stand still or never answer.
-    fn unanswered(&mut self, xchg: Xchg) {
-        let cx = &self.xchgs[&xchg];
-        let Some(last) = cx.tries.iter().find(|t| t.out) else { return };
-        let silent = !self.caches[last.node].listed.origin && self.silent(last.node);
-        let allowed = self.settings.flag("second_copies") && cx.out() == 1 && !cx.over && !cx.under_way;
-        if silent && allowed && self.now >= last.sent + self.objective(xchg) / 2 {
-            let other = self.pick(xchg, cx.ask.key).filter(|&node| self.has_room(xchg, node));
-            other.into_iter().for_each(|node| self.serve(xchg, node));
-        }
-    }
-
     /// Whether the rules let this exchange go to this node now, and the node may be sent it.
     fn may_take(&self, xchg: Xchg, node: Node) -> bool {
         let (cx, cache) = (&self.xchgs[&xchg], &self.caches[node]);
@@ -444,10 +431,7 @@
         match route.repeat {
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
-            Repeat::Deduped(_) if self.now >= first.sent + route.window => false,
-            Repeat::Deduped(Scope::Fleet) => true,
-            Repeat::Deduped(Scope::Zone) => here.zone == there.zone,
-            Repeat::Deduped(Scope::Cell) => here.cell == there.cell,
+            Repeat::Deduped(scope) => self.now < first.sent + route.window && here.shares(scope, there),
         }
     }
 
@@ -457,7 +441,7 @@
         cx.over = true;
         let harmless = match self.routes[cx.ask.route].repeat {
             Repeat::Retriable | Repeat::Deduped(Scope::Fleet) => true,
-            _ => !cx.tries.iter().any(|t| t.may_have_run),
+            _ => !cx.may_have_run(),
         };
         if harmless && !cx.under_way {
             self.host.shed(xchg, 0);
@@ -503,18 +487,18 @@
 
     /// A wait for the origin leaves time for the fetch within the objective.
     fn hold_for_origin(&mut self, xchg: Xchg) {
-        let objective = self.objective(xchg);
+        let objective = self.routes[self.xchgs[&xchg].ask.route].objective;
         let fetch = self.origin.and_then(|node| self.caches[node].answers.mean(self.now)).unwrap_or(0.0);
-        let fetch = (1.5 * fetch * SECOND as f64) as u64;
-        self.hold(xchg, objective.saturating_sub(fetch).max(objective / PATIENCE));
+        let wait = objective.saturating_sub((1.5 * fetch * SECOND as f64) as u64);
+        self.hold(xchg, wait.max(objective / PATIENCE));
     }
 
     /// No cache has room: within quota the exchange waits for some, but only in a queue so short that
     /// its waits mostly end in an answer, bounded by rate times time.
     fn wait_for_room(&mut self, xchg: Xchg) {
-        let patience = self.objective(xchg) / PATIENCE;
-        let most = self.rate * patience as f64 / SECOND as f64;
         let Cx { arrived, ask, .. } = &self.xchgs[&xchg];
+        let patience = self.routes[ask.route].objective / PATIENCE;
+        let most = self.rate * patience as f64 / SECOND as f64;
         let waited = self.now - arrived >= patience;
         if waited || self.surplus(ask.tenant) || self.queue.len() as f64 >= most {
             return self.conclude(xchg);
@@ -523,10 +507,6 @@
         self.queue.push_back(xchg);
     }
 
-    fn objective(&self, xchg: Xchg) -> Nanos {
-        self.routes[self.xchgs[&xchg].ask.route].objective
-    }
-
     /// An outcome may have made room: the queue moves on.
     fn serve_queue(&mut self) {
         for _ in 0..self.queue.len() {
@@ -540,9 +520,8 @@
     }
 
     fn has_room(&self, xchg: Xchg, node: Node) -> bool {
-        let cache = &self.caches[node];
         let room = if self.surplus(self.xchgs[&xchg].ask.tenant) { SURPLUS_ROOM } else { ROOM };
-        (cache.in_flight as f64) < (room * cache.best).max(FEW)
+        self.caches[node].has_room(room, FEW)
     }
 
     /// Whether the tenant has had this proxy's part of its quota already and asks for more of it than
@@ -567,11 +546,6 @@
         sent == 0.0 || sent + work <= self.normal * part
     }
 
-    /// Whether a node has owed answers for half an objective and given none.
-    fn silent(&self, node: Node) -> bool {
-        self.caches[node].silent(self.now) > self.shortest / 2
-    }
-
     /// What an outcome tells of its node.
     fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome) {
         let cache = &mut self.caches[node];
@@ -596,23 +570,13 @@
         self.tell_load(node);
     }
 
-    fn bring_back(&mut self, node: Node) {
-        let cache = &mut self.caches[node];
-        (cache.aside, cache.failures) = (None, 0);
-        if cache.unreachable {
-            // Guards a process that restarted cold before the list says so.
-            cache.listed.started = self.now;
-        }
-        self.host.log(&format!("node {node} back: {PROBES} probes answered"));
-    }
-
     fn tick(&mut self) {
         self.host.wake(self.now + TICK, TICK_TOKEN);
         for node in 0..self.caches.len() {
-            let silent = self.silent(node);
             let cache = &mut self.caches[node];
             cache.measure(self.now, ENOUGH);
-            if silent {
+            // Guards against nodes that stand still, or that connect and never answer.
+            if cache.silent(self.now) > self.shortest / 2 {
                 cache.refuses_until = self.now + REFUSAL;
             }
             if cache.aside.is_some() && cache.ready() && !cache.probing {
@@ -638,10 +602,3 @@
         self.tenants.measure(now);
     }
 }
-
-/// Exchanges in flight at a cache: as it reported plus own sends since, or own and peers'.
-fn known_load(cache: &Cache) -> f64 {
-    let since = |report: Report| (report.in_flight + cache.in_flight).saturating_sub(report.own);
-    let told = || cache.in_flight + cache.peers.iter().sum::<usize>();
-    cache.report.map_or_else(told, |report| since(report).max(cache.in_flight)) as f64
-}
--- a/crates/core/src/fetches.rs
+++ b/crates/core/src/fetches.rs
@@ -28,8 +28,8 @@
         self.by_key.get(&key?)
     }
 
-    pub fn wait(&mut self, key: u64, xchg: Xchg) {
-        let Some(fetch) = self.by_key.get_mut(&key) else { return };
+    pub fn wait(&mut self, key: Option<u64>, xchg: Xchg) {
+        let Some(fetch) = key.and_then(|key| self.by_key.get_mut(&key)) else { return };
         let in_line = self.line.remove(&(fetch.waiting.len(), fetch.by));
         fetch.waiting.push(xchg);
         if in_line {
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -100,6 +100,17 @@
     pub origin: bool,
 }
 
+impl Listed {
+    /// Whether a repeat at one of these nodes is discarded if the other ran it.
+    pub fn shares(&self, scope: Scope, other: &Listed) -> bool {
+        match scope {
+            Scope::Fleet => true,
+            Scope::Zone => self.zone == other.zone,
+            Scope::Cell => self.cell == other.cell,
+        }
+    }
+}
+
 /// Whether an exchange of a route may run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -77,6 +77,11 @@
         self.ready() && !self.listed.origin && self.aside.is_none()
     }
 
+    /// Whether fewer are in flight than `few`, or than so many times the best.
+    pub fn has_room(&self, times: f64, few: f64) -> bool {
+        (self.in_flight as f64) < (times * self.best).max(few)
+    }
+
     /// Measures `best`, from stretches with enough answers to tell.
     pub fn measure(&mut self, now: Nanos, enough: u32) {
         self.best = self.minute.peak_rate(now) * self.minute.least_mean(now, enough).unwrap_or(0.0);
@@ -104,6 +109,13 @@
         }
     }
 
+    /// Exchanges in flight here: as it reported plus own sends since, else own and peers'.
+    pub fn load(&self) -> f64 {
+        let since = |report: Report| (report.in_flight + self.in_flight).saturating_sub(report.own);
+        let told = || self.in_flight + self.peers.iter().sum::<usize>();
+        self.report.map_or_else(told, |report| since(report).max(self.in_flight)) as f64
+    }
+
     /// How long ago its process started.
     pub fn age(&self, now: Nanos) -> Nanos {
         now.saturating_sub(self.listed.started)
@@ -158,6 +170,10 @@
         Some(*this)
     }
 
+    pub fn may_have_run(&self) -> bool {
+        self.tries.iter().any(|t| t.may_have_run)
+    }
+
     pub fn out(&self) -> usize {
         self.tries.iter().filter(|t| t.out).count()
     }
