Trace tests; scans and seeds skip the origin; the origin serves when caches are full

Found by the first traces: the list of candidates held the origin, so fresh keys could go there unasked.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -19,7 +19,7 @@
 const SECOND: Nanos = 1_000_000_000;
 /// T is this multiple of the mean load over the ready caches, and no less than its floor.
 const T_FACTOR: f64 = 1.5;
-const T_FLOOR: f64 = 4.0;
+const T_FLOOR: f64 = 3.0;
 /// Keys in the table; members leave their set when unpicked for so long.
 const TABLE_KEYS: NonZeroUsize = NonZeroUsize::new(1 << 16).unwrap();
 const UNPICKED: Nanos = 10 * SECOND;
@@ -56,9 +56,8 @@
     table: Table,
     xchgs: HashMap<Xchg, Cx>,
     fetches: Fetches,
-    /// Exchanges that wait for room at a cache, and answers a second from all caches.
+    /// Exchanges that wait for room at a cache.
     queue: VecDeque<Xchg>,
-    rate: f64,
     tenants: Tenants,
     /// What a warm cache is sent over the cold budget's window, on average.
     normal: f64,
@@ -80,7 +79,6 @@
             xchgs: HashMap::new(),
             fetches: Fetches::default(),
             queue: VecDeque::new(),
-            rate: 0.0,
             tenants: Tenants::new(&settings),
             normal: 0.0,
             following: false,
@@ -155,9 +153,7 @@
             self.host.log(&format!("node {node} cold: {age:.1} s old, warm nodes get {:.1}", self.normal));
         }
         cache.listed = Listed { started, ..listed };
-        if listed.origin {
-            self.origin = Some(node);
-        }
+        self.origin = listed.origin.then_some(node).or(self.origin);
     }
 
     /// A complete list named these nodes only.
@@ -272,7 +268,7 @@
     }
 
     fn takers(&self, xchg: Xchg) -> Vec<Node> {
-        (0..self.caches.len()).filter(|&node| self.may_take(xchg, node)).collect()
+        (0..self.caches.len()).filter(|&n| Some(n) != self.origin && self.may_take(xchg, n)).collect()
     }
 
     /// The least loaded of these, ties broken at random.
@@ -335,8 +331,8 @@
 
     /// Guards the origin against more than it does well. A bound from what it does just now would
     /// follow a growing queue upwards, or a stall down to nothing.
-    fn origin_has_room(&self, origin: Node) -> bool {
-        self.caches[origin].has_room(ORIGIN_ROOM, FEW)
+    fn origin_has_room(&self, node: Node) -> bool {
+        self.caches[node].has_room(ORIGIN_ROOM, FEW)
     }
 
     /// The line is no longer than the origin's rate times an objective: the least awaited is shed.
@@ -493,18 +489,23 @@
         self.hold(xchg, wait.max(objective / PATIENCE));
     }
 
-    /// No cache has room: within quota the exchange waits for some, but only in a queue so short that
-    /// its waits mostly end in an answer, bounded by rate times time.
+    /// No cache has room: surplus is shed. Within quota the origin serves if it has room; else the
+    /// exchange waits, in a queue so short (rate times time) that waits mostly end in an answer.
     fn wait_for_room(&mut self, xchg: Xchg) {
         let Cx { arrived, ask, .. } = &self.xchgs[&xchg];
         let patience = self.routes[ask.route].objective / PATIENCE;
-        let most = self.rate * patience as f64 / SECOND as f64;
-        let waited = self.now - arrived >= patience;
-        if waited || self.surplus(ask.tenant) || self.queue.len() as f64 >= most {
-            return self.conclude(xchg);
+        let serving = self.caches.iter().filter(|cache| cache.serves());
+        let rate: f64 = serving.map(|cache| cache.answers.rate(self.now)).sum();
+        if self.surplus(ask.tenant) || self.now - arrived >= patience {
+            self.conclude(xchg);
+        } else if self.origin.is_some_and(|node| self.origin_has_room(node)) {
+            self.ask_origin(xchg);
+        } else if self.queue.len() as f64 >= rate * patience as f64 / SECOND as f64 {
+            self.conclude(xchg);
+        } else {
+            self.hold(xchg, patience);
+            self.queue.push_back(xchg);
         }
-        self.hold(xchg, patience);
-        self.queue.push_back(xchg);
     }
 
     /// An outcome may have made room: the queue moves on.
@@ -594,10 +595,9 @@
     fn measure(&mut self) {
         let now = self.now;
         let cold = self.settings.time("cold", 0);
-        let serving = || self.caches.iter().filter(|cache| cache.serves());
-        let warm = || serving().filter(|cache| cache.listed.started == 0 || cache.age(now) >= cold);
+        let warm = |cache: &&Cache| cache.serves() && (cache.listed.started == 0 || cache.age(now) >= cold);
+        let warm = || self.caches.iter().filter(warm);
         let sent: f64 = warm().map(|cache| cache.sent.sum(now)).sum();
-        self.rate = serving().map(|cache| cache.answers.rate(now)).sum();
         self.normal = sent / warm().count().max(1) as f64;
         self.tenants.measure(now);
     }
--- /dev/null
+++ b/crates/core/tests/balance/failures.rs
@@ -0,0 +1,151 @@
+//! Each failure met in the bench, as far as this proxy sees it.
+
+use crate::rig::{MS, SECOND, rig};
+use expect_test::expect;
+use pumicebay_core::Outcome;
+use pumicebay_core::settings::Value;
+
+#[test]
+fn a_node_that_fails_quickly_is_set_aside_until_it_answers_probes() {
+    let mut rig = rig(2, "retriable", &[("most_tries", Value::Number(1.0))]);
+    for xchg in 1..=6 {
+        rig.arrive_for(xchg, xchg);
+        rig.end(xchg, 0, Outcome::Unreachable);
+    }
+    rig.pass(100 * MS);
+    for node in [1, 2, 1, 2] {
+        rig.balance.probed(rig.now, node, Outcome::Completed);
+    }
+    rig.note("back, but perhaps restarted cold: one exchange each in a window, the others to the origin");
+    rig.now += SECOND;
+    (31..=34).for_each(|xchg| rig.arrive_for(xchg, xchg));
+    rig.check(expect![[r#"
+        1 to node 2
+        1 shed
+        2 to node 1
+        2 shed
+        3 to node 1
+        3 shed
+        4 to node 2
+        4 shed
+        5 to node 2
+        log: node 2 aside: 3 failures, last Unreachable
+        5 shed
+        6 to node 1
+        log: node 1 aside: 3 failures, last Unreachable
+        6 shed
+        probe node 1
+        probe node 2
+        log: node 1 back: 2 probes answered
+        log: node 2 back: 2 probes answered
+        -- back, but perhaps restarted cold: one exchange each in a window, the others to the origin
+        31 to node 2
+        32 to node 1
+        33 to origin
+        34 to origin
+    "#]]);
+}
+
+#[test]
+fn a_silent_node_counts_as_refusing() {
+    let mut rig = rig(3, "retriable", &[]);
+    rig.arrive(1);
+    rig.pass(SECOND);
+    rig.arrive(2);
+    rig.check(expect![[r#"
+        1 to node 2
+        2 to node 3
+    "#]]);
+}
+
+/// The origin's bound once followed its own growing queue upwards.
+#[test]
+fn the_origin_is_bounded_and_its_line_serves_who_is_awaited_most() {
+    let mut rig = rig(4, "retriable", &[]);
+    for key in 1..=8 {
+        rig.arrive_for(key, key);
+        rig.end(key, 0, Outcome::Missed);
+    }
+    rig.note("9 waits for what 5 fetches, and the line is full: 6 is shed for 10");
+    rig.arrive_for(9, 5);
+    rig.arrive_for(10, 10);
+    rig.end(10, 0, Outcome::Missed);
+    rig.end(1, 1, Outcome::Completed);
+    rig.end(2, 1, Outcome::Completed);
+    rig.check(expect![[r#"
+        1 to node 4
+        1 to origin
+        2 to node 2
+        2 to origin
+        3 to node 2
+        3 to origin
+        4 to node 3
+        4 to origin
+        5 to node 2
+        6 to node 1
+        7 to node 4
+        8 to node 3
+        -- 9 waits for what 5 fetches, and the line is full: 6 is shed for 10
+        10 to node 4
+        6 shed
+        5 to origin
+        10 to origin
+    "#]]);
+}
+
+/// Small tenants were shed at the busier proxies, whose part of the traffic is above the average.
+#[test]
+fn surplus_is_shed_and_others_overflow_to_the_origin() {
+    let tenants = [
+        ("tenants", Value::Number(2.0)),
+        ("tenant.0.quota", Value::Number(2.0)),
+        ("tenant.1.quota", Value::Number(20.0)),
+    ];
+    let mut rig = rig(1, "retriable", &tenants);
+    rig.ask.tenant = Some(0);
+    for xchg in 1..=5 {
+        rig.arrive(xchg);
+        rig.end(xchg, 0, Outcome::Completed);
+    }
+    rig.pass(SECOND);
+    rig.note("tenant 0 had its part; the node is full");
+    rig.ask.tenant = Some(1);
+    (31..=34).for_each(|xchg| rig.arrive(xchg));
+    rig.ask.tenant = Some(0);
+    rig.arrive(35);
+    rig.ask.tenant = Some(1);
+    (36..=41).for_each(|xchg| rig.arrive(xchg));
+    rig.note("40 and 41 waited for room");
+    rig.end(31, 0, Outcome::Completed);
+    rig.check(expect![[r#"
+        1 to node 1
+        2 to node 1
+        3 to node 1
+        4 to node 1
+        5 to node 1
+        -- tenant 0 had its part; the node is full
+        31 to node 1
+        32 to node 1
+        33 to node 1
+        34 to node 1
+        35 shed
+        36 to origin
+        37 to origin
+        38 to origin
+        39 to origin
+        41 shed
+        -- 40 and 41 waited for room
+        40 to node 1
+    "#]]);
+}
+
+#[test]
+fn a_broken_subscription_is_asked_for_again() {
+    let mut rig = rig(0, "retriable", &[("discovery", Value::Text("ask".into()))]);
+    rig.balance.list_failed();
+    rig.pass(300 * MS);
+    rig.check(expect![[r#"
+        follow the list
+        follow the list
+    "#]]);
+}
--- /dev/null
+++ b/crates/core/tests/balance/main.rs
@@ -0,0 +1,4 @@
+mod failures;
+mod path;
+mod rig;
+mod rules;
--- /dev/null
+++ b/crates/core/tests/balance/path.rs
@@ -0,0 +1,168 @@
+//! The ordinary path: the table of sets, T, misses.
+
+use crate::rig::{MS, SECOND, listed, rig};
+use expect_test::expect;
+use pumicebay_core::settings::Value;
+use pumicebay_core::{Ask, Listed, Outcome, Standing};
+
+#[test]
+fn a_key_is_seeded_then_its_set_grows_past_t() {
+    let mut rig = rig(4, "retriable", &[]);
+    (1..=7).for_each(|xchg| rig.arrive(xchg));
+    rig.note("four in flight were more than T and another cache joined; now the less loaded of both serves");
+    rig.arrive(8);
+    rig.check(expect![[r#"
+        1 to node 1
+        2 to node 1
+        3 to node 1
+        4 to node 1
+        5 to node 3
+        6 to node 3
+        7 to node 3
+        -- four in flight were more than T and another cache joined; now the less loaded of both serves
+        8 to node 3
+    "#]]);
+}
+
+#[test]
+fn a_busy_member_serves_when_all_are_over_t() {
+    let mut rig = rig(2, "retriable", &[]);
+    (0..10).for_each(|key| rig.arrive_for(key + 1, key));
+    rig.check(expect![[r#"
+        1 to node 1
+        2 to node 2
+        3 to node 1
+        4 to node 2
+        5 to node 1
+        6 to node 2
+        7 to node 1
+        8 to node 2
+        9 to origin
+        10 to origin
+    "#]]);
+}
+
+#[test]
+fn members_leave_when_unpicked_or_draining() {
+    let mut rig = rig(4, "retriable", &[]);
+    rig.arrive(1);
+    rig.end(1, 0, Outcome::Completed);
+    rig.note("twelve seconds later the key is seeded anew");
+    rig.pass(12 * SECOND);
+    rig.arrive(2);
+    rig.end(2, 0, Outcome::Completed);
+    rig.note("both of its first caches drain");
+    for node in [1, 2, 3] {
+        rig.balance.listed(rig.now, node, Listed { standing: Standing::Draining, ..listed(node) });
+    }
+    rig.arrive(3);
+    rig.check(expect![[r#"
+        1 to node 1
+        -- twelve seconds later the key is seeded anew
+        2 to node 1
+        -- both of its first caches drain
+        3 to node 4
+    "#]]);
+}
+
+#[test]
+fn ties_are_broken_at_random() {
+    let mut rig = rig(2, "retriable", &[]);
+    for xchg in 1..=4 {
+        rig.arrive_for(xchg, xchg);
+        rig.end(xchg, 0, Outcome::Completed);
+    }
+    rig.check(expect![[r#"
+        1 to node 2
+        2 to node 1
+        3 to node 1
+        4 to node 2
+    "#]]);
+}
+
+#[test]
+fn a_refusal_counts_as_over_t() {
+    let mut rig = rig(3, "retriable", &[]);
+    rig.arrive(1);
+    rig.end(1, 0, Outcome::Saturated);
+    rig.note("for a while the member is passed over");
+    rig.arrive(2);
+    rig.check(expect![[r#"
+        1 to node 2
+        1 to node 3
+        -- for a while the member is passed over
+        2 to node 3
+    "#]]);
+}
+
+#[test]
+fn misses_of_a_key_share_one_fetch() {
+    let mut rig = rig(3, "retriable", &[]);
+    rig.arrive(1);
+    rig.arrive(2);
+    rig.end(1, 0, Outcome::Missed);
+    rig.end(2, 0, Outcome::Missed);
+    rig.note("the cache is about to have the key: no use to ask it now");
+    rig.arrive(3);
+    rig.end(1, 1, Outcome::Completed);
+    rig.check(expect![[r#"
+        1 to node 2
+        2 to node 2
+        1 to origin
+        -- the cache is about to have the key: no use to ask it now
+        2 to node 2
+        3 to node 2
+    "#]]);
+}
+
+#[test]
+fn a_failed_fetch_passes_to_the_next_that_waits() {
+    let mut rig = rig(3, "retriable", &[]);
+    rig.arrive(1);
+    rig.arrive(2);
+    rig.end(1, 0, Outcome::Missed);
+    rig.end(2, 0, Outcome::Missed);
+    rig.end(1, 1, Outcome::Saturated);
+    rig.check(expect![[r#"
+        1 to node 2
+        2 to node 2
+        1 to origin
+        1 shed
+        2 to origin
+    "#]]);
+}
+
+#[test]
+fn peers_hear_of_joins_and_of_load_after_a_change_of_four() {
+    let mut rig = rig(3, "retriable", &[("peers", Value::Flag(true)), ("fleet", Value::Number(2.0))]);
+    (1..=4).for_each(|xchg| rig.arrive(xchg));
+    rig.note("a peer tells of a full node and of a set; unknown nodes change nothing");
+    rig.balance.peer_load(1, 2, 30);
+    rig.balance.peer_load(9, 99, 30);
+    rig.balance.peer_joined(rig.now, 3, 8);
+    rig.balance.peer_joined(rig.now, 99, 8);
+    rig.arrive_for(5, 8);
+    rig.check(expect![[r#"
+        tell peers: node 2 has key 7
+        1 to node 2
+        2 to node 2
+        3 to node 2
+        4 to node 2
+        tell peers: 4 at node 2
+        -- a peer tells of a full node and of a set; unknown nodes change nothing
+        5 to node 3
+    "#]]);
+}
+
+#[test]
+fn exchanges_without_key_and_writes_find_their_way() {
+    let mut rig = rig(3, "retriable", &[]);
+    rig.balance.arrived(rig.now, 1, Ask { key: None, ..rig.ask });
+    rig.end(1, 0, Outcome::Missed);
+    rig.balance.arrived(rig.now + MS, 2, Ask { write: true, ..rig.ask });
+    rig.check(expect![[r#"
+        1 to node 3
+        1 to origin
+        2 to origin
+    "#]]);
+}
--- /dev/null
+++ b/crates/core/tests/balance/rig.rs
@@ -0,0 +1,127 @@
+//! A proxy with a host that writes down what it is asked to do.
+
+use expect_test::Expect;
+use pumicebay_core::settings::Value;
+use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+
+pub const MS: Nanos = 1_000_000;
+pub const SECOND: Nanos = 1000 * MS;
+/// The origin's index in every test; the caches are 1, 2, 3 ...
+pub const ORIGIN: Node = 0;
+
+#[derive(Default)]
+pub struct Trace(pub String);
+
+impl Trace {
+    fn line(&mut self, line: String) {
+        self.0 += &line;
+        self.0.push('\n');
+    }
+}
+
+impl Host for Trace {
+    fn send(&mut self, xchg: Xchg, node: Node, _timeout: Nanos) {
+        self.line(format!(
+            "{xchg} to {}",
+            if node == ORIGIN { "origin".into() } else { format!("node {node}") }
+        ));
+    }
+    fn shed(&mut self, xchg: Xchg, _pause: Nanos) {
+        self.line(format!("{xchg} shed"));
+    }
+    fn error(&mut self, xchg: Xchg) {
+        self.line(format!("{xchg} error"));
+    }
+    fn withdraw(&mut self, xchg: Xchg, try_no: usize) {
+        self.line(format!("{xchg} withdraw try {try_no}"));
+    }
+    fn forget(&mut self, _xchg: Xchg) {}
+    fn wake(&mut self, _at: Nanos, _token: u64) {}
+    fn probe(&mut self, node: Node) {
+        self.line(format!("probe node {node}"));
+    }
+    fn follow(&mut self) {
+        self.line("follow the list".into());
+    }
+    fn tell_load(&mut self, node: Node, in_flight: usize) {
+        self.line(format!("tell peers: {in_flight} at node {node}"));
+    }
+    fn tell_joined(&mut self, node: Node, key: u64) {
+        self.line(format!("tell peers: node {node} has key {key}"));
+    }
+    fn log(&mut self, line: &str) {
+        self.line(format!("log: {line}"));
+    }
+}
+
+pub struct Rig {
+    pub balance: Balance<Trace>,
+    pub now: Nanos,
+    pub ask: Ask,
+}
+
+/// A proxy of one, with the origin and so many warm caches, and a route that repeats as told.
+pub fn rig(caches: usize, repeat: &str, more: &[(&str, Value)]) -> Rig {
+    let mut settings = Settings::default();
+    let base = [
+        ("routes", Value::Number(1.0)),
+        ("route.0.repeat", Value::Text(repeat.into())),
+        ("route.0.scope", Value::Text("zone".into())),
+        ("route.0.window", Value::Time(SECOND)),
+        ("route.0.objective", Value::Time(SECOND)),
+        ("most_tries", Value::Number(4.0)),
+        ("fleet", Value::Number(1.0)),
+        ("probes", Value::Flag(true)),
+        ("cold", Value::Time(20 * SECOND)),
+        ("fall", Value::Time(SECOND)),
+        ("start_capacity", Value::Number(0.1)),
+    ];
+    base.iter().chain(more).for_each(|(name, value)| settings.put(*name, value.clone()));
+    let mut balance = Balance::new(Trace::default(), settings, 1, 100 * SECOND);
+    for node in 0..=caches {
+        balance.listed(100 * SECOND, node, listed(node));
+    }
+    let ask = Ask { key: Some(7), grace: 2 * SECOND, ..Ask::default() };
+    Rig { balance, now: 100 * SECOND, ask }
+}
+
+pub fn listed(node: Node) -> Listed {
+    let identity = 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(node as u64 + 1);
+    Listed {
+        identity,
+        zone: node % 2,
+        origin: node == ORIGIN,
+        standing: Standing::Ready,
+        ..Listed::default()
+    }
+}
+
+impl Rig {
+    pub fn arrive(&mut self, xchg: Xchg) {
+        self.balance.arrived(self.now, xchg, self.ask);
+    }
+
+    pub fn arrive_for(&mut self, xchg: Xchg, key: u64) {
+        self.balance.arrived(self.now, xchg, Ask { key: Some(key), ..self.ask });
+    }
+
+    pub fn end(&mut self, xchg: Xchg, try_no: usize, outcome: Outcome) {
+        self.balance.ended(self.now, xchg, try_no, outcome, outcome == Outcome::Completed);
+    }
+
+    /// Lets time pass, with the ticks in it.
+    pub fn pass(&mut self, span: Nanos) {
+        for _ in 0..span / (100 * MS) {
+            self.now += 100 * MS;
+            self.balance.woke(self.now, 0);
+        }
+    }
+
+    pub fn note(&mut self, text: &str) {
+        self.balance.host.line(format!("-- {text}"));
+    }
+
+    pub fn check(self, expect: Expect) {
+        expect.assert_eq(&self.balance.host.0);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/balance/rules.rs
@@ -0,0 +1,137 @@
+//! The four rules, and answers when nothing works.
+
+use crate::rig::{MS, ORIGIN, SECOND, listed, rig};
+use expect_test::expect;
+use pumicebay_core::settings::Value;
+use pumicebay_core::{Listed, Outcome, Standing};
+
+#[test]
+fn rule_1_a_held_exchange_is_answered_in_time_and_once() {
+    let mut rig = rig(1, "retriable", &[]);
+    rig.arrive(1);
+    rig.arrive(2);
+    rig.end(1, 0, Outcome::Missed);
+    rig.end(2, 0, Outcome::Missed);
+    rig.note("the fetch hangs: who waits for it is shed when the objective is out of reach");
+    rig.now += SECOND;
+    rig.balance.woke(rig.now, 2);
+    rig.balance.woke(rig.now, 2);
+    rig.note("the fetching one ends with its overall timeout; late and double events change nothing");
+    rig.now += SECOND;
+    rig.end(1, 1, Outcome::Overdue);
+    rig.end(1, 1, Outcome::Overdue);
+    rig.balance.dropped(rig.now, 1);
+    rig.balance.dropped(rig.now, 77);
+    rig.check(expect![[r#"
+        1 to node 1
+        2 to node 1
+        1 to origin
+        -- the fetch hangs: who waits for it is shed when the objective is out of reach
+        2 shed
+        -- the fetching one ends with its overall timeout; late and double events change nothing
+        1 shed
+    "#]]);
+}
+
+#[test]
+fn rule_2_no_effect_twice() {
+    for (repeat, outcome) in [
+        ("retriable", Outcome::Severed),
+        ("non_retriable", Outcome::Unreachable),
+        ("non_retriable", Outcome::Severed),
+        ("deduped", Outcome::Severed),
+    ] {
+        let mut rig = rig(4, repeat, &[]);
+        rig.note(&format!("{repeat}, {outcome:?}"));
+        rig.arrive(1);
+        rig.end(1, 0, outcome);
+        rig.note("past the window");
+        rig.now += SECOND;
+        rig.end(1, 1, Outcome::Severed);
+        match (repeat, outcome) {
+            ("retriable", _) => rig.check(expect![[r#"
+                -- retriable, Severed
+                1 to node 1
+                1 to node 2
+                -- past the window
+                1 to node 3
+            "#]]),
+            ("deduped", _) => rig.check(expect![[r#"
+                -- deduped, Severed
+                1 to node 1
+                1 to node 3
+                -- past the window
+                1 error
+            "#]]),
+            (_, Outcome::Unreachable) => rig.check(expect![[r#"
+                -- non_retriable, Unreachable
+                1 to node 1
+                1 to node 2
+                -- past the window
+                1 error
+            "#]]),
+            _ => rig.check(expect![[r#"
+                -- non_retriable, Severed
+                1 to node 1
+                1 error
+                -- past the window
+            "#]]),
+        }
+    }
+}
+
+#[test]
+fn rule_3_no_new_work_to_a_node_that_drains_or_is_gone() {
+    let mut rig = rig(2, "retriable", &[]);
+    rig.balance.listed(rig.now, 1, Listed { standing: Standing::Draining, ..listed(1) });
+    (1..=3).for_each(|key| rig.arrive_for(key, key));
+    rig.note("a complete list leaves node 2 out");
+    rig.balance.listed_all(&[ORIGIN, 1]);
+    (4..=5).for_each(|key| rig.arrive_for(key, key));
+    rig.note("and then the origin");
+    rig.balance.listed_all(&[]);
+    rig.arrive_for(6, 6);
+    rig.check(expect![[r#"
+        1 to node 2
+        2 to node 2
+        3 to node 2
+        -- a complete list leaves node 2 out
+        4 to origin
+        5 to origin
+        -- and then the origin
+        6 shed
+    "#]]);
+}
+
+#[test]
+fn rule_4_a_cold_node_gets_its_part_of_normal_work() {
+    let mut rig = rig(3, "retriable", &[("start_capacity", Value::Number(0.2))]);
+    let cold = Listed { started: rig.now, ..listed(3) };
+    rig.balance.listed(rig.now, 3, cold);
+    let mut to_cold = Vec::new();
+    for second in 0..5 {
+        let before = rig.balance.host.0.len();
+        for part in 0..20 {
+            let xchg = second * 20 + part + 1;
+            rig.arrive_for(xchg, xchg);
+            rig.end(xchg, 0, Outcome::Completed);
+            rig.now += 50 * MS;
+            rig.balance.woke(rig.now, 0);
+        }
+        let sent = &rig.balance.host.0[before..];
+        to_cold.push(format!("{} of 20", sent.matches("to node 3").count()));
+    }
+    expect!["2 of 20, 1 of 20, 2 of 20, 2 of 20, 3 of 20"].assert_eq(&to_cold.join(", "));
+}
+
+#[test]
+fn an_empty_list_and_an_origin_alone() {
+    let mut rig = rig(0, "retriable", &[]);
+    rig.arrive(1);
+    rig.balance.listed_all(&[]);
+    rig.arrive(2);
+    rig.check(expect![[r#"
+        1 to origin
+        2 shed
+    "#]]);
+}
