A node's room shrinks with its slowness; few in flight count for the whole fleet

Cause: four in flight unmeasured a proxy and node are forty from ten proxies; crowded nodes lose their capacity and stay so.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -36,7 +36,7 @@
 const ROOM: f64 = 1.5;
 const SURPLUS_ROOM: f64 = 1.0;
 const ENOUGH: u32 = 10;
-const FEW: f64 = 4.0;
+const FEW: f64 = 12.0;
 /// The part of its objective that an exchange waits for room at a cache, as a divisor.
 const PATIENCE: u64 = 4;
 const TICK: Nanos = SECOND / 10;
@@ -51,6 +51,8 @@
     routes: Vec<Route>,
     /// The shortest objective of any route.
     shortest: Nanos,
+    /// This proxy's part of `FEW`.
+    few: f64,
     caches: Vec<Cache>,
     origin: Option<Node>,
     table: Table,
@@ -72,6 +74,7 @@
             rng: Rand32::new(seed),
             now,
             shortest: routes.iter().map(|route| route.objective).min().unwrap_or(SECOND),
+            few: FEW / settings.number("fleet", 1.0),
             routes,
             caches: Vec::new(),
             origin: None,
@@ -332,13 +335,13 @@
     /// Guards the origin against more than it does well. A bound from what it does just now would
     /// follow a growing queue upwards, or a stall down to nothing.
     fn origin_has_room(&self, node: Node) -> bool {
-        self.caches[node].has_room(ORIGIN_ROOM, FEW)
+        self.caches[node].has_room(ORIGIN_ROOM, self.few)
     }
 
     /// The line is no longer than the origin's rate times an objective: the least awaited is shed.
     fn shorten_line(&mut self, origin: Node) {
         let most = self.caches[origin].answers.rate(self.now) * self.shortest as f64 / SECOND as f64;
-        if self.fetches.in_line() as f64 > most.max(FEW)
+        if self.fetches.in_line() as f64 > most.max(self.few)
             && let Some(xchg) = self.fetches.least_awaited()
         {
             self.conclude(xchg);
@@ -522,7 +525,7 @@
 
     fn has_room(&self, xchg: Xchg, node: Node) -> bool {
         let room = if self.surplus(self.xchgs[&xchg].ask.tenant) { SURPLUS_ROOM } else { ROOM };
-        self.caches[node].has_room(room, FEW)
+        self.caches[node].has_room(room, self.few)
     }
 
     /// Whether the tenant has had this proxy's part of its quota already and asks for more of it than
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -23,6 +23,8 @@
     pub minute: Ring,
     /// How many it held in flight when it did best: its best rate times its best time.
     pub best: f64,
+    /// The part of its room that is left while it takes far longer than it can.
+    pub squeeze: f64,
     /// Work sent over the cold budget's window.
     pub sent: Ring,
     /// Since when it owes an answer without having given one.
@@ -56,6 +58,7 @@
             heard: false,
             answers: Ring::new(2 * SECOND, 8),
             best: 0.0,
+            squeeze: 1.0,
             minute: Ring::new(60 * SECOND, 20),
             sent: Ring::new(window, 10),
             owes_since: 0,
@@ -79,12 +82,15 @@
 
     /// Whether fewer are in flight than `few`, or than so many times the best.
     pub fn has_room(&self, times: f64, few: f64) -> bool {
-        (self.in_flight as f64) < (times * self.best).max(few)
+        (self.in_flight as f64) < (self.squeeze * (times * self.best).max(few)).max(1.0)
     }
 
     /// Measures `best`, from stretches with enough answers to tell.
     pub fn measure(&mut self, now: Nanos, enough: u32) {
-        self.best = self.minute.peak_rate(now) * self.minute.least_mean(now, enough).unwrap_or(0.0);
+        let least = self.minute.least_mean(now, enough).unwrap_or(0.0);
+        self.best = self.minute.peak_rate(now) * least;
+        let lately = self.answers.mean(now).filter(|_| least > 0.0 && !self.listed.origin);
+        self.squeeze = lately.map_or(self.squeeze, |mean| (3.0 * least / mean).min(1.0));
     }
 
     pub fn send(&mut self, now: Nanos, work: f64) {
