--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -36,6 +36,7 @@
 const ROOM: f64 = 1.5;
 const SURPLUS_ROOM: f64 = 1.0;
 const ENOUGH: u32 = 10;
+const SLOW: f64 = 2.0;
 const FEW: f64 = 12.0;
 /// The part of its objective that an exchange waits for room at a cache, as a divisor.
 const PATIENCE: u64 = 4;
@@ -74,7 +75,7 @@
             rng: Rand32::new(seed),
             now,
             shortest: routes.iter().map(|route| route.objective).min().unwrap_or(SECOND),
-            few: FEW / settings.number("fleet", 1.0),
+            few: (FEW / settings.number("fleet", 1.0)).floor().max(1.0),
             routes,
             caches: Vec::new(),
             origin: None,
@@ -578,7 +579,7 @@
         self.host.wake(self.now + TICK, TICK_TOKEN);
         for node in 0..self.caches.len() {
             let cache = &mut self.caches[node];
-            cache.measure(self.now, ENOUGH);
+            cache.measure(self.now, ENOUGH, SLOW);
             // Guards against nodes that stand still, or that connect and never answer.
             if cache.silent(self.now) > self.shortest / 2 {
                 cache.refuses_until = self.now + REFUSAL;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -85,12 +85,13 @@
         (self.in_flight as f64) < (self.squeeze * (times * self.best).max(few)).max(1.0)
     }
 
-    /// Measures `best`, from stretches with enough answers to tell.
-    pub fn measure(&mut self, now: Nanos, enough: u32) {
+    /// Measures `best`, from stretches with enough answers to tell, and `squeeze`, against its best time
+    /// so many times.
+    pub fn measure(&mut self, now: Nanos, enough: u32, slow: f64) {
         let least = self.minute.least_mean(now, enough).unwrap_or(0.0);
         self.best = self.minute.peak_rate(now) * least;
         let lately = self.answers.mean(now).filter(|_| least > 0.0 && !self.listed.origin);
-        self.squeeze = lately.map_or(self.squeeze, |mean| (3.0 * least / mean).min(1.0));
+        self.squeeze = lately.map_or(self.squeeze, |mean| (slow * least / mean).min(1.0));
     }
 
     pub fn send(&mut self, now: Nanos, work: f64) {
