--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -37,7 +37,7 @@
 const SURPLUS_ROOM: f64 = 1.0;
 const ENOUGH: u32 = 10;
 const SLOW: f64 = 2.0;
-const FEW: f64 = 12.0;
+const FEW: f64 = 9.0;
 /// The part of its objective that an exchange waits for room at a cache, as a divisor.
 const PATIENCE: u64 = 4;
 const TICK: Nanos = SECOND / 10;
