--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -31,7 +31,8 @@
 const FAILURES: usize = 3;
 const PROBES: usize = 2;
 /// In flight at a node is bounded by what it held when it did best (answers enough to tell), times
-/// this room to find out that it can do more; a few go there unmeasured.
+/// this room to find out that it can do more. Guards nodes that lose capacity when crowded: the room
+/// shrinks while they take more than twice their best time, and the few unmeasured are a fleet's.
 const ORIGIN_ROOM: f64 = 2.0;
 const ROOM: f64 = 1.5;
 const SURPLUS_ROOM: f64 = 1.0;
@@ -52,7 +53,6 @@
     routes: Vec<Route>,
     /// The shortest objective of any route.
     shortest: Nanos,
-    /// This proxy's part of `FEW`.
     few: f64,
     caches: Vec<Cache>,
     origin: Option<Node>,
@@ -127,7 +127,6 @@
         self.withdraw(xchg, Some(try_no));
     }
 
-    /// The client left.
     pub fn dropped(&mut self, now: Nanos, xchg: Xchg) {
         self.now = now;
         let Some(cx) = self.xchgs.get_mut(&xchg) else { return };
@@ -169,12 +168,10 @@
         }
     }
 
-    /// A call to discovery failed, or the subscription broke off.
     pub fn list_failed(&mut self) {
         self.following = false;
     }
 
-    /// A node told its load.
     pub fn reported(&mut self, node: Node, in_flight: f64) {
         let Some(cache) = self.caches.get_mut(node) else { return };
         cache.heard = true;
@@ -597,8 +594,7 @@
     }
 
     fn measure(&mut self) {
-        let now = self.now;
-        let cold = self.settings.time("cold", 0);
+        let (now, cold) = (self.now, self.settings.time("cold", 0));
         let warm = |cache: &&Cache| cache.serves() && (cache.listed.started == 0 || cache.age(now) >= cold);
         let warm = || self.caches.iter().filter(warm);
         let sent: f64 = warm().map(|cache| cache.sent.sum(now)).sum();
--- a/crates/core/tests/balance/path.rs
+++ b/crates/core/tests/balance/path.rs
@@ -134,7 +134,7 @@
 
 #[test]
 fn peers_hear_of_joins_and_of_load_after_a_change_of_four() {
-    let mut rig = rig(3, "retriable", &[("peers", Value::Flag(true)), ("fleet", Value::Number(2.0))]);
+    let mut rig = rig(3, "retriable", &[("peers", Value::Flag(true))]);
     (1..=4).for_each(|xchg| rig.arrive(xchg));
     rig.note("a peer tells of a full node and of a set; unknown nodes change nothing");
     rig.balance.peer_load(1, 2, 30);
--- a/crates/core/tests/balance/rig.rs
+++ b/crates/core/tests/balance/rig.rs
@@ -60,7 +60,7 @@
     pub ask: Ask,
 }
 
-/// A proxy of one, with the origin and so many warm caches, and a route that repeats as told.
+/// One proxy of two, with the origin and so many warm caches, and a route that repeats as told.
 pub fn rig(caches: usize, repeat: &str, more: &[(&str, Value)]) -> Rig {
     let mut settings = Settings::default();
     let base = [
@@ -70,7 +70,7 @@
         ("route.0.window", Value::Time(SECOND)),
         ("route.0.objective", Value::Time(SECOND)),
         ("most_tries", Value::Number(4.0)),
-        ("fleet", Value::Number(1.0)),
+        ("fleet", Value::Number(2.0)),
         ("probes", Value::Flag(true)),
         ("cold", Value::Time(20 * SECOND)),
         ("fall", Value::Time(SECOND)),
