--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -97,7 +97,7 @@
     pub fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
         self.now = now;
         self.tenants.ask(now, ask.tenant);
-        self.xchgs.insert(xchg, Cx::new(ask, now));
+        self.xchgs.insert(xchg, Cx::new(ask, now, self.worth(&ask)));
         self.place(xchg);
     }
 
@@ -121,10 +121,9 @@
     }
 
     /// The answer streams: the try now belongs to the client.
-    pub fn under_way(&mut self, xchg: Xchg, try_no: usize) {
+    pub fn under_way(&mut self, xchg: Xchg) {
         let Some(cx) = self.xchgs.get_mut(&xchg) else { return };
         cx.under_way = true;
-        self.withdraw(xchg, Some(try_no));
     }
 
     pub fn dropped(&mut self, now: Nanos, xchg: Xchg) {
@@ -304,7 +303,8 @@
     // ---- Misses and the origin ----------------------------------------------------------------
 
     fn wait_for_fetch(&mut self, xchg: Xchg) {
-        self.fetches.wait(self.xchgs[&xchg].ask.key, xchg);
+        let cx = &self.xchgs[&xchg];
+        self.fetches.wait(cx.ask.key, xchg, cx.worth);
         self.hold_for_origin(xchg);
     }
 
@@ -314,18 +314,18 @@
             return self.conclude(xchg);
         };
         let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
-        let key = cx.ask.key;
+        let (key, worth) = (cx.ask.key, cx.worth);
         if let (Some(key), Some(fills), false) = (key, cx.missed(), cx.fetching) {
             if self.fetches.get(Some(key)).is_some() {
                 return self.wait_for_fetch(xchg);
             }
             cx.fetching = true;
-            self.fetches.start(key, Fetch { by: xchg, fills, waiting: Vec::new() });
+            self.fetches.start(key, Fetch { by: xchg, fills, worth: cx.worth, waiting: Vec::new() });
         }
         if self.origin_has_room(origin) {
             return self.send(xchg, origin);
         }
-        self.fetches.line_up(key, xchg);
+        self.fetches.line_up(key, xchg, worth);
         self.hold_for_origin(xchg);
         self.shorten_line(origin);
     }
@@ -336,21 +336,21 @@
         self.caches[node].has_room(ORIGIN_ROOM, self.few)
     }
 
-    /// The line is no longer than the origin's rate times an objective: the least awaited is shed.
+    /// The line is no longer than the origin's rate times an objective: the least worthy is shed.
     fn shorten_line(&mut self, origin: Node) {
         let most = self.caches[origin].answers.rate(self.now) * self.shortest as f64 / SECOND as f64;
         if self.fetches.in_line() as f64 > most.max(self.few)
-            && let Some(xchg) = self.fetches.least_awaited()
+            && let Some(xchg) = self.fetches.least_worthy()
         {
             self.conclude(xchg);
         }
     }
 
-    /// Lets the line into the origin: first who brings an answer to most, of those the latest.
+    /// Lets the line into the origin: first the fetch whose answer is worth most, of those the latest.
     fn serve_line(&mut self) {
         let Some(origin) = self.origin else { return };
         while self.origin_has_room(origin)
-            && let Some(xchg) = self.fetches.take_most_awaited()
+            && let Some(xchg) = self.fetches.take_worthiest()
         {
             self.ask_origin(xchg);
         }
@@ -365,7 +365,8 @@
             return waiting.into_iter().for_each(|waiter| self.place(waiter));
         }
         let first = waiting.remove(0);
-        self.fetches.start(key, Fetch { by: first, fills, waiting });
+        let worth = waiting.iter().map(|xchg| self.xchgs[xchg].worth).sum::<u64>() + self.xchgs[&first].worth;
+        self.fetches.start(key, Fetch { by: first, fills, worth, waiting });
         let cx = self.xchgs.get_mut(&first).expect("held exchanges are known");
         cx.fetching = true;
         if cx.missed().is_none() && self.may_take(first, fills) {
@@ -451,28 +452,21 @@
     /// An exchange with its answer is forgotten when the last of its tries ended.
     fn settle(&mut self, xchg: Xchg, fetched: bool) {
         let cx = self.xchgs.get_mut(&xchg).expect("settled exchanges are known");
-        self.fetches.leave_line(cx.ask.key, xchg);
+        self.fetches.leave_line(cx.ask.key, xchg, cx.worth);
         let fetching = std::mem::take(&mut cx.fetching);
         let key = cx.ask.key.filter(|_| fetching);
         if cx.out() == 0 {
             self.xchgs.remove(&xchg);
             self.host.forget(xchg);
-        } else {
-            self.withdraw(xchg, None);
+        } else if let Some(try_no) = cx.tries.iter().position(|t| t.out && Some(t.node) != self.origin)
+            && self.settings.flag("cancel")
+        {
+            // A fetch goes on: its answer may be kept.
+            self.host.withdraw(xchg, try_no);
         }
         key.into_iter().for_each(|key| self.end_fetch(key, fetched));
     }
 
-    /// Gives up the tries that are out, but for one; a fetch goes on, for its answer may be kept.
-    fn withdraw(&mut self, xchg: Xchg, but: Option<usize>) {
-        for (try_no, this) in self.xchgs[&xchg].tries.iter().enumerate() {
-            let idle = !this.out || Some(try_no) == but || Some(this.node) == self.origin;
-            if !idle && self.settings.flag("cancel") {
-                self.host.withdraw(xchg, try_no);
-            }
-        }
-    }
-
     // ---- Waiting, and shedding what would wait too long ------------------------------------------
 
     /// Holds an exchange with nothing out, for so long since it arrived; then it is shed.
@@ -526,6 +520,14 @@
         self.caches[node].has_room(room, self.few)
     }
 
+    /// What an answer is worth, in thousandths: a fetch costs the origin about the same for each.
+    fn worth(&self, ask: &Ask) -> u64 {
+        let surplus = self.settings.number("surplus_payoff", 1.0);
+        let work = if self.settings.text("payoff_by") == "work" { ask.work() } else { 1.0 };
+        let part = if self.surplus(ask.tenant) { surplus } else { 1.0 };
+        (1000.0 * self.routes[ask.route].payoff * work * part) as u64
+    }
+
     /// Whether the tenant has had this proxy's part of its quota already and asks for more of it than
     /// the tenants do on average. The average guards against uneven proxies, where a part misleads.
     fn surplus(&self, tenant: Option<usize>) -> bool {
@@ -586,19 +588,14 @@
                 self.host.probe(node);
             }
         }
-        self.measure();
-        if !self.following && self.settings.text("discovery") == "ask" {
-            self.following = true;
-            self.host.follow();
-        }
-    }
-
-    fn measure(&mut self) {
         let (now, cold) = (self.now, self.settings.time("cold", 0));
         let warm = |cache: &&Cache| cache.serves() && (cache.listed.started == 0 || cache.age(now) >= cold);
         let warm = || self.caches.iter().filter(warm);
-        let sent: f64 = warm().map(|cache| cache.sent.sum(now)).sum();
-        self.normal = sent / warm().count().max(1) as f64;
+        self.normal = warm().map(|cache| cache.sent.sum(now)).sum::<f64>() / warm().count().max(1) as f64;
         self.tenants.measure(now);
+        if !self.following && self.settings.text("discovery") == "ask" {
+            self.following = true;
+            self.host.follow();
+        }
     }
 }
--- a/crates/core/src/fetches.rs
+++ b/crates/core/src/fetches.rs
@@ -8,7 +8,7 @@
 #[derive(Default)]
 pub struct Fetches {
     by_key: HashMap<u64, Fetch>,
-    line: BTreeSet<(usize, Xchg)>,
+    line: BTreeSet<(u64, Xchg)>,
 }
 
 pub struct Fetch {
@@ -16,6 +16,8 @@
     pub by: Xchg,
     /// The node that will hold the key.
     pub fills: Node,
+    /// What the answer is worth to all who wait for it.
+    pub worth: u64,
     pub waiting: Vec<Xchg>,
 }
 
@@ -28,12 +30,13 @@
         self.by_key.get(&key?)
     }
 
-    pub fn wait(&mut self, key: Option<u64>, xchg: Xchg) {
+    pub fn wait(&mut self, key: Option<u64>, xchg: Xchg, worth: u64) {
         let Some(fetch) = key.and_then(|key| self.by_key.get_mut(&key)) else { return };
-        let in_line = self.line.remove(&(fetch.waiting.len(), fetch.by));
+        let in_line = self.line.remove(&(fetch.worth, fetch.by));
         fetch.waiting.push(xchg);
+        fetch.worth += worth;
         if in_line {
-            self.line.insert((fetch.waiting.len(), fetch.by));
+            self.line.insert((fetch.worth, fetch.by));
         }
     }
 
@@ -41,30 +44,30 @@
         self.by_key.remove(&key)
     }
 
-    /// How many wait for what this exchange fetches.
-    fn waiters(&self, key: Option<u64>, xchg: Xchg) -> usize {
-        self.get(key).filter(|fetch| fetch.by == xchg).map_or(0, |fetch| fetch.waiting.len())
+    /// What the answer is worth to all who wait if this exchange fetches, else to itself.
+    fn worth(&self, key: Option<u64>, xchg: Xchg, own: u64) -> u64 {
+        self.get(key).filter(|fetch| fetch.by == xchg).map_or(own, |fetch| fetch.worth)
     }
 
-    pub fn line_up(&mut self, key: Option<u64>, xchg: Xchg) {
-        self.line.insert((self.waiters(key, xchg), xchg));
+    pub fn line_up(&mut self, key: Option<u64>, xchg: Xchg, own: u64) {
+        self.line.insert((self.worth(key, xchg, own), xchg));
     }
 
-    pub fn leave_line(&mut self, key: Option<u64>, xchg: Xchg) {
-        self.line.remove(&(self.waiters(key, xchg), xchg));
+    pub fn leave_line(&mut self, key: Option<u64>, xchg: Xchg, own: u64) {
+        self.line.remove(&(self.worth(key, xchg, own), xchg));
     }
 
     pub fn in_line(&self) -> usize {
         self.line.len()
     }
 
-    /// Takes who brings an answer to most, of those the latest.
-    pub fn take_most_awaited(&mut self) -> Option<Xchg> {
+    /// Takes the one whose answer is worth most, of those the latest.
+    pub fn take_worthiest(&mut self) -> Option<Xchg> {
         self.line.pop_last().map(|(_, xchg)| xchg)
     }
 
-    /// Who brings an answer to fewest, of those the oldest.
-    pub fn least_awaited(&self) -> Option<Xchg> {
+    /// The one whose answer is worth least, of those the oldest.
+    pub fn least_worthy(&self) -> Option<Xchg> {
         self.line.first().map(|&(_, xchg)| xchg)
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -146,6 +146,8 @@
     pub under_way: bool,
     /// Fetches its key for others too.
     pub fetching: bool,
+    /// What its answer is worth.
+    pub worth: u64,
     /// How long it is held at most.
     pub until: Nanos,
 }
@@ -160,8 +162,17 @@
 }
 
 impl Cx {
-    pub fn new(ask: Ask, now: Nanos) -> Self {
-        Cx { ask, arrived: now, tries: Vec::new(), over: false, under_way: false, fetching: false, until: 0 }
+    pub fn new(ask: Ask, now: Nanos, worth: u64) -> Self {
+        Cx {
+            ask,
+            arrived: now,
+            tries: Vec::new(),
+            over: false,
+            under_way: false,
+            fetching: false,
+            until: 0,
+            worth,
+        }
     }
 
     pub fn start(&mut self, now: Nanos, node: Node) {
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -140,9 +140,8 @@
     }
 
     pub fn under_way(&mut self, fields: &Fields) -> Result<()> {
-        let try_no = fields.get(2)?;
         if let Some(xchg) = self.xchg(fields)? {
-            self.balance.under_way(xchg, try_no);
+            self.balance.under_way(xchg);
         }
         Ok(())
     }
