--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -523,9 +523,8 @@
     /// What an answer is worth, in thousandths: a fetch costs the origin about the same for each.
     fn worth(&self, ask: &Ask) -> u64 {
         let surplus = self.settings.number("surplus_payoff", 1.0);
-        let work = if self.settings.text("payoff_by") == "work" { ask.work() } else { 1.0 };
         let part = if self.surplus(ask.tenant) { surplus } else { 1.0 };
-        (1000.0 * self.routes[ask.route].payoff * work * part) as u64
+        (1000.0 * self.routes[ask.route].payoff * part) as u64
     }
 
     /// Whether the tenant has had this proxy's part of its quota already and asks for more of it than
