--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -39,6 +39,8 @@
 const ENOUGH: u32 = 10;
 const SLOW: f64 = 2.0;
 const FEW: f64 = 9.0;
+/// How much more than its part of the traffic a proxy may see.
+const UNEVEN: f64 = 1.5;
 /// The part of its objective that an exchange waits for room at a cache, as a divisor.
 const PATIENCE: u64 = 4;
 const TICK: Nanos = SECOND / 10;
@@ -532,7 +534,8 @@
     fn surplus(&self, tenant: Option<usize>) -> bool {
         let Some(tenant) = self.tenants.get(tenant) else { return false };
         let part = tenant.quota / self.settings.number("fleet", 1.0);
-        tenant.served.rate(self.now) > part && tenant.asked.rate(self.now) > self.tenants.usage * tenant.quota
+        tenant.served.rate(self.now) > UNEVEN * part
+            && tenant.asked.rate(self.now) > self.tenants.usage * tenant.quota
     }
 
     // ---- Health ---------------------------------------------------------------------------------
