--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -80,9 +80,12 @@
         self.ready() && !self.listed.origin && self.aside.is_none()
     }
 
-    /// Whether fewer are in flight than `few`, or than so many times the best.
+    /// Whether fewer are in flight than `few`, or than so many times the best. Little or shrunk room is
+    /// rounded down, to one at least: with many proxies the odd one more is many at the node.
     pub fn has_room(&self, times: f64, few: f64) -> bool {
-        (self.in_flight as f64) < (self.squeeze * (times * self.best).max(few)).max(1.0)
+        let room = self.squeeze * (times * self.best).max(few);
+        let little = room < 2.0 || self.squeeze < 1.0;
+        (self.in_flight as f64) < if little { room.floor().max(1.0) } else { room }
     }
 
     /// Measures `best`, from stretches with enough answers to tell, and `squeeze`, against its best time
--- a/crates/core/tests/balance/failures.rs
+++ b/crates/core/tests/balance/failures.rs
@@ -33,9 +33,7 @@
         5 shed
         6 to node 1
         log: node 1 aside: 3 failures, last Unreachable
-        6 shed
-        probe node 1
-        probe node 2
+        6 shed, probe node 1, probe node 2
         log: node 1 back: 2 probes answered
         log: node 2 back: 2 probes answered
         -- back, but perhaps restarted cold: one exchange each in a window, the others to the origin
@@ -145,7 +143,44 @@
     rig.balance.list_failed();
     rig.pass(300 * MS);
     rig.check(expect![[r#"
-        follow the list
-        follow the list
+        follow the list, follow the list
     "#]]);
 }
+
+/// Crowded nodes lose capacity and never drained: ten proxies let four each through.
+#[test]
+fn a_large_fleet_shares_the_few_and_a_slow_node_gets_fewer() {
+    for (fleet, took) in [(2.0, 10 * MS), (10.0, 10 * MS), (2.0, 400 * MS)] {
+        let mut rig = rig(1, "retriable", &[("fleet", Value::Number(fleet))]);
+        for xchg in 1..=40 {
+            rig.arrive(xchg);
+            rig.now += if xchg > 20 { took } else { 10 * MS };
+            rig.end(xchg, 0, Outcome::Completed);
+            rig.balance.woke(rig.now, 0);
+        }
+        rig.balance.host.0.clear();
+        rig.balance.listed_all(&[1]);
+        rig.note(&format!("fleet of {fleet}, the last answers in {} ms", took / MS));
+        (41..=46).for_each(|xchg| rig.arrive(xchg));
+        match (fleet as u32, took / MS) {
+            (10, _) => rig.check(expect![[r#"
+                -- fleet of 10, the last answers in 10 ms
+                41 to node 1
+                42 shed, 43 shed, 44 shed, 45 shed, 46 shed
+            "#]]),
+            (_, 10) => rig.check(expect![[r#"
+                -- fleet of 2, the last answers in 10 ms
+                41 to node 1
+                42 to node 1
+                43 to node 1
+                44 to node 1
+                45 shed, 46 shed
+            "#]]),
+            _ => rig.check(expect![[r#"
+                -- fleet of 2, the last answers in 400 ms
+                41 to node 1
+                42 shed, 43 shed, 44 shed, 45 shed, 46 shed
+            "#]]),
+        }
+    }
+}
--- a/crates/core/tests/balance/rig.rs
+++ b/crates/core/tests/balance/rig.rs
@@ -13,9 +13,15 @@
 pub struct Trace(pub String);
 
 impl Trace {
+    /// Acts stand side by side, notes and logs on lines of their own.
+    fn act(&mut self, act: String) {
+        let apart = if self.0.is_empty() || self.0.ends_with('\n') { "" } else { ", " };
+        self.0 += &format!("{apart}{act}");
+    }
+
     fn line(&mut self, line: String) {
-        self.0 += &line;
-        self.0.push('\n');
+        let apart = if self.0.is_empty() || self.0.ends_with('\n') { "" } else { "\n" };
+        self.0 += &format!("{apart}{line}\n");
     }
 }
 
@@ -27,21 +33,21 @@
         ));
     }
     fn shed(&mut self, xchg: Xchg, _pause: Nanos) {
-        self.line(format!("{xchg} shed"));
+        self.act(format!("{xchg} shed"));
     }
     fn error(&mut self, xchg: Xchg) {
-        self.line(format!("{xchg} error"));
+        self.act(format!("{xchg} error"));
     }
     fn withdraw(&mut self, xchg: Xchg, try_no: usize) {
-        self.line(format!("{xchg} withdraw try {try_no}"));
+        self.act(format!("{xchg} withdraw try {try_no}"));
     }
     fn forget(&mut self, _xchg: Xchg) {}
     fn wake(&mut self, _at: Nanos, _token: u64) {}
     fn probe(&mut self, node: Node) {
-        self.line(format!("probe node {node}"));
+        self.act(format!("probe node {node}"));
     }
     fn follow(&mut self) {
-        self.line("follow the list".into());
+        self.act("follow the list".into());
     }
     fn tell_load(&mut self, node: Node, in_flight: usize) {
         self.line(format!("tell peers: {in_flight} at node {node}"));
@@ -122,6 +128,6 @@
     }
 
     pub fn check(self, expect: Expect) {
-        expect.assert_eq(&self.balance.host.0);
+        expect.assert_eq(&format!("{}\n", self.balance.host.0.trim_end()));
     }
 }
