--- a/crates/core/tests/balance/failures.rs
+++ b/crates/core/tests/balance/failures.rs
@@ -20,27 +20,15 @@
     rig.now += SECOND;
     (31..=34).for_each(|xchg| rig.arrive_for(xchg, xchg));
     rig.check(expect![[r#"
-        1 to node 2
-        1 shed
-        2 to node 1
-        2 shed
-        3 to node 1
-        3 shed
-        4 to node 2
-        4 shed
-        5 to node 2
+        1 to node 2, 1 shed, 2 to node 1, 2 shed, 3 to node 1, 3 shed, 4 to node 2, 4 shed, 5 to node 2
         log: node 2 aside: 3 failures, last Unreachable
-        5 shed
-        6 to node 1
+        5 shed, 6 to node 1
         log: node 1 aside: 3 failures, last Unreachable
         6 shed, probe node 1, probe node 2
         log: node 1 back: 2 probes answered
         log: node 2 back: 2 probes answered
         -- back, but perhaps restarted cold: one exchange each in a window, the others to the origin
-        31 to node 2
-        32 to node 1
-        33 to origin
-        34 to origin
+        31 to node 2, 32 to node 1, 33 to origin, 34 to origin
     "#]]);
 }
 
@@ -51,8 +39,7 @@
     rig.pass(SECOND);
     rig.arrive(2);
     rig.check(expect![[r#"
-        1 to node 2
-        2 to node 3
+        1 to node 2, 2 to node 3
     "#]]);
 }
 
@@ -71,23 +58,9 @@
     rig.end(1, 1, Outcome::Completed);
     rig.end(2, 1, Outcome::Completed);
     rig.check(expect![[r#"
-        1 to node 4
-        1 to origin
-        2 to node 2
-        2 to origin
-        3 to node 2
-        3 to origin
-        4 to node 3
-        4 to origin
-        5 to node 2
-        6 to node 1
-        7 to node 4
-        8 to node 3
+        1 to node 4, 1 to origin, 2 to node 2, 2 to origin, 3 to node 2, 3 to origin, 4 to node 3, 4 to origin, 5 to node 2, 6 to node 1, 7 to node 4, 8 to node 3
         -- 9 waits for what 5 fetches, and the line is full: 6 is shed for 10
-        10 to node 4
-        6 shed
-        5 to origin
-        10 to origin
+        10 to node 4, 6 shed, 5 to origin, 10 to origin
     "#]]);
 }
 
@@ -116,22 +89,9 @@
     rig.note("40 and 41 waited for room");
     rig.end(31, 0, Outcome::Completed);
     rig.check(expect![[r#"
-        1 to node 1
-        2 to node 1
-        3 to node 1
-        4 to node 1
-        5 to node 1
+        1 to node 1, 2 to node 1, 3 to node 1, 4 to node 1, 5 to node 1
         -- tenant 0 had its part; the node is full
-        31 to node 1
-        32 to node 1
-        33 to node 1
-        34 to node 1
-        35 shed
-        36 to origin
-        37 to origin
-        38 to origin
-        39 to origin
-        41 shed
+        31 to node 1, 32 to node 1, 33 to node 1, 34 to node 1, 35 shed, 36 to origin, 37 to origin, 38 to origin, 39 to origin, 41 shed
         -- 40 and 41 waited for room
         40 to node 1
     "#]]);
@@ -165,21 +125,15 @@
         match (fleet as u32, took / MS) {
             (10, _) => rig.check(expect![[r#"
                 -- fleet of 10, the last answers in 10 ms
-                41 to node 1
-                42 shed, 43 shed, 44 shed, 45 shed, 46 shed
+                41 to node 1, 42 shed, 43 shed, 44 shed, 45 shed, 46 shed
             "#]]),
             (_, 10) => rig.check(expect![[r#"
                 -- fleet of 2, the last answers in 10 ms
-                41 to node 1
-                42 to node 1
-                43 to node 1
-                44 to node 1
-                45 shed, 46 shed
+                41 to node 1, 42 to node 1, 43 to node 1, 44 to node 1, 45 shed, 46 shed
             "#]]),
             _ => rig.check(expect![[r#"
                 -- fleet of 2, the last answers in 400 ms
-                41 to node 1
-                42 shed, 43 shed, 44 shed, 45 shed, 46 shed
+                41 to node 1, 42 shed, 43 shed, 44 shed, 45 shed, 46 shed
             "#]]),
         }
     }
--- a/crates/core/tests/balance/path.rs
+++ b/crates/core/tests/balance/path.rs
@@ -12,13 +12,7 @@
     rig.note("four in flight were more than T and another cache joined; now the less loaded of both serves");
     rig.arrive(8);
     rig.check(expect![[r#"
-        1 to node 1
-        2 to node 1
-        3 to node 1
-        4 to node 1
-        5 to node 3
-        6 to node 3
-        7 to node 3
+        1 to node 1, 2 to node 1, 3 to node 1, 4 to node 1, 5 to node 3, 6 to node 3, 7 to node 3
         -- four in flight were more than T and another cache joined; now the less loaded of both serves
         8 to node 3
     "#]]);
@@ -29,16 +23,7 @@
     let mut rig = rig(2, "retriable", &[]);
     (0..10).for_each(|key| rig.arrive_for(key + 1, key));
     rig.check(expect![[r#"
-        1 to node 1
-        2 to node 2
-        3 to node 1
-        4 to node 2
-        5 to node 1
-        6 to node 2
-        7 to node 1
-        8 to node 2
-        9 to origin
-        10 to origin
+        1 to node 1, 2 to node 2, 3 to node 1, 4 to node 2, 5 to node 1, 6 to node 2, 7 to node 1, 8 to node 2, 9 to origin, 10 to origin
     "#]]);
 }
 
@@ -73,10 +58,7 @@
         rig.end(xchg, 0, Outcome::Completed);
     }
     rig.check(expect![[r#"
-        1 to node 2
-        2 to node 1
-        3 to node 1
-        4 to node 2
+        1 to node 2, 2 to node 1, 3 to node 1, 4 to node 2
     "#]]);
 }
 
@@ -88,8 +70,7 @@
     rig.note("for a while the member is passed over");
     rig.arrive(2);
     rig.check(expect![[r#"
-        1 to node 2
-        1 to node 3
+        1 to node 2, 1 to node 3
         -- for a while the member is passed over
         2 to node 3
     "#]]);
@@ -106,12 +87,9 @@
     rig.arrive(3);
     rig.end(1, 1, Outcome::Completed);
     rig.check(expect![[r#"
-        1 to node 2
-        2 to node 2
-        1 to origin
+        1 to node 2, 2 to node 2, 1 to origin
         -- the cache is about to have the key: no use to ask it now
-        2 to node 2
-        3 to node 2
+        2 to node 2, 3 to node 2
     "#]]);
 }
 
@@ -124,11 +102,7 @@
     rig.end(2, 0, Outcome::Missed);
     rig.end(1, 1, Outcome::Saturated);
     rig.check(expect![[r#"
-        1 to node 2
-        2 to node 2
-        1 to origin
-        1 shed
-        2 to origin
+        1 to node 2, 2 to node 2, 1 to origin, 1 shed, 2 to origin
     "#]]);
 }
 
@@ -144,10 +118,7 @@
     rig.arrive_for(5, 8);
     rig.check(expect![[r#"
         tell peers: node 2 has key 7
-        1 to node 2
-        2 to node 2
-        3 to node 2
-        4 to node 2
+        1 to node 2, 2 to node 2, 3 to node 2, 4 to node 2
         tell peers: 4 at node 2
         -- a peer tells of a full node and of a set; unknown nodes change nothing
         5 to node 3
@@ -161,8 +132,6 @@
     rig.end(1, 0, Outcome::Missed);
     rig.balance.arrived(rig.now + MS, 2, Ask { write: true, ..rig.ask });
     rig.check(expect![[r#"
-        1 to node 3
-        1 to origin
-        2 to origin
+        1 to node 3, 1 to origin, 2 to origin
     "#]]);
 }
--- a/crates/core/tests/balance/rig.rs
+++ b/crates/core/tests/balance/rig.rs
@@ -27,10 +27,8 @@
 
 impl Host for Trace {
     fn send(&mut self, xchg: Xchg, node: Node, _timeout: Nanos) {
-        self.line(format!(
-            "{xchg} to {}",
-            if node == ORIGIN { "origin".into() } else { format!("node {node}") }
-        ));
+        let name = if node == ORIGIN { "origin".into() } else { format!("node {node}") };
+        self.act(format!("{xchg} to {name}"));
     }
     fn shed(&mut self, xchg: Xchg, _pause: Nanos) {
         self.act(format!("{xchg} shed"));
--- a/crates/core/tests/balance/rules.rs
+++ b/crates/core/tests/balance/rules.rs
@@ -23,9 +23,7 @@
     rig.balance.dropped(rig.now, 1);
     rig.balance.dropped(rig.now, 77);
     rig.check(expect![[r#"
-        1 to node 1
-        2 to node 1
-        1 to origin
+        1 to node 1, 2 to node 1, 1 to origin
         -- the fetch hangs: who waits for it is shed when the objective is out of reach
         2 shed
         -- the fetching one ends with its overall timeout; late and double events change nothing
@@ -51,29 +49,25 @@
         match (repeat, outcome) {
             ("retriable", _) => rig.check(expect![[r#"
                 -- retriable, Severed
-                1 to node 1
-                1 to node 2
+                1 to node 1, 1 to node 2
                 -- past the window
                 1 to node 3
             "#]]),
             ("deduped", _) => rig.check(expect![[r#"
                 -- deduped, Severed
-                1 to node 1
-                1 to node 3
+                1 to node 1, 1 to node 3
                 -- past the window
                 1 error
             "#]]),
             (_, Outcome::Unreachable) => rig.check(expect![[r#"
                 -- non_retriable, Unreachable
-                1 to node 1
-                1 to node 2
+                1 to node 1, 1 to node 2
                 -- past the window
                 1 error
             "#]]),
             _ => rig.check(expect![[r#"
                 -- non_retriable, Severed
-                1 to node 1
-                1 error
+                1 to node 1, 1 error
                 -- past the window
             "#]]),
         }
@@ -92,12 +86,9 @@
     rig.balance.listed_all(&[]);
     rig.arrive_for(6, 6);
     rig.check(expect![[r#"
-        1 to node 2
-        2 to node 2
-        3 to node 2
+        1 to node 2, 2 to node 2, 3 to node 2
         -- a complete list leaves node 2 out
-        4 to origin
-        5 to origin
+        4 to origin, 5 to origin
         -- and then the origin
         6 shed
     "#]]);
@@ -131,7 +122,6 @@
     rig.balance.listed_all(&[]);
     rig.arrive(2);
     rig.check(expect![[r#"
-        1 to origin
-        2 shed
+        1 to origin, 2 shed
     "#]]);
 }
