Twice the few in flight at the origin unmeasured: large fleets no longer starve it

Cause: the origin was nearly idle, 26 fetches a second at 0.9 in flight a proxy; a share of one in flight and a line of a few, both grown from what was measured, grew too slowly. Ruled out: node room (nodes at 0.2 to 0.6 in flight), CPU.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -39,6 +39,7 @@
 const ENOUGH: u32 = 10;
 const SLOW: f64 = 2.0;
 const FEW: f64 = 9.0;
+const ORIGIN_FEW: f64 = 2.0;
 /// How much more than its part of the traffic a proxy may see.
 const UNEVEN: f64 = 1.5;
 /// The part of its objective that an exchange waits for room at a cache, as a divisor.
@@ -144,7 +145,6 @@
         }
     }
 
-    /// Discovery names a node.
     pub fn listed(&mut self, now: Nanos, node: Node, listed: Listed) {
         if node >= self.caches.len() {
             let peers = self.settings.number("fleet", 1.0) as usize;
@@ -335,13 +335,13 @@
     /// Guards the origin against more than it does well. A bound from what it does just now would
     /// follow a growing queue upwards, or a stall down to nothing.
     fn origin_has_room(&self, node: Node) -> bool {
-        self.caches[node].has_room(ORIGIN_ROOM, self.few)
+        self.caches[node].has_room(ORIGIN_ROOM, ORIGIN_FEW * self.few)
     }
 
     /// The line is no longer than the origin's rate times an objective: the least worthy is shed.
     fn shorten_line(&mut self, origin: Node) {
         let most = self.caches[origin].answers.rate(self.now) * self.shortest as f64 / SECOND as f64;
-        if self.fetches.in_line() as f64 > most.max(self.few)
+        if self.fetches.in_line() as f64 > most.max(ORIGIN_FEW * self.few)
             && let Some(xchg) = self.fetches.least_worthy()
         {
             self.conclude(xchg);
