--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -43,7 +43,7 @@
 /// How much more than its part of the traffic a proxy may see.
 const UNEVEN: f64 = 1.5;
 /// The part of its objective that an exchange waits for room at a cache, as a divisor.
-const PATIENCE: u64 = 4;
+const PATIENCE: u64 = 8;
 const TICK: Nanos = SECOND / 10;
 /// The wake-up token of the tick; exchanges count from 1.
 const TICK_TOKEN: u64 = 0;
