--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -32,12 +32,12 @@
 const PROBES: usize = 2;
 /// In flight at a node is bounded by what it held when it did best (answers enough to tell), times
 /// this room to find out that it can do more. Guards nodes that lose capacity when crowded: the room
-/// shrinks while they take more than twice their best time, and the few unmeasured are a fleet's.
+/// shrinks while they take longer than SLOW times their best, and the few unmeasured are a fleet's.
 const ORIGIN_ROOM: f64 = 2.0;
 const ROOM: f64 = 1.5;
 const SURPLUS_ROOM: f64 = 1.0;
 const ENOUGH: u32 = 10;
-const SLOW: f64 = 2.0;
+const SLOW: f64 = 1.5;
 const FEW: f64 = 9.0;
 const ORIGIN_FEW: f64 = 2.0;
 /// How much more than its part of the traffic a proxy may see.
