--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -35,7 +35,6 @@
 /// shrinks while they take longer than SLOW times their best, and the few unmeasured are a fleet's.
 const ORIGIN_ROOM: f64 = 2.0;
 const ROOM: f64 = 1.5;
-const SURPLUS_ROOM: f64 = 1.0;
 const ENOUGH: u32 = 10;
 const SLOW: f64 = 1.5;
 const FEW: f64 = 9.0;
@@ -218,7 +217,7 @@
         let filling = self.fetches.get(ask.key).map(|fetch| fetch.fills);
         match self.pick(xchg, ask.key) {
             node if node.is_some() && node == filling => self.wait_for_fetch(xchg),
-            Some(node) if self.has_room(xchg, node) => self.serve(xchg, node),
+            Some(node) if self.caches[node].has_room(ROOM, self.few) => self.serve(xchg, node),
             Some(_) => self.wait_for_room(xchg),
             None if self.origin.is_some() => self.ask_origin(xchg),
             None => self.conclude(xchg),
@@ -511,17 +510,12 @@
             let Some(xchg) = self.queue.pop_front() else { return };
             let Some(cx) = self.xchgs.get(&xchg).filter(|cx| cx.held()) else { continue };
             match self.pick(xchg, cx.ask.key) {
-                Some(node) if !self.has_room(xchg, node) => self.queue.push_back(xchg),
+                Some(node) if !self.caches[node].has_room(ROOM, self.few) => self.queue.push_back(xchg),
                 _ => return self.place(xchg),
             }
         }
     }
 
-    fn has_room(&self, xchg: Xchg, node: Node) -> bool {
-        let room = if self.surplus(self.xchgs[&xchg].ask.tenant) { SURPLUS_ROOM } else { ROOM };
-        self.caches[node].has_room(room, self.few)
-    }
-
     /// What an answer is worth, in thousandths: a fetch costs the origin about the same for each.
     fn worth(&self, ask: &Ask) -> u64 {
         let surplus = self.settings.number("surplus_payoff", 1.0);
