--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -23,8 +23,9 @@
 /// Keys in the table; members leave their set when unpicked for so long.
 const TABLE_KEYS: NonZeroUsize = NonZeroUsize::new(1 << 16).unwrap();
 const UNPICKED: Nanos = 10 * SECOND;
-/// A change of load that peers hear of.
+/// A change of load that peers hear of, and how long news count: guards against peers that died.
 const NEWS: usize = 4;
+const NEWS_LAST: Nanos = 5 * SECOND;
 /// How long a refusal counts as over T.
 const REFUSAL: Nanos = SECOND / 10;
 /// Failures beyond the answers since that set a node aside, and answered probes that bring it back.
@@ -194,9 +195,9 @@
         self.host.log(&format!("node {node} back: {PROBES} probes answered"));
     }
 
-    pub fn peer_load(&mut self, peer: usize, node: Node, in_flight: usize) {
+    pub fn peer_load(&mut self, now: Nanos, peer: usize, node: Node, in_flight: usize) {
         if let Some(told) = self.caches.get_mut(node).and_then(|cache| cache.peers.get_mut(peer)) {
-            *told = in_flight;
+            *told = (in_flight, now);
         }
     }
 
@@ -288,7 +289,7 @@
     /// A refusal counts as over T, a cache not yet heard from as carrying the mean.
     fn load(&self, node: Node, mean: f64) -> f64 {
         let cache = &self.caches[node];
-        match cache.load() {
+        match cache.load(self.now.saturating_sub(NEWS_LAST)) {
             load if self.now < cache.refuses_until => load + 2.0 * mean + T_FLOOR,
             load if cache.heard => load,
             load => load.max(mean),
@@ -296,7 +297,8 @@
     }
 
     fn mean_load(&self) -> f64 {
-        let loads = self.caches.iter().filter(|cache| cache.serves()).map(Cache::load);
+        let then = self.now.saturating_sub(NEWS_LAST);
+        let loads = self.caches.iter().filter(|cache| cache.serves()).map(|cache| cache.load(then));
         let (count, total) = loads.fold((0u32, 0.0), |(count, total), load| (count + 1, total + load));
         total / f64::from(count.max(1))
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -11,8 +11,8 @@
 pub struct Cache {
     pub listed: Listed,
     pub in_flight: usize,
-    /// In flight from each peer, as it last told.
-    pub peers: Vec<usize>,
+    /// In flight from each peer, as it last told, and when.
+    pub peers: Vec<(usize, Nanos)>,
     /// What this proxy last told its peers.
     pub told: usize,
     pub report: Option<Report>,
@@ -52,7 +52,7 @@
         Cache {
             listed: Listed::default(),
             in_flight: 0,
-            peers: vec![0; peers],
+            peers: vec![(0, 0); peers],
             told: 0,
             report: None,
             heard: false,
@@ -119,10 +119,12 @@
         }
     }
 
-    /// Exchanges in flight here: as it reported plus own sends since, else own and peers'.
-    pub fn load(&self) -> f64 {
+    /// Exchanges in flight here: as it reported plus own sends since, else own and what peers told
+    /// since then.
+    pub fn load(&self, then: Nanos) -> f64 {
         let since = |report: Report| (report.in_flight + self.in_flight).saturating_sub(report.own);
-        let told = || self.in_flight + self.peers.iter().sum::<usize>();
+        let fresh = || self.peers.iter().filter(|(_, at)| *at > then).map(|(told, _)| told);
+        let told = || self.in_flight + fresh().sum::<usize>();
         self.report.map_or_else(told, |report| since(report).max(self.in_flight)) as f64
     }
 
--- a/crates/core/tests/balance/path.rs
+++ b/crates/core/tests/balance/path.rs
@@ -111,17 +111,37 @@
     let mut rig = rig(3, "retriable", &[("peers", Value::Flag(true))]);
     (1..=4).for_each(|xchg| rig.arrive(xchg));
     rig.note("a peer tells of a full node and of a set; unknown nodes change nothing");
-    rig.balance.peer_load(1, 2, 30);
-    rig.balance.peer_load(9, 99, 30);
+    rig.balance.peer_load(rig.now, 1, 2, 30);
+    rig.balance.peer_load(rig.now, 9, 99, 30);
     rig.balance.peer_joined(rig.now, 3, 8);
     rig.balance.peer_joined(rig.now, 99, 8);
     rig.arrive_for(5, 8);
+    rig.note("node 1 is full by a peer's word, which counts for five seconds");
+    rig.balance.peer_load(rig.now, 1, 1, 30);
+    (6..=8).for_each(|key| rig.arrive_for(key, key));
+    rig.pass(6 * SECOND);
+    (10..=13).for_each(|key| rig.arrive_for(key, key));
     rig.check(expect![[r#"
         tell peers: node 2 has key 7
         1 to node 2, 2 to node 2, 3 to node 2, 4 to node 2
         tell peers: 4 at node 2
         -- a peer tells of a full node and of a set; unknown nodes change nothing
         5 to node 3
+        -- node 1 is full by a peer's word, which counts for five seconds
+        tell peers: node 3 has key 6
+        6 to node 3
+        tell peers: node 3 has key 7
+        7 to node 3, 8 to node 3
+        tell peers: 4 at node 3
+        tell peers: node 1 has key 10
+        10 to node 1
+        tell peers: node 1 has key 11
+        11 to node 1
+        tell peers: node 1 has key 12
+        12 to node 1
+        tell peers: node 1 has key 13
+        13 to node 1
+        tell peers: 4 at node 1
     "#]]);
 }
 
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -167,7 +167,7 @@
         let Some((kind, mark, figure)) = news(&text) else { return Ok(()) };
         let Some(&node) = self.marks.get(&mark) else { return Ok(()) };
         match kind {
-            "l" if figure <= u64::from(u16::MAX) => self.balance.peer_load(peer, node, figure as usize),
+            "l" if figure <= u64::from(u16::MAX) => self.balance.peer_load(now, peer, node, figure as usize),
             "j" => self.balance.peer_joined(now, node, figure),
             _ => {}
         }
