--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -222,7 +222,6 @@
     pub repeat: Repeat,
     pub window: Nanos,
     pub payoff: f64,
-    pub late_payoff: f64,
 }
 
 impl Route {
@@ -246,7 +245,6 @@
             },
             window: settings.time(&name("window"), 0),
             payoff: settings.number(&name("payoff"), 1.0),
-            late_payoff: settings.number(&name("late_payoff"), 0.0),
         }
     }
 }
