--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -545,7 +545,9 @@
         let start = self.settings.number("start_capacity", 1.0);
         let part = start + (1.0 - start) * age;
         let sent = cache.sent.sum(self.now);
-        sent == 0.0 || sent + work <= self.normal * part
+        // One exchange a window passes, but not one that is heavy for a warm node: each proxy has one.
+        let first = sent == 0.0 && (work <= self.normal || self.normal == 0.0);
+        first || sent + work <= self.normal * part
     }
 
     fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome) {
--- a/crates/core/tests/balance/rules.rs
+++ b/crates/core/tests/balance/rules.rs
@@ -3,7 +3,7 @@
 use crate::rig::{MS, ORIGIN, SECOND, listed, rig};
 use expect_test::expect;
 use pumicebay_core::settings::Value;
-use pumicebay_core::{Listed, Outcome, Standing};
+use pumicebay_core::{Ask, Listed, Outcome, Standing};
 
 #[test]
 fn rule_1_a_held_exchange_is_answered_in_time_and_once() {
@@ -125,3 +125,21 @@
         1 to origin, 2 shed
     "#]]);
 }
+
+#[test]
+fn rule_4_no_heavy_exchange_to_a_cold_node() {
+    let mut rig = rig(2, "retriable", &[]);
+    rig.ask = Ask { key: None, hint: Some(10 * MS), ..rig.ask };
+    (1..=2).for_each(|xchg| rig.arrive(xchg));
+    rig.pass(100 * MS);
+    rig.balance.listed(rig.now, 3, Listed { started: rig.now, ..listed(3) });
+    rig.ask.hint = Some(500 * MS);
+    (3..=5).for_each(|xchg| rig.arrive(xchg));
+    rig.ask.hint = Some(5 * MS);
+    (6..=7).for_each(|xchg| rig.arrive(xchg));
+    rig.check(expect![[r#"
+        1 to node 2, 2 to node 1
+        log: node 3 cold: 0.0 s old, warm nodes get 10.0
+        3 to node 2, 4 to node 1, 5 to node 2, 6 to node 3, 7 to node 1
+    "#]]);
+}
