--- a/crates/core/tests/balance/path.rs
+++ b/crates/core/tests/balance/path.rs
@@ -1,5 +1,3 @@
-//! The ordinary path: the table of sets, T, misses.
-
 use crate::rig::{MS, SECOND, listed, rig};
 use expect_test::expect;
 use pumicebay_core::settings::Value;
--- a/crates/core/tests/balance/rig.rs
+++ b/crates/core/tests/balance/rig.rs
@@ -113,7 +113,6 @@
         self.balance.ended(self.now, xchg, try_no, outcome, outcome == Outcome::Completed);
     }
 
-    /// Lets time pass, with the ticks in it.
     pub fn pass(&mut self, span: Nanos) {
         for _ in 0..span / (100 * MS) {
             self.now += 100 * MS;
