One test for room and one for warmth, in the module; stale comments mended

Room at caches and at the origin was asked in two ways, and how it is rounded, a decision, stood in state.rs: one has_room in the module now. Whether a node is warm was spelled out twice, differing only where no warm-up is stated. The rate of all caches is summed only when the queue's length is in question. The adapter's send and news go through act and one tell.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -218,7 +218,7 @@
         let filling = self.fetches.get(ask.key).map(|fetch| fetch.fills);
         match self.pick(xchg, ask.key) {
             node if node.is_some() && node == filling => self.wait_for_fetch(xchg),
-            Some(node) if self.caches[node].has_room(ROOM, self.few) => self.serve(xchg, node),
+            Some(node) if self.has_room(node) => self.serve(xchg, node),
             Some(_) => self.wait_for_room(xchg),
             None if self.origin.is_some() => self.ask_origin(xchg),
             None => self.conclude(xchg),
@@ -323,9 +323,9 @@
                 return self.wait_for_fetch(xchg);
             }
             cx.fetching = true;
-            self.fetches.start(key, Fetch { by: xchg, fills, worth: cx.worth, waiting: Vec::new() });
+            self.fetches.start(key, Fetch { by: xchg, fills, worth, waiting: Vec::new() });
         }
-        if self.origin_has_room(origin) {
+        if self.has_room(origin) {
             return self.send(xchg, origin);
         }
         self.fetches.line_up(key, xchg, worth);
@@ -333,12 +333,6 @@
         self.shorten_line(origin);
     }
 
-    /// Guards the origin against more than it does well. A bound from what it does just now would
-    /// follow a growing queue upwards, or a stall down to nothing.
-    fn origin_has_room(&self, node: Node) -> bool {
-        self.caches[node].has_room(ORIGIN_ROOM, ORIGIN_FEW * self.few)
-    }
-
     /// The line is no longer than the origin's rate times an objective: the least worthy is shed.
     fn shorten_line(&mut self, origin: Node) {
         let most = self.caches[origin].answers.rate(self.now) * self.shortest as f64 / SECOND as f64;
@@ -352,7 +346,7 @@
     /// Lets the line into the origin: first the fetch whose answer is worth most, of those the latest.
     fn serve_line(&mut self) {
         let Some(origin) = self.origin else { return };
-        while self.origin_has_room(origin)
+        while self.has_room(origin)
             && let Some(xchg) = self.fetches.take_worthiest()
         {
             self.ask_origin(xchg);
@@ -367,8 +361,8 @@
         if fetched || !stands || waiting.is_empty() {
             return waiting.into_iter().for_each(|waiter| self.place(waiter));
         }
+        let worth = waiting.iter().map(|xchg| self.xchgs[xchg].worth).sum();
         let first = waiting.remove(0);
-        let worth = waiting.iter().map(|xchg| self.xchgs[xchg].worth).sum::<u64>() + self.xchgs[&first].worth;
         self.fetches.start(key, Fetch { by: first, fills, worth, waiting });
         let cx = self.xchgs.get_mut(&first).expect("held exchanges are known");
         cx.fetching = true;
@@ -492,13 +486,12 @@
     fn wait_for_room(&mut self, xchg: Xchg) {
         let Cx { arrived, ask, .. } = &self.xchgs[&xchg];
         let patience = self.routes[ask.route].objective / PATIENCE;
-        let serving = self.caches.iter().filter(|cache| cache.serves());
-        let rate: f64 = serving.map(|cache| cache.answers.rate(self.now)).sum();
+        let rates = self.caches.iter().filter(|c| c.serves()).map(|c| c.answers.rate(self.now));
         if self.surplus(ask.tenant) || self.now - arrived >= patience {
             self.conclude(xchg);
-        } else if self.origin.is_some_and(|node| self.origin_has_room(node)) {
+        } else if self.origin.is_some_and(|node| self.has_room(node)) {
             self.ask_origin(xchg);
-        } else if self.queue.len() as f64 >= rate * patience as f64 / SECOND as f64 {
+        } else if self.queue.len() as f64 >= rates.sum::<f64>() * patience as f64 / SECOND as f64 {
             self.conclude(xchg);
         } else {
             self.hold(xchg, patience);
@@ -512,7 +505,7 @@
             let Some(xchg) = self.queue.pop_front() else { return };
             let Some(cx) = self.xchgs.get(&xchg).filter(|cx| cx.held()) else { continue };
             match self.pick(xchg, cx.ask.key) {
-                Some(node) if !self.caches[node].has_room(ROOM, self.few) => self.queue.push_back(xchg),
+                Some(node) if !self.has_room(node) => self.queue.push_back(xchg),
                 _ => return self.place(xchg),
             }
         }
@@ -520,11 +513,20 @@
 
     /// What an answer is worth, in thousandths: a fetch costs the origin about the same for each.
     fn worth(&self, ask: &Ask) -> u64 {
-        let surplus = self.settings.number("surplus_payoff", 1.0);
-        let part = if self.surplus(ask.tenant) { surplus } else { 1.0 };
+        let part = if self.surplus(ask.tenant) { self.settings.number("surplus_payoff", 1.0) } else { 1.0 };
         (1000.0 * self.routes[ask.route].payoff * part) as u64
     }
 
+    /// Guards nodes and the origin: a bound from what they do now would follow a queue up, a stall down.
+    /// Little or shrunk room is rounded down: with many proxies the odd one more is many at the node.
+    fn has_room(&self, node: Node) -> bool {
+        let cache = &self.caches[node];
+        let (times, few) = if cache.listed.origin { (ORIGIN_ROOM, ORIGIN_FEW) } else { (ROOM, 1.0) };
+        let room = cache.squeeze * (times * cache.best).max(few * self.few);
+        let little = room < 2.0 || cache.squeeze < 1.0;
+        (cache.in_flight as f64) < if little { room.floor().max(1.0) } else { room }
+    }
+
     /// Whether the tenant has had this proxy's part of its quota already and asks for more of it than
     /// the tenants do on average. The average guards against uneven proxies, where a part misleads.
     fn surplus(&self, tenant: Option<usize>) -> bool {
@@ -538,12 +540,12 @@
 
     /// Rule 4: a cold node gets the part of normal work that it can surely do, or one exchange a window.
     fn within_budget(&self, cache: &Cache, work: f64) -> bool {
-        let age = cache.age(self.now) as f64 / self.settings.time("cold", 1) as f64;
-        if cache.listed.started == 0 || age >= 1.0 {
+        let cold = self.settings.time("cold", 0);
+        if cache.warm(self.now, cold) {
             return true;
         }
         let start = self.settings.number("start_capacity", 1.0);
-        let part = start + (1.0 - start) * age;
+        let part = start + (1.0 - start) * (cache.age(self.now) as f64 / cold as f64);
         let sent = cache.sent.sum(self.now);
         // One exchange a window passes, but not one that is heavy for a warm node: each proxy has one.
         let first = sent == 0.0 && (work <= self.normal || self.normal == 0.0);
@@ -589,8 +591,7 @@
             }
         }
         let (now, cold) = (self.now, self.settings.time("cold", 0));
-        let warm = |cache: &&Cache| cache.serves() && (cache.listed.started == 0 || cache.age(now) >= cold);
-        let warm = || self.caches.iter().filter(warm);
+        let warm = || self.caches.iter().filter(|cache| cache.serves() && cache.warm(now, cold));
         self.normal = warm().map(|cache| cache.sent.sum(now)).sum::<f64>() / warm().count().max(1) as f64;
         self.tenants.measure(now);
         if !self.following && self.settings.text("discovery") == "ask" {
--- a/crates/core/src/fetches.rs
+++ b/crates/core/src/fetches.rs
@@ -1,5 +1,5 @@
 //! The keys that are being fetched from the origin, who waits for each, and the line of fetches that
-//! have not begun, sorted by how many wait for them and then by age.
+//! have not begun, sorted by what their answers are worth and then by age.
 
 use crate::host::{Node, Xchg};
 use hashbrown::HashMap;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -31,7 +31,7 @@
     pub owes_since: Nanos,
     /// Until when it counts as refusing.
     pub refuses_until: Nanos,
-    /// Failures since the last answer.
+    /// Failures beyond the answers since.
     pub failures: usize,
     /// Set aside, with the count of probes answered since.
     pub aside: Option<usize>,
@@ -80,14 +80,6 @@
         self.ready() && !self.listed.origin && self.aside.is_none()
     }
 
-    /// Whether fewer are in flight than `few`, or than so many times the best. Little or shrunk room is
-    /// rounded down, to one at least: with many proxies the odd one more is many at the node.
-    pub fn has_room(&self, times: f64, few: f64) -> bool {
-        let room = self.squeeze * (times * self.best).max(few);
-        let little = room < 2.0 || self.squeeze < 1.0;
-        (self.in_flight as f64) < if little { room.floor().max(1.0) } else { room }
-    }
-
     /// Measures `best`, from stretches with enough answers to tell, and `squeeze`, against its best time
     /// so many times.
     pub fn measure(&mut self, now: Nanos, enough: u32, slow: f64) {
@@ -133,6 +125,11 @@
         now.saturating_sub(self.listed.started)
     }
 
+    /// Whether its process runs for longer than the warm-up takes.
+    pub fn warm(&self, now: Nanos, cold: Nanos) -> bool {
+        self.listed.started == 0 || self.age(now) >= cold
+    }
+
     /// How long it has owed an answer.
     pub fn silent(&self, now: Nanos) -> Nanos {
         if self.in_flight > 0 { now.saturating_sub(self.owes_since) } else { 0 }
--- a/crates/simhost/src/names.rs
+++ b/crates/simhost/src/names.rs
@@ -8,11 +8,11 @@
 /// Where the wire keeps a setting, and what the decisions call it. Times end in `-us` on the wire.
 const SETTINGS: &[(&str, &str)] = &[
     ("/clients/marks-retry", "marks_retry"),
+    ("/discovery", "discovery"),
     ("/domain/mode", "mode"),
     ("/domain/ordered", "ordered"),
     ("/domain/origin-fall-multiple", "origin_fall_multiple"),
     ("/domain/origin-fall-us", "origin_fall"),
-    ("/discovery", "discovery"),
     ("/fleet-size", "fleet"),
     ("/me", "me"),
     ("/payoff-by", "payoff_by"),
@@ -49,7 +49,6 @@
 pub fn translate(wire: &Json) -> Settings {
     let mut settings = Settings::default();
     copy(&mut settings, wire, SETTINGS, "");
-
     for (list, name, fields) in [("/routes", "route", ROUTE), ("/orgs", "tenant", TENANT)] {
         let members = wire.pointer(list).and_then(Json::as_array).map_or(&[][..], |members| members);
         settings.put(format!("{name}s"), Value::Number(members.len() as f64));
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -84,6 +84,12 @@
         serde_json::to_string(text).expect("text is always JSON")
     }
 
+    /// Sends news to every peer, in the form that `news` reads.
+    fn tell(&mut self, kind: &str, node: Node, figure: u64) {
+        let mark = mark(&self.addresses[node]);
+        self.act("Signal", format_args!(",null,\"{kind} {mark:x} {figure:x}\""));
+    }
+
     /// Writes an action whose further values are already JSON.
     fn act(&mut self, name: &str, values: std::fmt::Arguments) {
         write!(self.out, "[\"{name}\",{}{values}],", self.proxy).expect("a string takes all");
@@ -92,15 +98,8 @@
 
 impl Host for Wire {
     fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
-        write!(
-            self.out,
-            "[\"Try\",{},{},{},{}],",
-            self.proxy,
-            Self::text(&self.tids[&xchg]),
-            timeout.div_ceil(NANOS),
-            Self::text(&self.addresses[node])
-        )
-        .expect("a string takes all");
+        let (tid, address) = (Self::text(&self.tids[&xchg]), Self::text(&self.addresses[node]));
+        self.act("Try", format_args!(",{tid},{},{address}", timeout.div_ceil(NANOS)));
     }
 
     fn shed(&mut self, xchg: Xchg, pause: Nanos) {
@@ -138,13 +137,11 @@
     }
 
     fn tell_load(&mut self, node: Node, in_flight: usize) {
-        let mark = mark(&self.addresses[node]);
-        self.act("Signal", format_args!(",null,\"l {mark:x} {in_flight:x}\""));
+        self.tell("l", node, in_flight as u64);
     }
 
     fn tell_joined(&mut self, node: Node, key: u64) {
-        let mark = mark(&self.addresses[node]);
-        self.act("Signal", format_args!(",null,\"j {mark:x} {key:x}\""));
+        self.tell("j", node, key);
     }
 
     fn log(&mut self, line: &str) {
