--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -15,8 +15,6 @@
     fn shed(&mut self, xchg: Xchg, pause: Nanos);
     /// Final answer without any promise.
     fn error(&mut self, xchg: Xchg);
-    /// Stops waiting for an upstream try.
-    fn withdraw(&mut self, xchg: Xchg, try_no: usize);
     /// The exchange has its answer and no try is out: its number will not be used again.
     fn forget(&mut self, xchg: Xchg);
     /// Asks for `Balance::woke` with this token at that time.
@@ -120,6 +118,13 @@
     NonRetriable,
 }
 
+impl Repeat {
+    /// Whether a client may be told to come back.
+    pub fn harmless(self, may_have_run: bool) -> bool {
+        !may_have_run || matches!(self, Repeat::Retriable | Repeat::Deduped(Scope::Fleet))
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
     Fleet,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -3,30 +3,24 @@
 use crate::host::{Ask, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing};
 use crate::ring::Ring;
 use crate::settings::Settings;
+use std::collections::BTreeMap;
 
 const SECOND: Nanos = 1_000_000_000;
 
 /// A cache node, or the origin, as this proxy knows it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Cache {
     pub listed: Listed,
-    pub in_flight: usize,
-    /// In flight from each peer, as it last told, and when.
-    pub peers: Vec<(usize, Nanos)>,
+    pub flow: Flow,
+    /// In flight from each peer that told, and when it did.
+    pub peers: BTreeMap<usize, (usize, Nanos)>,
     /// What this proxy last told its peers.
     pub told: usize,
     pub report: Option<Report>,
     /// Any word from it: an outcome or a report.
     pub heard: bool,
-    /// How long its answers took, in seconds: lately, and over the last minute.
-    pub answers: Ring,
-    pub minute: Ring,
-    /// How many it held in flight when it did best: its best rate times its best time.
-    pub best: f64,
-    /// The part of its room that is left while it takes far longer than it can.
-    pub squeeze: f64,
-    /// Work sent over the cold budget's window.
-    pub sent: Ring,
+    /// Until when this proxy has had its part of it, while it is cold.
+    pub rests_until: Nanos,
     /// Since when it owes an answer without having given one.
     pub owes_since: Nanos,
     /// Until when it counts as refusing.
@@ -40,36 +34,77 @@
     pub probing: bool,
 }
 
-/// What a node reported in flight, and this proxy's own part at that time.
-#[derive(Clone, Copy, Debug)]
-pub struct Report {
+/// Exchanges in flight at a node, or at all caches together, and their answers.
+#[derive(Clone, Debug)]
+pub struct Flow {
     pub in_flight: usize,
-    pub own: usize,
+    /// How long the answers took, in seconds: lately, and over the last minute.
+    pub answers: Ring,
+    pub minute: Ring,
+    /// The part of its room that is left while answers take far longer than they can.
+    pub squeeze: f64,
+    /// How many may be in flight on average, and what was saved of that until lately.
+    pub room: f64,
+    pub saved: f64,
+    most_saved: f64,
+    saved_at: Nanos,
 }
 
-impl Cache {
-    pub fn new(peers: usize, window: Nanos) -> Self {
-        Cache {
-            listed: Listed::default(),
+impl Default for Flow {
+    fn default() -> Self {
+        Flow {
             in_flight: 0,
-            peers: vec![(0, 0); peers],
-            told: 0,
-            report: None,
-            heard: false,
             answers: Ring::new(2 * SECOND, 8),
-            best: 0.0,
-            squeeze: 1.0,
             minute: Ring::new(60 * SECOND, 20),
-            sent: Ring::new(window, 10),
-            owes_since: 0,
-            refuses_until: 0,
-            failures: 0,
-            aside: None,
-            unreachable: false,
-            probing: false,
+            squeeze: 1.0,
+            room: 0.0,
+            saved: f64::INFINITY,
+            most_saved: 0.0,
+            saved_at: 0,
         }
     }
+}
+
+impl Flow {
+    /// Sets the room, and how much of it is saved at most.
+    pub fn saves(&mut self, now: Nanos, most: f64, room: f64) {
+        (self.most_saved, self.room) = (most, room);
+        self.save(now);
+    }
 
+    pub fn start(&mut self, now: Nanos) {
+        self.save(now);
+        self.in_flight += 1;
+    }
+
+    /// Saves room that was not used, by exchanges that would have gone through it, or spends what was.
+    fn save(&mut self, now: Nanos) {
+        let past = now.saturating_sub(self.saved_at) as f64 / SECOND as f64;
+        let through = past / self.answers.mean(now).unwrap_or(1.0).max(1e-3);
+        self.saved = (self.saved + (self.room - self.in_flight as f64) * through).clamp(0.0, self.most_saved);
+        self.saved_at = now;
+    }
+
+    pub fn end(&mut self, now: Nanos, sent: Nanos, outcome: Outcome) {
+        self.save(now);
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if matches!(outcome, Outcome::Completed | Outcome::Missed) {
+            let took = now.saturating_sub(sent) as f64 / SECOND as f64;
+            self.answers.add(now, took);
+            self.minute.add(now, took);
+        }
+    }
+}
+
+/// What a node reported in flight, and this proxy's own part at that time.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    pub in_flight: usize,
+    pub own: usize,
+    pub at: Nanos,
+}
+
+impl Cache {
     /// Listed as ready; the origin as well as caches.
     pub fn ready(&self) -> bool {
         self.listed.standing == Standing::Ready
@@ -80,44 +115,31 @@
         self.ready() && !self.listed.origin && self.aside.is_none()
     }
 
-    /// Measures `best`, from stretches with enough answers to tell, and `squeeze`, against its best time
-    /// so many times.
-    pub fn measure(&mut self, now: Nanos, enough: u32, slow: f64) {
-        let least = self.minute.least_mean(now, enough).unwrap_or(0.0);
-        self.best = self.minute.peak_rate(now) * least;
-        let lately = self.answers.mean(now).filter(|_| least > 0.0 && !self.listed.origin);
-        self.squeeze = lately.map_or(self.squeeze, |mean| (slow * least / mean).min(1.0));
-    }
-
-    pub fn send(&mut self, now: Nanos, work: f64) {
-        if self.in_flight == 0 {
+    pub fn send(&mut self, now: Nanos) {
+        if self.flow.in_flight == 0 {
             self.owes_since = now;
         }
-        self.in_flight += 1;
-        self.sent.add(now, work);
+        self.flow.start(now);
     }
 
     /// Counts an outcome: any sign of life ends its silence.
     pub fn end(&mut self, now: Nanos, sent: Nanos, outcome: Outcome) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+        self.flow.end(now, sent, outcome);
         self.heard = true;
         if !matches!(outcome, Outcome::Overdue | Outcome::Withdrawn | Outcome::Unsent) {
             self.owes_since = now;
         }
-        if matches!(outcome, Outcome::Completed | Outcome::Missed) {
-            let took = now.saturating_sub(sent) as f64 / SECOND as f64;
-            self.answers.add(now, took);
-            self.minute.add(now, took);
-        }
     }
 
-    /// Exchanges in flight here: as it reported plus own sends since, else own and what peers told
-    /// since then.
-    pub fn load(&self, then: Nanos) -> f64 {
-        let since = |report: Report| (report.in_flight + self.in_flight).saturating_sub(report.own);
-        let fresh = || self.peers.iter().filter(|(_, at)| *at > then).map(|(told, _)| told);
-        let told = || self.in_flight + fresh().sum::<usize>();
-        self.report.map_or_else(told, |report| since(report).max(self.in_flight)) as f64
+    /// Exchanges in flight here: as it reported plus own sends since, else own and what peers told. Words
+    /// older than this no longer count.
+    pub fn load(&self, now: Nanos, last: Nanos) -> f64 {
+        let fresh = |at: Nanos| now < at + last;
+        let own = self.flow.in_flight;
+        let told = || self.peers.values().filter(|(_, at)| fresh(*at)).map(|(told, _)| told).sum::<usize>();
+        let since = |report: Report| (report.in_flight + own).saturating_sub(report.own).max(own);
+        let report = self.report.filter(|report| fresh(report.at));
+        report.map_or_else(|| own + told(), since) as f64
     }
 
     /// How long ago its process started.
@@ -129,11 +151,6 @@
     pub fn warm(&self, now: Nanos, cold: Nanos) -> bool {
         self.listed.started == 0 || self.age(now) >= cold
     }
-
-    /// How long it has owed an answer.
-    pub fn silent(&self, now: Nanos) -> Nanos {
-        if self.in_flight > 0 { now.saturating_sub(self.owes_since) } else { 0 }
-    }
 }
 
 /// An exchange that is not wholly over: it awaits its final answer, or outcomes of its tries.
@@ -182,8 +199,9 @@
     }
 
     /// Notes how a try ended; nothing for one that is not out.
-    pub fn end(&mut self, try_no: usize, outcome: Outcome) -> Option<Try> {
+    pub fn end(&mut self, try_no: usize, outcome: Outcome, over: bool) -> Option<Try> {
         let this = self.tries.get_mut(try_no).filter(|t| t.out)?;
+        self.over |= over;
         this.out = false;
         this.missed = outcome == Outcome::Missed;
         this.may_have_run = !outcome.never_ran();
@@ -246,48 +264,32 @@
     }
 }
 
-/// What a tenant asks of this proxy and gets, and its quota over all proxies, a second.
+/// What a tenant gets from this proxy, and its quota over all proxies, a second.
 #[derive(Clone, Debug)]
 pub struct Tenant {
-    pub asked: Ring,
     pub served: Ring,
     pub quota: f64,
 }
 
 #[derive(Clone, Debug)]
-pub struct Tenants {
-    each: Vec<Tenant>,
-    /// What all of them ask of their quotas here, as a part.
-    pub usage: f64,
-}
+pub struct Tenants(Vec<Tenant>);
 
 impl Tenants {
     pub fn new(settings: &Settings) -> Self {
         let quota = |at| settings.number(&format!("tenant.{at}.quota"), f64::INFINITY);
-        let ring = || Ring::new(2 * SECOND, 8);
+        let ring = || Ring::new(4 * SECOND, 8);
         let tenants = 0..settings.number("tenants", 0.0) as usize;
-        let each = tenants.map(|at| Tenant { asked: ring(), served: ring(), quota: quota(at) }).collect();
-        Tenants { each, usage: 0.0 }
+        let each = tenants.map(|at| Tenant { served: ring(), quota: quota(at) }).collect();
+        Tenants(each)
     }
 
     pub fn get(&self, tenant: Option<usize>) -> Option<&Tenant> {
-        self.each.get(tenant?)
-    }
-
-    pub fn ask(&mut self, now: Nanos, tenant: Option<usize>) {
-        if let Some(tenant) = tenant.and_then(|tenant| self.each.get_mut(tenant)) {
-            tenant.asked.add(now, 1.0);
-        }
+        self.0.get(tenant?)
     }
 
     pub fn serve(&mut self, now: Nanos, tenant: Option<usize>) {
-        if let Some(tenant) = tenant.and_then(|tenant| self.each.get_mut(tenant)) {
+        if let Some(tenant) = tenant.and_then(|tenant| self.0.get_mut(tenant)) {
             tenant.served.add(now, 1.0);
         }
     }
-
-    pub fn measure(&mut self, now: Nanos) {
-        let asked: f64 = self.each.iter().map(|tenant| tenant.asked.rate(now)).sum();
-        self.usage = asked / self.each.iter().map(|tenant| tenant.quota).sum::<f64>();
-    }
 }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -16,8 +16,8 @@
 
 impl Table {
     /// Holds at most `keys`, those used longest ago leave first; members unpicked for so long leave.
-    pub fn new(keys: NonZeroUsize, unpicked: Nanos) -> Self {
-        Table { sets: LruCache::new(keys), unpicked }
+    pub fn new(keys: usize, unpicked: Nanos) -> Self {
+        Table { sets: LruCache::new(NonZeroUsize::new(keys).unwrap_or(NonZeroUsize::MIN)), unpicked }
     }
 
     /// The key's set after dropping what aged and what `stays` denies.
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -125,7 +125,7 @@
         let outcome = outcome(fields.get(2)?)?;
         let over: bool = fields.get(3)?;
         let try_no: usize = fields.get(6)?;
-        self.report(fields, 7, 8)?;
+        self.report(now, fields, 7, 8)?;
         if let Some(xchg) = self.xchg(fields)? {
             self.balance.ended(now, xchg, try_no, outcome, over);
         }
@@ -155,7 +155,7 @@
 
     pub fn probe_done(&mut self, now: Nanos, fields: &Fields) -> Result<()> {
         let outcome = outcome(fields.get(2)?)?;
-        self.report(fields, 1, 4)?;
+        self.report(now, fields, 1, 4)?;
         if let Some(&node) = self.nodes.get(fields.get::<&str>(1)?) {
             self.balance.probed(now, node, outcome);
         }
@@ -179,11 +179,11 @@
     }
 
     /// Passes on how much a node reports in flight, where the event carries a report.
-    fn report(&mut self, fields: &Fields, node: usize, load: usize) -> Result<()> {
+    fn report(&mut self, now: Nanos, fields: &Fields, node: usize, load: usize) -> Result<()> {
         let row: Option<Vec<Option<f64>>> = fields.get(load)?;
         let value = self.in_flight.and_then(|column| *row?.get(column)?);
         if let (Some(value), Some(&node)) = (value, self.nodes.get(fields.get::<&str>(node)?)) {
-            self.balance.reported(node, value);
+            self.balance.reported(now, node, value);
         }
         Ok(())
     }
