--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -501,7 +501,7 @@
     /// Guards the origin in the same way; a proxy's part below one is one fetch now and then.
     fn origin_fits(&self) -> bool {
         let Some(Cache { flow, .. }) = self.origin.map(|node| &self.caches[node]) else { return false };
-        flow.in_flight as f64 + 1.0 <= flow.room.max(flow.saved.min(1.0))
+        flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved)
     }
 
     /// What the tenant had lately of this proxy's part of its quota.
@@ -599,7 +599,7 @@
 /// Room is what was in flight at best, so many times, or a few; it shrinks while answers take far longer.
 fn measure(now: Nanos, flow: &mut Flow, (times, few, shrinks): (f64, f64, bool)) {
     let (least, lately) = (flow.minute.least_mean(now, ENOUGH), flow.answers.mean(now));
-    let best = flow.minute.peak_rate(now) * least.or(flow.minute.mean(now)).unwrap_or(0.0);
+    let best = flow.minute.peak_rate(now) * least.unwrap_or(0.0);
     if let (Some(least), Some(lately), true) = (least, lately, shrinks) {
         flow.squeeze = (SLOW * least / lately).min(1.0);
     }
