--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -570,11 +570,13 @@
     fn measure(&mut self) {
         self.serving = self.caches.iter().filter(|cache| cache.serves()).count().max(1) as f64;
         let caches = self.serving / self.fleet;
-        measure(self.now, &mut self.all, (ROOM, FEW * caches, false));
+        measure(self.now, &mut self.all, (ROOM, FEW * caches, f64::INFINITY));
         let few = (FEW / self.fleet).floor().max(1.0);
         for cache in &mut self.caches {
-            let origin = (ORIGIN_ROOM, ORIGIN_FEW * caches, false);
-            let bounds = if cache.listed.origin { origin } else { (ROOM, few, true) };
+            let known = cache.flow.minute.least_mean(self.now, ENOUGH).is_some();
+            let fetches = if known { caches } else { ORIGIN_FEW * caches };
+            let origin = (ORIGIN_ROOM, fetches, f64::INFINITY);
+            let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
             measure(self.now, &mut cache.flow, bounds);
         }
     }
@@ -597,11 +599,11 @@
 }
 
 /// Room is what was in flight at best, so many times, or a few; it shrinks while answers take far longer.
-fn measure(now: Nanos, flow: &mut Flow, (times, few, shrinks): (f64, f64, bool)) {
+fn measure(now: Nanos, flow: &mut Flow, (times, few, slow): (f64, f64, f64)) {
     let (least, lately) = (flow.minute.least_mean(now, ENOUGH), flow.answers.mean(now));
     let best = flow.minute.peak_rate(now) * least.unwrap_or(0.0);
-    if let (Some(least), Some(lately), true) = (least, lately, shrinks) {
-        flow.squeeze = (SLOW * least / lately).min(1.0);
+    if let (Some(least), Some(lately)) = (least, lately) {
+        flow.squeeze = (slow * least / lately).min(1.0);
     }
     flow.saves(now, SAVED, flow.squeeze * (times * best).max(few));
 }
