--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -17,8 +17,9 @@
 
 const SECOND: Nanos = 1_000_000_000;
 const TICK: Nanos = SECOND / 10;
-/// The tick's wake-up token; exchanges count from 1.
+/// Exchanges count from 1.
 const TICK_TOKEN: u64 = 0;
+const FOLLOW_WAIT: Nanos = 4 * SECOND;
 /// T is this multiple of the mean load over the ready caches, and no less than this proxy's part of FEW.
 const T_FACTOR: f64 = 1.5;
 /// Keys in the table; members leave their set when unpicked for so long.
@@ -38,7 +39,7 @@
 const ORIGIN_ROOM: f64 = 2.0;
 const ENOUGH: u32 = 10;
 const FEW: f64 = 9.0;
-const ORIGIN_FEW: f64 = 1.5;
+const ORIGIN_FEW: f64 = 1.3;
 /// How many times their best time answers may take before a node's room shrinks.
 const SLOW: f64 = 1.5;
 /// Exchanges that unused room adds up to at most: a part below one is one now and then.
@@ -66,10 +67,10 @@
     /// Exchanges that wait for room at a cache.
     queue: Vec<Xchg>,
     tenants: Tenants,
-    /// The work of what arrived lately.
     asked: Ring,
     serving: f64,
-    following: bool,
+    follow_at: Nanos,
+    follow_wait: Nanos,
     news: Allowance,
 }
 
@@ -91,7 +92,8 @@
             tenants: Tenants::new(&settings),
             asked: Ring::new(2 * SECOND, 8),
             serving: 1.0,
-            following: false,
+            follow_at: 0,
+            follow_wait: TICK,
             news: Allowance::default(),
             settings,
         };
@@ -127,7 +129,6 @@
         self.place_all(queue);
     }
 
-    /// The answer streams: the try now belongs to the client.
     pub fn under_way(&mut self, xchg: Xchg) {
         self.xchgs.get_mut(&xchg).into_iter().for_each(|cx| cx.under_way = true);
     }
@@ -149,7 +150,7 @@
     }
 
     pub fn listed(&mut self, now: Nanos, node: Node, listed: Listed) {
-        self.now = now;
+        (self.now, self.follow_wait) = (now, TICK);
         if node >= self.caches.len() {
             self.caches.resize(node + 1, Cache::default());
         }
@@ -164,23 +165,23 @@
 
     /// A complete list named these nodes only.
     pub fn listed_all(&mut self, named: &[Node]) {
-        for (node, cache) in self.caches.iter_mut().enumerate() {
-            if !named.contains(&node) {
-                cache.listed.standing = Standing::Gone;
-            }
+        for node in (0..self.caches.len()).filter(|node| !named.contains(node)) {
+            self.caches[node].listed.standing = Standing::Gone;
         }
         self.measure();
     }
 
-    pub fn list_failed(&mut self) {
-        self.following = false;
+    /// Guards the list service, which many proxies that ask again at once would drown.
+    pub fn list_failed(&mut self, now: Nanos) {
+        self.follow_at = now + (self.follow_wait as f64 * (0.5 + f64::from(self.rng.rand_float()))) as Nanos;
+        self.follow_wait = (2 * self.follow_wait).min(FOLLOW_WAIT);
     }
 
     pub fn reported(&mut self, now: Nanos, node: Node, in_flight: f64) {
         let Some(cache) = self.caches.get_mut(node) else { return };
         cache.heard = true;
-        let in_flight = in_flight.max(0.0) as usize;
-        cache.report = Some(Report { in_flight, own: cache.flow.in_flight, at: now });
+        let own = cache.flow.in_flight;
+        cache.report = Some(Report { in_flight: in_flight.max(0.0) as usize, own, at: now });
     }
 
     pub fn probed(&mut self, now: Nanos, node: Node, outcome: Outcome) {
@@ -197,9 +198,8 @@
     }
 
     pub fn peer_load(&mut self, now: Nanos, peer: usize, node: Node, in_flight: usize) {
-        if let Some(cache) = self.caches.get_mut(node) {
-            cache.peers.insert(peer, (in_flight, now));
-        }
+        let Some(cache) = self.caches.get_mut(node) else { return };
+        cache.peers.insert(peer, (in_flight, now));
     }
 
     pub fn peer_joined(&mut self, now: Nanos, node: Node, key: u64) {
@@ -235,16 +235,22 @@
             Some(member) => member,
             None => self.seed(xchg, key, mean)?,
         };
-        let threshold = (T_FACTOR * mean).max(FEW / self.fleet).max(1.0);
-        if self.load(chosen, mean) > threshold
+        if self.past_t(chosen, mean)
             && let Some(joins) = self.least(&self.takers(xchg), mean)
-            && self.load(joins, mean) < threshold
+            && !self.past_t(joins, mean)
         {
             chosen = joins;
         }
         Some(chosen)
     }
 
+    /// Past T now, or on average: one of many proxies seldom has two at a node, and would see no hot key.
+    fn past_t(&self, node: Node, mean: f64) -> bool {
+        let lately = self.all.average(self.now) / self.serving;
+        self.load(node, mean) > (T_FACTOR * mean).max(FEW / self.fleet).max(1.0)
+            || self.caches[node].flow.average(self.now) > (T_FACTOR * lately).max(2.0 * FEW / self.fleet)
+    }
+
     /// Sends the exchange to a cache, which joins its key's set.
     fn serve(&mut self, xchg: Xchg, node: Node) {
         let Ask { key, tenant, .. } = self.xchgs[&xchg].ask;
@@ -369,7 +375,6 @@
         self.tell_load(node);
     }
 
-    /// Peers hear of a load that changed much.
     fn tell_load(&mut self, node: Node) {
         let cache = &self.caches[node];
         let (told, in_flight) = (cache.told, cache.flow.in_flight);
@@ -459,7 +464,7 @@
         let Cx { arrived, ask, .. } = &self.xchgs[&xchg];
         let patience = self.routes[ask.route].objective / PATIENCE;
         let rate = self.all.answers.rate(self.now);
-        if self.surplus(ask.tenant) || self.now - arrived >= patience {
+        if self.part_had(ask.tenant) > UNEVEN || self.now - arrived >= patience {
             self.conclude(xchg);
         } else if self.origin_fits() {
             self.ask_origin(xchg);
@@ -471,7 +476,6 @@
         }
     }
 
-    /// Something may have made room for these.
     fn place_all(&mut self, xchgs: Vec<Xchg>) {
         for xchg in xchgs {
             if self.xchgs.get(&xchg).is_some_and(Cx::held) {
@@ -482,7 +486,8 @@
 
     /// What an answer is worth, in thousandths: a fetch costs the origin about the same for each.
     fn worth(&self, ask: &Ask) -> u64 {
-        let part = if self.surplus(ask.tenant) { self.settings.number("surplus_payoff", 1.0) } else { 1.0 };
+        let surplus = self.part_had(ask.tenant) > UNEVEN;
+        let part = if surplus { self.settings.number("surplus_payoff", 1.0) } else { 1.0 };
         (1000.0 * self.routes[ask.route].payoff * part) as u64
     }
 
@@ -504,17 +509,12 @@
         flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved)
     }
 
-    /// What the tenant had lately of this proxy's part of its quota.
+    /// What the tenant had lately of this proxy's part of its quota: past UNEVEN, it asks for surplus.
     fn part_had(&self, tenant: Option<usize>) -> f64 {
         let served = |tenant: &Tenant| tenant.served.rate(self.now) * self.fleet / tenant.quota;
         self.tenants.get(tenant).map_or(0.0, served)
     }
 
-    /// Whether it had its part, and more than an uneven front explains.
-    fn surplus(&self, tenant: Option<usize>) -> bool {
-        self.part_had(tenant) > UNEVEN
-    }
-
     // ---- Health ---------------------------------------------------------------------------------
 
     fn warm(&self, node: Node) -> bool {
@@ -573,9 +573,7 @@
         measure(self.now, &mut self.all, (ROOM, FEW * caches, f64::INFINITY));
         let few = (FEW / self.fleet).floor().max(1.0);
         for cache in &mut self.caches {
-            let known = cache.flow.minute.least_mean(self.now, ENOUGH).is_some();
-            let fetches = if known { caches } else { ORIGIN_FEW * caches };
-            let origin = (ORIGIN_ROOM, fetches, f64::INFINITY);
+            let origin = (ORIGIN_ROOM, ORIGIN_FEW * caches, f64::INFINITY);
             let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
             measure(self.now, &mut cache.flow, bounds);
         }
@@ -591,8 +589,8 @@
             }
         }
         self.serve_line();
-        if !self.following && self.settings.text("discovery") == "ask" {
-            self.following = true;
+        if self.follow_at <= self.now && self.settings.text("discovery") == "ask" {
+            self.follow_at = Nanos::MAX;
             self.host.follow();
         }
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -41,6 +41,8 @@
     /// How long the answers took, in seconds: lately, and over the last minute.
     pub answers: Ring,
     pub minute: Ring,
+    /// Seconds in flight, lately.
+    held: Ring,
     /// The part of its room that is left while answers take far longer than they can.
     pub squeeze: f64,
     /// How many may be in flight on average, and what was saved of that until lately.
@@ -56,6 +58,7 @@
             in_flight: 0,
             answers: Ring::new(2 * SECOND, 8),
             minute: Ring::new(60 * SECOND, 20),
+            held: Ring::new(2 * SECOND, 8),
             squeeze: 1.0,
             room: 0.0,
             saved: f64::INFINITY,
@@ -82,9 +85,15 @@
         let past = now.saturating_sub(self.saved_at) as f64 / SECOND as f64;
         let through = past / self.answers.mean(now).unwrap_or(1.0).max(1e-3);
         self.saved = (self.saved + (self.room - self.in_flight as f64) * through).clamp(0.0, self.most_saved);
+        self.held.add(now, self.in_flight as f64 * past);
         self.saved_at = now;
     }
 
+    /// How many were in flight on average, lately.
+    pub fn average(&self, now: Nanos) -> f64 {
+        self.held.sum(now) / 2.0
+    }
+
     pub fn end(&mut self, now: Nanos, sent: Nanos, outcome: Outcome) {
         self.save(now);
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -50,7 +50,7 @@
     pub fn topology(&mut self, now: Nanos, fields: &Fields, banks: &BTreeMap<u64, Vec<Entry>>) -> Result<()> {
         let form: u64 = fields.get(1)?;
         if form == 2 {
-            self.balance.list_failed();
+            self.balance.list_failed(now);
             return Ok(());
         }
         let bank: u64 = fields.get(3)?;
