--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -34,12 +34,12 @@
 const FAILURES: usize = 3;
 const PROBES: usize = 2;
 /// In flight is bounded by what was when answers came best (so many enough to tell), times this room to
-/// find out that more goes; unmeasured by a few for the whole fleet, at the origin for each cache.
+/// find out that more goes; unmeasured by a few for the whole fleet, at the origin (then measured) a cache.
 const ROOM: f64 = 1.5;
 const ORIGIN_ROOM: f64 = 2.0;
 const ENOUGH: u32 = 10;
 const FEW: f64 = 9.0;
-const ORIGIN_FEW: f64 = 1.3;
+const ORIGIN_FEW: [f64; 2] = [1.8, 1.3];
 /// How many times their best time answers may take before a node's room shrinks.
 const SLOW: f64 = 1.5;
 /// Exchanges that unused room adds up to at most: a part below one is one now and then.
@@ -64,7 +64,6 @@
     table: Table,
     xchgs: HashMap<Xchg, Cx>,
     fetches: Fetches,
-    /// Exchanges that wait for room at a cache.
     queue: Vec<Xchg>,
     tenants: Tenants,
     asked: Ring,
@@ -573,7 +572,8 @@
         measure(self.now, &mut self.all, (ROOM, FEW * caches, f64::INFINITY));
         let few = (FEW / self.fleet).floor().max(1.0);
         for cache in &mut self.caches {
-            let origin = (ORIGIN_ROOM, ORIGIN_FEW * caches, f64::INFINITY);
+            let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
+            let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * caches, f64::INFINITY);
             let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
             measure(self.now, &mut cache.flow, bounds);
         }
--- a/crates/core/tests/balance/path.rs
+++ b/crates/core/tests/balance/path.rs
@@ -12,6 +12,7 @@
     rig.check(expect![[r#"
         1 to node 1, 2 to node 1, 3 to node 1, 4 to node 1, 5 to origin, 6 to origin, 7 to origin
         -- four in flight were more than T and another cache joined; now the less loaded of both serves
+        8 to origin
     "#]]);
 }
 
