--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -17,8 +17,7 @@
 
 const SECOND: Nanos = 1_000_000_000;
 const TICK: Nanos = SECOND / 10;
-/// Exchanges count from 1.
-const TICK_TOKEN: u64 = 0;
+const TICK_TOKEN: u64 = 0; // exchanges count from 1
 const FOLLOW_WAIT: Nanos = 4 * SECOND;
 /// T is this multiple of the mean load over the ready caches, and no less than this proxy's part of FEW.
 const T_FACTOR: f64 = 1.5;
@@ -327,7 +326,7 @@
             cx.fetching = true;
             self.fetches.start(key, Fetch { by: xchg, fills, worth, waiting: Vec::new() });
         }
-        if self.origin_fits() {
+        if self.origin_fits(xchg) {
             return self.send(xchg, origin);
         }
         self.fetches.line_up(key, xchg, worth);
@@ -347,9 +346,8 @@
 
     /// Lets the line into the origin: first the fetch whose answer is worth most, of those the latest.
     fn serve_line(&mut self) {
-        while self.origin_fits()
-            && let Some(xchg) = self.fetches.take_worthiest()
-        {
+        while let Some(xchg) = self.fetches.worthiest().filter(|&xchg| self.origin_fits(xchg)) {
+            self.fetches.take_worthiest();
             self.ask_origin(xchg);
         }
     }
@@ -465,7 +463,7 @@
         let rate = self.all.answers.rate(self.now);
         if self.part_had(ask.tenant) > UNEVEN || self.now - arrived >= patience {
             self.conclude(xchg);
-        } else if self.origin_fits() {
+        } else if self.origin_fits(xchg) {
             self.ask_origin(xchg);
         } else if self.queue.len() as f64 >= (rate * patience as f64 / SECOND as f64).max(1.0) {
             self.conclude(xchg);
@@ -503,9 +501,11 @@
     }
 
     /// Guards the origin in the same way; a proxy's part below one is one fetch now and then.
-    fn origin_fits(&self) -> bool {
+    fn origin_fits(&self, xchg: Xchg) -> bool {
         let Some(Cache { flow, .. }) = self.origin.map(|node| &self.caches[node]) else { return false };
-        flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved)
+        let surplus = self.part_had(self.xchgs[&xchg].ask.tenant) > UNEVEN;
+        let reserve = if surplus { SAVED - 1.0 } else { 0.0 };
+        flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved - reserve)
     }
 
     /// What the tenant had lately of this proxy's part of its quota: past UNEVEN, it asks for surplus.
--- a/crates/core/src/fetches.rs
+++ b/crates/core/src/fetches.rs
@@ -61,9 +61,13 @@
         self.line.len()
     }
 
-    /// Takes the one whose answer is worth most, of those the latest.
-    pub fn take_worthiest(&mut self) -> Option<Xchg> {
-        self.line.pop_last().map(|(_, xchg)| xchg)
+    /// The one whose answer is worth most, of those the latest.
+    pub fn worthiest(&self) -> Option<Xchg> {
+        self.line.last().map(|&(_, xchg)| xchg)
+    }
+
+    pub fn take_worthiest(&mut self) {
+        self.line.pop_last();
     }
 
     /// The one whose answer is worth least, of those the oldest.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -286,7 +286,7 @@
 impl Tenants {
     pub fn new(settings: &Settings) -> Self {
         let quota = |at| settings.number(&format!("tenant.{at}.quota"), f64::INFINITY);
-        let ring = || Ring::new(4 * SECOND, 8);
+        let ring = || Ring::new(8 * SECOND, 8);
         let tenants = 0..settings.number("tenants", 0.0) as usize;
         let each = tenants.map(|at| Tenant { served: ring(), quota: quota(at) }).collect();
         Tenants(each)
