Failures and probes are a fleet's figure: one failure suffices where each proxy sees little

Now nine failures and the probes are shared by the fleet, one failure and a probe a second at least.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -29,8 +29,8 @@
 const NEWS_LAST: Nanos = 5 * SECOND;
 /// Deliveries of news that an exchange allows: guards large fleets, where set changes are not rare.
 const NEWS_PART: f64 = 8.0;
-/// Failures beyond the answers since that set a node aside, and answered probes that bring it back.
-const FAILURES: usize = 3;
+/// Failures beyond the answers since, of the whole fleet, that set a node aside; probes that bring it back.
+const FAILURES: f64 = 9.0;
 const PROBES: usize = 2;
 /// In flight is bounded by what was when answers came best (so many enough to tell), times this room to
 /// find out that more goes; unmeasured by a few for the whole fleet, at the origin (then measured) a cache.
@@ -178,11 +178,11 @@
     pub fn reported(&mut self, now: Nanos, node: Node, in_flight: f64) {
         let Some(cache) = self.caches.get_mut(node) else { return };
         cache.heard = true;
-        let own = cache.flow.in_flight;
-        cache.report = Some(Report { in_flight: in_flight.max(0.0) as usize, own, at: now });
+        let in_flight = in_flight.max(0.0) as usize;
+        cache.report = Some(Report { in_flight, own: cache.flow.in_flight, at: now });
     }
 
-    pub fn probed(&mut self, now: Nanos, node: Node, outcome: Outcome) {
+    pub fn probed(&mut self, node: Node, outcome: Outcome) {
         let Some(cache) = self.caches.get_mut(node) else { return };
         cache.probing = false;
         let Some(answered) = &mut cache.aside else { return };
@@ -190,7 +190,6 @@
         if *answered < PROBES {
             return;
         }
-        self.now = now;
         (cache.aside, cache.failures) = (None, 0);
         self.host.log(&format!("node {node} back: {PROBES} probes answered"));
     }
@@ -208,7 +207,6 @@
 
     // ---- The ordinary path --------------------------------------------------------------------
 
-    /// Finds a cache for the exchange and sends it there.
     fn place(&mut self, xchg: Xchg) {
         let ask = self.xchgs[&xchg].ask;
         let filling = self.fetches.get(ask.key).map(|fetch| fetch.fills);
@@ -381,7 +379,6 @@
         }
     }
 
-    /// Nothing is out and the last try came to nothing.
     fn again(&mut self, xchg: Xchg, node: Node, outcome: Outcome) {
         let (cx, at_origin) = (&self.xchgs[&xchg], Some(node) == self.origin);
         let lost = outcome == Outcome::Unsent || at_origin && outcome == Outcome::Saturated;
@@ -558,7 +555,8 @@
             Outcome::Overdue if cache.owes_since > sent => {}
             _ => cache.failures += 1,
         }
-        if cache.failures >= FAILURES && cache.serves() && self.settings.flag("probes") {
+        let enough = (FAILURES / self.fleet).max(1.0);
+        if cache.failures as f64 >= enough && cache.serves() && self.settings.flag("probes") {
             // Guards against nodes that fail quickly: their empty queues would attract load.
             cache.aside = Some(0);
             self.host.log(&format!("node {node} aside: {} failures, last {outcome:?}", cache.failures));
@@ -582,8 +580,10 @@
     fn tick(&mut self) {
         self.host.wake(self.now + TICK, TICK_TOKEN);
         self.measure();
+        // Guards what may be a sick node from the probes of many proxies.
         for (node, cache) in self.caches.iter_mut().enumerate() {
-            if cache.aside.is_some() && cache.ready() && !cache.probing {
+            let due = cache.aside.is_some() && cache.ready() && !cache.probing;
+            if due && f64::from(self.rng.rand_float()) < (FEW / self.fleet).max(0.1) {
                 cache.probing = true;
                 self.host.probe(node);
             }
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -157,7 +157,7 @@
         let outcome = outcome(fields.get(2)?)?;
         self.report(now, fields, 1, 4)?;
         if let Some(&node) = self.nodes.get(fields.get::<&str>(1)?) {
-            self.balance.probed(now, node, outcome);
+            self.balance.probed(node, outcome);
         }
         Ok(())
     }
