--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -45,7 +45,7 @@
 const SAVED: f64 = 3.0;
 /// How much more than its part of the traffic a proxy may see.
 const UNEVEN: f64 = 1.5;
-/// The part of its objective that an exchange waits for room at a cache, or for the origin: a divisor.
+/// What an exchange waits for room, a shed client to come back, or a fetch to begin: its objective over this.
 const PATIENCE: u64 = 8;
 const ORIGIN_PATIENCE: u64 = 2;
 
@@ -187,11 +187,10 @@
         cache.probing = false;
         let Some(answered) = &mut cache.aside else { return };
         *answered = if outcome == Outcome::Completed { *answered + 1 } else { 0 };
-        if *answered < PROBES {
-            return;
+        if *answered >= PROBES {
+            (cache.aside, cache.failures) = (None, 0);
+            self.host.log(&format!("node {node} back: {PROBES} probes answered"));
         }
-        (cache.aside, cache.failures) = (None, 0);
-        self.host.log(&format!("node {node} back: {PROBES} probes answered"));
     }
 
     pub fn peer_load(&mut self, now: Nanos, peer: usize, node: Node, in_flight: usize) {
@@ -414,13 +413,14 @@
         }
     }
 
-    /// The final answer, at once: shed where that is true, an error else.
+    /// The final answer, at once: shed where that is true, an error else. Guards from storms of retries.
     fn conclude(&mut self, xchg: Xchg) {
         let cx = self.xchgs.get_mut(&xchg).expect("concluded exchanges are known");
         cx.over = true;
         let harmless = self.routes[cx.ask.route].repeat.harmless(cx.may_have_run());
         if harmless && !cx.under_way {
-            self.host.shed(xchg, 0);
+            let pause = self.routes[cx.ask.route].objective / PATIENCE;
+            self.host.shed(xchg, if self.settings.flag("pauses") { pause } else { 0 });
         } else {
             self.host.error(xchg);
         }
--- a/crates/core/tests/balance/rig.rs
+++ b/crates/core/tests/balance/rig.rs
@@ -30,8 +30,9 @@
         let name = if node == ORIGIN { "origin".into() } else { format!("node {node}") };
         self.act(format!("{xchg} to {name}"));
     }
-    fn shed(&mut self, xchg: Xchg, _pause: Nanos) {
-        self.act(format!("{xchg} shed"));
+    fn shed(&mut self, xchg: Xchg, pause: Nanos) {
+        let back = if pause > 0 { format!(" for {} ms", pause / MS) } else { String::new() };
+        self.act(format!("{xchg} shed{back}"));
     }
     fn error(&mut self, xchg: Xchg) {
         self.act(format!("{xchg} error"));
--- a/crates/core/tests/balance/rules.rs
+++ b/crates/core/tests/balance/rules.rs
@@ -109,12 +109,12 @@
 
 #[test]
 fn an_empty_list_and_an_origin_alone() {
-    let mut rig = rig(0, "retriable", &[]);
+    let mut rig = rig(0, "retriable", &[("pauses", Value::Flag(true))]);
     rig.arrive(1);
     rig.balance.listed_all(&[]);
     rig.arrive(2);
     rig.check(expect![[r#"
-        1 to origin, 2 shed
+        1 to origin, 2 shed for 125 ms
     "#]]);
 }
 
