--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -66,6 +66,7 @@
     queue: Vec<Xchg>,
     tenants: Tenants,
     asked: Ring,
+    normal: Ring,
     serving: f64,
     follow_at: Nanos,
     follow_wait: Nanos,
@@ -89,6 +90,7 @@
             queue: Vec::new(),
             tenants: Tenants::new(&settings),
             asked: Ring::new(2 * SECOND, 8),
+            normal: Ring::new(60 * SECOND, 20),
             serving: 1.0,
             follow_at: 0,
             follow_wait: TICK,
@@ -161,7 +163,6 @@
         }
     }
 
-    /// A complete list named these nodes only.
     pub fn listed_all(&mut self, named: &[Node]) {
         for node in (0..self.caches.len()).filter(|node| !named.contains(node)) {
             self.caches[node].listed.standing = Standing::Gone;
@@ -246,7 +247,6 @@
             || self.caches[node].flow.average(self.now) > (T_FACTOR * lately).max(2.0 * FEW / self.fleet)
     }
 
-    /// Sends the exchange to a cache, which joins its key's set.
     fn serve(&mut self, xchg: Xchg, node: Node) {
         let Ask { key, tenant, .. } = self.xchgs[&xchg].ask;
         self.tenants.serve(self.now, tenant);
@@ -341,7 +341,6 @@
         }
     }
 
-    /// Lets the line into the origin: first the fetch whose answer is worth most, of those the latest.
     fn serve_line(&mut self) {
         while let Some(xchg) = self.fetches.worthiest().filter(|&xchg| self.origin_fits(xchg)) {
             self.fetches.take_worthiest();
@@ -360,7 +359,6 @@
             self.all.start(self.now);
         }
         if !self.warm(node) {
-            // Time not used counts for half the rule's window.
             let saved = self.settings.time("fall", SECOND) / 2;
             let from = self.caches[node].rests_until.max(self.now.saturating_sub(saved));
             self.caches[node].rests_until = from + self.pause(node, work) as Nanos;
@@ -427,7 +425,6 @@
         self.settle(xchg);
     }
 
-    /// An exchange with its answer is forgotten when its tries ended; who waited for its fetch looks again.
     fn settle(&mut self, xchg: Xchg) {
         let cx = self.xchgs.get_mut(&xchg).expect("settled exchanges are known");
         self.fetches.leave_line(cx.ask.key, xchg, cx.worth);
@@ -524,11 +521,11 @@
             || self.now >= self.caches[node].rests_until && self.pause(node, work) <= self.fleet * window
     }
 
-    /// How long this work takes up this proxy's part of a cold node. Normal is what caches did at best.
+    /// How long this work takes up this proxy's part of a cold node. Normal is what warm ones did at best.
     fn pause(&self, node: Node, work: f64) -> f64 {
         let (cold, start) = (self.settings.time("cold", 0), self.settings.number("start_capacity", 1.0));
         let part = start + (1.0 - start) * (self.caches[node].age(self.now) as f64 / cold as f64);
-        let normal = self.all.minute.peak_rate(self.now) / self.serving;
+        let normal = self.normal.most_mean(self.now).unwrap_or(0.0);
         let usual = self.asked.mean(self.now).unwrap_or(work);
         SECOND as f64 * work / usual / (normal * part).max(1.0 / self.fleet)
     }
@@ -567,6 +564,9 @@
     fn measure(&mut self) {
         self.serving = self.caches.iter().filter(|cache| cache.serves()).count().max(1) as f64;
         let caches = self.serving / self.fleet;
+        let warm = (0..self.caches.len()).filter(|&node| self.caches[node].serves() && self.warm(node));
+        let rates: Vec<f64> = warm.map(|node| self.caches[node].flow.answers.rate(self.now)).collect();
+        self.normal.add(self.now, rates.iter().sum::<f64>() / rates.len().max(1) as f64);
         measure(self.now, &mut self.all, (ROOM, FEW * caches, f64::INFINITY));
         let few = (FEW / self.fleet).floor().max(1.0);
         for cache in &mut self.caches {
--- a/crates/core/src/ring.rs
+++ b/crates/core/src/ring.rs
@@ -78,6 +78,12 @@
         (count > 0).then(|| sum / f64::from(count))
     }
 
+    /// The average of the bucket where it is most.
+    pub fn most_mean(&self, now: Nanos) -> Option<f64> {
+        let full = self.live(now).filter(|bucket| bucket.count > 0);
+        full.map(|bucket| bucket.sum / f64::from(bucket.count)).reduce(f64::max)
+    }
+
     /// The average of the bucket where it is least, of those with so many additions.
     pub fn least_mean(&self, now: Nanos, enough: u32) -> Option<f64> {
         let full = self.live(now).filter(|bucket| bucket.count >= enough);
--- a/crates/core/tests/balance/rules.rs
+++ b/crates/core/tests/balance/rules.rs
@@ -90,21 +90,22 @@
     "#]]);
 }
 
-/// The first exchanges of many proxies at once would push a cold node over: each waits for a time of its own.
+/// The first exchanges of many proxies would push a cold node over: each waits for a time of its own. And many
+/// new nodes once made the part of each smaller.
 #[test]
 fn rule_4_a_cold_node_gets_its_part_of_normal_work() {
     let more = [("start_capacity", Value::Number(0.2)), ("fleet", Value::Number(100.0))];
     let (mut rig, mut sent) = (rig(3, "retriable", &more), Vec::new());
     for xchg in 1..=120 {
         if xchg == 21 {
-            rig.balance.listed(rig.now, 3, Listed { started: rig.now, ..listed(3) });
+            (3..9).for_each(|n| rig.balance.listed(rig.now, n, Listed { started: rig.now, ..listed(n) }));
         }
         rig.arrive_for(xchg, xchg);
         rig.end(xchg, 0, Outcome::Completed);
         rig.pass(100 * MS);
         sent.push(if rig.balance.host.0.contains(&format!("{xchg} to node 3")) { "x" } else { "." });
     }
-    expect!["...x...x.......x.xx................x.................x............x..x.......x........x.....x....x........x.x......x...."].assert_eq(&sent.concat());
+    expect!["...x...x.......x.xx................x.......x..................x.......x....x..........x...x....x.......x........x......."].assert_eq(&sent.concat());
 }
 
 #[test]
