--- a/crates/core/tests/balance/rules.rs
+++ b/crates/core/tests/balance/rules.rs
@@ -90,8 +90,7 @@
     "#]]);
 }
 
-/// The first exchanges of many proxies would push a cold node over: each waits for a time of its own. And many
-/// new nodes once made the part of each smaller.
+/// Many proxies' first exchanges at once would push a cold node over; many new nodes shrank the part of each.
 #[test]
 fn rule_4_a_cold_node_gets_its_part_of_normal_work() {
     let more = [("start_capacity", Value::Number(0.2)), ("fleet", Value::Number(100.0))];
