One test for surplus, no work for caches that only the origin needs; a dead field out

The span of an average is the ring's own; the cold budget's window is looked up for cold nodes only.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -455,7 +455,7 @@
         let Cx { arrived, ask, .. } = &self.xchgs[&xchg];
         let patience = self.routes[ask.route].objective / PATIENCE;
         let rate = self.all.answers.rate(self.now);
-        if self.part_had(ask.tenant) > UNEVEN || self.now - arrived >= patience {
+        if self.surplus(ask.tenant) || self.now - arrived >= patience {
             self.conclude(xchg);
         } else if self.origin_fits(xchg) {
             self.ask_origin(xchg);
@@ -477,8 +477,7 @@
 
     /// What an answer is worth, in thousandths: a fetch costs the origin about the same for each.
     fn worth(&self, ask: &Ask) -> u64 {
-        let surplus = self.part_had(ask.tenant) > UNEVEN;
-        let part = if surplus { self.settings.number("surplus_payoff", 1.0) } else { 1.0 };
+        let part = if self.surplus(ask.tenant) { self.settings.number("surplus_payoff", 1.0) } else { 1.0 };
         (1000.0 * self.routes[ask.route].payoff * part) as u64
     }
 
@@ -497,17 +496,20 @@
     /// Guards the origin in the same way; a proxy's part below one is one fetch now and then.
     fn origin_fits(&self, xchg: Xchg) -> bool {
         let Some(Cache { flow, .. }) = self.origin.map(|node| &self.caches[node]) else { return false };
-        let surplus = self.part_had(self.xchgs[&xchg].ask.tenant) > UNEVEN;
-        let reserve = if surplus { SAVED - 1.0 } else { 0.0 };
+        let reserve = if self.surplus(self.xchgs[&xchg].ask.tenant) { SAVED - 1.0 } else { 0.0 };
         flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved - reserve)
     }
 
-    /// What the tenant had lately of this proxy's part of its quota: past UNEVEN, it asks for surplus.
+    /// What the tenant had lately of this proxy's part of its quota.
     fn part_had(&self, tenant: Option<usize>) -> f64 {
         let served = |tenant: &Tenant| tenant.served.rate(self.now) * self.fleet / tenant.quota;
         self.tenants.get(tenant).map_or(0.0, served)
     }
 
+    fn surplus(&self, tenant: Option<usize>) -> bool {
+        self.part_had(tenant) > UNEVEN
+    }
+
     // ---- Health ---------------------------------------------------------------------------------
 
     fn warm(&self, node: Node) -> bool {
@@ -516,9 +518,9 @@
 
     /// Rule 4: a cold node gets its part of normal work, spread evenly, and nothing heavy for all its parts.
     fn within_budget(&self, node: Node, work: f64) -> bool {
-        let window = self.settings.time("fall", SECOND) as f64;
+        let window = || self.settings.time("fall", SECOND) as f64;
         self.warm(node)
-            || self.now >= self.caches[node].rests_until && self.pause(node, work) <= self.fleet * window
+            || self.now >= self.caches[node].rests_until && self.pause(node, work) <= self.fleet * window()
     }
 
     /// How long this work takes up this proxy's part of a cold node. Normal is what warm ones did at best.
@@ -544,9 +546,7 @@
             self.all.end(self.now, sent, outcome);
         }
         match outcome {
-            Outcome::Completed | Outcome::Missed => {
-                cache.failures = cache.failures.saturating_sub(1);
-            }
+            Outcome::Completed | Outcome::Missed => cache.failures = cache.failures.saturating_sub(1),
             Outcome::Saturated => cache.refuses_until = self.now + TICK,
             Outcome::Withdrawn | Outcome::Unsent => {}
             Outcome::Overdue if cache.owes_since > sent => {}
@@ -570,7 +570,8 @@
         measure(self.now, &mut self.all, (ROOM, FEW * caches, f64::INFINITY));
         let few = (FEW / self.fleet).floor().max(1.0);
         for cache in &mut self.caches {
-            let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
+            let known =
+                usize::from(cache.listed.origin && cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
             let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * caches, f64::INFINITY);
             let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
             measure(self.now, &mut cache.flow, bounds);
--- a/crates/core/src/ring.rs
+++ b/crates/core/src/ring.rs
@@ -56,14 +56,19 @@
         self.buckets.iter().filter(move |bucket| bucket.stretch > 0 && bucket.stretch + span > stretch)
     }
 
-    pub fn sum(&self, now: Nanos) -> f64 {
-        self.live(now).map(|bucket| bucket.sum).sum()
+    fn seconds(&self) -> f64 {
+        (self.width * self.buckets.len() as u64) as f64 / 1e9
+    }
+
+    /// What was added a second over the whole span.
+    pub fn sum_rate(&self, now: Nanos) -> f64 {
+        self.live(now).map(|bucket| bucket.sum).sum::<f64>() / self.seconds()
     }
 
     /// Additions a second over the whole span.
     pub fn rate(&self, now: Nanos) -> f64 {
         let count: u32 = self.live(now).map(|bucket| bucket.count).sum();
-        f64::from(count) * 1e9 / (self.width * self.buckets.len() as u64) as f64
+        f64::from(count) / self.seconds()
     }
 
     /// Additions a second in the fullest bucket.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -29,8 +29,6 @@
     pub failures: usize,
     /// Set aside, with the count of probes answered since.
     pub aside: Option<usize>,
-    /// No connection came about since the last answer: its process may be new.
-    pub unreachable: bool,
     pub probing: bool,
 }
 
@@ -91,7 +89,7 @@
 
     /// How many were in flight on average, lately.
     pub fn average(&self, now: Nanos) -> f64 {
-        self.held.sum(now) / 2.0
+        self.held.sum_rate(now)
     }
 
     pub fn end(&mut self, now: Nanos, sent: Nanos, outcome: Outcome) {
