--- a/crates/simhost/src/names.rs
+++ b/crates/names/src/lib.rs
@@ -1,10 +1,12 @@
-//! The wire's settings under this project's names.
+//! What both hosts share: the settings under this project's names, and what stands for nodes between proxies.
 
-use crate::NANOS;
 use pumicebay_core::Settings;
 use pumicebay_core::settings::Value;
 use serde_json::Value as Json;
 
+/// Settings give times in microseconds.
+pub const NANOS: u64 = 1000;
+
 /// Where the wire keeps a setting, and what the decisions call it. Times end in `-us` on the wire.
 const SETTINGS: &[(&str, &str)] = &[
     ("/clients/marks-retry", "marks_retry"),
@@ -95,3 +97,24 @@
     };
     members.iter().map(name).collect()
 }
+
+/// The same for an address at every proxy (FNV-1a).
+pub fn identity(address: &str) -> u64 {
+    address
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// What stands for a node in news between peers.
+pub fn mark(address: &str) -> u64 {
+    identity(address) >> 32
+}
+
+/// Reads news from a peer: its kind, the node's mark and a figure. Anything else is dropped.
+pub fn news(text: &str) -> Option<(&str, u64, u64)> {
+    let mut words = text.split(' ');
+    let kind = words.next()?;
+    let mut number = || u64::from_str_radix(words.next()?, 16).ok();
+    let read = (kind, number()?, number()?);
+    words.next().is_none().then_some(read)
+}
--- /dev/null
+++ b/crates/proxy/src/cli.rs
@@ -0,0 +1,111 @@
+//! The command line: what to do, and with which configuration.
+
+use crate::config::{self, Config};
+use crate::counters::Counters;
+use crate::resp::{Frame, Resp};
+use crate::serve;
+use anyhow::{Context, Result, bail};
+use futures_util::{SinkExt, StreamExt};
+use lexopt::prelude::*;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+const HELP: &str = "\
+pumicebay: spreads keys over cache nodes in front of a slow origin
+
+usage: pumicebay COMMAND [--config FILE]
+
+  serve              run the proxy until SIGTERM
+  check              read and check the configuration, and print what it says
+  counters [ADDRESS] print the counters of the proxy that listens there
+  version            print the version
+  help               print this
+
+FILE is by default what $PROXY_CONFIG names; $PROXY_NAME, $PROXY_LISTEN and $PROXY_DISCOVERY
+go before what it says. ADDRESS is by default where that configuration listens.";
+
+const ANSWERS: Duration = Duration::from_secs(2);
+
+pub fn main() -> Result<()> {
+    let mut args = lexopt::Parser::from_env();
+    let (mut command, mut file, mut address) = (None, None, None);
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("config") => file = Some(args.value()?.string()?),
+            Short('h') | Long("help") => command = Some("help".to_string()),
+            Short('V') | Long("version") => command = Some("version".to_string()),
+            Value(word) if command.is_none() => command = Some(word.string()?),
+            Value(word) if command.as_deref() == Some("counters") && address.is_none() => {
+                address = Some(word.string()?);
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let config = || {
+        let file = file.clone().or_else(|| variable("PROXY_CONFIG"));
+        let file = file.context("no configuration: neither --config nor $PROXY_CONFIG is given")?;
+        config::read(&file, variable)
+    };
+    match command.as_deref() {
+        Some("serve") => run(config()?),
+        Some("check") => {
+            println!("{}", config()?.summary());
+            Ok(())
+        }
+        Some("counters") => {
+            let address = match address {
+                Some(address) => address,
+                None => config()?.listen.to_string(),
+            };
+            print!("{}", runtime()?.block_on(counters(&address))?);
+            Ok(())
+        }
+        Some("version") => {
+            println!("pumicebay {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Some("help") => {
+            println!("{HELP}");
+            Ok(())
+        }
+        Some(other) => bail!("unknown command {other:?}; see pumicebay help"),
+        None => bail!("no command; see pumicebay help"),
+    }
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+/// One core is all a proxy has.
+fn runtime() -> Result<tokio::runtime::Runtime> {
+    Ok(tokio::runtime::Builder::new_current_thread().enable_all().build()?)
+}
+
+fn run(config: Config) -> Result<()> {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let counters = Arc::new(Counters::default());
+    let runtime = runtime()?;
+    let served = runtime.block_on(async {
+        let stop = serve::signalled().await?;
+        serve::serve(config, counters.clone(), stop).await
+    });
+    tracing::info!("counters: {}", counters.to_string().trim_end().replace('\n', ", "));
+    runtime.shutdown_background();
+    served
+}
+
+/// Asks a running proxy for its counters.
+async fn counters(address: &str) -> Result<String> {
+    let asked = tokio::time::timeout(ANSWERS, async {
+        let mut framed = Framed::new(TcpStream::connect(address).await?, Resp);
+        framed.send(&Frame::command([b"INFO", b"counters"])).await?;
+        match framed.next().await {
+            Some(Ok(Frame::Bulk(text))) => Ok(String::from_utf8_lossy(&text).into_owned()),
+            other => bail!("unexpected answer {other:?}"),
+        }
+    });
+    asked.await.context("no answer")?.with_context(|| address.to_string())
+}
--- /dev/null
+++ b/crates/proxy/src/clients.rs
@@ -0,0 +1,245 @@
+//! The clients' front: RESP commands in, answers out in the order of the commands.
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::module::{Answer, Cargo, Door};
+use crate::phases::{Phase, Watch};
+use crate::resp::{Frame, Resp};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use pumicebay_core::{Ask, Xchg};
+use pumicebay_names::{NANOS, identity};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore, oneshot};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+use tokio_util::task::TaskTracker;
+
+/// Commands on one connection that await their answers; more are left unread.
+const PIPELINE: usize = 64;
+/// How long a client may take to read what it asked for.
+const READING: Duration = Duration::from_secs(10);
+/// The pause after a connection could not be accepted, for want of descriptors.
+const NO_ROOM: Duration = Duration::from_millis(20);
+const MILLIS: u64 = 1_000_000;
+
+#[derive(Clone)]
+pub struct Front {
+    pub clock: Clock,
+    pub config: Arc<Config>,
+    pub counters: Arc<Counters>,
+    pub door: Door,
+    pub watch: Watch,
+    pub connections: TaskTracker,
+    /// Asks the connection that has been idle longest to close.
+    pub make_room: Arc<Notify>,
+}
+
+/// Accepts until the phase says no more.
+pub async fn accept(front: Front, listener: TcpListener) {
+    let free = Arc::new(Semaphore::new(front.config.clients));
+    let mut closing = front.watch.clone();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = closing.reached(Phase::Closing) => return,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                front.counters.accept_failures.add();
+                tracing::warn!("accept: {error}");
+                front.make_room.notify_one();
+                sleep(NO_ROOM).await;
+                continue;
+            }
+        };
+        if free.available_permits() == 0 {
+            front.make_room.notify_one();
+        }
+        let Ok(permit) = free.clone().acquire_owned().await else { return };
+        front.counters.clients_accepted.add();
+        let _ = stream.set_nodelay(true);
+        let client =
+            Client { front: front.clone(), framed: Framed::new(stream, Resp), pending: VecDeque::new() };
+        front.connections.spawn(async move {
+            client.run().await;
+            drop(permit);
+        });
+    }
+}
+
+struct Client {
+    front: Front,
+    framed: Framed<TcpStream, Resp>,
+    /// In the order of the commands.
+    pending: VecDeque<Pending>,
+}
+
+enum Pending {
+    Ready(Frame),
+    Waiting(Xchg, oneshot::Receiver<Answer>),
+}
+
+impl Client {
+    async fn run(mut self) {
+        if let Err(error) = self.serve().await {
+            tracing::debug!("client: {error}");
+        }
+        for pending in std::mem::take(&mut self.pending) {
+            if let Pending::Waiting(xchg, _) = pending {
+                self.front.door.dropped(xchg).await;
+            }
+        }
+    }
+
+    /// Ends with the connection: the client closed it, broke it, or is asked to take another.
+    async fn serve(&mut self) -> std::io::Result<()> {
+        let mut closing = self.front.watch.clone();
+        let make_room = self.front.make_room.clone();
+        loop {
+            let idle = self.pending.is_empty() && self.framed.read_buffer().is_empty();
+            let room = self.pending.len() < PIPELINE;
+            tokio::select! {
+                biased;
+                reply = next(&mut self.pending), if !self.pending.is_empty() => {
+                    self.pending.pop_front();
+                    let sent = timeout(READING, self.framed.send(&reply)).await;
+                    sent.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+                }
+                frame = self.framed.next(), if room => match frame {
+                    Some(Ok(frame)) => {
+                        let pending = self.command(frame).await;
+                        self.pending.push_back(pending);
+                    }
+                    Some(Err(error)) => return self.refuse(error).await,
+                    None => return Ok(()),
+                },
+                () = closing.reached(Phase::Closing), if idle => return Ok(()),
+                () = make_room.notified(), if idle => {
+                    self.front.counters.clients_closed_for_room.add();
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// What can't be read: answers what came before it, says what is wrong, and closes.
+    async fn refuse(&mut self, error: std::io::Error) -> std::io::Result<()> {
+        if error.kind() != std::io::ErrorKind::InvalidData {
+            return Err(error);
+        }
+        self.front.counters.bad_commands.add();
+        self.pending.push_back(Pending::Ready(Frame::error(format!("ERR Protocol error: {error}"))));
+        while !self.pending.is_empty() {
+            let reply = next(&mut self.pending).await;
+            self.pending.pop_front();
+            timeout(READING, self.framed.send(&reply)).await??;
+        }
+        Ok(())
+    }
+
+    async fn command(&mut self, frame: Frame) -> Pending {
+        let at = self.front.clock.now();
+        match read(frame, &self.front.config) {
+            Ok(Command::Exchange(ask, cargo)) => {
+                let (xchg, answered) = self.front.door.arrive(at, ask, cargo).await;
+                Pending::Waiting(xchg, answered)
+            }
+            Ok(Command::Reply(reply)) => Pending::Ready(reply),
+            Ok(Command::Counters) => Pending::Ready(Frame::Bulk(self.front.counters.to_string().into())),
+            Err(why) => {
+                self.front.counters.bad_commands.add();
+                tracing::debug!("client: {why}");
+                Pending::Ready(Frame::error(format!("ERR {why}")))
+            }
+        }
+    }
+}
+
+/// The reply that is due next. Losing the race to something else loses nothing.
+async fn next(pending: &mut VecDeque<Pending>) -> Frame {
+    match pending.front_mut() {
+        Some(Pending::Ready(reply)) => reply.clone(),
+        Some(Pending::Waiting(_, answered)) => {
+            let reply = match answered.await {
+                Ok(Answer::Completed(value)) => Frame::Bulk(value),
+                Ok(Answer::Shed(0)) => Frame::error("BUSY"),
+                Ok(Answer::Shed(pause)) => Frame::error(format!("BUSY {}", pause.div_ceil(MILLIS))),
+                Ok(Answer::Errored) => Frame::error("ERR failed"),
+                Err(_) => Frame::error("ERR no answer"),
+            };
+            pending[0] = Pending::Ready(reply.clone());
+            reply
+        }
+        None => std::future::pending().await,
+    }
+}
+
+enum Command {
+    Exchange(Ask, Cargo),
+    Reply(Frame),
+    Counters,
+}
+
+/// Reads a client's command, or says in plain words what is wrong with it.
+fn read(frame: Frame, config: &Config) -> Result<Command, String> {
+    let Frame::Array(words) = frame else { return Err("expected a command".into()) };
+    let word = |word: Frame| if let Frame::Bulk(word) = word { Some(word) } else { None };
+    let words: Option<Vec<Bytes>> = words.into_iter().map(word).collect();
+    let words = words.ok_or("expected a command of bulk strings")?;
+    let Some((name, rest)) = words.split_first() else { return Err("empty command".into()) };
+    let arity = || format!("wrong number of arguments for '{}'", String::from_utf8_lossy(name));
+    match (name.to_ascii_uppercase().as_slice(), rest) {
+        (b"C.GET", [key, id, labels]) => exchange(config, key, id, labels, None),
+        (b"C.SET", [key, id, labels, value]) => exchange(config, key, id, labels, Some(value)),
+        (b"PING", []) => Ok(Command::Reply(Frame::simple("PONG"))),
+        (b"PING", [text]) => Ok(Command::Reply(Frame::Bulk(text.clone()))),
+        (b"CLIENT" | b"SELECT", _) => Ok(Command::Reply(Frame::simple("OK"))),
+        (b"INFO", [what]) if what.eq_ignore_ascii_case(b"counters") => Ok(Command::Counters),
+        (b"C.GET" | b"C.SET" | b"PING", _) => Err(arity()),
+        _ => Err(format!("unknown command '{}'", String::from_utf8_lossy(name))),
+    }
+}
+
+fn exchange(
+    config: &Config,
+    key: &Bytes,
+    id: &Bytes,
+    labels: &Bytes,
+    value: Option<&Bytes>,
+) -> Result<Command, String> {
+    let text = std::str::from_utf8(labels).map_err(|_| "labels are no text")?;
+    if text.chars().any(char::is_control) || id.iter().any(u8::is_ascii_control) || key.is_empty() {
+        return Err("empty key, or control characters in id or labels".into());
+    }
+    let (mut route, mut ask) = (None, Ask { write: value.is_some(), ..Ask::default() });
+    let mut grace = None;
+    for label in text.split(',').filter(|label| !label.is_empty()) {
+        let (name, value) = label.split_once('=').ok_or_else(|| format!("label '{label}' without value"))?;
+        let number = || value.parse::<u64>().map_err(|_| format!("label '{name}': expected a number"));
+        match name {
+            "c" => route = config.route_names.iter().position(|known| known == value),
+            "t" => ask.tenant = config.tenants.iter().position(|known| known == value),
+            "d" => grace = Some(number()?),
+            "r" => ask.retry = value == "1",
+            "work-hint-us" => ask.hint = Some(number()?.saturating_mul(NANOS)),
+            _ => {}
+        }
+    }
+    ask.route = route.ok_or("label 'c': unknown or missing class")?;
+    let overall = config.settings.time(&format!("route.{}.overall_timeout", ask.route), 0);
+    ask.grace = grace.map_or(overall, |grace| grace.saturating_mul(MILLIS).min(overall));
+    ask.key = Some(match std::str::from_utf8(key) {
+        Ok(key) => identity(key),
+        Err(_) => identity(&String::from_utf8_lossy(key)),
+    });
+    let value = value.cloned().unwrap_or_default();
+    let cargo = Cargo { write: ask.write, key: key.clone(), id: id.clone(), labels: labels.clone(), value };
+    Ok(Command::Exchange(ask, cargo))
+}
--- /dev/null
+++ b/crates/proxy/src/counters.rs
@@ -0,0 +1,56 @@
+//! Counts of what the proxy takes in, sends and answers, since its start.
+
+use pumicebay_core::Outcome;
+use std::fmt::{Display, Formatter, Result};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+macro_rules! counters {
+    ($($name:ident)*) => {
+        #[derive(Debug, Default)]
+        pub struct Counters { $(pub $name: Counter,)* }
+
+        impl Display for Counters {
+            fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+                $(writeln!(f, "{} {}", stringify!($name), self.$name.0.load(Ordering::Relaxed))?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+#[derive(Debug, Default)]
+pub struct Counter(AtomicU64);
+
+impl Counter {
+    pub fn add(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+counters! {
+    clients_accepted clients_closed_for_room accept_failures
+    exchanges_taken exchanges_completed exchanges_shed exchanges_errored exchanges_dropped
+    bad_commands
+    tries_sent tries_completed tries_missed tries_errored tries_saturated tries_overdue
+    tries_unreachable tries_severed tries_withdrawn tries_unsent
+    connections_opened connections_failed connections_reused
+    probes_sent probes_failed
+    list_answers list_failures
+    news_sent news_received news_bad
+}
+
+impl Counters {
+    pub fn tried(&self, outcome: Outcome) {
+        match outcome {
+            Outcome::Completed => self.tries_completed.add(),
+            Outcome::Missed => self.tries_missed.add(),
+            Outcome::Errored => self.tries_errored.add(),
+            Outcome::Saturated => self.tries_saturated.add(),
+            Outcome::Overdue => self.tries_overdue.add(),
+            Outcome::Unreachable => self.tries_unreachable.add(),
+            Outcome::Severed => self.tries_severed.add(),
+            Outcome::Withdrawn => self.tries_withdrawn.add(),
+            Outcome::Unsent => self.tries_unsent.add(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/http.rs
@@ -0,0 +1,193 @@
+//! HTTP/1.1 as the origin and discovery speak it: requests out, answers in.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use std::io::{Error, ErrorKind};
+use tokio_util::codec::{Decoder, Encoder};
+
+const LONGEST_HEAD: usize = 16 * 1024;
+const MOST_HEADERS: usize = 64;
+/// A list of many thousand nodes.
+const LONGEST_BODY: usize = 16 * 1024 * 1024;
+
+pub struct Request<'a> {
+    pub method: &'static str,
+    pub path: String,
+    pub headers: Vec<(&'static str, &'a [u8])>,
+    pub body: Option<&'a [u8]>,
+}
+
+impl Request<'_> {
+    pub fn get(path: String) -> Self {
+        Request { method: "GET", path, headers: Vec::new(), body: None }
+    }
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    /// Names in lower case.
+    pub headers: Vec<(String, Bytes)>,
+    pub body: Bytes,
+    /// Nothing follows on this connection.
+    pub last: bool,
+}
+
+impl Response {
+    pub fn header(&self, name: &str) -> Option<&[u8]> {
+        self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| &value[..])
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Http {
+    /// The answer whose body is still coming.
+    head: Option<(Response, Body)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Body {
+    Length(usize),
+    Chunks,
+    UntilEnd,
+}
+
+impl Encoder<Request<'_>> for Http {
+    type Error = Error;
+
+    fn encode(&mut self, request: Request<'_>, buffer: &mut BytesMut) -> Result<(), Error> {
+        let mut put = |parts: &[&[u8]]| parts.iter().for_each(|part| buffer.put(*part));
+        put(&[request.method.as_bytes(), b" ", request.path.as_bytes(), b" HTTP/1.1\r\nHost: pumicebay\r\n"]);
+        for (name, value) in &request.headers {
+            put(&[name.as_bytes(), b": ", value, b"\r\n"]);
+        }
+        if let Some(body) = request.body {
+            put(&[b"Content-Length: ", body.len().to_string().as_bytes(), b"\r\n\r\n", body]);
+        } else {
+            put(&[b"\r\n"]);
+        }
+        Ok(())
+    }
+}
+
+impl Decoder for Http {
+    type Item = Response;
+    type Error = Error;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Response>, Error> {
+        if self.head.is_none() {
+            self.head = head(buffer)?;
+        }
+        let Some((_, body)) = &self.head else { return Ok(None) };
+        let body = match body {
+            Body::Length(length) if buffer.len() >= *length => buffer.split_to(*length).freeze(),
+            Body::Chunks => match chunks(buffer)? {
+                Some(body) => body,
+                None => return Ok(None),
+            },
+            Body::UntilEnd if buffer.len() > LONGEST_BODY => return Err(bad("body too long")),
+            _ => return Ok(None),
+        };
+        Ok(self.head.take().map(|(response, _)| Response { body, ..response }))
+    }
+
+    fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<Response>, Error> {
+        match self.decode(buffer)? {
+            None if matches!(self.head, Some((_, Body::UntilEnd))) => {
+                let body = buffer.split().freeze();
+                Ok(self.head.take().map(|(response, _)| Response { body, ..response }))
+            }
+            None if self.head.is_some() || !buffer.is_empty() => Err(ErrorKind::UnexpectedEof.into()),
+            response => Ok(response),
+        }
+    }
+}
+
+fn head(buffer: &mut BytesMut) -> Result<Option<(Response, Body)>, Error> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let length = match parsed.parse(buffer).map_err(|_| bad("malformed answer"))? {
+        httparse::Status::Complete(length) => length,
+        httparse::Status::Partial if buffer.len() > LONGEST_HEAD => return Err(bad("head too long")),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let mut response = Response { status: parsed.code.unwrap_or(0), ..Response::default() };
+    response.last = parsed.version == Some(0);
+    let empty = matches!(response.status, 100..200 | 204 | 304);
+    let mut body = if empty { Body::Length(0) } else { Body::UntilEnd };
+    for header in parsed.headers.iter().filter(|_| length > 0) {
+        let (name, text) = (header.name.to_ascii_lowercase(), String::from_utf8_lossy(header.value));
+        match name.as_str() {
+            "content-length" if !empty => {
+                let length = text.trim().parse().map_err(|_| bad("invalid Content-Length"))?;
+                if length > LONGEST_BODY {
+                    return Err(bad("body too long"));
+                }
+                if !matches!(body, Body::Chunks) {
+                    body = Body::Length(length);
+                }
+            }
+            "transfer-encoding" if text.trim().eq_ignore_ascii_case("chunked") => body = Body::Chunks,
+            "connection" => response.last |= text.trim().eq_ignore_ascii_case("close"),
+            _ => {}
+        }
+        response.headers.push((name, Bytes::copy_from_slice(header.value)));
+    }
+    response.last |= matches!(body, Body::UntilEnd);
+    let _ = buffer.split_to(length);
+    Ok(Some((response, body)))
+}
+
+/// Takes a body in chunks off the buffer once it is whole.
+fn chunks(buffer: &mut BytesMut) -> Result<Option<Bytes>, Error> {
+    let (mut at, mut body) = (0, BytesMut::new());
+    loop {
+        let size = httparse::parse_chunk_size(&buffer[at..]).map_err(|_| bad("malformed chunk"))?;
+        let httparse::Status::Complete((head, size)) = size else { return Ok(None) };
+        let size = usize::try_from(size).unwrap_or(usize::MAX);
+        if size > LONGEST_BODY || at + size > LONGEST_BODY {
+            return Err(bad("body too long"));
+        }
+        at += head;
+        if size == 0 {
+            // Trailers end with an empty line, as the body does without them.
+            let Some(end) = trailers(&buffer[at..])? else { return Ok(None) };
+            let _ = buffer.split_to(at + end);
+            return Ok(Some(body.freeze()));
+        }
+        let Some(chunk) = buffer.get(at..at + size + 2) else { return Ok(None) };
+        if &chunk[size..] != b"\r\n" {
+            return Err(bad("chunk without end"));
+        }
+        body.put(&chunk[..size]);
+        at += size + 2;
+    }
+}
+
+fn trailers(rest: &[u8]) -> Result<Option<usize>, Error> {
+    let mut at = 0;
+    while let Some(length) = rest[at..].iter().position(|&byte| byte == b'\n') {
+        let empty = matches!(&rest[at..at + length], b"" | b"\r");
+        at += length + 1;
+        if empty {
+            return Ok(Some(at));
+        }
+    }
+    if rest.len() > LONGEST_HEAD { Err(bad("trailers too long")) } else { Ok(None) }
+}
+
+/// A path with one segment, whatever bytes that holds.
+pub fn path(segment: &[u8]) -> String {
+    let mut path = String::from("/");
+    for &byte in segment {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            path.push(char::from(byte));
+        } else {
+            path.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    path
+}
+
+fn bad(why: &'static str) -> Error {
+    Error::new(ErrorKind::InvalidData, why)
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,15 @@
+//! The proxy on sockets: actors round the decisions of `pumicebay-core`. Start reading at [`serve`].
+
+pub mod cli;
+pub mod clients;
+pub mod clock;
+pub mod config;
+pub mod counters;
+pub mod http;
+pub mod list;
+pub mod module;
+pub mod node;
+pub mod peers;
+pub mod phases;
+pub mod resp;
+pub mod serve;
--- /dev/null
+++ b/crates/proxy/src/list.rs
@@ -0,0 +1,141 @@
+//! The list actor: follows discovery by watches and hands its entries to the module.
+
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::http::{Http, Request, Response};
+use crate::module::{Door, Named};
+use anyhow::{Context, Result, bail, ensure};
+use futures_util::{SinkExt, StreamExt};
+use pumicebay_core::{Listed, Standing};
+use pumicebay_names::{NANOS, identity};
+use serde_json::Value as Json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+/// How long discovery may hold a call that has nothing to tell, and how long past that it may stay silent.
+const HELD: Duration = Duration::from_secs(5);
+const SILENT: Duration = Duration::from_millis(1500);
+/// The pause before a call after one that failed.
+const AGAIN: Duration = Duration::from_millis(100);
+const MICROS: u64 = 1000;
+
+pub struct List {
+    config: Arc<Config>,
+    counters: Arc<Counters>,
+    door: Door,
+    /// Where the list must be asked for, the module says when.
+    follow: mpsc::Receiver<()>,
+    version: Option<u64>,
+    connection: Option<Framed<TcpStream, Http>>,
+}
+
+impl List {
+    pub fn new(config: Arc<Config>, counters: Arc<Counters>, door: Door, follow: mpsc::Receiver<()>) -> Self {
+        let version = config.known.get("rev").and_then(Json::as_u64);
+        List { config, counters, door, follow, version, connection: None }
+    }
+
+    pub async fn run(mut self) {
+        let asked = self.config.settings.text("discovery") == "ask";
+        loop {
+            if asked && self.follow.recv().await.is_none() {
+                return;
+            }
+            while let Err(error) = self.watch().await {
+                self.counters.list_failures.add();
+                self.connection = None;
+                tracing::warn!("discovery: {error:#}");
+                if asked {
+                    self.door.list_failed().await;
+                    break;
+                }
+                sleep(AGAIN).await;
+            }
+        }
+    }
+
+    /// Calls again and again; ends only in a failure.
+    async fn watch(&mut self) -> Result<()> {
+        loop {
+            let body = self.call().await?;
+            let (version, whole, named) = entries(&body, &self.config)?;
+            self.version = Some(version);
+            self.counters.list_answers.add();
+            self.door.listed(whole, named).await;
+        }
+    }
+
+    async fn call(&mut self) -> Result<Json> {
+        let path = match self.version {
+            Some(version) => format!("/registry/instances?index={version}&wait={}", HELD.as_millis()),
+            None => "/registry/instances".to_string(),
+        };
+        let answer = timeout(HELD + SILENT, self.exchange(path)).await.context("silent")??;
+        ensure!(answer.status == 200, "status {}", answer.status);
+        if answer.last {
+            self.connection = None;
+        }
+        serde_json::from_slice(&answer.body).context("answer is no JSON")
+    }
+
+    async fn exchange(&mut self, path: String) -> Result<Response> {
+        let mut connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => {
+                let stream = TcpStream::connect(self.config.discovery).await.context("not reached")?;
+                stream.set_nodelay(true)?;
+                Framed::new(stream, Http::default())
+            }
+        };
+        connection.send(Request::get(path)).await?;
+        let answer = connection.next().await.context("closed")??;
+        self.connection = Some(connection);
+        Ok(answer)
+    }
+}
+
+/// Reads a list or its changes: its version, whether it is whole, and its entries. One that can't be read
+/// is left out with a line in the log.
+pub fn entries(json: &Json, config: &Config) -> Result<(u64, bool, Vec<Named>)> {
+    let version = json.get("rev").and_then(Json::as_u64).context("rev: expected a number")?;
+    let whole = json.get("all").and_then(Json::as_bool).context("all: expected true or false")?;
+    let targets = json.get("targets").and_then(Json::as_array).context("targets: expected a list")?;
+    let mut named = Vec::with_capacity(targets.len());
+    for target in targets {
+        match entry(target, config) {
+            Ok(entry) => named.push(entry),
+            Err(error) => tracing::warn!("discovery: entry left out: {error:#}"),
+        }
+    }
+    Ok((version, whole, named))
+}
+
+fn entry(target: &Json, config: &Config) -> Result<Named> {
+    let text = |key: &str| target.get(key).and_then(Json::as_str);
+    let number = |key: &str| target.get(key).and_then(Json::as_u64).unwrap_or(0);
+    let uid = text("uid").context("uid: expected a text")?;
+    let endpoint = text("endpoint").context("endpoint: expected a text")?;
+    let address: SocketAddr = endpoint.parse().with_context(|| format!("endpoint: {endpoint:?}"))?;
+    let standing = match text("state") {
+        Some("active") => Standing::Ready,
+        Some("leaving") => Standing::Draining,
+        Some("left") => Standing::Gone,
+        other => bail!("state: {other:?}"),
+    };
+    let zone = config.zones.iter().position(|zone| Some(zone.as_str()) == text("az"));
+    let origin = config.origin_kind.as_deref();
+    let listed = Listed {
+        identity: identity(uid),
+        zone: zone.unwrap_or(config.zones.len()),
+        cell: number("pod_group"),
+        standing,
+        started: number("boot_ms") * MICROS * NANOS,
+        origin: origin.is_some() && origin == text("model"),
+    };
+    Ok(Named { uid: uid.to_string(), address, listed })
+}
--- /dev/null
+++ b/crates/proxy/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> anyhow::Result<()> {
+    pumicebay::cli::main()
+}
--- /dev/null
+++ b/crates/proxy/src/module.rs
@@ -0,0 +1,403 @@
+//! The module actor: the decisions, their mailbox, and the host that carries out what they ask for.
+//! Nothing here waits for anyone: a mailbox that is full makes a try unsent.
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::node::{self, Errand, Upstream};
+use crate::peers::Peers;
+use crate::phases::{Phase, Watch};
+use bytes::Bytes;
+use hashbrown::HashMap;
+use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Xchg};
+use pumicebay_names::mark;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep_until;
+
+const MAILBOX: usize = 4096;
+/// As long as it takes to notice that no timer is set.
+const FAR: Nanos = 1_000_000_000;
+
+/// An exchange as it goes on to nodes; the value of a write is kept until its answer, no other.
+#[derive(Debug)]
+pub struct Cargo {
+    pub write: bool,
+    pub key: Bytes,
+    pub id: Bytes,
+    /// The list of names and values as it came.
+    pub labels: Bytes,
+    pub value: Bytes,
+}
+
+/// The final answer to an exchange.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    Completed(Bytes),
+    Shed(Nanos),
+    Errored,
+}
+
+/// A node as discovery names it.
+#[derive(Clone, Debug)]
+pub struct Named {
+    pub uid: String,
+    pub address: SocketAddr,
+    pub listed: Listed,
+}
+
+/// What came back for a try or a probe.
+#[derive(Clone, Debug)]
+pub struct Back {
+    pub outcome: Outcome,
+    pub value: Bytes,
+    pub in_flight: Option<f64>,
+}
+
+impl From<Outcome> for Back {
+    fn from(outcome: Outcome) -> Back {
+        Back { outcome, value: Bytes::new(), in_flight: None }
+    }
+}
+
+enum Event {
+    Arrived(Xchg, Nanos, Ask, Arc<Cargo>, oneshot::Sender<Answer>),
+    Dropped(Xchg),
+    Ended(Xchg, usize, Node, Back),
+    Probed(Node, Back),
+    Listed(bool, Vec<Named>),
+    ListFailed,
+    News(usize, String),
+}
+
+/// The way to the module for all other actors.
+#[derive(Clone)]
+pub struct Door {
+    mailbox: mpsc::Sender<Event>,
+    last: Arc<AtomicU64>,
+}
+
+impl Door {
+    async fn post(&self, event: Event) {
+        // The module ends only with the process.
+        let _ = self.mailbox.send(event).await;
+    }
+
+    /// Takes an exchange whose last byte came at `at`; its final answer comes by the channel.
+    pub async fn arrive(&self, at: Nanos, ask: Ask, cargo: Cargo) -> (Xchg, oneshot::Receiver<Answer>) {
+        let (answer, answered) = oneshot::channel();
+        let xchg = self.last.fetch_add(1, Ordering::Relaxed) + 1;
+        self.post(Event::Arrived(xchg, at, ask, Arc::new(cargo), answer)).await;
+        (xchg, answered)
+    }
+
+    pub async fn dropped(&self, xchg: Xchg) {
+        self.post(Event::Dropped(xchg)).await;
+    }
+
+    pub async fn ended(&self, xchg: Xchg, try_no: usize, node: Node, back: Back) {
+        self.post(Event::Ended(xchg, try_no, node, back)).await;
+    }
+
+    pub async fn probed(&self, node: Node, back: Back) {
+        self.post(Event::Probed(node, back)).await;
+    }
+
+    pub async fn listed(&self, whole: bool, named: Vec<Named>) {
+        self.post(Event::Listed(whole, named)).await;
+    }
+
+    pub async fn list_failed(&self) {
+        self.post(Event::ListFailed).await;
+    }
+
+    pub async fn news(&self, peer: usize, text: String) {
+        self.post(Event::News(peer, text)).await;
+    }
+}
+
+/// The module's mailbox.
+pub struct Mailbox(mpsc::Receiver<Event>);
+
+pub fn door() -> (Door, Mailbox) {
+    let (mailbox, events) = mpsc::channel(MAILBOX);
+    (Door { mailbox, last: Arc::default() }, Mailbox(events))
+}
+
+pub struct Module {
+    balance: Balance<Acts>,
+    mailbox: Mailbox,
+    watch: Watch,
+}
+
+/// Carries out what the decisions ask for.
+struct Acts {
+    clock: Clock,
+    counters: Arc<Counters>,
+    upstream: Upstream,
+    peers: Option<Peers>,
+    follow: mpsc::Sender<()>,
+    nodes: Vec<mpsc::Sender<Errand>>,
+    uids: HashMap<String, Node>,
+    marks: HashMap<u64, Node>,
+    /// The same, from index to mark.
+    marked: Vec<u64>,
+    open: HashMap<Xchg, Open>,
+    timers: BinaryHeap<Reverse<(Nanos, u64)>>,
+    /// Tries that could not be sent, and probes, to be reported once the decisions have returned.
+    unsent: Vec<(Xchg, usize)>,
+    unprobed: Vec<Node>,
+    /// Nothing is sent any more.
+    leaving: bool,
+}
+
+struct Open {
+    cargo: Arc<Cargo>,
+    /// Taken with the final answer.
+    answer: Option<oneshot::Sender<Answer>>,
+    tries: usize,
+}
+
+impl Module {
+    pub fn new(
+        upstream: Upstream,
+        peers: Option<Peers>,
+        follow: mpsc::Sender<()>,
+        mailbox: Mailbox,
+        watch: Watch,
+    ) -> Module {
+        let Upstream { clock, config, counters, .. } = upstream.clone();
+        let acts = Acts {
+            clock,
+            counters,
+            upstream,
+            peers,
+            follow,
+            nodes: Vec::new(),
+            uids: HashMap::new(),
+            marks: HashMap::new(),
+            marked: Vec::new(),
+            open: HashMap::new(),
+            timers: BinaryHeap::new(),
+            unsent: Vec::new(),
+            unprobed: Vec::new(),
+            leaving: false,
+        };
+        let balance = Balance::new(acts, config.settings.clone(), config.seed, clock.now());
+        Module { balance, mailbox, watch }
+    }
+
+    /// The list as this proxy last had it.
+    pub fn know(&mut self, whole: bool, named: Vec<Named>) {
+        self.listed(whole, named);
+    }
+
+    pub async fn run(mut self) {
+        let mut leaving = self.watch.clone();
+        loop {
+            let acts = &self.balance.host;
+            let now = acts.clock.now();
+            let due = acts.timers.peek().map_or(now + FAR, |Reverse((at, _))| *at);
+            let wake = acts.clock.instant(due);
+            tokio::select! {
+                () = leaving.reached(Phase::Leaving), if !acts.leaving => self.balance.host.leaving = true,
+                event = self.mailbox.0.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                () = sleep_until(wake) => self.wake(),
+            }
+            self.report_unsent();
+        }
+    }
+
+    fn wake(&mut self) {
+        let now = self.balance.host.clock.now();
+        while let Some(Reverse((_, token))) = self.balance.host.due(now) {
+            self.balance.woke(now, token);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.balance.host.clock.now();
+        match event {
+            Event::Arrived(xchg, at, ask, cargo, answer) => {
+                self.balance.host.counters.exchanges_taken.add();
+                let open = Open { cargo, answer: Some(answer), tries: 0 };
+                self.balance.host.open.insert(xchg, open);
+                let grace = ask.grace.saturating_sub(now.saturating_sub(at));
+                self.balance.arrived(now, xchg, Ask { grace, ..ask });
+            }
+            Event::Dropped(xchg) => {
+                if self.balance.host.take_answer(xchg).is_some() {
+                    self.balance.host.counters.exchanges_dropped.add();
+                    self.balance.dropped(now, xchg);
+                }
+            }
+            Event::Ended(xchg, try_no, node, back) => self.ended(now, xchg, try_no, node, back),
+            Event::Probed(node, back) => {
+                if back.outcome != Outcome::Completed {
+                    self.balance.host.counters.probes_failed.add();
+                }
+                self.reported(now, node, back.in_flight);
+                self.balance.probed(node, back.outcome);
+            }
+            Event::Listed(whole, named) => self.listed(whole, named),
+            Event::ListFailed => self.balance.list_failed(now),
+            Event::News(peer, text) => self.news(now, peer, &text),
+        }
+    }
+
+    fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, node: Node, back: Back) {
+        let acts = &mut self.balance.host;
+        acts.counters.tried(back.outcome);
+        if back.outcome == Outcome::Completed
+            && let Some(answer) = acts.take_answer(xchg)
+        {
+            acts.counters.exchanges_completed.add();
+            let _ = answer.send(Answer::Completed(back.value));
+        }
+        let over = acts.open.get(&xchg).is_none_or(|open| open.answer.is_none());
+        self.reported(now, node, back.in_flight);
+        self.balance.ended(now, xchg, try_no, back.outcome, over);
+    }
+
+    fn reported(&mut self, now: Nanos, node: Node, in_flight: Option<f64>) {
+        if let Some(in_flight) = in_flight {
+            self.balance.reported(now, node, in_flight);
+        }
+    }
+
+    fn listed(&mut self, whole: bool, named: Vec<Named>) {
+        let now = self.balance.host.clock.now();
+        let nodes: Vec<Node> = named.iter().map(|named| self.balance.host.node(named)).collect();
+        for (node, named) in nodes.iter().zip(named) {
+            self.balance.listed(now, *node, named.listed);
+        }
+        if whole {
+            self.balance.listed_all(&nodes);
+        }
+    }
+
+    fn news(&mut self, now: Nanos, peer: usize, text: &str) {
+        let node = |mark| self.balance.host.marks.get(&mark).copied();
+        match pumicebay_names::news(text).and_then(|(kind, mark, figure)| Some((kind, node(mark)?, figure))) {
+            Some(("l", node, figure)) if figure <= u64::from(u16::MAX) => {
+                self.balance.peer_load(now, peer, node, figure as usize);
+            }
+            Some(("j", node, key)) => self.balance.peer_joined(now, node, key),
+            _ => self.balance.host.counters.news_bad.add(),
+        }
+    }
+
+    /// Ends what the decisions asked for in vain, until they ask for nothing more.
+    fn report_unsent(&mut self) {
+        while let Some((xchg, try_no)) = self.balance.host.unsent.pop() {
+            let acts = &self.balance.host;
+            acts.counters.tried(Outcome::Unsent);
+            let over = acts.open.get(&xchg).is_none_or(|open| open.answer.is_none());
+            self.balance.ended(acts.clock.now(), xchg, try_no, Outcome::Unsent, over);
+        }
+        while let Some(node) = self.balance.host.unprobed.pop() {
+            self.balance.probed(node, Outcome::Unsent);
+        }
+    }
+}
+
+impl Acts {
+    fn due(&mut self, now: Nanos) -> Option<Reverse<(Nanos, u64)>> {
+        let due = self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now);
+        if due { self.timers.pop() } else { None }
+    }
+
+    fn take_answer(&mut self, xchg: Xchg) -> Option<oneshot::Sender<Answer>> {
+        self.open.get_mut(&xchg)?.answer.take()
+    }
+
+    /// The index of a node, new ones in the order they come; each has an actor, told of a new address.
+    fn node(&mut self, named: &Named) -> Node {
+        if let Some(&node) = self.uids.get(&named.uid) {
+            let _ = self.nodes[node].try_send(Errand::Moved(named.address));
+            return node;
+        }
+        let node = self.nodes.len();
+        tracing::info!("node {node} is {} at {}", named.uid, named.address);
+        self.uids.insert(named.uid.clone(), node);
+        self.marks.insert(mark(&named.uid), node);
+        self.marked.push(mark(&named.uid));
+        self.nodes.push(node::start(&self.upstream, node, named.address, named.listed.origin));
+        node
+    }
+
+    fn tell(&self, kind: &str, node: Node, figure: u64) {
+        if let Some(peers) = &self.peers {
+            peers.tell(&format!("{kind} {:x} {figure:x}", self.marked[node]));
+        }
+    }
+}
+
+impl Host for Acts {
+    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
+        let until = self.clock.instant(self.clock.now() + timeout);
+        let Some(open) = self.open.get_mut(&xchg) else { return };
+        let try_no = open.tries;
+        open.tries += 1;
+        let errand = Errand::Try { xchg, try_no, cargo: open.cargo.clone(), until };
+        if self.leaving || self.nodes[node].try_send(errand).is_err() {
+            self.unsent.push((xchg, try_no));
+        } else {
+            self.counters.tries_sent.add();
+        }
+    }
+
+    fn shed(&mut self, xchg: Xchg, pause: Nanos) {
+        if let Some(answer) = self.take_answer(xchg) {
+            self.counters.exchanges_shed.add();
+            let _ = answer.send(Answer::Shed(pause));
+        }
+    }
+
+    fn error(&mut self, xchg: Xchg) {
+        if let Some(answer) = self.take_answer(xchg) {
+            self.counters.exchanges_errored.add();
+            let _ = answer.send(Answer::Errored);
+        }
+    }
+
+    fn forget(&mut self, xchg: Xchg) {
+        self.open.remove(&xchg);
+    }
+
+    fn wake(&mut self, at: Nanos, token: u64) {
+        self.timers.push(Reverse((at, token)));
+    }
+
+    fn probe(&mut self, node: Node) {
+        if self.nodes[node].try_send(Errand::Probe).is_ok() {
+            self.counters.probes_sent.add();
+        } else {
+            self.unprobed.push(node);
+        }
+    }
+
+    fn follow(&mut self) {
+        // A call that is still waiting to be made is the same call.
+        let _ = self.follow.try_send(());
+    }
+
+    fn tell_load(&mut self, node: Node, in_flight: usize) {
+        self.tell("l", node, in_flight as u64);
+    }
+
+    fn tell_joined(&mut self, node: Node, key: u64) {
+        self.tell("j", node, key);
+    }
+
+    fn log(&mut self, line: &str) {
+        tracing::info!("{line}");
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/node.rs
@@ -0,0 +1,335 @@
+//! The actor of one node, a cache node or the origin: its idle connections and the tries that are out.
+//! A connection carries one try at a time, since giving up a try means closing its connection.
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::http::{self, Http, Request, Response};
+use crate::module::{Back, Cargo, Door};
+use crate::phases::{Phase, Watch};
+use crate::resp::{Frame, Resp};
+use anyhow::{Context, Result, bail};
+use bytes::Bytes;
+use futures_util::stream::FuturesUnordered;
+use futures_util::{SinkExt, StreamExt};
+use pumicebay_core::{Node, Outcome, Xchg};
+use std::collections::VecDeque;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
+use tokio_util::codec::Framed;
+
+const MAILBOX: usize = 1024;
+const SWEEP: Duration = Duration::from_secs(1);
+/// A connection is used until this part of the nodes' idle limit is left.
+const MARGIN: u32 = 10;
+/// How long a probe may take in all.
+const PROBE: Duration = Duration::from_millis(250);
+
+/// What all nodes' actors share.
+#[derive(Clone)]
+pub struct Upstream {
+    pub clock: Clock,
+    pub config: Arc<Config>,
+    pub counters: Arc<Counters>,
+    pub door: Door,
+    pub watch: Watch,
+    /// Connections that may still be opened.
+    pub free: Arc<Semaphore>,
+}
+
+pub enum Errand {
+    Try { xchg: Xchg, try_no: usize, cargo: Arc<Cargo>, until: Instant },
+    Probe,
+    Moved(SocketAddr),
+}
+
+/// Starts the actor of a node; its mailbox is all that is left to know.
+pub fn start(upstream: &Upstream, node: Node, address: SocketAddr, origin: bool) -> mpsc::Sender<Errand> {
+    let (mailbox, errands) = mpsc::channel(MAILBOX);
+    let actor = Actor { upstream: upstream.clone(), node, address, origin, idle: VecDeque::new() };
+    tokio::spawn(actor.run(errands));
+    mailbox
+}
+
+struct Actor {
+    upstream: Upstream,
+    node: Node,
+    address: SocketAddr,
+    origin: bool,
+    idle: VecDeque<(Instant, Connection)>,
+}
+
+struct Connection {
+    wire: Wire,
+    address: SocketAddr,
+    _permit: OwnedSemaphorePermit,
+}
+
+enum Wire {
+    Cache(Framed<TcpStream, Resp>),
+    Origin(Framed<TcpStream, Http>),
+}
+
+/// What a try or probe came to, and its connection if that can carry another.
+type Done = (Task, Back, Option<Connection>);
+
+#[derive(Clone)]
+enum Task {
+    Try { xchg: Xchg, try_no: usize, cargo: Arc<Cargo>, until: Instant },
+    Probe(Instant),
+}
+
+impl Actor {
+    async fn run(mut self, mut errands: mpsc::Receiver<Errand>) {
+        let mut out = FuturesUnordered::new();
+        let mut sweep = interval(SWEEP);
+        sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                errand = errands.recv() => match errand {
+                    Some(Errand::Try { xchg, try_no, cargo, until }) => {
+                        let task = Task::Try { xchg, try_no, cargo, until };
+                        out.push(self.begin(task));
+                    }
+                    Some(Errand::Probe) => out.push(self.begin(Task::Probe(Instant::now() + PROBE))),
+                    Some(Errand::Moved(address)) => self.address = address,
+                    None => return,
+                },
+                Some(done) = out.next() => self.done(done).await,
+                _ = sweep.tick() => self.sweep(),
+            }
+        }
+    }
+
+    async fn done(&mut self, (task, back, connection): Done) {
+        if let Some(connection) = connection {
+            self.idle.push_back((Instant::now(), connection));
+        }
+        match task {
+            Task::Try { xchg, try_no, .. } => self.upstream.door.ended(xchg, try_no, self.node, back).await,
+            Task::Probe(_) => self.upstream.door.probed(self.node, back).await,
+        }
+    }
+
+    /// Drops what stood idle for too long, what the node closed, and what leads to where it was.
+    fn sweep(&mut self) {
+        let idle = self.upstream.config.idle;
+        let (most, address) = (idle - idle / MARGIN, self.address);
+        self.idle.retain(|(since, connection)| {
+            since.elapsed() < most && connection.address == address && connection.alive()
+        });
+    }
+
+    /// The connection that stood idle longest, so that each is used before its time is up.
+    fn begin(&mut self, task: Task) -> impl Future<Output = Done> + use<> {
+        self.sweep();
+        let connection = self.idle.pop_front().map(|(_, connection)| connection);
+        let (upstream, address, origin, node) = (self.upstream.clone(), self.address, self.origin, self.node);
+        async move {
+            let mut leaving = upstream.watch.clone();
+            let (back, connection) = tokio::select! {
+                done = carry(&upstream, &task, connection, address, origin) => done,
+                () = leaving.reached(Phase::Leaving) => (Outcome::Withdrawn.into(), None),
+            };
+            if matches!(back.outcome, Outcome::Unsent) {
+                tracing::warn!("node {node}: no connection to spare");
+            }
+            (task, back, connection)
+        }
+    }
+}
+
+/// Carries out one try or probe, over an idle connection or a new one.
+async fn carry(
+    upstream: &Upstream,
+    task: &Task,
+    idle: Option<Connection>,
+    address: SocketAddr,
+    origin: bool,
+) -> (Back, Option<Connection>) {
+    let (Task::Try { until, .. } | Task::Probe(until)) = task;
+    let begun = timeout_at(*until, async {
+        let mut connection = match idle {
+            Some(connection) => {
+                upstream.counters.connections_reused.add();
+                connection
+            }
+            None => connect(upstream, address, origin).await?,
+        };
+        // Until the last byte is written nothing can have run.
+        let written = connection.write(upstream, task).await;
+        written.map(|()| connection).map_err(|_| Outcome::Unreachable)
+    });
+    let mut connection = match begun.await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(outcome)) => return (outcome.into(), None),
+        Err(_) => return (Outcome::Unreachable.into(), None),
+    };
+    match timeout_at(*until, connection.read(task)).await {
+        Ok(Ok((back, last))) => (back, (!last).then_some(connection)),
+        Ok(Err(error)) => {
+            let garbage =
+                error.downcast_ref::<std::io::Error>().is_none_or(|e| e.kind() == ErrorKind::InvalidData);
+            if garbage {
+                tracing::warn!("{address}: {error:#}");
+            }
+            (if garbage { Outcome::Errored } else { Outcome::Severed }.into(), None)
+        }
+        Err(_) => (Outcome::Overdue.into(), None),
+    }
+}
+
+async fn connect(upstream: &Upstream, address: SocketAddr, origin: bool) -> Result<Connection, Outcome> {
+    let permit = upstream.free.clone().try_acquire_owned().map_err(|_| Outcome::Unsent)?;
+    let stream = match timeout(upstream.config.connect, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        // This proxy's own want of descriptors says nothing about the node.
+        Ok(Err(error)) if matches!(error.raw_os_error(), Some(23 | 24)) => return Err(Outcome::Unsent),
+        Ok(Err(_)) | Err(_) => {
+            upstream.counters.connections_failed.add();
+            return Err(Outcome::Unreachable);
+        }
+    };
+    upstream.counters.connections_opened.add();
+    let _ = stream.set_nodelay(true);
+    let wire = match origin {
+        true => Wire::Origin(Framed::new(stream, Http::default())),
+        false => Wire::Cache(Framed::new(stream, Resp)),
+    };
+    Ok(Connection { wire, address, _permit: permit })
+}
+
+impl Connection {
+    /// Idle, open, and without a byte that nobody asked for.
+    fn alive(&self) -> bool {
+        let (stream, unread) = match &self.wire {
+            Wire::Cache(framed) => (framed.get_ref(), framed.read_buffer()),
+            Wire::Origin(framed) => (framed.get_ref(), framed.read_buffer()),
+        };
+        let read = stream.try_read(&mut [0]);
+        unread.is_empty() && read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+
+    async fn write(&mut self, upstream: &Upstream, task: &Task) -> std::io::Result<()> {
+        match (&mut self.wire, task) {
+            (Wire::Cache(framed), Task::Probe(_)) if upstream.config.settings.text("reports") == "silent" => {
+                framed.send(&Frame::command([b"PING"])).await
+            }
+            (Wire::Cache(framed), Task::Probe(_)) => framed.send(&Frame::command([b"INFO", b"load"])).await,
+            (Wire::Cache(framed), Task::Try { cargo, until, .. }) => {
+                let left = until.saturating_duration_since(Instant::now());
+                framed.send(&command(cargo, left)).await
+            }
+            (Wire::Origin(framed), Task::Probe(_)) => framed.send(Request::get("/health/live".into())).await,
+            (Wire::Origin(framed), Task::Try { cargo, .. }) => framed.send(request(cargo)).await,
+        }
+    }
+
+    /// What came back, and whether it was the last on this connection. Severed where nothing whole came.
+    async fn read(&mut self, task: &Task) -> Result<(Back, bool)> {
+        let closed = || std::io::Error::from(ErrorKind::UnexpectedEof);
+        let probe = matches!(task, Task::Probe(_));
+        match &mut self.wire {
+            Wire::Cache(framed) => {
+                let frame = framed.next().await.ok_or_else(closed)??;
+                let back = if probe { probed(frame) } else { replied(frame) };
+                Ok((back.context("cache node")?, false))
+            }
+            Wire::Origin(framed) => {
+                let response = framed.next().await.ok_or_else(closed)??;
+                let last = response.last;
+                Ok((answered(response), last))
+            }
+        }
+    }
+}
+
+/// A try as a cache node reads it: all as it came, but for how long this proxy waits.
+pub fn command(cargo: &Cargo, left: Duration) -> Frame {
+    let word = if cargo.write { "C.SET" } else { "C.GET" };
+    let left = format!("d={}", left.as_millis().max(1));
+    let labels = cargo.labels.split(|&byte| byte == b',');
+    let labels: Vec<&[u8]> =
+        labels.map(|label| if label.starts_with(b"d=") { left.as_bytes() } else { label }).collect();
+    let mut words = vec![Bytes::from_static(word.as_bytes()), cargo.key.clone(), cargo.id.clone()];
+    words.push(labels.join(&b',').into());
+    if cargo.write {
+        words.push(cargo.value.clone());
+    }
+    Frame::Array(words.into_iter().map(Frame::Bulk).collect())
+}
+
+/// A try as the origin reads it.
+pub fn request(cargo: &Cargo) -> Request<'_> {
+    Request {
+        method: if cargo.write { "PUT" } else { "GET" },
+        path: http::path(&cargo.key),
+        headers: vec![("X-Txn", &cargo.id), ("X-Labels", &cargo.labels)],
+        body: cargo.write.then_some(&cargo.value[..]),
+    }
+}
+
+/// What a cache node's reply to a try means.
+pub fn replied(frame: Frame) -> Result<Back> {
+    match frame {
+        Frame::Array(parts) => {
+            let mut parts = parts.into_iter();
+            let (outcome, value) = match parts.next() {
+                Some(Frame::Bulk(value)) => (Outcome::Completed, value),
+                Some(Frame::Null) => (Outcome::Missed, Bytes::new()),
+                other => bail!("unexpected value {other:?}"),
+            };
+            let in_flight = match parts.nth(1) {
+                Some(Frame::Bulk(report)) => in_flight(&report),
+                _ => None,
+            };
+            Ok(Back { outcome, value, in_flight })
+        }
+        Frame::Error(text) if text.starts_with(b"BUSY") => Ok(Outcome::Saturated.into()),
+        Frame::Error(text) => {
+            if !text.starts_with(b"ERR failed") {
+                tracing::warn!("cache node: {}", String::from_utf8_lossy(&text));
+            }
+            Ok(Outcome::Errored.into())
+        }
+        other => bail!("unexpected reply {other:?}"),
+    }
+}
+
+pub fn probed(frame: Frame) -> Result<Back> {
+    match frame {
+        Frame::Simple(_) => Ok(Outcome::Completed.into()),
+        Frame::Bulk(report) => Ok(Back { in_flight: in_flight(&report), ..Outcome::Completed.into() }),
+        Frame::Error(_) => Ok(Outcome::Errored.into()),
+        other => bail!("unexpected reply {other:?}"),
+    }
+}
+
+/// What the origin's answer means.
+pub fn answered(response: Response) -> Back {
+    let turned_away = response.header("x-turned-away") == Some(b"1");
+    let outcome = match response.status {
+        200 => Outcome::Completed,
+        503 | 504 if turned_away => Outcome::Saturated,
+        500 => Outcome::Errored,
+        status => {
+            tracing::warn!("origin: status {status}");
+            Outcome::Errored
+        }
+    };
+    let in_flight = response.header("x-pressure").and_then(in_flight);
+    Back { outcome, value: response.body, in_flight }
+}
+
+/// How much a node says it holds, in a report of names and values.
+fn in_flight(report: &[u8]) -> Option<f64> {
+    let report = std::str::from_utf8(report).ok()?;
+    let mut fields = report.split([',', ';', ' ']).filter_map(|field| field.split_once(['=', ':']));
+    let (_, value) = fields.find(|(name, _)| ["concurrent", "inflight"].contains(&name.trim()))?;
+    value.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/proxy/src/phases.rs
@@ -0,0 +1,79 @@
+//! The proxy's phases, from start to exit. Every actor that acts on one holds a `Watch`.
+
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio_util::task::TaskTracker;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Reads its settings and opens its sockets.
+    Starting,
+    /// Takes and answers exchanges.
+    Serving,
+    /// Told to stop: goes on as before, since connections still come.
+    Draining,
+    /// Takes no new connections and closes those of its clients between exchanges.
+    Closing,
+    /// Gives up what is still out, and sends nothing more.
+    Leaving,
+    Stopped,
+}
+
+/// How long new connections are accepted after the signal to stop.
+const DRAINING: Duration = Duration::from_millis(500);
+/// The longest that a platform waits for exchanges that were taken, and what it adds to that before it kills.
+const LONGEST: Duration = Duration::from_secs(3);
+const CLOSING: Duration = Duration::from_millis(50);
+const LEAVING: Duration = Duration::from_millis(80);
+
+pub struct Phases(watch::Sender<Phase>);
+
+#[derive(Clone)]
+pub struct Watch(watch::Receiver<Phase>);
+
+impl Default for Phases {
+    fn default() -> Self {
+        Phases(watch::Sender::new(Phase::Starting))
+    }
+}
+
+impl Phases {
+    pub fn watch(&self) -> Watch {
+        Watch(self.0.subscribe())
+    }
+
+    pub fn enter(&self, phase: Phase) {
+        tracing::info!("{phase:?}");
+        self.0.send_replace(phase);
+    }
+
+    /// From the signal to stop until all is answered, or until the platform's patience ends.
+    pub async fn stop(&self, longest: Duration, clients: &TaskTracker) {
+        self.enter(Phase::Draining);
+        sleep(DRAINING).await;
+        self.enter(Phase::Closing);
+        clients.close();
+        let answered = tokio::time::timeout(longest.min(LONGEST) + CLOSING, clients.wait()).await;
+        if answered.is_err() {
+            self.enter(Phase::Leaving);
+            if tokio::time::timeout(LEAVING, clients.wait()).await.is_err() {
+                tracing::warn!("{} client connections cut at exit", clients.len());
+            }
+        }
+        self.enter(Phase::Stopped);
+    }
+}
+
+impl Watch {
+    pub fn now(&self) -> Phase {
+        *self.0.borrow()
+    }
+
+    /// Returns once this phase, or a later one, has come.
+    pub async fn reached(&mut self, phase: Phase) {
+        if self.0.wait_for(|now| *now >= phase).await.is_err() {
+            std::future::pending().await
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/resp.rs
@@ -0,0 +1,161 @@
+//! RESP2 on the wire: commands from clients and to cache nodes, and the replies to both.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::io::{Error, ErrorKind};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// The longest bulk string that is read, and the longest line and array.
+pub const LONGEST_BULK: usize = 64 * 1024;
+const LONGEST_LINE: usize = 1024;
+const LONGEST_ARRAY: usize = 64;
+const DEEPEST: usize = 4;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Frame {
+    Simple(Bytes),
+    Error(Bytes),
+    Integer(i64),
+    Bulk(Bytes),
+    Null,
+    Array(Vec<Frame>),
+}
+
+impl Frame {
+    pub fn error(text: impl Into<Bytes>) -> Frame {
+        Frame::Error(text.into())
+    }
+
+    pub fn simple(text: &'static str) -> Frame {
+        Frame::Simple(Bytes::from_static(text.as_bytes()))
+    }
+
+    pub fn command<const N: usize>(words: [&[u8]; N]) -> Frame {
+        Frame::Array(words.iter().map(|word| Frame::Bulk(Bytes::copy_from_slice(word))).collect())
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Resp;
+
+impl Decoder for Resp {
+    type Item = Frame;
+    type Error = Error;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
+        let mut at = 0;
+        let Some(shape) = measure(buffer, &mut at, DEEPEST)? else { return Ok(None) };
+        Ok(Some(cut(&buffer.split_to(at).freeze(), shape)))
+    }
+}
+
+/// A frame that is whole, by where its parts stand in the buffer.
+enum Shape {
+    Line(u8, usize, usize),
+    Integer(i64),
+    Bulk(usize, usize),
+    Null,
+    Array(Vec<Shape>),
+}
+
+/// Finds the end of the frame that begins at `at`; nothing while it is not whole.
+fn measure(buffer: &[u8], at: &mut usize, depth: usize) -> Result<Option<Shape>, Error> {
+    let Some(&kind) = buffer.get(*at) else { return Ok(None) };
+    if !b"+-:$*".contains(&kind) {
+        return Err(bad("expected a RESP type"));
+    }
+    let from = *at + 1;
+    let line = &buffer[from..buffer.len().min(from + LONGEST_LINE)];
+    let Some(length) = line.iter().position(|&byte| byte == b'\n') else {
+        return if line.len() == LONGEST_LINE { Err(bad("line too long")) } else { Ok(None) };
+    };
+    let text = line[..length].strip_suffix(b"\r").ok_or_else(|| bad("line without CR"))?;
+    *at = from + length + 1;
+    let number = || {
+        let text = std::str::from_utf8(text).ok().filter(|text| !text.starts_with('+'));
+        text.and_then(|text| text.parse::<i64>().ok()).ok_or_else(|| bad("expected a number"))
+    };
+    let shape = match kind {
+        b':' => Shape::Integer(number()?),
+        b'$' | b'*' if number()? == -1 => Shape::Null,
+        b'$' => {
+            let length = usize::try_from(number()?).map_err(|_| bad("invalid bulk length"))?;
+            if length > LONGEST_BULK {
+                return Err(bad("bulk string too long"));
+            }
+            let (begin, end) = (*at, *at + length);
+            if buffer.len() < end + 2 {
+                return Ok(None);
+            }
+            if &buffer[end..end + 2] != b"\r\n" {
+                return Err(bad("bulk string without end"));
+            }
+            *at = end + 2;
+            Shape::Bulk(begin, end)
+        }
+        b'*' => {
+            let length = usize::try_from(number()?).map_err(|_| bad("invalid array length"))?;
+            if length > LONGEST_ARRAY || depth == 0 {
+                return Err(bad("array too long or too deep"));
+            }
+            let mut parts = Vec::with_capacity(length);
+            for _ in 0..length {
+                match measure(buffer, at, depth - 1)? {
+                    Some(part) => parts.push(part),
+                    None => return Ok(None),
+                }
+            }
+            Shape::Array(parts)
+        }
+        _ => Shape::Line(kind, from, from + text.len()),
+    };
+    Ok(Some(shape))
+}
+
+fn cut(buffer: &Bytes, shape: Shape) -> Frame {
+    match shape {
+        Shape::Line(b'+', begin, end) => Frame::Simple(buffer.slice(begin..end)),
+        Shape::Line(_, begin, end) => Frame::Error(buffer.slice(begin..end)),
+        Shape::Integer(number) => Frame::Integer(number),
+        Shape::Bulk(begin, end) => Frame::Bulk(buffer.slice(begin..end)),
+        Shape::Null => Frame::Null,
+        Shape::Array(parts) => Frame::Array(parts.into_iter().map(|part| cut(buffer, part)).collect()),
+    }
+}
+
+impl Encoder<&Frame> for Resp {
+    type Error = Error;
+
+    fn encode(&mut self, frame: &Frame, buffer: &mut BytesMut) -> Result<(), Error> {
+        match frame {
+            Frame::Simple(text) => line(buffer, b'+', text),
+            Frame::Error(text) => line(buffer, b'-', text),
+            Frame::Integer(number) => line(buffer, b':', number.to_string().as_bytes()),
+            Frame::Null => line(buffer, b'$', b"-1"),
+            Frame::Bulk(bytes) => {
+                line(buffer, b'$', bytes.len().to_string().as_bytes());
+                buffer.reserve(bytes.len() + 2);
+                buffer.put_slice(bytes);
+                buffer.put_slice(b"\r\n");
+            }
+            Frame::Array(parts) => {
+                line(buffer, b'*', parts.len().to_string().as_bytes());
+                for part in parts {
+                    self.encode(part, buffer)?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn line(buffer: &mut BytesMut, kind: u8, text: &[u8]) {
+    buffer.reserve(text.len() + 3);
+    buffer.put_u8(kind);
+    // A line break in a reply's text would begin another reply.
+    buffer.put(text.chunk().split(|byte| b"\r\n".contains(byte)).next().unwrap_or_default());
+    buffer.put_slice(b"\r\n");
+}
+
+fn bad(why: &'static str) -> Error {
+    Error::new(ErrorKind::InvalidData, why)
+}
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -1,11 +1,10 @@
 //! One proxy: its decisions, and the names that its indices stand for.
 
-use crate::NANOS;
-use crate::names;
-use crate::wire::{Entry, Fields, Wire, identity, mark, news, outcome};
+use crate::wire::{Entry, Fields, Wire, outcome};
 use anyhow::{Context, Result, bail};
 use hashbrown::HashMap;
 use pumicebay_core::{Ask, Balance, Listed, Nanos, Node, Standing, Xchg};
+use pumicebay_names::{self as names, NANOS, identity, mark, news};
 use serde_json::Value as Json;
 use std::collections::BTreeMap;
 
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -2,20 +2,17 @@
 //! a batch on standard output. Many proxies live in one process and share nothing but this code.
 
 mod instance;
-mod names;
 mod wire;
 
 use anyhow::{Context, Result, bail};
 use instance::Instance;
+use pumicebay_names::NANOS;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use wire::{Entry, Fields};
 
-/// Wire times are microseconds.
-const NANOS: u64 = 1000;
-
 #[derive(Deserialize)]
 struct Batch<'a> {
     #[serde(rename = "wall-us")]
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,9 +1,9 @@
 //! The wire's fields going in, and the `Host` whose acts become the wire's actions going out.
 
-use crate::NANOS;
 use anyhow::{Context, Result};
 use hashbrown::HashMap;
 use pumicebay_core::{Host, Nanos, Node, Outcome, Xchg};
+use pumicebay_names::{NANOS, mark};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::fmt::Write;
@@ -48,27 +48,6 @@
     })
 }
 
-/// The same for an address at every proxy (FNV-1a).
-pub fn identity(address: &str) -> u64 {
-    address
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
-}
-
-/// What stands for a node in news between peers.
-pub fn mark(address: &str) -> u64 {
-    identity(address) >> 32
-}
-
-/// Reads news from a peer: its kind, the node's mark and a figure. Anything else is dropped.
-pub fn news(text: &str) -> Option<(&str, u64, u64)> {
-    let mut words = text.split(' ');
-    let kind = words.next()?;
-    let mut number = || u64::from_str_radix(words.next()?, 16).ok();
-    let read = (kind, number()?, number()?);
-    words.next().is_none().then_some(read)
-}
-
 /// One instance's actions since they were last taken, and what its indices stand for.
 #[derive(Default)]
 pub struct Wire {
