--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -2,7 +2,6 @@
 //! Nothing here waits for anyone: a mailbox that is full makes a try unsent.
 
 use crate::clock::Clock;
-use crate::config::Config;
 use crate::counters::Counters;
 use crate::node::{self, Errand, Upstream};
 use crate::peers::Peers;
