--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -3,7 +3,7 @@
 use crate::config::{self, Config};
 use crate::counters::Counters;
 use crate::resp::{Frame, Resp};
-use crate::serve;
+use crate::serve::{self, Proxy};
 use anyhow::{Context, Result, bail};
 use futures_util::{SinkExt, StreamExt};
 use lexopt::prelude::*;
@@ -90,7 +90,7 @@
     let runtime = runtime()?;
     let served = runtime.block_on(async {
         let stop = serve::signalled().await?;
-        serve::serve(config, counters.clone(), stop).await
+        Proxy::start(config, counters.clone()).await?.run(stop).await
     });
     tracing::info!("counters: {}", counters.to_string().trim_end().replace('\n', ", "));
     runtime.shutdown_background();
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -14,13 +14,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, oneshot};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 use tokio_util::task::TaskTracker;
 
 /// Commands on one connection that await their answers; more are left unread.
-const PIPELINE: usize = 64;
+const PIPELINE: usize = 32;
 /// How long a client may take to read what it asked for.
 const READING: Duration = Duration::from_secs(10);
 /// The pause after a connection could not be accepted, for want of descriptors.
@@ -37,6 +37,8 @@
     pub connections: TaskTracker,
     /// Asks the connection that has been idle longest to close.
     pub make_room: Arc<Notify>,
+    /// Commands that connections may take beyond their first: bounds the answers that slow readers leave here.
+    pub ahead: Arc<Semaphore>,
 }
 
 /// Accepts until the phase says no more.
@@ -81,7 +83,12 @@
     pending: VecDeque<Pending>,
 }
 
-enum Pending {
+struct Pending {
+    reply: Reply,
+    _ahead: Option<OwnedSemaphorePermit>,
+}
+
+enum Reply {
     Ready(Frame),
     Waiting(Xchg, oneshot::Receiver<Answer>),
 }
@@ -92,7 +99,7 @@
             tracing::debug!("client: {error}");
         }
         for pending in std::mem::take(&mut self.pending) {
-            if let Pending::Waiting(xchg, _) = pending {
+            if let Reply::Waiting(xchg, _) = pending.reply {
                 self.front.door.dropped(xchg).await;
             }
         }
@@ -104,7 +111,8 @@
         let make_room = self.front.make_room.clone();
         loop {
             let idle = self.pending.is_empty() && self.framed.read_buffer().is_empty();
-            let room = self.pending.len() < PIPELINE;
+            let ahead = self.front.ahead.clone().try_acquire_owned().ok();
+            let room = self.pending.is_empty() || self.pending.len() < PIPELINE && ahead.is_some();
             tokio::select! {
                 biased;
                 reply = next(&mut self.pending), if !self.pending.is_empty() => {
@@ -114,8 +122,9 @@
                 }
                 frame = self.framed.next(), if room => match frame {
                     Some(Ok(frame)) => {
-                        let pending = self.command(frame).await;
-                        self.pending.push_back(pending);
+                        let reply = self.command(frame).await;
+                        let _ahead = ahead.filter(|_| !self.pending.is_empty());
+                        self.pending.push_back(Pending { reply, _ahead });
                     }
                     Some(Err(error)) => return self.refuse(error).await,
                     None => return Ok(()),
@@ -135,7 +144,8 @@
             return Err(error);
         }
         self.front.counters.bad_commands.add();
-        self.pending.push_back(Pending::Ready(Frame::error(format!("ERR Protocol error: {error}"))));
+        let reply = Reply::Ready(Frame::error(format!("ERR Protocol error: {error}")));
+        self.pending.push_back(Pending { reply, _ahead: None });
         while !self.pending.is_empty() {
             let reply = next(&mut self.pending).await;
             self.pending.pop_front();
@@ -144,19 +154,19 @@
         Ok(())
     }
 
-    async fn command(&mut self, frame: Frame) -> Pending {
+    async fn command(&mut self, frame: Frame) -> Reply {
         let at = self.front.clock.now();
         match read(frame, &self.front.config) {
             Ok(Command::Exchange(ask, cargo)) => {
                 let (xchg, answered) = self.front.door.arrive(at, ask, cargo).await;
-                Pending::Waiting(xchg, answered)
+                Reply::Waiting(xchg, answered)
             }
-            Ok(Command::Reply(reply)) => Pending::Ready(reply),
-            Ok(Command::Counters) => Pending::Ready(Frame::Bulk(self.front.counters.to_string().into())),
+            Ok(Command::Reply(reply)) => Reply::Ready(reply),
+            Ok(Command::Counters) => Reply::Ready(Frame::Bulk(self.front.counters.to_string().into())),
             Err(why) => {
                 self.front.counters.bad_commands.add();
                 tracing::debug!("client: {why}");
-                Pending::Ready(Frame::error(format!("ERR {why}")))
+                Reply::Ready(Frame::error(format!("ERR {why}")))
             }
         }
     }
@@ -164,9 +174,9 @@
 
 /// The reply that is due next. Losing the race to something else loses nothing.
 async fn next(pending: &mut VecDeque<Pending>) -> Frame {
-    match pending.front_mut() {
-        Some(Pending::Ready(reply)) => reply.clone(),
-        Some(Pending::Waiting(_, answered)) => {
+    match pending.front_mut().map(|pending| &mut pending.reply) {
+        Some(Reply::Ready(reply)) => reply.clone(),
+        Some(Reply::Waiting(_, answered)) => {
             let reply = match answered.await {
                 Ok(Answer::Completed(value)) => Frame::Bulk(value),
                 Ok(Answer::Shed(0)) => Frame::error("BUSY"),
@@ -174,7 +184,7 @@
                 Ok(Answer::Errored) => Frame::error("ERR failed"),
                 Err(_) => Frame::error("ERR no answer"),
             };
-            pending[0] = Pending::Ready(reply.clone());
+            pending[0].reply = Reply::Ready(reply.clone());
             reply
         }
         None => std::future::pending().await,
@@ -215,8 +225,12 @@
     value: Option<&Bytes>,
 ) -> Result<Command, String> {
     let text = std::str::from_utf8(labels).map_err(|_| "labels are no text")?;
-    if text.chars().any(char::is_control) || id.iter().any(u8::is_ascii_control) || key.is_empty() {
-        return Err("empty key, or control characters in id or labels".into());
+    if text.chars().any(char::is_control)
+        || id.iter().any(u8::is_ascii_control)
+        || key.is_empty()
+        || id.is_empty()
+    {
+        return Err("empty key or id, or control characters in id or labels".into());
     }
     let (mut route, mut ask) = (None, Ask { write: value.is_some(), ..Ask::default() });
     let mut grace = None;
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names the key.
 
+use crate::resp::LONGEST_BULK;
 use anyhow::{Context, Result, bail, ensure};
 use pumicebay_core::Settings;
 use pumicebay_core::host::Repeat;
@@ -11,6 +12,12 @@
 
 /// What a proxy holds at most if its limits do not say.
 const SOCKETS: u64 = 1024;
+const MEMORY_MB: u64 = 192;
+const FEWEST_MEMORY_MB: u64 = 16;
+/// How long new connections are accepted after the signal to stop: a front hears of it a little later.
+const DRAINING: Duration = Duration::from_millis(500);
+/// Half the memory is for clients' connections: each may hold a command, an answer and what it reads.
+const CLIENT_BYTES: usize = 3 * LONGEST_BULK;
 /// Descriptors for all that is not a connection: the runtime, the listener, discovery, logs.
 const RESERVED: usize = 64;
 const FEWEST_SOCKETS: u64 = 2 * RESERVED as u64;
@@ -28,6 +35,11 @@
     /// How many connections clients may hold here, and this proxy to nodes.
     pub clients: usize,
     pub upstream: usize,
+    /// How many commands clients may send ahead of their answers, over all connections.
+    pub ahead: usize,
+    /// Where the other proxies hear news, and where this one does.
+    pub peers: Vec<SocketAddr>,
+    pub peer_listen: SocketAddr,
     /// The list of nodes as this proxy last had it, in discovery's form.
     pub known: Json,
     pub settings: Settings,
@@ -42,6 +54,7 @@
     pub connect: Duration,
     /// The longest overall timeout of any route.
     pub longest: Duration,
+    pub draining: Duration,
 }
 
 /// Reads the file at `path`; the platform's variables go before what it says.
@@ -64,10 +77,16 @@
     }
     let wire = json.get("settings").context("settings: missing")?;
     ensure!(wire.is_object(), "settings: expected an object, found {wire}");
-    let settings = checked(wire)?;
+    let settings = checked(json, wire)?;
     let sockets = number(json, "/limits/sockets")?.unwrap_or(SOCKETS);
     ensure!(sockets >= FEWEST_SOCKETS, "limits.sockets: expected {FEWEST_SOCKETS} or more, found {sockets}");
     let sockets = usize::try_from(sockets).unwrap_or(usize::MAX) - RESERVED;
+    let memory = number(json, "/limits/memory_mb")?.unwrap_or(MEMORY_MB);
+    let least = FEWEST_MEMORY_MB;
+    ensure!(memory >= least, "limits.memory_mb: expected {least} or more, found {memory}");
+    let memory = usize::try_from(memory).unwrap_or(usize::MAX).saturating_mul(1 << 20);
+    let clients = (sockets / 2).min(memory / 2 / CLIENT_BYTES);
+    let listen = address(json, "listen")?;
     let kinds = names::list(wire, "/skus", "");
     let origin = wire.pointer("/domain/origin-kind").and_then(Json::as_i64).filter(|&kind| kind >= 0);
     let origin_kind = origin.map(|kind| {
@@ -81,49 +100,48 @@
         .map(|at| settings.time(&format!("route.{at}.overall_timeout"), 0))
         .max()
         .unwrap_or(0);
-    let micros =
-        |key, default| Ok::<_, anyhow::Error>(number(wire, key)?.map_or(default, Duration::from_micros));
+    let micros = |key, default| number(json, key).map(|time| time.map_or(default, Duration::from_micros));
     Ok(Config {
         name: text(json, "name")?.unwrap_or("pumicebay").to_string(),
-        listen: address(json, "listen")?,
+        listen,
         discovery: address(json, "discovery")?,
         seed: seed(json)?,
-        clients: sockets / 2,
-        upstream: sockets - sockets / 2,
+        clients,
+        upstream: sockets / 2,
+        ahead: memory / 8 / LONGEST_BULK,
+        peers: peers(json)?,
+        peer_listen: if json.get("peer_listen").is_some() { address(json, "peer_listen")? } else { listen },
         known: known(json)?,
         route_names: names::list(wire, "/routes", "/name"),
         tenants: names::list(wire, "/orgs", "/name"),
         zones: names::list(wire, "/failure-domains", ""),
         origin_kind: origin_kind.transpose()?,
-        idle: micros("/permissions/conn-idle-us", IDLE)?,
-        connect: micros("/permissions/connect-timeout-us", CONNECT)?,
+        idle: micros("/settings/permissions/conn-idle-us", IDLE)?,
+        connect: micros("/settings/permissions/connect-timeout-us", CONNECT)?,
         longest: Duration::from_nanos(longest),
+        draining: DRAINING,
         settings,
         routes,
     })
 }
 
 /// The settings under the decisions' names, once what they can't do without is there and sound.
-fn checked(wire: &Json) -> Result<Settings> {
-    let at = |place: &str| format!("settings{}", place.replace('/', "."));
-    for place in ["/fleet-size", "/permissions/most-upstream-tries"] {
-        ensure!(number(wire, place)? != Some(0), "{}: expected 1 or more, found 0", at(place));
+fn checked(json: &Json, wire: &Json) -> Result<Settings> {
+    for place in ["/settings/fleet-size", "/settings/permissions/most-upstream-tries"] {
+        ensure!(number(json, place)? != Some(0), "{}: expected 1 or more, found 0", key(place));
     }
-    for place in ["/rules/start-capacity", "/surplus-payoff"] {
-        let value = wire.pointer(place).unwrap_or(&Json::Null);
+    for place in ["/settings/rules/start-capacity", "/settings/surplus-payoff"] {
+        let value = json.pointer(place).unwrap_or(&Json::Null);
         let sound = value.is_null() || value.as_f64().is_some_and(|part| (0.0..=1.0).contains(&part));
-        ensure!(sound, "{}: expected a part between 0 and 1, found {value}", at(place));
+        ensure!(sound, "{}: expected a part between 0 and 1, found {value}", key(place));
     }
-    for place in ["/permissions/may-probe", "/permissions/peers", "/permissions/retry-after"] {
-        let value = wire.pointer(place).unwrap_or(&Json::Null);
-        ensure!(
-            value.is_null() || value.is_boolean(),
-            "{}: expected true or false, found {value}",
-            at(place)
-        );
+    for flag in ["may-probe", "peers", "retry-after"] {
+        let value = wire.get("permissions").and_then(|all| all.get(flag)).unwrap_or(&Json::Null);
+        let sound = value.is_null() || value.is_boolean();
+        ensure!(sound, "settings.permissions.{flag}: expected true or false, found {value}");
     }
-    for place in ["/rules/cold-us", "/rules/fall-us", "/rules/drain-grace-us"] {
-        number(wire, place)?;
+    for place in ["/settings/rules/cold-us", "/settings/rules/fall-us", "/settings/rules/drain-grace-us"] {
+        number(json, place)?;
     }
     let routes = wire.get("routes").and_then(Json::as_array).context("settings.routes: expected a list")?;
     ensure!(!routes.is_empty(), "settings.routes: expected one or more");
@@ -149,6 +167,16 @@
     Ok(known)
 }
 
+fn peers(json: &Json) -> Result<Vec<SocketAddr>> {
+    let peers = json.get("peers").unwrap_or(&Json::Null);
+    ensure!(peers.is_null() || peers.is_array(), "peers: expected a list, found {peers}");
+    let one = |(at, peer): (usize, &Json)| {
+        let address = peer.as_str().and_then(|peer| peer.parse().ok());
+        address.with_context(|| format!("peers[{at}]: expected ADDRESS:PORT, found {peer}"))
+    };
+    peers.as_array().into_iter().flatten().enumerate().map(one).collect()
+}
+
 fn seed(json: &Json) -> Result<u64> {
     match json.get("seed") {
         None | Some(Json::Null) => Ok(0),
@@ -172,13 +200,17 @@
     }
 }
 
+/// A place in the configuration as its messages name it.
+fn key(place: &str) -> String {
+    place.trim_start_matches('/').replace('/', ".")
+}
+
 fn number(json: &Json, place: &str) -> Result<Option<u64>> {
-    let key = place.trim_start_matches('/').replace('/', ".");
     match json.pointer(place) {
         None | Some(Json::Null) => Ok(None),
         Some(value) => match value.as_u64() {
             Some(number) => Ok(Some(number)),
-            None => bail!("{key}: expected a whole number, found {value}"),
+            None => bail!("{}: expected a whole number, found {value}", key(place)),
         },
     }
 }
@@ -201,8 +233,4 @@
             routes.join(", ")
         )
     }
-
-    pub fn flag(&self, name: &str) -> bool {
-        self.settings.flag(name)
-    }
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -190,11 +190,6 @@
         Module { balance, mailbox, watch }
     }
 
-    /// The list as this proxy last had it.
-    pub fn know(&mut self, whole: bool, named: Vec<Named>) {
-        self.listed(whole, named);
-    }
-
     pub async fn run(mut self) {
         let mut leaving = self.watch.clone();
         loop {
@@ -271,7 +266,8 @@
         }
     }
 
-    fn listed(&mut self, whole: bool, named: Vec<Named>) {
+    /// Takes in a whole list, or changes to it.
+    pub fn listed(&mut self, whole: bool, named: Vec<Named>) {
         let now = self.balance.host.clock.now();
         let nodes: Vec<Node> = named.iter().map(|named| self.balance.host.node(named)).collect();
         for (node, named) in nodes.iter().zip(named) {
@@ -334,7 +330,7 @@
 
     fn tell(&self, kind: &str, node: Node, figure: u64) {
         if let Some(peers) = &self.peers {
-            peers.tell(&format!("{kind} {:x} {figure:x}", self.marked[node]));
+            peers.tell(&self.counters, &format!("{kind} {:x} {figure:x}", self.marked[node]));
         }
     }
 }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -253,9 +253,15 @@
 pub fn command(cargo: &Cargo, left: Duration) -> Frame {
     let word = if cargo.write { "C.SET" } else { "C.GET" };
     let left = format!("d={}", left.as_millis().max(1));
-    let labels = cargo.labels.split(|&byte| byte == b',');
-    let labels: Vec<&[u8]> =
-        labels.map(|label| if label.starts_with(b"d=") { left.as_bytes() } else { label }).collect();
+    let (mut labels, mut told) = (Vec::new(), false);
+    for label in cargo.labels.split(|&byte| byte == b',') {
+        let replaced = label.starts_with(b"d=");
+        labels.push(if replaced { left.as_bytes() } else { label });
+        told |= replaced;
+    }
+    if !told {
+        labels.push(left.as_bytes());
+    }
     let mut words = vec![Bytes::from_static(word.as_bytes()), cargo.key.clone(), cargo.id.clone()];
     words.push(labels.join(&b',').into());
     if cargo.write {
--- a/crates/proxy/src/phases.rs
+++ b/crates/proxy/src/phases.rs
@@ -20,8 +20,6 @@
     Stopped,
 }
 
-/// How long new connections are accepted after the signal to stop.
-const DRAINING: Duration = Duration::from_millis(500);
 /// The longest that a platform waits for exchanges that were taken, and what it adds to that before it kills.
 const LONGEST: Duration = Duration::from_secs(3);
 const CLOSING: Duration = Duration::from_millis(50);
@@ -49,9 +47,9 @@
     }
 
     /// From the signal to stop until all is answered, or until the platform's patience ends.
-    pub async fn stop(&self, longest: Duration, clients: &TaskTracker) {
+    pub async fn stop(&self, draining: Duration, longest: Duration, clients: &TaskTracker) {
         self.enter(Phase::Draining);
-        sleep(DRAINING).await;
+        sleep(draining).await;
         self.enter(Phase::Closing);
         clients.close();
         let answered = tokio::time::timeout(longest.min(LONGEST) + CLOSING, clients.wait()).await;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -7,55 +7,92 @@
 use crate::list::{self, List};
 use crate::module::{self, Module};
 use crate::node::Upstream;
-use crate::phases::{Phase, Phases};
-use anyhow::{Context, Result};
+use crate::peers;
+use crate::phases::{Phase, Phases, Watch};
+use anyhow::{Context, Result, bail};
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, Semaphore, mpsc};
+use tokio::task::JoinSet;
 use tokio_util::task::TaskTracker;
 
 const BACKLOG: u32 = 1024;
 
-/// Runs the proxy until it is told to stop and has answered what it took.
-pub async fn serve(config: Config, counters: Arc<Counters>, stop: impl Future<Output = ()>) -> Result<()> {
-    let (phases, clock, config) = (Phases::default(), Clock::start(), Arc::new(config));
-    tracing::info!("{}", config.summary().replace('\n', "; "));
-    let (door, mailbox) = module::door();
-    let (follow, followed) = mpsc::channel(1);
-    let upstream = Upstream {
-        clock,
-        config: config.clone(),
-        counters: counters.clone(),
-        door: door.clone(),
-        watch: phases.watch(),
-        free: Arc::new(Semaphore::new(config.upstream)),
-    };
-    let mut module = Module::new(upstream, None, follow, mailbox, phases.watch());
-    if let Ok((_, whole, named)) = list::entries(&config.known, &config) {
-        module.know(whole, named);
+/// A proxy that serves.
+pub struct Proxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    phases: Phases,
+    draining: Duration,
+    longest: Duration,
+    connections: TaskTracker,
+    /// Those without which it can't go on.
+    actors: JoinSet<()>,
+}
+
+impl Proxy {
+    /// Opens its sockets only when it is able to serve what comes.
+    pub async fn start(config: Config, counters: Arc<Counters>) -> Result<Proxy> {
+        let (phases, clock, config) = (Phases::default(), Clock::start(), Arc::new(config));
+        tracing::info!("{}", config.summary().replace('\n', "; "));
+        let (door, mailbox) = module::door();
+        let (follow, followed) = mpsc::channel(1);
+        let upstream = Upstream {
+            clock,
+            config: config.clone(),
+            counters: counters.clone(),
+            door: door.clone(),
+            watch: phases.watch(),
+            free: Arc::new(Semaphore::new(config.upstream)),
+        };
+        let peers = peers::start(&config, &counters, &door).await?;
+        let mut module = Module::new(upstream, peers, follow, mailbox, phases.watch());
+        match list::entries(&config.known, &config) {
+            Ok((_, whole, named)) => module.listed(whole, named),
+            Err(error) => tracing::warn!("known: no list to start from: {error:#}"),
+        }
+        let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(config.listen).with_context(|| format!("listen: {}", config.listen))?;
+        let listener = socket.listen(BACKLOG).with_context(|| format!("listen: {}", config.listen))?;
+        let address = listener.local_addr()?;
+        let connections = TaskTracker::new();
+        let front = Front {
+            clock,
+            config: config.clone(),
+            counters: counters.clone(),
+            door: door.clone(),
+            watch: phases.watch(),
+            connections: connections.clone(),
+            make_room: Arc::new(Notify::new()),
+            ahead: Arc::new(Semaphore::new(config.ahead)),
+        };
+        let (draining, longest) = (config.draining, config.longest);
+        let mut actors = JoinSet::new();
+        actors.spawn(module.run());
+        actors.spawn(List::new(config, counters, door, followed).run());
+        actors.spawn(clients::accept(front, listener));
+        phases.enter(Phase::Serving);
+        tracing::info!("listens on {address}");
+        Ok(Proxy { address, phases, draining, longest, connections, actors })
+    }
+
+    pub fn watch(&self) -> Watch {
+        self.phases.watch()
+    }
+
+    /// Serves until it is told to stop and has answered what it took.
+    pub async fn run(mut self, stop: impl Future<Output = ()>) -> Result<()> {
+        tokio::select! {
+            () = stop => {}
+            ended = self.actors.join_next() => bail!("an actor ended: {ended:?}"),
+        }
+        self.phases.stop(self.draining, self.longest, &self.connections).await;
+        Ok(())
     }
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(config.listen).with_context(|| format!("listen: {}", config.listen))?;
-    let listener = socket.listen(BACKLOG).with_context(|| format!("listen: {}", config.listen))?;
-    tokio::spawn(module.run());
-    tokio::spawn(List::new(config.clone(), counters.clone(), door.clone(), followed).run());
-    phases.enter(Phase::Serving);
-    let connections = TaskTracker::new();
-    let front = Front {
-        clock,
-        config: config.clone(),
-        counters: counters.clone(),
-        door,
-        watch: phases.watch(),
-        connections: connections.clone(),
-        make_room: Arc::new(Notify::new()),
-    };
-    tokio::spawn(clients::accept(front, listener));
-    stop.await;
-    phases.stop(config.longest, &connections).await;
-    Ok(())
 }
 
 /// Returns when the platform says to stop.
--- /dev/null
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -0,0 +1,210 @@
+//! The clients' side: order, bad input, limits, slow readers.
+
+use crate::rig::World;
+use expect_test::expect;
+use serde_json::json;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+#[tokio::test]
+async fn answers_come_in_the_order_of_commands_while_others_go_on() {
+    let world = World::start(&[]).await;
+    let (mut client, mut other) = (world.client().await, world.client().await);
+    client.send(&["C.GET", "slow", "id-1", "c=read,d=3000"]).await;
+    world.cache.until("slow").await;
+    client.send(&["C.GET", "hit", "id-2", "c=read,d=3000"]).await;
+    client.send(&["PING"]).await;
+    world.cache.until("hit").await;
+    let mut replies = other.get("hit-other").await;
+    for _ in 0..3 {
+        replies += &client.reply().await;
+    }
+    world.check(
+        &replies,
+        expect![[r#"
+        hit-other: value of id-hit-other
+        value of id-1
+        value of id-2
+        +PONG
+        -- cache node
+        1: C.GET slow id-1 c=read,d=LEFT
+        2: C.GET hit id-2 c=read,d=LEFT
+        2: C.GET hit-other id-hit-other c=read,t=acme,d=LEFT,size=9,k=x
+        -- origin
+    "#]],
+    );
+}
+
+#[tokio::test]
+async fn bad_commands_get_a_plain_error_and_the_connection_goes_on() {
+    let world = World::start(&[]).await;
+    let mut client = world.client().await;
+    let mut replies = String::new();
+    for words in [
+        &["PING"][..],
+        &["PING", "text"],
+        &["HELLO", "3"],
+        &["CLIENT", "SETNAME", "x"],
+        &["SELECT", "0"],
+        &["GET", "key"],
+        &["C.GET", "key"],
+        &["C.SET", "key", "id", "c=read,d=9"],
+        &["C.GET", "key", "id", "c=nothing,d=9"],
+        &["C.GET", "key", "id", "t=acme,d=9"],
+        &["C.GET", "key", "id", "c=read,d=soon"],
+        &["C.GET", "key", "id", "c=read,d=-1"],
+        &["C.GET", "key", "id", "c=read,d"],
+        &["C.GET", "", "id", "c=read,d=9"],
+        &["C.GET", "key", "", "c=read"],
+        &["C.GET", "key", "a\r\nX-Bad: 1", "c=read,d=9"],
+        &["C.GET", "key", "id", "c=read,x=\r\n,d=9"],
+        &["C.GET", "hit", "id", "c=read,t=nobody,d=99999999999999999999"],
+        &["C.GET", "hit", "no-d", "c=read"],
+        &["C.GET", "hit", "large-d", "c=read,d=18446744073709551615"],
+    ] {
+        replies += &format!("{}: ", words.join(" ").escape_debug());
+        client.send(words).await;
+        replies += &client.reply().await;
+    }
+    replies +=
+        &format!("{}\n", world.counters.to_string().lines().find(|line| line.starts_with("bad")).unwrap());
+    world.check(
+        &replies,
+        expect![[r#"
+            PING: +PONG
+            PING text: text
+            HELLO 3: -ERR unknown command 'HELLO'
+            CLIENT SETNAME x: +OK
+            SELECT 0: +OK
+            GET key: -ERR unknown command 'GET'
+            C.GET key: -ERR wrong number of arguments for 'C.GET'
+            C.SET key id c=read,d=9: -ERR wrong number of arguments for 'C.SET'
+            C.GET key id c=nothing,d=9: -ERR label 'c': unknown or missing class
+            C.GET key id t=acme,d=9: -ERR label 'c': unknown or missing class
+            C.GET key id c=read,d=soon: -ERR label 'd': expected a number
+            C.GET key id c=read,d=-1: -ERR label 'd': expected a number
+            C.GET key id c=read,d: -ERR label 'd' without value
+            C.GET  id c=read,d=9: -ERR empty key or id, or control characters in id or labels
+            C.GET key  c=read: -ERR empty key or id, or control characters in id or labels
+            C.GET key a\r\nX-Bad: 1 c=read,d=9: -ERR empty key or id, or control characters in id or labels
+            C.GET key id c=read,x=\r\n,d=9: -ERR empty key or id, or control characters in id or labels
+            C.GET hit id c=read,t=nobody,d=99999999999999999999: -ERR label 'd': expected a number
+            C.GET hit no-d c=read: value of no-d
+            C.GET hit large-d c=read,d=18446744073709551615: value of large-d
+            bad_commands 14
+            -- cache node
+            1: C.GET hit no-d c=read,d=LEFT
+            1: C.GET hit large-d c=read,d=LEFT
+            -- origin
+        "#]],
+    );
+}
+
+#[tokio::test]
+async fn what_is_no_resp_is_told_and_closed_after_what_came_before() {
+    let world = World::start(&[]).await;
+    let ping = "*1\r\n$4\r\nPING\r\n";
+    let mut replies = String::new();
+    for bytes in [
+        "PING\r\n".to_string(),
+        format!("{ping}*1\r\n$-7\r\n"),
+        "*1\r\n$65537\r\n".into(),
+        "*99999\r\n".into(),
+        "*1\r\n$4\r\nPINGxx".into(),
+        "*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n".into(),
+        format!("*{}", "1".repeat(1100)),
+        "*1\r\n:5\r\n*-1\r\n$1\r\nx\r\n*0\r\n!".into(),
+        "\0\0\0".into(),
+    ] {
+        let mut stream = TcpStream::connect(world.address).await.unwrap();
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        let mut reply = String::new();
+        let _ = timeout(Duration::from_secs(5), stream.read_to_string(&mut reply)).await.expect("closed");
+        replies += &format!(
+            "{}: {}\n",
+            bytes.chars().take(40).collect::<String>().escape_debug(),
+            reply.escape_debug()
+        );
+    }
+    let alive = world.client().await.get("hit").await;
+    world.check(&(replies + &alive), expect![[r#"
+        PING\r\n: -ERR Protocol error: expected a RESP type\r\n
+        *1\r\n$4\r\nPING\r\n*1\r\n$-7\r\n: +PONG\r\n-ERR Protocol error: invalid bulk length\r\n
+        *1\r\n$65537\r\n: -ERR Protocol error: bulk string too long\r\n
+        *99999\r\n: -ERR Protocol error: array too long or too deep\r\n
+        *1\r\n$4\r\nPINGxx: -ERR Protocol error: bulk string without end\r\n
+        *1\r\n*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n: -ERR Protocol error: array too long or too deep\r\n
+        *111111111111111111111111111111111111111: -ERR Protocol error: line too long\r\n
+        *1\r\n:5\r\n*-1\r\n$1\r\nx\r\n*0\r\n!: -ERR expected a command of bulk strings\r\n-ERR expected a command\r\n-ERR expected a command\r\n-ERR empty command\r\n-ERR Protocol error: expected a RESP type\r\n
+        \0\0\0: -ERR Protocol error: expected a RESP type\r\n
+        hit: value of id-hit
+        -- cache node
+        1: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
+        -- origin
+    "#]]);
+}
+
+#[tokio::test]
+async fn past_the_cap_the_connection_that_is_idle_longest_makes_room() {
+    // 128 descriptors leave 32 for clients.
+    let world = World::start(&[("/limits/sockets", json!(128))]).await;
+    let mut clients = Vec::new();
+    for _ in 0..32 {
+        let mut client = world.client().await;
+        assert_eq!(client.ask(&["PING"]).await, "PING: +PONG\n");
+        clients.push(client);
+    }
+    clients[0].send(&["C.GET", "slow", "busy-one", "c=read,d=3000"]).await;
+    world.cache.until("slow").await;
+    let mut late = world.client().await;
+    let mut replies = late.get("hit").await;
+    replies += &clients[0].reply().await;
+    replies += &clients[1].reply().await;
+    replies += &clients[2].ask(&["PING"]).await;
+    world.check(
+        &replies,
+        expect![[r#"
+        hit: value of id-hit
+        value of busy-one
+        closed
+        PING: +PONG
+        -- cache node
+        1: C.GET slow busy-one c=read,d=LEFT
+        2: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
+        -- origin
+    "#]],
+    );
+}
+
+#[tokio::test]
+async fn a_slow_reader_holds_up_nobody() {
+    let world = World::start(&[]).await;
+    let mut slow = world.client().await;
+    for at in 0..500 {
+        let (key, patience) = (format!("large-{at}"), Duration::from_millis(200));
+        if timeout(patience, slow.send(&["C.GET", &key, "id", "c=read,d=3000"])).await.is_err() {
+            break;
+        }
+    }
+    let reply = world.client().await.get("hit").await;
+    expect![[r#"
+        hit: value of id-hit
+    "#]]
+    .assert_eq(&reply);
+}
+
+#[tokio::test]
+async fn the_largest_value_passes_both_ways() {
+    let world = World::start(&[]).await;
+    let mut client = world.client().await;
+    let value = "v".repeat(64 * 1024);
+    let mut replies = client.ask(&["C.SET", "key", "w", "c=put,d=3000", &value]).await;
+    replies += &client.get("large").await;
+    expect![[r#"
+        key: origin's w
+        large: 60000 bytes
+    "#]]
+    .assert_eq(&replies);
+}
--- /dev/null
+++ b/crates/proxy/tests/proxy/config.rs
@@ -0,0 +1,93 @@
+//! The configuration: defaults, and messages that name the key.
+
+use crate::rig::configuration;
+use expect_test::expect;
+use pumicebay::config;
+use serde_json::json;
+
+#[test]
+fn a_message_names_the_key_that_is_wrong() {
+    let mut trace = String::new();
+    for (place, value) in [
+        ("/listen", json!(null)),
+        ("/listen", json!("localhost")),
+        ("/discovery", json!(8500)),
+        ("/seed", json!("xyz")),
+        ("/limits/sockets", json!("many")),
+        ("/limits/sockets", json!(100)),
+        ("/limits/memory_mb", json!(1)),
+        ("/known", json!([])),
+        ("/known/targets", json!({})),
+        ("/settings", json!(null)),
+        ("/settings", json!(5)),
+        ("/settings/routes", json!([])),
+        ("/settings/routes", json!([{"name": "x", "latency-objective-us": 0}])),
+        ("/settings/routes", json!([{"latency-objective-us": 1, "overall-timeout-us": 1}])),
+        ("/settings/routes", json!([{"name": "x", "latency-objective-us": 1, "overall-timeout-us": 1}])),
+        ("/settings/fleet-size", json!(0)),
+        ("/settings/fleet-size", json!(-3)),
+        ("/settings/domain/origin-kind", json!(9)),
+        ("/settings/permissions/may-probe", json!("yes")),
+        ("/settings/permissions/conn-idle-us", json!(1.5)),
+        ("/settings/rules/start-capacity", json!(12)),
+        ("/settings/rules/cold-us", json!("24 s")),
+        ("/peers", json!(["127.0.0.1:1", "x"])),
+    ] {
+        let error = config::parse(&configuration(&[(place, value)])).expect_err(place);
+        trace += &format!("{error:#}\n");
+    }
+    expect![[r#"
+        listen: missing
+        listen: expected ADDRESS:PORT, found "localhost": invalid socket address syntax
+        discovery: expected a text, found 8500
+        seed: expected 64 bits in hex, found "xyz": invalid digit found in string
+        limits.sockets: expected a whole number, found "many"
+        limits.sockets: expected 128 or more, found 100
+        limits.memory_mb: expected 16 or more, found 1
+        known: expected an object, found []
+        known.targets: expected a list, found {}
+        settings: expected an object, found null
+        settings: expected an object, found 5
+        settings.routes: expected one or more
+        settings.routes[0].latency-objective-us: expected microseconds, found 0
+        settings.routes[0].name: expected a text
+        settings.routes[0].effect: expected repeatable, by_key or once, found ""
+        settings.fleet-size: expected 1 or more, found 0
+        settings.fleet-size: expected a whole number, found -3
+        settings.domain.origin-kind: no kind 9
+        settings.permissions.may-probe: expected true or false, found "yes"
+        settings.permissions.conn-idle-us: expected a whole number, found 1.5
+        settings.rules.start-capacity: expected a part between 0 and 1, found 12
+        settings.rules.cold-us: expected a whole number, found "24 s"
+        peers[1]: expected ADDRESS:PORT, found "x"
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn what_is_not_said_has_defaults() {
+    let mut json = configuration(&[]);
+    for key in ["name", "seed", "limits", "known"] {
+        json.as_object_mut().unwrap().remove(key);
+    }
+    json["settings"]["permissions"] = json!({});
+    json["settings"]["domain"] = json!({"origin-kind": -1});
+    let config = config::parse(&json).unwrap();
+    let trace = format!(
+        "{}\nseed {}, origin {:?}, idle {:?}, connect {:?}, longest {:?}, {} ahead\n",
+        config.summary(),
+        config.seed,
+        config.origin_kind,
+        config.idle,
+        config.connect,
+        config.longest,
+        config.ahead
+    );
+    expect![[r#"
+        pumicebay listens on 127.0.0.1:0, discovery at 127.0.0.1:9, 0 nodes known
+        at most 480 client connections and 480 to nodes
+        routes: read (retriable), put (non-retriable), quick (retriable)
+        seed 0, origin None, idle 15s, connect 200ms, longest 4s, 384 ahead
+    "#]]
+    .assert_eq(&trace);
+}
--- /dev/null
+++ b/crates/proxy/tests/proxy/list.rs
@@ -0,0 +1,112 @@
+//! Discovery, the identity of nodes, and the clock that its times are compared with.
+
+use crate::rig::{World, configuration, target};
+use expect_test::expect;
+use pumicebay::clock::Clock;
+use pumicebay::config;
+use pumicebay::list::entries;
+use serde_json::json;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+#[tokio::test]
+async fn the_watch_goes_on_from_what_was_known_and_survives_failures() {
+    let world = World::start(&[]).await;
+    let say = |text: String| world.tell.send(text);
+    say(json!({"rev": 42, "all": false, "targets": []}).to_string()).await.unwrap();
+    say("{not json".into()).await.unwrap();
+    say("close".into()).await.unwrap();
+    let leaving = target("s-cache", &world.cache_address.to_string(), "node", "leaving");
+    say(json!({"rev": 43, "all": false, "targets": [leaving, {"uid": 7}]}).to_string()).await.unwrap();
+    world.discovery.until("index=43").await;
+    // A node that leaves gets nothing new; the origin serves.
+    let reply = world.client().await.get("hit").await;
+    expect![[r#"
+        GET /registry/instances?index=41&wait=5000 HTTP/1.1
+        GET /registry/instances?index=42&wait=5000 HTTP/1.1
+        GET /registry/instances?index=42&wait=5000 HTTP/1.1
+        GET /registry/instances?index=42&wait=5000 HTTP/1.1
+        GET /registry/instances?index=43&wait=5000 HTTP/1.1
+        hit: origin's id-hit
+    "#]]
+    .assert_eq(&format!("{}{reply}{}", world.discovery.text(), world.cache.text()));
+}
+
+/// Where the list must be asked for, the decisions say when it is asked for again.
+#[tokio::test]
+async fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() {
+    let world = World::start(&[("/settings/discovery", json!("ask"))]).await;
+    for answer in ["close", "{}", r#"{"rev": 50, "all": false, "targets": []}"#] {
+        world.tell.send(answer.into()).await.unwrap();
+    }
+    world.discovery.until("index=50").await;
+    world.until_counted("list_failures 2").await;
+    world.until_counted("list_answers 1").await;
+}
+
+#[test]
+fn a_node_is_known_by_its_uid_whatever_its_endpoint_at_this_proxy() {
+    let config = config::parse(&configuration(&[])).unwrap();
+    let list = |endpoint| json!({"rev": 1, "all": true, "targets": [target("s-5be2a07c", endpoint, "node", "active")]});
+    let (here, there) = (list("127.8.1.1:6379"), list("127.9.1.1:6379"));
+    let identity = |list| entries(list, &config).unwrap().2[0].listed.identity;
+    assert_eq!(identity(&here), identity(&there));
+}
+
+#[test]
+fn entries_that_cannot_be_read_are_left_out() {
+    let config = config::parse(&configuration(&[])).unwrap();
+    let mut booted = target("s-2", "127.0.0.1:2", "node", "left");
+    booted["boot_ms"] = json!(1_700_000_000_123_u64);
+    booted["az"] = json!("elsewhere");
+    let list = json!({"rev": 9, "all": true, "targets": [
+        target("s-1", "127.0.0.1:1", "origin", "leaving"), booted,
+        target("s-3", "nowhere", "node", "active"), target("s-4", "127.0.0.1:4", "node", "odd"), {}, 7
+    ]});
+    let (version, whole, named) = entries(&list, &config).unwrap();
+    let mut trace = format!("{version} {whole}\n");
+    for named in named {
+        let listed = named.listed;
+        trace += &format!(
+            "{} {} {:?} zone {} cell {} started {} origin {}\n",
+            named.uid,
+            named.address,
+            listed.standing,
+            listed.zone,
+            listed.cell,
+            listed.started,
+            listed.origin
+        );
+    }
+    for broken in [json!({}), json!({"rev": "x", "all": true, "targets": []}), json!({"rev": 1, "all": true})]
+    {
+        trace += &format!("{:#}\n", entries(&broken, &config).unwrap_err());
+    }
+    expect![[r#"
+        9 true
+        s-1 127.0.0.1:1 Draining zone 0 cell 3 started 0 origin true
+        s-2 127.0.0.1:2 Gone zone 2 cell 3 started 1700000000123000000 origin false
+        rev: expected a number
+        rev: expected a number
+        targets: expected a list
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_clock_compares_with_unix_time_and_never_steps_back() {
+    let unix = || SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
+    let before = unix();
+    let clock = Clock::start();
+    let (after, start, now) = (unix(), Instant::now(), clock.now());
+    assert!((before..=after).contains(&now), "{before} {now} {after}");
+    tokio::time::advance(Duration::from_millis(1500)).await;
+    assert_eq!(clock.now() - now, 1_500_000_000);
+    assert_eq!(clock.at(start), now);
+    assert_eq!(
+        clock.at(start - Duration::from_secs(1)),
+        now,
+        "what was before its start counts as its start"
+    );
+    assert_eq!(clock.instant(now + 7), start + Duration::from_nanos(7));
+}
--- /dev/null
+++ b/crates/proxy/tests/proxy/main.rs
@@ -0,0 +1,9 @@
+mod cli;
+mod clients;
+mod config;
+mod list;
+mod nodes;
+mod peers;
+mod phases;
+mod rig;
+mod wire;
--- /dev/null
+++ b/crates/proxy/tests/proxy/nodes.rs
@@ -0,0 +1,213 @@
+//! Tries: what goes out, what each end means, and what becomes of connections.
+
+use crate::rig::World;
+use expect_test::expect;
+use serde_json::json;
+use std::time::Duration;
+use tokio::time::sleep;
+
+#[tokio::test]
+async fn each_end_of_a_try_is_told_apart_and_answered_once() {
+    let world = World::start(&[]).await;
+    let mut client = world.client().await;
+    let mut replies = String::new();
+    for key in [
+        "hit",
+        "miss",
+        "miss-error",
+        "miss-away",
+        "miss-maybe",
+        "miss-mute",
+        "fail",
+        "busy",
+        "garbage",
+        "odd",
+        "cut",
+    ] {
+        replies += &client.get(key).await;
+    }
+    replies += &client.ask(&["C.SET", "hit/é", "w1", "c=put,t=acme,d=3000,size=5", "bytes"]).await;
+    replies += &client.ask(&["C.SET", "x-error", "w2", "c=put,d=3000", "bytes"]).await;
+    replies += &client.ask(&["C.SET", "x-away", "w3", "c=put,d=3000", "bytes"]).await;
+    let counted = world.counters.to_string();
+    let tries: Vec<&str> =
+        counted.lines().filter(|line| line.starts_with("tries") && !line.ends_with(" 0")).collect();
+    replies += &format!("{}\n", tries.join(", "));
+    world.check(
+        &replies,
+        expect![[r#"
+        hit: value of id-hit
+        miss: origin's id-miss
+        miss-error: -BUSY 250
+        miss-away: -BUSY 250
+        miss-maybe: -BUSY 250
+        miss-mute: -BUSY 250
+        fail: origin's id-fail
+        busy: origin's id-busy
+        garbage: origin's id-garbage
+        odd: origin's id-odd
+        cut: origin's id-cut
+        hit/é: origin's w1
+        x-error: -ERR failed
+        x-away: -BUSY 250
+        tries_sent 30, tries_completed 8, tries_missed 5, tries_errored 10, tries_saturated 3, tries_severed 4
+        -- cache node
+        1: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET miss id-miss c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET miss-error id-miss-error c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET miss-away id-miss-away c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET miss-maybe id-miss-maybe c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET miss-mute id-miss-mute c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET fail id-fail c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET busy id-busy c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET garbage id-garbage c=read,t=acme,d=LEFT,size=9,k=x
+        1: closed
+        2: C.GET odd id-odd c=read,t=acme,d=LEFT,size=9,k=x
+        2: closed
+        3: C.GET cut id-cut c=read,t=acme,d=LEFT,size=9,k=x
+        3: closed
+        -- origin
+        1: GET /miss id-miss c=read,t=acme,d=3000,size=9,k=x
+        1: GET /miss-error id-miss-error c=read,t=acme,d=3000,size=9,k=x
+        1: GET /miss-error id-miss-error c=read,t=acme,d=3000,size=9,k=x
+        1: GET /miss-error id-miss-error c=read,t=acme,d=3000,size=9,k=x
+        1: GET /miss-away id-miss-away c=read,t=acme,d=3000,size=9,k=x
+        1: GET /miss-maybe id-miss-maybe c=read,t=acme,d=3000,size=9,k=x
+        1: GET /miss-maybe id-miss-maybe c=read,t=acme,d=3000,size=9,k=x
+        1: GET /miss-maybe id-miss-maybe c=read,t=acme,d=3000,size=9,k=x
+        1: GET /miss-mute id-miss-mute c=read,t=acme,d=3000,size=9,k=x
+        2: GET /miss-mute id-miss-mute c=read,t=acme,d=3000,size=9,k=x
+        3: GET /miss-mute id-miss-mute c=read,t=acme,d=3000,size=9,k=x
+        4: GET /fail id-fail c=read,t=acme,d=3000,size=9,k=x
+        4: GET /busy id-busy c=read,t=acme,d=3000,size=9,k=x
+        4: GET /garbage id-garbage c=read,t=acme,d=3000,size=9,k=x
+        4: GET /odd id-odd c=read,t=acme,d=3000,size=9,k=x
+        4: GET /cut id-cut c=read,t=acme,d=3000,size=9,k=x
+        4: PUT /hit%2F%C3%A9 w1 c=put,t=acme,d=3000,size=5 bytes
+        4: PUT /x-error w2 c=put,d=3000 bytes
+        4: PUT /x-away w3 c=put,d=3000 bytes
+    "#]],
+    );
+}
+
+/// Answers come in order, so a try that is given up takes its connection with it, and no other try.
+#[tokio::test]
+async fn giving_up_a_try_closes_its_connection_alone() {
+    let world = World::start(&[]).await;
+    let (mut one, mut other) = (world.client().await, world.client().await);
+    one.send(&["C.GET", "hang", "id-1", "c=quick,d=150"]).await;
+    world.cache.until("hang").await;
+    other.send(&["C.GET", "slow", "id-2", "c=read,d=3000"]).await;
+    let mut replies = one.reply().await;
+    world.cache.until("1: closed").await;
+    replies += &other.reply().await;
+    replies += &other.get("hit").await;
+    world.check(
+        &replies,
+        expect![[r#"
+            -BUSY 13
+            value of id-2
+            hit: value of id-hit
+            -- cache node
+            1: C.GET hang id-1 c=quick,d=LEFT
+            1: closed
+            2: C.GET slow id-2 c=read,d=LEFT
+            2: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
+            -- origin
+        "#]],
+    );
+}
+
+#[tokio::test]
+async fn idle_connections_are_used_again_and_dropped_before_their_time() {
+    let world = World::start(&[("/settings/permissions/conn-idle-us", json!(3_000_000))]).await;
+    let mut client = world.client().await;
+    let mut replies = client.get("hit-1").await + &client.get("hit-2").await;
+    world.cache.until("1: closed").await;
+    replies += &client.get("hit-3").await;
+    world.check(
+        &replies,
+        expect![[r#"
+        hit-1: value of id-hit-1
+        hit-2: value of id-hit-2
+        hit-3: value of id-hit-3
+        -- cache node
+        1: C.GET hit-1 id-hit-1 c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET hit-2 id-hit-2 c=read,t=acme,d=LEFT,size=9,k=x
+        1: closed
+        2: C.GET hit-3 id-hit-3 c=read,t=acme,d=LEFT,size=9,k=x
+        -- origin
+    "#]],
+    );
+}
+
+#[tokio::test]
+async fn a_node_that_is_not_there_never_ran_a_try() {
+    let world = World::start(&[]).await;
+    let dead = {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        listener.local_addr().unwrap().to_string()
+    };
+    let moved = crate::rig::target("s-cache", &dead, "node", "active");
+    world.tell.send(json!({"rev": 42, "all": false, "targets": [moved]}).to_string()).await.unwrap();
+    world.discovery.until("index=42").await;
+    let reply = world.client().await.get("miss").await;
+    world.until_counted("tries_unreachable 1").await;
+    world.check(
+        &reply,
+        expect![[r#"
+        miss: origin's id-miss
+        -- cache node
+        -- origin
+        1: GET /miss id-miss c=read,t=acme,d=3000,size=9,k=x
+    "#]],
+    );
+}
+
+#[tokio::test]
+async fn without_a_connection_to_spare_a_try_is_not_sent() {
+    let world = World::start_with(&[], |config| config.upstream = 1).await;
+    let (mut one, mut other) = (world.client().await, world.client().await);
+    one.send(&["C.GET", "hang", "id-1", "c=read,d=1000"]).await;
+    world.cache.until("hang").await;
+    let mut replies = other.get("hit").await + &one.reply().await;
+    world.cache.until("1: closed").await;
+    replies += &other.get("hit").await;
+    world.until_counted("tries_unsent 1").await;
+    world.check(
+        &replies,
+        expect![[r#"
+        hit: -BUSY 250
+        -BUSY 250
+        hit: value of id-hit
+        -- cache node
+        1: C.GET hang id-1 c=read,d=LEFT
+        1: closed
+        2: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
+        -- origin
+    "#]],
+    );
+}
+
+#[tokio::test]
+async fn a_client_that_left_costs_nobody_a_connection() {
+    let world = World::start(&[]).await;
+    let mut leaver = world.client().await;
+    leaver.send(&["C.GET", "slow", "id-1", "c=read,d=3000"]).await;
+    world.cache.until("slow").await;
+    drop(leaver);
+    world.until_counted("exchanges_dropped 1").await;
+    world.until_counted("tries_completed 1").await;
+    sleep(Duration::from_millis(20)).await;
+    let reply = world.client().await.get("hit").await;
+    world.check(
+        &reply,
+        expect![[r#"
+        hit: value of id-hit
+        -- cache node
+        1: C.GET slow id-1 c=read,d=LEFT
+        1: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
+        -- origin
+    "#]],
+    );
+}
--- /dev/null
+++ b/crates/proxy/tests/proxy/wire.rs
@@ -0,0 +1,268 @@
+//! The codecs, byte by byte as they may come.
+
+use bytes::BytesMut;
+use expect_test::expect;
+use pumicebay::http::{self, Http, Request};
+use pumicebay::module::Cargo;
+use pumicebay::node::{answered, command, probed, replied, request};
+use pumicebay::resp::{Frame, Resp};
+use std::fmt::Debug;
+use std::time::Duration;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// What a codec makes of these bytes: the same whether they come at once or one by one.
+fn decode<D: Decoder<Error = std::io::Error>>(new: impl Fn() -> D, bytes: &[u8]) -> String
+where
+    D::Item: Debug,
+{
+    let run = |size: usize| {
+        let (mut codec, mut buffer, mut trace) = (new(), BytesMut::new(), String::new());
+        let mut take = |codec: &mut D, buffer: &mut BytesMut, end: bool| loop {
+            match if end { codec.decode_eof(buffer) } else { codec.decode(buffer) } {
+                Ok(Some(item)) => trace += &format!("  {item:?}\n"),
+                Ok(None) => return true,
+                Err(error) => {
+                    trace += &format!("  error: {error}\n");
+                    return false;
+                }
+            }
+        };
+        let fine = bytes.chunks(size).all(|some| {
+            buffer.extend_from_slice(some);
+            take(&mut codec, &mut buffer, false)
+        });
+        if fine {
+            take(&mut codec, &mut buffer, true);
+        }
+        trace
+    };
+    let whole = run(bytes.len().max(1));
+    assert_eq!(whole, run(1), "{:?}", String::from_utf8_lossy(bytes));
+    format!("{}\n{whole}", String::from_utf8_lossy(bytes).escape_debug())
+}
+
+#[test]
+fn resp_frames_come_whole_in_any_pieces() {
+    let mut trace = String::new();
+    for bytes in [
+        "+OK\r\n-BUSY 12\r\n:-7\r\n$-1\r\n*-1\r\n",
+        "*3\r\n$3\r\na\r\n\r\n$0\r\n\r\n$-1\r\n*0\r\n",
+        "$3\r\nab",
+        "$3\r\nabcd\r\n",
+        "$x\r\n",
+        "$+1\r\na\r\n",
+        "*-2\r\n",
+        ":\r\n",
+        "+no CR\n",
+        "*2\r\n+a\r\n?",
+    ] {
+        trace += &decode(|| Resp, bytes.as_bytes());
+    }
+    expect![[r#"
+        +OK\r\n-BUSY 12\r\n:-7\r\n$-1\r\n*-1\r\n
+          Simple(b"OK")
+          Error(b"BUSY 12")
+          Integer(-7)
+          Null
+          Null
+        *3\r\n$3\r\na\r\n\r\n$0\r\n\r\n$-1\r\n*0\r\n
+          Array([Bulk(b"a\r\n"), Bulk(b""), Null])
+          Array([])
+        $3\r\nab
+          error: bytes remaining on stream
+        $3\r\nabcd\r\n
+          error: bulk string without end
+        $x\r\n
+          error: expected a number
+        $+1\r\na\r\n
+          error: expected a number
+        *-2\r\n
+          error: invalid array length
+        :\r\n
+          error: expected a number
+        +no CR\n
+          error: line without CR
+        *2\r\n+a\r\n?
+          error: expected a RESP type
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn a_line_break_in_a_text_begins_no_other_reply() {
+    let mut buffer = BytesMut::new();
+    Resp.encode(&Frame::error("ERR a\r\n+OK"), &mut buffer).unwrap();
+    assert_eq!(&buffer[..], b"-ERR a\r\n");
+}
+
+#[test]
+fn http_answers_come_whole_in_any_pieces() {
+    let mut trace = String::new();
+    for bytes in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Pressure: a=1\r\n\r\nhiHTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n1;x=y\r\n!\r\n0\r\nT: 1\r\n\r\n",
+        "HTTP/1.1 204 None\r\nConnection: close\r\n\r\n",
+        "HTTP/1.0 200 OK\r\n\r\nto the end",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi",
+        "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        "HELLO\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n",
+    ] {
+        trace += &decode(Http::default, bytes.as_bytes());
+    }
+    expect![[r#"
+        HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Pressure: a=1\r\n\r\nhiHTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n
+          Response { status: 200, headers: [("content-length", b"2"), ("x-pressure", b"a=1")], body: b"hi", last: false }
+          Response { status: 503, headers: [("x-turned-away", b"1"), ("content-length", b"0")], body: b"", last: false }
+        HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n1;x=y\r\n!\r\n0\r\nT: 1\r\n\r\n
+          Response { status: 200, headers: [("transfer-encoding", b"chunked")], body: b"hi!", last: false }
+        HTTP/1.1 204 None\r\nConnection: close\r\n\r\n
+          Response { status: 204, headers: [("connection", b"close")], body: b"", last: true }
+        HTTP/1.0 200 OK\r\n\r\nto the end
+          Response { status: 200, headers: [], body: b"to the end", last: true }
+        HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi
+          error: unexpected end of file
+        HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n
+          error: invalid Content-Length
+        HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n
+          error: body too long
+        HELLO\r\n\r\n
+          error: malformed answer
+        HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n
+          error: malformed chunk
+    "#]].assert_eq(&trace);
+}
+
+#[test]
+fn a_try_goes_on_as_it_came_but_for_how_long_we_wait() {
+    let cargo = |write| Cargo {
+        write,
+        key: "k/1 é".into(),
+        id: "9b1f".into(),
+        labels: "c=read,d=480,dd=480,t=acme,k=7,x=d=480".into(),
+        value: "VALUE".into(),
+    };
+    let mut buffer = BytesMut::new();
+    for left in [Duration::from_micros(123_999), Duration::ZERO] {
+        Resp.encode(&command(&cargo(false), left), &mut buffer).unwrap();
+    }
+    Resp.encode(&command(&cargo(true), Duration::from_millis(9)), &mut buffer).unwrap();
+    Http::default().encode(request(&cargo(false)), &mut buffer).unwrap();
+    Http::default().encode(request(&cargo(true)), &mut buffer).unwrap();
+    Http::default().encode(Request::get(http::path(b"a-b._~%?#")), &mut buffer).unwrap();
+    expect![[r#"
+        *4
+        $5
+        C.GET
+        $6
+        k/1 é
+        $4
+        9b1f
+        $38
+        c=read,d=123,dd=480,t=acme,k=7,x=d=480
+        *4
+        $5
+        C.GET
+        $6
+        k/1 é
+        $4
+        9b1f
+        $36
+        c=read,d=1,dd=480,t=acme,k=7,x=d=480
+        *5
+        $5
+        C.SET
+        $6
+        k/1 é
+        $4
+        9b1f
+        $36
+        c=read,d=9,dd=480,t=acme,k=7,x=d=480
+        $5
+        VALUE
+        GET /k%2F1%20%C3%A9 HTTP/1.1
+        Host: pumicebay
+        X-Txn: 9b1f
+        X-Labels: c=read,d=480,dd=480,t=acme,k=7,x=d=480
+
+        PUT /k%2F1%20%C3%A9 HTTP/1.1
+        Host: pumicebay
+        X-Txn: 9b1f
+        X-Labels: c=read,d=480,dd=480,t=acme,k=7,x=d=480
+        Content-Length: 5
+
+        VALUEGET /a-b._~%25%3F%23 HTTP/1.1
+        Host: pumicebay
+
+    "#]]
+    .assert_eq(&String::from_utf8_lossy(&buffer).replace('\r', ""));
+}
+
+#[test]
+fn outcomes_follow_the_table() {
+    let bulk = |text: &str| Frame::Bulk(text.to_string().into());
+    let mut trace = String::new();
+    for frame in [
+        Frame::Array(vec![bulk("v"), bulk("hit"), bulk("util=0.5,inflight=3")]),
+        Frame::Array(vec![Frame::Null, Frame::Null, Frame::Null]),
+        Frame::Array(vec![bulk(""), Frame::Null, bulk("inflight=many")]),
+        Frame::error("ERR failed"),
+        Frame::error("BUSY"),
+        Frame::error("SYNTAX"),
+        Frame::Array(vec![]),
+        Frame::Null,
+    ] {
+        let end = |back: anyhow::Result<pumicebay::module::Back>| match back {
+            Ok(back) => format!("{:?} {:?} {:?}", back.outcome, back.value, back.in_flight),
+            Err(error) => format!("garbage: {error}"),
+        };
+        trace += &format!(
+            "{frame:?}\n  try: {}\n  probe: {}\n",
+            end(replied(frame.clone())),
+            end(probed(frame.clone()))
+        );
+    }
+    for (status, header) in
+        [(200, ""), (500, ""), (503, "1"), (504, "1"), (503, ""), (504, "0"), (404, ""), (500, "1")]
+    {
+        let headers = vec![("x-turned-away".to_string(), header.to_string().into())];
+        let response = http::Response { status, headers, ..Default::default() };
+        trace += &format!("{status} {header}: {:?}\n", answered(response).outcome);
+    }
+    expect![[r#"
+        Array([Bulk(b"v"), Bulk(b"hit"), Bulk(b"util=0.5,inflight=3")])
+          try: Completed b"v" Some(3.0)
+          probe: garbage: unexpected reply Array([Bulk(b"v"), Bulk(b"hit"), Bulk(b"util=0.5,inflight=3")])
+        Array([Null, Null, Null])
+          try: Missed b"" None
+          probe: garbage: unexpected reply Array([Null, Null, Null])
+        Array([Bulk(b""), Null, Bulk(b"inflight=many")])
+          try: Completed b"" None
+          probe: garbage: unexpected reply Array([Bulk(b""), Null, Bulk(b"inflight=many")])
+        Error(b"ERR failed")
+          try: Errored b"" None
+          probe: Errored b"" None
+        Error(b"BUSY")
+          try: Saturated b"" None
+          probe: Errored b"" None
+        Error(b"SYNTAX")
+          try: Errored b"" None
+          probe: Errored b"" None
+        Array([])
+          try: garbage: unexpected value None
+          probe: garbage: unexpected reply Array([])
+        Null
+          try: garbage: unexpected reply Null
+          probe: garbage: unexpected reply Null
+        200 : Completed
+        500 : Errored
+        503 1: Saturated
+        504 1: Saturated
+        503 : Errored
+        504 0: Errored
+        404 : Errored
+        500 1: Errored
+    "#]]
+    .assert_eq(&trace);
+}
