--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -35,7 +35,7 @@
     pub door: Door,
     pub watch: Watch,
     pub connections: TaskTracker,
-    /// Asks the connection that has been idle longest to close.
+    /// Asks the connection that has been without an exchange longest to close, also amid a command.
     pub make_room: Arc<Notify>,
     /// Commands that connections may take beyond their first: bounds the answers that slow readers leave here.
     pub ahead: Arc<Semaphore>,
@@ -107,12 +107,12 @@
 
     /// Ends with the connection: the client closed it, broke it, or is asked to take another.
     async fn serve(&mut self) -> std::io::Result<()> {
-        let mut closing = self.front.watch.clone();
+        let (mut closing, mut close_at) = (self.front.watch.clone(), Phase::Closing);
         let make_room = self.front.make_room.clone();
         loop {
-            let idle = self.pending.is_empty() && self.framed.read_buffer().is_empty();
+            let idle = self.pending.is_empty();
             let ahead = self.front.ahead.clone().try_acquire_owned().ok();
-            let room = self.pending.is_empty() || self.pending.len() < PIPELINE && ahead.is_some();
+            let room = idle || self.pending.len() < PIPELINE && ahead.is_some();
             tokio::select! {
                 biased;
                 reply = next(&mut self.pending), if !self.pending.is_empty() => {
@@ -129,7 +129,13 @@
                     Some(Err(error)) => return self.refuse(error).await,
                     None => return Ok(()),
                 },
-                () = closing.reached(Phase::Closing), if idle => return Ok(()),
+                () = closing.reached(close_at), if idle => {
+                    // What has come in part may still come whole.
+                    if close_at == Phase::Leaving || self.framed.read_buffer().is_empty() {
+                        return Ok(());
+                    }
+                    close_at = Phase::Leaving;
+                }
                 () = make_room.notified(), if idle => {
                     self.front.counters.clients_closed_for_room.add();
                     return Ok(());
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -140,7 +140,8 @@
     upstream: Upstream,
     peers: Option<Peers>,
     follow: mpsc::Sender<()>,
-    nodes: Vec<mpsc::Sender<Errand>>,
+    /// Where each node is, and the mailbox of its actor.
+    nodes: Vec<(SocketAddr, node::Mailbox)>,
     uids: HashMap<String, Node>,
     marks: HashMap<u64, Node>,
     /// The same, from index to mark.
@@ -313,10 +314,10 @@
         self.open.get_mut(&xchg)?.answer.take()
     }
 
-    /// The index of a node, new ones in the order they come; each has an actor, told of a new address.
+    /// The index of a node, new ones in the order they come; each has an actor.
     fn node(&mut self, named: &Named) -> Node {
         if let Some(&node) = self.uids.get(&named.uid) {
-            let _ = self.nodes[node].try_send(Errand::Moved(named.address));
+            self.nodes[node].0 = named.address;
             return node;
         }
         let node = self.nodes.len();
@@ -324,10 +325,16 @@
         self.uids.insert(named.uid.clone(), node);
         self.marks.insert(mark(&named.uid), node);
         self.marked.push(mark(&named.uid));
-        self.nodes.push(node::start(&self.upstream, node, named.address, named.listed.origin));
+        self.nodes.push((named.address, node::start(&self.upstream, node, named.listed.origin)));
         node
     }
 
+    /// Whether the node's actor took it: a full mailbox does not.
+    fn post(&self, node: Node, errand: Errand) -> bool {
+        let (address, mailbox) = &self.nodes[node];
+        mailbox.try_send((*address, errand)).is_ok()
+    }
+
     fn tell(&self, kind: &str, node: Node, figure: u64) {
         if let Some(peers) = &self.peers {
             peers.tell(&self.counters, &format!("{kind} {:x} {figure:x}", self.marked[node]));
@@ -342,7 +349,7 @@
         let try_no = open.tries;
         open.tries += 1;
         let errand = Errand::Try { xchg, try_no, cargo: open.cargo.clone(), until };
-        if self.leaving || self.nodes[node].try_send(errand).is_err() {
+        if self.leaving || !self.post(node, errand) {
             self.unsent.push((xchg, try_no));
         } else {
             self.counters.tries_sent.add();
@@ -372,7 +379,7 @@
     }
 
     fn probe(&mut self, node: Node) {
-        if self.nodes[node].try_send(Errand::Probe).is_ok() {
+        if self.post(node, Errand::Probe) {
             self.counters.probes_sent.add();
         } else {
             self.unprobed.push(node);
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -42,16 +42,18 @@
     pub free: Arc<Semaphore>,
 }
 
+/// What the module asks of a node; the node's address, which may change, comes with it.
 pub enum Errand {
     Try { xchg: Xchg, try_no: usize, cargo: Arc<Cargo>, until: Instant },
     Probe,
-    Moved(SocketAddr),
 }
 
+pub type Mailbox = mpsc::Sender<(SocketAddr, Errand)>;
+
 /// Starts the actor of a node; its mailbox is all that is left to know.
-pub fn start(upstream: &Upstream, node: Node, address: SocketAddr, origin: bool) -> mpsc::Sender<Errand> {
+pub fn start(upstream: &Upstream, node: Node, origin: bool) -> Mailbox {
     let (mailbox, errands) = mpsc::channel(MAILBOX);
-    let actor = Actor { upstream: upstream.clone(), node, address, origin, idle: VecDeque::new() };
+    let actor = Actor { upstream: upstream.clone(), node, origin, idle: VecDeque::new() };
     tokio::spawn(actor.run(errands));
     mailbox
 }
@@ -59,7 +61,6 @@
 struct Actor {
     upstream: Upstream,
     node: Node,
-    address: SocketAddr,
     origin: bool,
     idle: VecDeque<(Instant, Connection)>,
 }
@@ -85,19 +86,19 @@
 }
 
 impl Actor {
-    async fn run(mut self, mut errands: mpsc::Receiver<Errand>) {
+    async fn run(mut self, mut errands: mpsc::Receiver<(SocketAddr, Errand)>) {
         let mut out = FuturesUnordered::new();
         let mut sweep = interval(SWEEP);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 errand = errands.recv() => match errand {
-                    Some(Errand::Try { xchg, try_no, cargo, until }) => {
-                        let task = Task::Try { xchg, try_no, cargo, until };
-                        out.push(self.begin(task));
+                    Some((address, Errand::Try { xchg, try_no, cargo, until })) => {
+                        out.push(self.begin(address, Task::Try { xchg, try_no, cargo, until }));
+                    }
+                    Some((address, Errand::Probe)) => {
+                        out.push(self.begin(address, Task::Probe(Instant::now() + PROBE)));
                     }
-                    Some(Errand::Probe) => out.push(self.begin(Task::Probe(Instant::now() + PROBE))),
-                    Some(Errand::Moved(address)) => self.address = address,
                     None => return,
                 },
                 Some(done) = out.next() => self.done(done).await,
@@ -116,20 +117,20 @@
         }
     }
 
-    /// Drops what stood idle for too long, what the node closed, and what leads to where it was.
+    /// Drops what stood idle for too long and what the node closed.
     fn sweep(&mut self) {
         let idle = self.upstream.config.idle;
-        let (most, address) = (idle - idle / MARGIN, self.address);
-        self.idle.retain(|(since, connection)| {
-            since.elapsed() < most && connection.address == address && connection.alive()
-        });
+        let most = idle - idle / MARGIN;
+        self.idle.retain(|(since, connection)| since.elapsed() < most && connection.alive());
     }
 
-    /// The connection that stood idle longest, so that each is used before its time is up.
-    fn begin(&mut self, task: Task) -> impl Future<Output = Done> + use<> {
+    /// Takes the connection that stood idle longest, so that each is used before its time is up. None of
+    /// those that lead to where the node was before.
+    fn begin(&mut self, address: SocketAddr, task: Task) -> impl Future<Output = Done> + use<> {
         self.sweep();
+        self.idle.retain(|(_, connection)| connection.address == address);
         let connection = self.idle.pop_front().map(|(_, connection)| connection);
-        let (upstream, address, origin, node) = (self.upstream.clone(), self.address, self.origin, self.node);
+        let (upstream, origin, node) = (self.upstream.clone(), self.origin, self.node);
         async move {
             let mut leaving = upstream.watch.clone();
             let (back, connection) = tokio::select! {
--- a/crates/proxy/tests/proxy/cli.rs
+++ b/crates/proxy/tests/proxy/cli.rs
@@ -1,6 +1,6 @@
 //! The program as a person or the platform starts it.
 
-use crate::rig::configuration;
+use crate::configuration;
 use expect_test::expect;
 use serde_json::json;
 use std::io::{BufRead, BufReader, Read};
--- a/crates/proxy/tests/proxy/clients.rs
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -1,6 +1,6 @@
 //! The clients' side: order, bad input, limits, slow readers.
 
-use crate::rig::World;
+use crate::World;
 use expect_test::expect;
 use serde_json::json;
 use std::time::Duration;
@@ -178,6 +178,22 @@
     );
 }
 
+/// Clients that stop amid a command hold no place that others need.
+#[tokio::test]
+async fn half_a_command_holds_no_place() {
+    let world = World::start(&[("/limits/sockets", json!(128))]).await;
+    let mut halves = Vec::new();
+    for _ in 0..32 {
+        let mut half = world.client().await;
+        half.0.get_mut().write_all(b"*4\r\n$5\r\nC.G").await.unwrap();
+        halves.push(half);
+    }
+    world.until_counted("clients_accepted 32").await;
+    let reply = world.client().await.get("hit").await;
+    assert_eq!(reply, "hit: value of id-hit\n");
+    world.until_counted("clients_closed_for_room 1").await;
+}
+
 #[tokio::test]
 async fn a_slow_reader_holds_up_nobody() {
     let world = World::start(&[]).await;
--- a/crates/proxy/tests/proxy/config.rs
+++ b/crates/proxy/tests/proxy/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: defaults, and messages that name the key.
 
-use crate::rig::configuration;
+use crate::configuration;
 use expect_test::expect;
 use pumicebay::config;
 use serde_json::json;
--- a/crates/proxy/tests/proxy/list.rs
+++ b/crates/proxy/tests/proxy/list.rs
@@ -1,6 +1,6 @@
 //! Discovery, the identity of nodes, and the clock that its times are compared with.
 
-use crate::rig::{World, configuration, target};
+use crate::{World, configuration, target};
 use expect_test::expect;
 use pumicebay::clock::Clock;
 use pumicebay::config;
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -1,3 +1,6 @@
+//! A proxy on loopback with stand-ins for one cache node, the origin and discovery. What the stand-ins do
+//! with an exchange its key tells; what they see they write down.
+
 mod cli;
 mod clients;
 mod config;
@@ -5,5 +8,307 @@
 mod nodes;
 mod peers;
 mod phases;
-mod rig;
 mod wire;
+
+use expect_test::Expect;
+use futures_util::{SinkExt, StreamExt};
+use pumicebay::config::{Config, parse};
+use pumicebay::counters::Counters;
+use pumicebay::phases::{Phase, Watch};
+use pumicebay::resp::{Frame, Resp};
+use pumicebay::serve::Proxy;
+use serde_json::{Value as Json, json};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio_util::codec::Framed;
+
+#[derive(Clone, Default)]
+pub struct Trace(Arc<Mutex<String>>);
+
+impl Trace {
+    pub fn line(&self, line: &str) {
+        *self.0.lock().unwrap() += &format!("{line}\n");
+    }
+
+    pub fn text(&self) -> String {
+        self.0.lock().unwrap().clone()
+    }
+
+    /// Waits until something was seen; says so if that never happens.
+    pub async fn until(&self, seen: &str) {
+        for _ in 0..2000 {
+            if self.text().contains(seen) {
+                return;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        panic!("never seen: {seen}\n{}", self.text());
+    }
+}
+
+/// A configuration with one deployment's figures; `set` changes it by JSON pointers.
+pub fn configuration(set: &[(&str, Json)]) -> Json {
+    let route = |name, effect, objective: u64| {
+        json!({"name": name, "effect": effect, "latency-objective-us": objective * 1000, "payoff": 1.0,
+               "overall-timeout-us": objective * 2000, "dedup-scope": "all", "window-us": 5_000_000})
+    };
+    let mut json = json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"rev": 41, "all": true, "targets": []},
+        "settings": {
+            "discovery": "push", "domain": {"mode": "aside", "origin-kind": 1}, "fleet-size": 1, "me": 0,
+            "skus": ["node", "origin"], "failure-domains": ["a", "b"],
+            "orgs": [{"name": "acme", "quota-per-s": 1e6}],
+            "permissions": {"may-probe": true, "peers": false, "retry-after": true, "most-upstream-tries": 4,
+                            "conn-idle-us": 15_000_000, "connect-timeout-us": 200_000},
+            "routes": [route("read", "repeatable", 2000), route("put", "once", 2000),
+                       route("quick", "repeatable", 100)],
+            "rules": {"cold-us": 24_000_000, "fall-us": 1_000_000, "start-capacity": 0.12},
+            "telemetry": {"columns": [], "via": "silent"}
+        }
+    });
+    for (place, value) in set {
+        let (parent, key) = place.rsplit_once('/').expect("a pointer");
+        let parent = json.pointer_mut(parent).expect("a known place");
+        parent.as_object_mut().expect("an object").insert(key.into(), value.clone());
+    }
+    json
+}
+
+pub fn target(uid: &str, endpoint: &str, model: &str, state: &str) -> Json {
+    json!({"uid": uid, "endpoint": endpoint, "az": "a", "model": model, "pod_group": 3, "state": state,
+           "capacity_hint": 1.0, "boot_ms": 0})
+}
+
+pub struct World {
+    pub address: SocketAddr,
+    pub watch: Watch,
+    pub cache: Trace,
+    pub origin: Trace,
+    pub discovery: Trace,
+    pub counters: Arc<Counters>,
+    pub cache_address: SocketAddr,
+    /// Answers for discovery's next calls; a call without one waits.
+    pub tell: mpsc::Sender<String>,
+    pub stop: Option<oneshot::Sender<()>>,
+    pub running: JoinHandle<()>,
+}
+
+impl World {
+    pub async fn start(set: &[(&str, Json)]) -> World {
+        World::start_with(set, |_| {}).await
+    }
+
+    pub async fn start_with(set: &[(&str, Json)], change: impl FnOnce(&mut Config)) -> World {
+        let (cache, origin, discovery) = (Trace::default(), Trace::default(), Trace::default());
+        let cache_address = listen(cache.clone(), cache_node).await;
+        let origin_address = listen(origin.clone(), origin_server).await;
+        let (tell, told) = mpsc::channel(8);
+        let told = Arc::new(tokio::sync::Mutex::new(told));
+        let agent = move |stream, trace, _| agent(stream, trace, told.clone());
+        let discovery_address = listen(discovery.clone(), agent).await;
+        let targets = json!([
+            target("s-cache", &cache_address.to_string(), "node", "active"),
+            target("s-origin", &origin_address.to_string(), "origin", "active"),
+        ]);
+        let mut json = configuration(set);
+        json["known"]["targets"] = targets;
+        json["discovery"] = json!(discovery_address.to_string());
+        let mut config = parse(&json).expect("a sound configuration");
+        change(&mut config);
+        let counters = Arc::new(Counters::default());
+        let proxy = Proxy::start(config, counters.clone()).await.expect("a proxy");
+        let (address, watch) = (proxy.address, proxy.watch());
+        let (stop, stopped) = oneshot::channel();
+        let running = tokio::spawn(async move {
+            let stop = async { stopped.await.unwrap_or(()) };
+            proxy.run(stop).await.expect("a proxy that stops by itself");
+        });
+        let stop = Some(stop);
+        World { address, watch, cache, origin, discovery, counters, cache_address, tell, stop, running }
+    }
+
+    pub async fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).await.expect("a connection");
+        Client(Framed::new(stream, Resp))
+    }
+
+    pub async fn until_counted(&self, line: &str) {
+        for _ in 0..2000 {
+            if self.counters.to_string().lines().any(|counted| counted == line) {
+                return;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        panic!("never counted: {line}\n{}", self.counters);
+    }
+
+    pub async fn stop(&mut self) {
+        self.stop.take().expect("stopped once").send(()).expect("a running proxy");
+        self.watch.reached(Phase::Draining).await;
+    }
+
+    pub fn check(&self, replies: &str, expect: Expect) {
+        // By connection: what several do at the same time has no order.
+        let sorted = |trace: &Trace| {
+            let text = trace.text();
+            let mut lines: Vec<&str> = text.lines().collect();
+            lines.sort_by_key(|line| line.split(':').next().and_then(|number| number.parse::<usize>().ok()));
+            lines.iter().map(|line| format!("{line}\n")).collect::<String>()
+        };
+        let (cache, origin) = (sorted(&self.cache), sorted(&self.origin));
+        expect.assert_eq(&format!("{replies}-- cache node\n{cache}-- origin\n{origin}"));
+    }
+}
+
+pub struct Client(pub Framed<TcpStream, Resp>);
+
+impl Client {
+    pub async fn send(&mut self, words: &[&str]) {
+        let words = words.iter().map(|word| Frame::Bulk(word.as_bytes().to_vec().into())).collect();
+        self.0.send(&Frame::Array(words)).await.expect("a command sent");
+    }
+
+    /// The next reply as a line.
+    pub async fn reply(&mut self) -> String {
+        match self.0.next().await {
+            Some(Ok(Frame::Bulk(bytes))) if bytes.len() > 100 => format!("{} bytes\n", bytes.len()),
+            Some(Ok(Frame::Bulk(bytes))) => format!("{}\n", String::from_utf8_lossy(&bytes)),
+            Some(Ok(Frame::Simple(text))) => format!("+{}\n", String::from_utf8_lossy(&text)),
+            Some(Ok(Frame::Error(text))) => format!("-{}\n", String::from_utf8_lossy(&text)),
+            Some(Ok(other)) => format!("{other:?}\n"),
+            Some(Err(error)) => format!("broken: {:?}\n", error.kind()),
+            None => "closed\n".into(),
+        }
+    }
+
+    pub async fn ask(&mut self, words: &[&str]) -> String {
+        self.send(words).await;
+        format!("{}: {}", words.get(1).unwrap_or(&words[0]), self.reply().await)
+    }
+
+    /// Reads a key whose name tells the stand-ins what to do.
+    pub async fn get(&mut self, key: &str) -> String {
+        self.ask(&["C.GET", key, &format!("id-{key}"), "c=read,t=acme,d=3000,size=9,k=x"]).await
+    }
+}
+
+/// Accepts on a free port; each connection has a number.
+async fn listen<F>(trace: Trace, serve: impl Fn(TcpStream, Trace, usize) -> F + Send + 'static) -> SocketAddr
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        for number in 1.. {
+            let Ok((stream, _)) = listener.accept().await else { return };
+            tokio::spawn(serve(stream, trace.clone(), number));
+        }
+    });
+    address
+}
+
+/// `d` varies with the time that has passed: all that is told is whether it is within what the client sent.
+fn labels(labels: &str) -> String {
+    let one = |label: &str| match label.strip_prefix("d=").map(str::parse::<u64>) {
+        Some(Ok(1..=4000)) => "d=LEFT".into(),
+        _ => label.to_string(),
+    };
+    labels.split(',').map(one).collect::<Vec<_>>().join(",")
+}
+
+async fn cache_node(stream: TcpStream, trace: Trace, number: usize) {
+    let mut framed = Framed::new(stream, Resp);
+    while let Some(Ok(Frame::Array(words))) = framed.next().await {
+        let word = |at: usize| match words.get(at) {
+            Some(Frame::Bulk(word)) => String::from_utf8_lossy(word).into_owned(),
+            _ => String::new(),
+        };
+        let key = word(1);
+        let line = format!("{number}: {} {key} {} {}", word(0), word(2), labels(&word(3)));
+        trace.line(line.trim_end());
+        let array = |first| Frame::Array(vec![first, Frame::Null, Frame::Null]);
+        let reply = match key.split('-').next().unwrap_or_default() {
+            "hit" => array(Frame::Bulk(format!("value of {}", word(2)).into())),
+            "slow" => {
+                sleep(Duration::from_millis(800)).await;
+                array(Frame::Bulk(format!("value of {}", word(2)).into()))
+            }
+            "large" => array(Frame::Bulk(vec![b'x'; 60_000].into())),
+            "fail" => Frame::error("ERR failed"),
+            "busy" => Frame::error("BUSY"),
+            "garbage" => {
+                let _ = framed.get_mut().write_all(b"what?\r\n").await;
+                continue;
+            }
+            "odd" => Frame::Integer(7),
+            "cut" => break,
+            "hang" => continue,
+            "" => Frame::simple("PONG"),
+            _ => array(Frame::Null),
+        };
+        if framed.send(&reply).await.is_err() {
+            break;
+        }
+    }
+    trace.line(&format!("{number}: closed"));
+}
+
+async fn origin_server(mut stream: TcpStream, trace: Trace, number: usize) {
+    let mut buffer = Vec::new();
+    loop {
+        let mut some = [0; 4096];
+        match stream.read(&mut some).await {
+            Ok(length) if length > 0 => buffer.extend_from_slice(&some[..length]),
+            _ => break,
+        }
+        let text = String::from_utf8_lossy(&buffer).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name)).unwrap_or_default();
+        if body.len() < field("Content-Length: ").parse().unwrap_or(0) {
+            continue;
+        }
+        let first = head.lines().next().unwrap_or_default().trim_end_matches(" HTTP/1.1");
+        let line = format!("{number}: {first} {} {} {body}", field("X-Txn: "), field("X-Labels: "));
+        trace.line(line.trim_end());
+        let key = first.split('/').nth(1).unwrap_or_default();
+        let (status, header) = match key.split('-').nth(1).unwrap_or_default() {
+            "error" => ("500 No", ""),
+            "away" => ("503 No", "X-Turned-Away: 1\r\n"),
+            "maybe" => ("503 No", ""),
+            "mute" => return,
+            _ => ("200 OK", "X-Pressure: inflight=3,util=0.5\r\n"),
+        };
+        let value = format!("origin's {}", field("X-Txn: "));
+        let answer = format!("HTTP/1.1 {status}\r\n{header}Content-Length: {}\r\n\r\n{value}", value.len());
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            break;
+        }
+        buffer.clear();
+    }
+    trace.line(&format!("{number}: closed"));
+}
+
+async fn agent(mut stream: TcpStream, trace: Trace, told: Arc<tokio::sync::Mutex<mpsc::Receiver<String>>>) {
+    let mut some = [0; 4096];
+    while let Ok(length @ 1..) = stream.read(&mut some).await {
+        let text = String::from_utf8_lossy(&some[..length]);
+        trace.line(text.lines().next().unwrap_or_default());
+        let Some(answer) = told.lock().await.recv().await else { return };
+        if answer == "close" {
+            return;
+        }
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
+        if stream.write_all(format!("{head}{answer}").as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/proxy/tests/proxy/nodes.rs
+++ b/crates/proxy/tests/proxy/nodes.rs
@@ -1,6 +1,6 @@
 //! Tries: what goes out, what each end means, and what becomes of connections.
 
-use crate::rig::World;
+use crate::World;
 use expect_test::expect;
 use serde_json::json;
 use std::time::Duration;
@@ -148,7 +148,7 @@
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         listener.local_addr().unwrap().to_string()
     };
-    let moved = crate::rig::target("s-cache", &dead, "node", "active");
+    let moved = crate::target("s-cache", &dead, "node", "active");
     world.tell.send(json!({"rev": 42, "all": false, "targets": [moved]}).to_string()).await.unwrap();
     world.discovery.until("index=42").await;
     let reply = world.client().await.get("miss").await;
--- a/crates/proxy/tests/proxy/peers.rs
+++ b/crates/proxy/tests/proxy/peers.rs
@@ -1,6 +1,6 @@
 //! News between proxies.
 
-use crate::rig::World;
+use crate::World;
 use expect_test::expect;
 use pumicebay_names::mark;
 use serde_json::json;
--- a/crates/proxy/tests/proxy/phases.rs
+++ b/crates/proxy/tests/proxy/phases.rs
@@ -1,10 +1,11 @@
 //! From the signal to stop until the exit.
 
-use crate::rig::World;
+use crate::World;
 use expect_test::expect;
 use pumicebay::phases::{Phase, Phases};
 use serde_json::json;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep};
 use tokio_util::task::TaskTracker;
 
@@ -45,10 +46,19 @@
         world.cache.until(key).await;
     }
     world.stop().await;
-    let replies = client.reply().await + &client.reply().await + &client.reply().await;
+    let mut half = world.client().await;
+    half.0.get_mut().write_all(b"*4\r\n$5\r\nC.GET\r\n$3\r\nhit\r\n$2\r\nid\r\n").await.unwrap();
+    world.watch.reached(Phase::Closing).await;
+    half.0.get_mut().write_all(b"$6\r\nc=read\r\n").await.unwrap();
+    let mut replies = half.reply().await + &half.reply().await;
+    for _ in 0..3 {
+        replies += &client.reply().await;
+    }
     world.until_counted("tries_withdrawn 2").await;
     world.running.await.expect("an orderly end");
     expect![[r#"
+        value of id
+        closed
         -BUSY 250
         -BUSY 250
         closed
