Nothing is sent once the proxy leaves: the module looks at the phase itself

Seen: a test of the exit counted three withdrawn tries instead of two in one run of several. Cause: nodes' actors and the module learn of the phase separately; an outcome that reached the module first made the decisions try again, and module.rs still sent that.

--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -5,7 +5,7 @@
 use crate::counters::Counters;
 use crate::node::{self, Errand, Upstream};
 use crate::peers::Peers;
-use crate::phases::{Phase, Watch};
+use crate::phases::Phase;
 use bytes::Bytes;
 use hashbrown::HashMap;
 use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Xchg};
@@ -130,7 +130,6 @@
 pub struct Module {
     balance: Balance<Acts>,
     mailbox: Mailbox,
-    watch: Watch,
 }
 
 /// Carries out what the decisions ask for.
@@ -151,8 +150,6 @@
     /// Tries that could not be sent, and probes, to be reported once the decisions have returned.
     unsent: Vec<(Xchg, usize)>,
     unprobed: Vec<Node>,
-    /// Nothing is sent any more.
-    leaving: bool,
 }
 
 struct Open {
@@ -168,7 +165,6 @@
         peers: Option<Peers>,
         follow: mpsc::Sender<()>,
         mailbox: Mailbox,
-        watch: Watch,
     ) -> Module {
         let Upstream { clock, config, counters, .. } = upstream.clone();
         let acts = Acts {
@@ -185,21 +181,18 @@
             timers: BinaryHeap::new(),
             unsent: Vec::new(),
             unprobed: Vec::new(),
-            leaving: false,
         };
         let balance = Balance::new(acts, config.settings.clone(), config.seed, clock.now());
-        Module { balance, mailbox, watch }
+        Module { balance, mailbox }
     }
 
     pub async fn run(mut self) {
-        let mut leaving = self.watch.clone();
         loop {
             let acts = &self.balance.host;
             let now = acts.clock.now();
             let due = acts.timers.peek().map_or(now + FAR, |Reverse((at, _))| *at);
             let wake = acts.clock.instant(due);
             tokio::select! {
-                () = leaving.reached(Phase::Leaving), if !acts.leaving => self.balance.host.leaving = true,
                 event = self.mailbox.0.recv() => match event {
                     Some(event) => self.handle(event),
                     None => return,
@@ -349,7 +342,8 @@
         let try_no = open.tries;
         open.tries += 1;
         let errand = Errand::Try { xchg, try_no, cargo: open.cargo.clone(), until };
-        if self.leaving || !self.post(node, errand) {
+        // Once the proxy leaves, nothing is sent any more.
+        if self.upstream.watch.now() >= Phase::Leaving || !self.post(node, errand) {
             self.unsent.push((xchg, try_no));
         } else {
             self.counters.tries_sent.add();
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -49,7 +49,7 @@
             free: Arc::new(Semaphore::new(config.upstream)),
         };
         let peers = peers::start(&config, &counters, &door).await?;
-        let mut module = Module::new(upstream, peers, follow, mailbox, phases.watch());
+        let mut module = Module::new(upstream, peers, follow, mailbox);
         match list::entries(&config.known, &config) {
             Ok((_, whole, named)) => module.listed(whole, named),
             Err(error) => tracing::warn!("known: no list to start from: {error:#}"),
