--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
+use tracing_appender::non_blocking::NonBlockingBuilder;
 
 const HELP: &str = "\
 pumicebay: spreads keys over cache nodes in front of a slow origin
@@ -26,6 +27,7 @@
 FILE is by default what $PROXY_CONFIG names; $PROXY_NAME, $PROXY_LISTEN and $PROXY_DISCOVERY
 go before what it says. ADDRESS is by default where that configuration listens.";
 
+const LOG_LINES: usize = 4096;
 const ANSWERS: Duration = Duration::from_secs(2);
 
 pub fn main() -> Result<()> {
@@ -85,7 +87,11 @@
 }
 
 fn run(config: Config) -> Result<()> {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    // Lines that nobody reads are lost after a while, rather than wait for.
+    let lossy = NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES);
+    let (log, _flush) = lossy.finish(std::io::stderr());
+    let log = tracing_subscriber::fmt().with_writer(log).log_internal_errors(false);
+    log.with_ansi(false).with_target(false).init();
     let counters = Arc::new(Counters::default());
     let runtime = runtime()?;
     let served = runtime.block_on(async {
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -13,6 +13,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::{sleep, timeout};
@@ -23,6 +24,9 @@
 const PIPELINE: usize = 32;
 /// How long a client may take to read what it asked for.
 const READING: Duration = Duration::from_secs(10);
+/// What is still read from a client that was refused, and for how long.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_BYTES: u64 = 1 << 20;
 /// The pause after a connection could not be accepted, for want of descriptors.
 const NO_ROOM: Duration = Duration::from_millis(20);
 const MILLIS: u64 = 1_000_000;
@@ -157,6 +161,10 @@
             self.pending.pop_front();
             timeout(READING, self.framed.send(&reply)).await??;
         }
+        // Closing before all is read would reset the connection, and the client might lose the reply.
+        let stream = self.framed.get_mut();
+        stream.shutdown().await?;
+        let _ = timeout(LINGER, copy(&mut stream.take(LINGER_BYTES), &mut sink())).await;
         Ok(())
     }
 
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -16,8 +16,9 @@
 const FEWEST_MEMORY_MB: u64 = 16;
 /// How long new connections are accepted after the signal to stop: a front hears of it a little later.
 const DRAINING: Duration = Duration::from_millis(500);
-/// Half the memory is for clients' connections: each may hold a command, an answer and what it reads.
-const CLIENT_BYTES: usize = 3 * LONGEST_BULK;
+/// Half the memory is for clients' connections, a quarter for those to nodes: what each may hold at worst.
+const CLIENT_BYTES: usize = 4 * LONGEST_BULK;
+const NODE_BYTES: usize = 2 * LONGEST_BULK;
 /// Descriptors for all that is not a connection: the runtime, the listener, discovery, logs.
 const RESERVED: usize = 64;
 const FEWEST_SOCKETS: u64 = 2 * RESERVED as u64;
@@ -107,7 +108,7 @@
         discovery: address(json, "discovery")?,
         seed: seed(json)?,
         clients,
-        upstream: sockets / 2,
+        upstream: (sockets / 2).min(memory / 4 / NODE_BYTES),
         ahead: memory / 8 / LONGEST_BULK,
         peers: peers(json)?,
         peer_listen: if json.get("peer_listen").is_some() { address(json, "peer_listen")? } else { listen },
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -6,8 +6,6 @@
 
 const LONGEST_HEAD: usize = 16 * 1024;
 const MOST_HEADERS: usize = 64;
-/// A list of many thousand nodes.
-const LONGEST_BODY: usize = 16 * 1024 * 1024;
 
 pub struct Request<'a> {
     pub method: &'static str,
@@ -38,12 +36,20 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Http {
+    /// The longest body that is read.
+    longest: usize,
     /// The answer whose body is still coming.
     head: Option<(Response, Body)>,
 }
 
+impl Http {
+    pub fn new(longest: usize) -> Http {
+        Http { longest, head: None }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Body {
     Length(usize),
@@ -75,16 +81,16 @@
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Response>, Error> {
         if self.head.is_none() {
-            self.head = head(buffer)?;
+            self.head = head(buffer, self.longest)?;
         }
         let Some((_, body)) = &self.head else { return Ok(None) };
         let body = match body {
             Body::Length(length) if buffer.len() >= *length => buffer.split_to(*length).freeze(),
-            Body::Chunks => match chunks(buffer)? {
+            Body::Chunks => match chunks(buffer, self.longest)? {
                 Some(body) => body,
                 None => return Ok(None),
             },
-            Body::UntilEnd if buffer.len() > LONGEST_BODY => return Err(bad("body too long")),
+            Body::UntilEnd if buffer.len() > self.longest => return Err(bad("body too long")),
             _ => return Ok(None),
         };
         Ok(self.head.take().map(|(response, _)| Response { body, ..response }))
@@ -102,7 +108,7 @@
     }
 }
 
-fn head(buffer: &mut BytesMut) -> Result<Option<(Response, Body)>, Error> {
+fn head(buffer: &mut BytesMut, longest: usize) -> Result<Option<(Response, Body)>, Error> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     let length = match parsed.parse(buffer).map_err(|_| bad("malformed answer"))? {
@@ -111,15 +117,20 @@
         httparse::Status::Partial => return Ok(None),
     };
     let mut response = Response { status: parsed.code.unwrap_or(0), ..Response::default() };
+    if matches!(response.status, 100..200) {
+        // Not yet the answer.
+        let _ = buffer.split_to(length);
+        return head(buffer, longest);
+    }
     response.last = parsed.version == Some(0);
-    let empty = matches!(response.status, 100..200 | 204 | 304);
+    let empty = matches!(response.status, 204 | 304);
     let mut body = if empty { Body::Length(0) } else { Body::UntilEnd };
-    for header in parsed.headers.iter().filter(|_| length > 0) {
+    for header in parsed.headers.iter() {
         let (name, text) = (header.name.to_ascii_lowercase(), String::from_utf8_lossy(header.value));
         match name.as_str() {
             "content-length" if !empty => {
                 let length = text.trim().parse().map_err(|_| bad("invalid Content-Length"))?;
-                if length > LONGEST_BODY {
+                if length > longest {
                     return Err(bad("body too long"));
                 }
                 if !matches!(body, Body::Chunks) {
@@ -138,13 +149,13 @@
 }
 
 /// Takes a body in chunks off the buffer once it is whole.
-fn chunks(buffer: &mut BytesMut) -> Result<Option<Bytes>, Error> {
+fn chunks(buffer: &mut BytesMut, longest: usize) -> Result<Option<Bytes>, Error> {
     let (mut at, mut body) = (0, BytesMut::new());
     loop {
         let size = httparse::parse_chunk_size(&buffer[at..]).map_err(|_| bad("malformed chunk"))?;
         let httparse::Status::Complete((head, size)) = size else { return Ok(None) };
         let size = usize::try_from(size).unwrap_or(usize::MAX);
-        if size > LONGEST_BODY || at + size > LONGEST_BODY {
+        if size > longest || body.len() + size > longest {
             return Err(bad("body too long"));
         }
         at += head;
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -22,6 +22,8 @@
 const SILENT: Duration = Duration::from_millis(1500);
 /// The pause before a call after one that failed.
 const AGAIN: Duration = Duration::from_millis(100);
+/// A list of many thousand nodes.
+const LONGEST: usize = 16 * 1024 * 1024;
 const MICROS: u64 = 1000;
 
 pub struct List {
@@ -89,7 +91,7 @@
             None => {
                 let stream = TcpStream::connect(self.config.discovery).await.context("not reached")?;
                 stream.set_nodelay(true)?;
-                Framed::new(stream, Http::default())
+                Framed::new(stream, Http::new(LONGEST))
             }
         };
         connection.send(Request::get(path)).await?;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -7,7 +7,7 @@
 use crate::http::{self, Http, Request, Response};
 use crate::module::{Back, Cargo, Door};
 use crate::phases::{Phase, Watch};
-use crate::resp::{Frame, Resp};
+use crate::resp::{Frame, LONGEST_BULK, Resp};
 use anyhow::{Context, Result, bail};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
@@ -199,7 +199,7 @@
     upstream.counters.connections_opened.add();
     let _ = stream.set_nodelay(true);
     let wire = match origin {
-        true => Wire::Origin(Framed::new(stream, Http::default())),
+        true => Wire::Origin(Framed::new(stream, Http::new(LONGEST_BULK))),
         false => Wire::Cache(Framed::new(stream, Resp)),
     };
     Ok(Connection { wire, address, _permit: permit })
--- a/crates/proxy/src/resp.rs
+++ b/crates/proxy/src/resp.rs
@@ -6,6 +6,8 @@
 
 /// The longest bulk string that is read, and the longest line and array.
 pub const LONGEST_BULK: usize = 64 * 1024;
+/// A frame that is not whole by then is no command or reply of ours: guards the memory.
+const LONGEST_FRAME: usize = LONGEST_BULK + 16 * 1024;
 const LONGEST_LINE: usize = 1024;
 const LONGEST_ARRAY: usize = 64;
 const DEEPEST: usize = 4;
@@ -43,7 +45,9 @@
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
         let mut at = 0;
-        let Some(shape) = measure(buffer, &mut at, DEEPEST)? else { return Ok(None) };
+        let Some(shape) = measure(buffer, &mut at, DEEPEST)? else {
+            return if buffer.len() > LONGEST_FRAME { Err(bad("frame too long")) } else { Ok(None) };
+        };
         Ok(Some(cut(&buffer.split_to(at).freeze(), shape)))
     }
 }
--- a/crates/proxy/tests/proxy/clients.rs
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -117,6 +117,7 @@
         format!("*{}", "1".repeat(1100)),
         "*1\r\n:5\r\n*-1\r\n$1\r\nx\r\n*0\r\n!".into(),
         "\0\0\0".into(),
+        format!("*2\r\n$65536\r\n{0}\r\n$65536\r\n{0}\r\n", "x".repeat(65536)),
     ] {
         let mut stream = TcpStream::connect(world.address).await.unwrap();
         stream.write_all(bytes.as_bytes()).await.unwrap();
@@ -139,6 +140,7 @@
         *111111111111111111111111111111111111111: -ERR Protocol error: line too long\r\n
         *1\r\n:5\r\n*-1\r\n$1\r\nx\r\n*0\r\n!: -ERR expected a command of bulk strings\r\n-ERR expected a command\r\n-ERR expected a command\r\n-ERR empty command\r\n-ERR Protocol error: expected a RESP type\r\n
         \0\0\0: -ERR Protocol error: expected a RESP type\r\n
+        *2\r\n$65536\r\nxxxxxxxxxxxxxxxxxxxxxxxxxxxx: -ERR Protocol error: frame too long\r\n
         hit: value of id-hit
         -- cache node
         1: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
--- a/crates/proxy/tests/proxy/wire.rs
+++ b/crates/proxy/tests/proxy/wire.rs
@@ -101,15 +101,15 @@
     for bytes in [
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Pressure: a=1\r\n\r\nhiHTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n1;x=y\r\n!\r\n0\r\nT: 1\r\n\r\n",
-        "HTTP/1.1 204 None\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\nConnection: close\r\n\r\n",
         "HTTP/1.0 200 OK\r\n\r\nto the end",
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi",
         "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n",
         "HELLO\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n",
     ] {
-        trace += &decode(Http::default, bytes.as_bytes());
+        trace += &decode(|| Http::new(1000), bytes.as_bytes());
     }
     expect![[r#"
         HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Pressure: a=1\r\n\r\nhiHTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n
@@ -117,7 +117,7 @@
           Response { status: 503, headers: [("x-turned-away", b"1"), ("content-length", b"0")], body: b"", last: false }
         HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n1;x=y\r\n!\r\n0\r\nT: 1\r\n\r\n
           Response { status: 200, headers: [("transfer-encoding", b"chunked")], body: b"hi!", last: false }
-        HTTP/1.1 204 None\r\nConnection: close\r\n\r\n
+        HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\nConnection: close\r\n\r\n
           Response { status: 204, headers: [("connection", b"close")], body: b"", last: true }
         HTTP/1.0 200 OK\r\n\r\nto the end
           Response { status: 200, headers: [], body: b"to the end", last: true }
@@ -125,7 +125,7 @@
           error: unexpected end of file
         HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n
           error: invalid Content-Length
-        HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n
+        HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n
           error: body too long
         HELLO\r\n\r\n
           error: malformed answer
@@ -148,9 +148,9 @@
         Resp.encode(&command(&cargo(false), left), &mut buffer).unwrap();
     }
     Resp.encode(&command(&cargo(true), Duration::from_millis(9)), &mut buffer).unwrap();
-    Http::default().encode(request(&cargo(false)), &mut buffer).unwrap();
-    Http::default().encode(request(&cargo(true)), &mut buffer).unwrap();
-    Http::default().encode(Request::get(http::path(b"a-b._~%?#")), &mut buffer).unwrap();
+    Http::new(0).encode(request(&cargo(false)), &mut buffer).unwrap();
+    Http::new(0).encode(request(&cargo(true)), &mut buffer).unwrap();
+    Http::new(0).encode(Request::get(http::path(b"a-b._~%?#")), &mut buffer).unwrap();
     expect![[r#"
         *4
         $5
