Idle connections no longer use up the bound on commands sent ahead

Seen on reading clients.rs: each connection that waited for a command held a permit of the shared bound, so with as many idle connections as permits nobody could send ahead, and a client that left with an exchange pending went unnoticed. A permit is now taken only with a command that is ahead. Errands of nodes lose their twin type.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -115,8 +115,7 @@
         let make_room = self.front.make_room.clone();
         loop {
             let idle = self.pending.is_empty();
-            let ahead = self.front.ahead.clone().try_acquire_owned().ok();
-            let room = idle || self.pending.len() < PIPELINE && ahead.is_some();
+            let room = idle || self.pending.len() < PIPELINE && self.front.ahead.available_permits() > 0;
             tokio::select! {
                 biased;
                 reply = next(&mut self.pending), if !self.pending.is_empty() => {
@@ -127,7 +126,8 @@
                 frame = self.framed.next(), if room => match frame {
                     Some(Ok(frame)) => {
                         let reply = self.command(frame).await;
-                        let _ahead = ahead.filter(|_| !self.pending.is_empty());
+                        let ahead = || self.front.ahead.clone().try_acquire_owned().ok();
+                        let _ahead = if self.pending.is_empty() { None } else { ahead() };
                         self.pending.push_back(Pending { reply, _ahead });
                     }
                     Some(Err(error)) => return self.refuse(error).await,
@@ -186,21 +186,17 @@
     }
 }
 
-/// The reply that is due next. Losing the race to something else loses nothing.
+/// The reply that is due next; who gets it takes it off. Losing the race to something else loses nothing.
 async fn next(pending: &mut VecDeque<Pending>) -> Frame {
     match pending.front_mut().map(|pending| &mut pending.reply) {
         Some(Reply::Ready(reply)) => reply.clone(),
-        Some(Reply::Waiting(_, answered)) => {
-            let reply = match answered.await {
-                Ok(Answer::Completed(value)) => Frame::Bulk(value),
-                Ok(Answer::Shed(0)) => Frame::error("BUSY"),
-                Ok(Answer::Shed(pause)) => Frame::error(format!("BUSY {}", pause.div_ceil(MILLIS))),
-                Ok(Answer::Errored) => Frame::error("ERR failed"),
-                Err(_) => Frame::error("ERR no answer"),
-            };
-            pending[0].reply = Reply::Ready(reply.clone());
-            reply
-        }
+        Some(Reply::Waiting(_, answered)) => match answered.await {
+            Ok(Answer::Completed(value)) => Frame::Bulk(value),
+            Ok(Answer::Shed(0)) => Frame::error("BUSY"),
+            Ok(Answer::Shed(pause)) => Frame::error(format!("BUSY {}", pause.div_ceil(MILLIS))),
+            Ok(Answer::Errored) => Frame::error("ERR failed"),
+            Err(_) => Frame::error("ERR no answer"),
+        },
         None => std::future::pending().await,
     }
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::sleep_until;
+use tokio::time::{Instant, sleep_until};
 
 const MAILBOX: usize = 4096;
 /// As long as it takes to notice that no timer is set.
@@ -373,7 +373,7 @@
     }
 
     fn probe(&mut self, node: Node) {
-        if self.post(node, Errand::Probe) {
+        if self.post(node, Errand::Probe { until: Instant::now() + node::PROBE }) {
             self.counters.probes_sent.add();
         } else {
             self.unprobed.push(node);
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -28,7 +28,7 @@
 /// A connection is used until this part of the nodes' idle limit is left.
 const MARGIN: u32 = 10;
 /// How long a probe may take in all.
-const PROBE: Duration = Duration::from_millis(250);
+pub const PROBE: Duration = Duration::from_millis(250);
 
 /// What all nodes' actors share.
 #[derive(Clone)]
@@ -45,7 +45,7 @@
 /// What the module asks of a node; the node's address, which may change, comes with it.
 pub enum Errand {
     Try { xchg: Xchg, try_no: usize, cargo: Arc<Cargo>, until: Instant },
-    Probe,
+    Probe { until: Instant },
 }
 
 pub type Mailbox = mpsc::Sender<(SocketAddr, Errand)>;
@@ -77,13 +77,7 @@
 }
 
 /// What a try or probe came to, and its connection if that can carry another.
-type Done = (Task, Back, Option<Connection>);
-
-#[derive(Clone)]
-enum Task {
-    Try { xchg: Xchg, try_no: usize, cargo: Arc<Cargo>, until: Instant },
-    Probe(Instant),
-}
+type Done = (Errand, Back, Option<Connection>);
 
 impl Actor {
     async fn run(mut self, mut errands: mpsc::Receiver<(SocketAddr, Errand)>) {
@@ -93,12 +87,7 @@
         loop {
             tokio::select! {
                 errand = errands.recv() => match errand {
-                    Some((address, Errand::Try { xchg, try_no, cargo, until })) => {
-                        out.push(self.begin(address, Task::Try { xchg, try_no, cargo, until }));
-                    }
-                    Some((address, Errand::Probe)) => {
-                        out.push(self.begin(address, Task::Probe(Instant::now() + PROBE)));
-                    }
+                    Some((address, errand)) => out.push(self.begin(address, errand)),
                     None => return,
                 },
                 Some(done) = out.next() => self.done(done).await,
@@ -107,13 +96,13 @@
         }
     }
 
-    async fn done(&mut self, (task, back, connection): Done) {
+    async fn done(&mut self, (errand, back, connection): Done) {
         if let Some(connection) = connection {
             self.idle.push_back((Instant::now(), connection));
         }
-        match task {
-            Task::Try { xchg, try_no, .. } => self.upstream.door.ended(xchg, try_no, self.node, back).await,
-            Task::Probe(_) => self.upstream.door.probed(self.node, back).await,
+        match errand {
+            Errand::Try { xchg, try_no, .. } => self.upstream.door.ended(xchg, try_no, self.node, back).await,
+            Errand::Probe { .. } => self.upstream.door.probed(self.node, back).await,
         }
     }
 
@@ -126,7 +115,7 @@
 
     /// Takes the connection that stood idle longest, so that each is used before its time is up. None of
     /// those that lead to where the node was before.
-    fn begin(&mut self, address: SocketAddr, task: Task) -> impl Future<Output = Done> + use<> {
+    fn begin(&mut self, address: SocketAddr, errand: Errand) -> impl Future<Output = Done> + use<> {
         self.sweep();
         self.idle.retain(|(_, connection)| connection.address == address);
         let connection = self.idle.pop_front().map(|(_, connection)| connection);
@@ -134,13 +123,13 @@
         async move {
             let mut leaving = upstream.watch.clone();
             let (back, connection) = tokio::select! {
-                done = carry(&upstream, &task, connection, address, origin) => done,
+                done = carry(&upstream, &errand, connection, address, origin) => done,
                 () = leaving.reached(Phase::Leaving) => (Outcome::Withdrawn.into(), None),
             };
             if matches!(back.outcome, Outcome::Unsent) {
                 tracing::warn!("node {node}: no connection to spare");
             }
-            (task, back, connection)
+            (errand, back, connection)
         }
     }
 }
@@ -148,12 +137,12 @@
 /// Carries out one try or probe, over an idle connection or a new one.
 async fn carry(
     upstream: &Upstream,
-    task: &Task,
+    errand: &Errand,
     idle: Option<Connection>,
     address: SocketAddr,
     origin: bool,
 ) -> (Back, Option<Connection>) {
-    let (Task::Try { until, .. } | Task::Probe(until)) = task;
+    let (Errand::Try { until, .. } | Errand::Probe { until }) = errand;
     let begun = timeout_at(*until, async {
         let mut connection = match idle {
             Some(connection) => {
@@ -163,7 +152,7 @@
             None => connect(upstream, address, origin).await?,
         };
         // Until the last byte is written nothing can have run.
-        let written = connection.write(upstream, task).await;
+        let written = connection.write(upstream, errand).await;
         written.map(|()| connection).map_err(|_| Outcome::Unreachable)
     });
     let mut connection = match begun.await {
@@ -171,7 +160,7 @@
         Ok(Err(outcome)) => return (outcome.into(), None),
         Err(_) => return (Outcome::Unreachable.into(), None),
     };
-    match timeout_at(*until, connection.read(task)).await {
+    match timeout_at(*until, connection.read(errand)).await {
         Ok(Ok((back, last))) => (back, (!last).then_some(connection)),
         Ok(Err(error)) => {
             let garbage =
@@ -216,25 +205,31 @@
         unread.is_empty() && read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
-    async fn write(&mut self, upstream: &Upstream, task: &Task) -> std::io::Result<()> {
-        match (&mut self.wire, task) {
-            (Wire::Cache(framed), Task::Probe(_)) if upstream.config.settings.text("reports") == "silent" => {
+    async fn write(&mut self, upstream: &Upstream, errand: &Errand) -> std::io::Result<()> {
+        match (&mut self.wire, errand) {
+            (Wire::Cache(framed), Errand::Probe { .. })
+                if upstream.config.settings.text("reports") == "silent" =>
+            {
                 framed.send(&Frame::command([b"PING"])).await
             }
-            (Wire::Cache(framed), Task::Probe(_)) => framed.send(&Frame::command([b"INFO", b"load"])).await,
-            (Wire::Cache(framed), Task::Try { cargo, until, .. }) => {
+            (Wire::Cache(framed), Errand::Probe { .. }) => {
+                framed.send(&Frame::command([b"INFO", b"load"])).await
+            }
+            (Wire::Cache(framed), Errand::Try { cargo, until, .. }) => {
                 let left = until.saturating_duration_since(Instant::now());
                 framed.send(&command(cargo, left)).await
             }
-            (Wire::Origin(framed), Task::Probe(_)) => framed.send(Request::get("/health/live".into())).await,
-            (Wire::Origin(framed), Task::Try { cargo, .. }) => framed.send(request(cargo)).await,
+            (Wire::Origin(framed), Errand::Probe { .. }) => {
+                framed.send(Request::get("/health/live".into())).await
+            }
+            (Wire::Origin(framed), Errand::Try { cargo, .. }) => framed.send(request(cargo)).await,
         }
     }
 
     /// What came back, and whether it was the last on this connection. Severed where nothing whole came.
-    async fn read(&mut self, task: &Task) -> Result<(Back, bool)> {
+    async fn read(&mut self, errand: &Errand) -> Result<(Back, bool)> {
         let closed = || std::io::Error::from(ErrorKind::UnexpectedEof);
-        let probe = matches!(task, Task::Probe(_));
+        let probe = matches!(errand, Errand::Probe { .. });
         match &mut self.wire {
             Wire::Cache(framed) => {
                 let frame = framed.next().await.ok_or_else(closed)??;
--- a/crates/proxy/tests/proxy/cli.rs
+++ b/crates/proxy/tests/proxy/cli.rs
@@ -3,8 +3,8 @@
 use crate::configuration;
 use expect_test::expect;
 use serde_json::json;
-use std::io::{BufRead, BufReader, Read};
-use std::process::{Command, Stdio};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::process::{Child, ChildStderr, Command, Stdio};
 
 fn program(args: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_pumicebay"));
@@ -81,26 +81,83 @@
     .assert_eq(&trace);
 }
 
+/// A running proxy; ends with the test at the latest.
+struct Running {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    address: String,
+}
+
+impl Running {
+    fn start(mut command: Command) -> Running {
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        while !line.contains("INFO listens on 127.0.0.1:") {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "ended before it listened");
+        }
+        let address = line.trim().rsplit(' ').next().unwrap().to_string();
+        Running { child, log, address }
+    }
+
+    fn counters(&self) -> String {
+        let counted = program(&["counters", &self.address]).output().unwrap();
+        String::from_utf8_lossy(&counted.stdout).into_owned()
+    }
+
+    /// Tells it to stop; its exit code and the rest of its log.
+    fn stop(&mut self) -> (Option<i32>, String) {
+        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        assert!(killed.success());
+        let mut rest = String::new();
+        self.log.read_to_string(&mut rest).unwrap();
+        (self.child.wait().unwrap().code(), rest)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 #[test]
 fn it_serves_tells_its_counters_and_ends_when_told_to() {
     let file = File::new("serve", &configuration(&[]).to_string());
-    let mut child = program(&["serve"]).env("PROXY_CONFIG", file.path()).spawn().unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    while !line.contains("listens on 127.0.0.1:") || line.contains("discovery") {
-        line.clear();
-        assert!(log.read_line(&mut line).unwrap() > 0, "ended before it listened");
-    }
-    let address = line.trim().rsplit(' ').next().unwrap().to_string();
-    let counted = program(&["counters", &address]).output().unwrap();
-    let counted = String::from_utf8_lossy(&counted.stdout).into_owned();
+    let mut running = Running::start(program(&["serve", "--config", file.path()]));
+    let counted = running.counters();
     assert!(counted.contains("clients_accepted 1\n") && counted.contains("exchanges_taken 0\n"), "{counted}");
-    let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
-    assert!(killed.success());
-    let mut rest = String::new();
-    log.read_to_string(&mut rest).unwrap();
-    assert_eq!(child.wait().unwrap().code(), Some(0), "{rest}");
+    let (code, rest) = running.stop();
+    assert_eq!(code, Some(0), "{rest}");
     let phases: Vec<&str> = rest.lines().filter_map(|line| line.rsplit("INFO ").next()).collect();
     let told = ["Draining", "Closing", "Stopped"].iter().all(|phase| phases.contains(phase));
     assert!(told && rest.contains("counters: clients_accepted 1, "), "{rest}");
 }
+
+/// Fewer descriptors than it was told: the connections that are idle longest make room, and it lives on.
+#[test]
+fn it_survives_a_want_of_descriptors() {
+    let file = File::new("few", &configuration(&[]).to_string());
+    let mut command = Command::new("sh");
+    let serve =
+        format!("ulimit -n 40; exec {} serve --config {}", env!("CARGO_BIN_EXE_pumicebay"), file.path());
+    let mut running = Running::start({
+        command.args(["-c", &serve]);
+        command
+    });
+    let mut clients = Vec::new();
+    for _ in 0..80 {
+        let mut client = std::net::TcpStream::connect(&running.address).unwrap();
+        client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        let mut reply = [0; 7];
+        client.read_exact(&mut reply).unwrap();
+        assert_eq!(&reply, b"+PONG\r\n");
+        clients.push(client);
+    }
+    let counted = running.counters();
+    assert!(!counted.contains("accept_failures 0\n") && !counted.contains("for_room 0\n"), "{counted}");
+    let (code, rest) = running.stop();
+    assert_eq!(code, Some(0), "{rest}");
+}
--- a/crates/proxy/tests/proxy/clients.rs
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -37,6 +37,37 @@
     );
 }
 
+/// Commands ahead of their answers share a bound, which connections with nothing pending do not use up.
+#[tokio::test]
+async fn only_commands_ahead_of_their_answers_count_against_the_bound() {
+    let world = World::start_with(&[], |config| config.ahead = 1).await;
+    let (mut idle, mut client) = (world.client().await, world.client().await);
+    let mut replies = idle.ask(&["PING"]).await;
+    for key in ["slow", "hit-1", "hit-2"] {
+        client.send(&["C.GET", key, key, "c=read,d=3000"]).await;
+        if key != "hit-2" {
+            world.cache.until(key).await;
+        }
+    }
+    for _ in 0..3 {
+        replies += &client.reply().await;
+    }
+    world.check(
+        &replies,
+        expect![[r#"
+        PING: +PONG
+        value of slow
+        value of hit-1
+        value of hit-2
+        -- cache node
+        1: C.GET slow slow c=read,d=LEFT
+        2: C.GET hit-1 hit-1 c=read,d=LEFT
+        2: C.GET hit-2 hit-2 c=read,d=LEFT
+        -- origin
+    "#]],
+    );
+}
+
 #[tokio::test]
 async fn bad_commands_get_a_plain_error_and_the_connection_goes_on() {
     let world = World::start(&[]).await;
