--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,11 +1,10 @@
 //! The clients' front: RESP commands in, answers out in the order of the commands.
 
-use crate::clock::Clock;
 use crate::config::Config;
-use crate::counters::Counters;
-use crate::module::{Answer, Cargo, Door};
-use crate::phases::{Phase, Watch};
+use crate::module::{Answer, Cargo};
+use crate::phases::Phase;
 use crate::resp::{Frame, Resp};
+use crate::serve::Shared;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use pumicebay_core::{Ask, Xchg};
@@ -33,11 +32,7 @@
 
 #[derive(Clone)]
 pub struct Front {
-    pub clock: Clock,
-    pub config: Arc<Config>,
-    pub counters: Arc<Counters>,
-    pub door: Door,
-    pub watch: Watch,
+    pub shared: Shared,
     pub connections: TaskTracker,
     /// Asks the connection that has been without an exchange longest to close, also amid a command.
     pub make_room: Arc<Notify>,
@@ -47,8 +42,8 @@
 
 /// Accepts until the phase says no more.
 pub async fn accept(front: Front, listener: TcpListener) {
-    let free = Arc::new(Semaphore::new(front.config.clients));
-    let mut closing = front.watch.clone();
+    let free = Arc::new(Semaphore::new(front.shared.config.clients));
+    let mut closing = front.shared.watch.clone();
     loop {
         let accepted = tokio::select! {
             biased;
@@ -58,7 +53,7 @@
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
-                front.counters.accept_failures.add();
+                front.shared.counters.accept_failures.add();
                 tracing::warn!("accept: {error}");
                 front.make_room.notify_one();
                 sleep(NO_ROOM).await;
@@ -69,7 +64,7 @@
             front.make_room.notify_one();
         }
         let Ok(permit) = free.clone().acquire_owned().await else { return };
-        front.counters.clients_accepted.add();
+        front.shared.counters.clients_accepted.add();
         let _ = stream.set_nodelay(true);
         let client =
             Client { front: front.clone(), framed: Framed::new(stream, Resp), pending: VecDeque::new() };
@@ -104,14 +99,14 @@
         }
         for pending in std::mem::take(&mut self.pending) {
             if let Reply::Waiting(xchg, _) = pending.reply {
-                self.front.door.dropped(xchg).await;
+                self.front.shared.door.dropped(xchg).await;
             }
         }
     }
 
     /// Ends with the connection: the client closed it, broke it, or is asked to take another.
     async fn serve(&mut self) -> std::io::Result<()> {
-        let (mut closing, mut close_at) = (self.front.watch.clone(), Phase::Closing);
+        let (mut closing, mut close_at) = (self.front.shared.watch.clone(), Phase::Closing);
         let make_room = self.front.make_room.clone();
         loop {
             let idle = self.pending.is_empty();
@@ -141,7 +136,7 @@
                     close_at = Phase::Leaving;
                 }
                 () = make_room.notified(), if idle => {
-                    self.front.counters.clients_closed_for_room.add();
+                    self.front.shared.counters.clients_closed_for_room.add();
                     return Ok(());
                 }
             }
@@ -153,7 +148,7 @@
         if error.kind() != std::io::ErrorKind::InvalidData {
             return Err(error);
         }
-        self.front.counters.bad_commands.add();
+        self.front.shared.counters.bad_commands.add();
         let reply = Reply::Ready(Frame::error(format!("ERR Protocol error: {error}")));
         self.pending.push_back(Pending { reply, _ahead: None });
         while !self.pending.is_empty() {
@@ -169,16 +164,16 @@
     }
 
     async fn command(&mut self, frame: Frame) -> Reply {
-        let at = self.front.clock.now();
-        match read(frame, &self.front.config) {
+        let at = self.front.shared.clock.now();
+        match read(frame, &self.front.shared.config) {
             Ok(Command::Exchange(ask, cargo)) => {
-                let (xchg, answered) = self.front.door.arrive(at, ask, cargo).await;
+                let (xchg, answered) = self.front.shared.door.arrive(at, ask, cargo).await;
                 Reply::Waiting(xchg, answered)
             }
             Ok(Command::Reply(reply)) => Reply::Ready(reply),
-            Ok(Command::Counters) => Reply::Ready(Frame::Bulk(self.front.counters.to_string().into())),
+            Ok(Command::Counters) => Reply::Ready(Frame::Bulk(self.front.shared.counters.to_string().into())),
             Err(why) => {
-                self.front.counters.bad_commands.add();
+                self.front.shared.counters.bad_commands.add();
                 tracing::debug!("client: {why}");
                 Reply::Ready(Frame::error(format!("ERR {why}")))
             }
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -1,16 +1,15 @@
 //! The list actor: follows discovery by watches and hands its entries to the module.
 
 use crate::config::Config;
-use crate::counters::Counters;
 use crate::http::{Http, Request, Response};
-use crate::module::{Door, Named};
+use crate::module::Named;
+use crate::serve::Shared;
 use anyhow::{Context, Result, bail, ensure};
 use futures_util::{SinkExt, StreamExt};
 use pumicebay_core::{Listed, Standing};
 use pumicebay_names::{NANOS, identity};
 use serde_json::Value as Json;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -27,9 +26,7 @@
 const MICROS: u64 = 1000;
 
 pub struct List {
-    config: Arc<Config>,
-    counters: Arc<Counters>,
-    door: Door,
+    shared: Shared,
     /// Where the list must be asked for, the module says when.
     follow: mpsc::Receiver<()>,
     version: Option<u64>,
@@ -37,23 +34,23 @@
 }
 
 impl List {
-    pub fn new(config: Arc<Config>, counters: Arc<Counters>, door: Door, follow: mpsc::Receiver<()>) -> Self {
-        let version = config.known.get("rev").and_then(Json::as_u64);
-        List { config, counters, door, follow, version, connection: None }
+    pub fn new(shared: Shared, follow: mpsc::Receiver<()>) -> Self {
+        let version = shared.config.known.get("rev").and_then(Json::as_u64);
+        List { shared, follow, version, connection: None }
     }
 
     pub async fn run(mut self) {
-        let asked = self.config.settings.text("discovery") == "ask";
+        let asked = self.shared.config.settings.text("discovery") == "ask";
         loop {
             if asked && self.follow.recv().await.is_none() {
                 return;
             }
             while let Err(error) = self.watch().await {
-                self.counters.list_failures.add();
+                self.shared.counters.list_failures.add();
                 self.connection = None;
                 tracing::warn!("discovery: {error:#}");
                 if asked {
-                    self.door.list_failed().await;
+                    self.shared.door.list_failed().await;
                     break;
                 }
                 sleep(AGAIN).await;
@@ -65,10 +62,10 @@
     async fn watch(&mut self) -> Result<()> {
         loop {
             let body = self.call().await?;
-            let (version, whole, named) = entries(&body, &self.config)?;
+            let (version, whole, named) = entries(&body, &self.shared.config)?;
             self.version = Some(version);
-            self.counters.list_answers.add();
-            self.door.listed(whole, named).await;
+            self.shared.counters.list_answers.add();
+            self.shared.door.listed(whole, named).await;
         }
     }
 
@@ -89,7 +86,7 @@
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
             None => {
-                let stream = TcpStream::connect(self.config.discovery).await.context("not reached")?;
+                let stream = TcpStream::connect(self.shared.config.discovery).await.context("not reached")?;
                 stream.set_nodelay(true)?;
                 Framed::new(stream, Http::new(LONGEST))
             }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -1,11 +1,10 @@
 //! The module actor: the decisions, their mailbox, and the host that carries out what they ask for.
 //! Nothing here waits for anyone: a mailbox that is full makes a try unsent.
 
-use crate::clock::Clock;
-use crate::counters::Counters;
-use crate::node::{self, Errand, Upstream};
+use crate::node::{self, Errand};
 use crate::peers::Peers;
 use crate::phases::Phase;
+use crate::serve::Shared;
 use bytes::Bytes;
 use hashbrown::HashMap;
 use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Xchg};
@@ -134,9 +133,7 @@
 
 /// Carries out what the decisions ask for.
 struct Acts {
-    clock: Clock,
-    counters: Arc<Counters>,
-    upstream: Upstream,
+    shared: Shared,
     peers: Option<Peers>,
     follow: mpsc::Sender<()>,
     /// Where each node is, and the mailbox of its actor.
@@ -160,17 +157,10 @@
 }
 
 impl Module {
-    pub fn new(
-        upstream: Upstream,
-        peers: Option<Peers>,
-        follow: mpsc::Sender<()>,
-        mailbox: Mailbox,
-    ) -> Module {
-        let Upstream { clock, config, counters, .. } = upstream.clone();
+    pub fn new(shared: Shared, peers: Option<Peers>, follow: mpsc::Sender<()>, mailbox: Mailbox) -> Module {
+        let Shared { clock, config, .. } = shared.clone();
         let acts = Acts {
-            clock,
-            counters,
-            upstream,
+            shared,
             peers,
             follow,
             nodes: Vec::new(),
@@ -189,9 +179,9 @@
     pub async fn run(mut self) {
         loop {
             let acts = &self.balance.host;
-            let now = acts.clock.now();
+            let now = acts.shared.clock.now();
             let due = acts.timers.peek().map_or(now + FAR, |Reverse((at, _))| *at);
-            let wake = acts.clock.instant(due);
+            let wake = acts.shared.clock.instant(due);
             tokio::select! {
                 event = self.mailbox.0.recv() => match event {
                     Some(event) => self.handle(event),
@@ -204,17 +194,17 @@
     }
 
     fn wake(&mut self) {
-        let now = self.balance.host.clock.now();
+        let now = self.balance.host.shared.clock.now();
         while let Some(Reverse((_, token))) = self.balance.host.due(now) {
             self.balance.woke(now, token);
         }
     }
 
     fn handle(&mut self, event: Event) {
-        let now = self.balance.host.clock.now();
+        let now = self.balance.host.shared.clock.now();
         match event {
             Event::Arrived(xchg, at, ask, cargo, answer) => {
-                self.balance.host.counters.exchanges_taken.add();
+                self.balance.host.shared.counters.exchanges_taken.add();
                 let open = Open { cargo, answer: Some(answer), tries: 0 };
                 self.balance.host.open.insert(xchg, open);
                 let grace = ask.grace.saturating_sub(now.saturating_sub(at));
@@ -222,14 +212,14 @@
             }
             Event::Dropped(xchg) => {
                 if self.balance.host.take_answer(xchg).is_some() {
-                    self.balance.host.counters.exchanges_dropped.add();
+                    self.balance.host.shared.counters.exchanges_dropped.add();
                     self.balance.dropped(now, xchg);
                 }
             }
             Event::Ended(xchg, try_no, node, back) => self.ended(now, xchg, try_no, node, back),
             Event::Probed(node, back) => {
                 if back.outcome != Outcome::Completed {
-                    self.balance.host.counters.probes_failed.add();
+                    self.balance.host.shared.counters.probes_failed.add();
                 }
                 self.reported(now, node, back.in_flight);
                 self.balance.probed(node, back.outcome);
@@ -242,11 +232,11 @@
 
     fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, node: Node, back: Back) {
         let acts = &mut self.balance.host;
-        acts.counters.tried(back.outcome);
+        acts.shared.counters.tried(back.outcome);
         if back.outcome == Outcome::Completed
             && let Some(answer) = acts.take_answer(xchg)
         {
-            acts.counters.exchanges_completed.add();
+            acts.shared.counters.exchanges_completed.add();
             let _ = answer.send(Answer::Completed(back.value));
         }
         let over = acts.open.get(&xchg).is_none_or(|open| open.answer.is_none());
@@ -262,7 +252,7 @@
 
     /// Takes in a whole list, or changes to it.
     pub fn listed(&mut self, whole: bool, named: Vec<Named>) {
-        let now = self.balance.host.clock.now();
+        let now = self.balance.host.shared.clock.now();
         let nodes: Vec<Node> = named.iter().map(|named| self.balance.host.node(named)).collect();
         for (node, named) in nodes.iter().zip(named) {
             self.balance.listed(now, *node, named.listed);
@@ -279,7 +269,7 @@
                 self.balance.peer_load(now, peer, node, figure as usize);
             }
             Some(("j", node, key)) => self.balance.peer_joined(now, node, key),
-            _ => self.balance.host.counters.news_bad.add(),
+            _ => self.balance.host.shared.counters.news_bad.add(),
         }
     }
 
@@ -287,9 +277,9 @@
     fn report_unsent(&mut self) {
         while let Some((xchg, try_no)) = self.balance.host.unsent.pop() {
             let acts = &self.balance.host;
-            acts.counters.tried(Outcome::Unsent);
+            acts.shared.counters.tried(Outcome::Unsent);
             let over = acts.open.get(&xchg).is_none_or(|open| open.answer.is_none());
-            self.balance.ended(acts.clock.now(), xchg, try_no, Outcome::Unsent, over);
+            self.balance.ended(acts.shared.clock.now(), xchg, try_no, Outcome::Unsent, over);
         }
         while let Some(node) = self.balance.host.unprobed.pop() {
             self.balance.probed(node, Outcome::Unsent);
@@ -318,7 +308,7 @@
         self.uids.insert(named.uid.clone(), node);
         self.marks.insert(mark(&named.uid), node);
         self.marked.push(mark(&named.uid));
-        self.nodes.push((named.address, node::start(&self.upstream, node, named.listed.origin)));
+        self.nodes.push((named.address, node::start(&self.shared, node, named.listed.origin)));
         node
     }
 
@@ -330,36 +320,36 @@
 
     fn tell(&self, kind: &str, node: Node, figure: u64) {
         if let Some(peers) = &self.peers {
-            peers.tell(&self.counters, &format!("{kind} {:x} {figure:x}", self.marked[node]));
+            peers.tell(&self.shared.counters, &format!("{kind} {:x} {figure:x}", self.marked[node]));
         }
     }
 }
 
 impl Host for Acts {
     fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
-        let until = self.clock.instant(self.clock.now() + timeout);
+        let until = self.shared.clock.instant(self.shared.clock.now() + timeout);
         let Some(open) = self.open.get_mut(&xchg) else { return };
         let try_no = open.tries;
         open.tries += 1;
         let errand = Errand::Try { xchg, try_no, cargo: open.cargo.clone(), until };
         // Once the proxy leaves, nothing is sent any more.
-        if self.upstream.watch.now() >= Phase::Leaving || !self.post(node, errand) {
+        if self.shared.watch.now() >= Phase::Leaving || !self.post(node, errand) {
             self.unsent.push((xchg, try_no));
         } else {
-            self.counters.tries_sent.add();
+            self.shared.counters.tries_sent.add();
         }
     }
 
     fn shed(&mut self, xchg: Xchg, pause: Nanos) {
         if let Some(answer) = self.take_answer(xchg) {
-            self.counters.exchanges_shed.add();
+            self.shared.counters.exchanges_shed.add();
             let _ = answer.send(Answer::Shed(pause));
         }
     }
 
     fn error(&mut self, xchg: Xchg) {
         if let Some(answer) = self.take_answer(xchg) {
-            self.counters.exchanges_errored.add();
+            self.shared.counters.exchanges_errored.add();
             let _ = answer.send(Answer::Errored);
         }
     }
@@ -374,7 +364,7 @@
 
     fn probe(&mut self, node: Node) {
         if self.post(node, Errand::Probe { until: Instant::now() + node::PROBE }) {
-            self.counters.probes_sent.add();
+            self.shared.counters.probes_sent.add();
         } else {
             self.unprobed.push(node);
         }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,13 +1,11 @@
 //! The actor of one node, a cache node or the origin: its idle connections and the tries that are out.
 //! A connection carries one try at a time, since giving up a try means closing its connection.
 
-use crate::clock::Clock;
-use crate::config::Config;
-use crate::counters::Counters;
 use crate::http::{self, Http, Request, Response};
-use crate::module::{Back, Cargo, Door};
-use crate::phases::{Phase, Watch};
+use crate::module::{Back, Cargo};
+use crate::phases::Phase;
 use crate::resp::{Frame, LONGEST_BULK, Resp};
+use crate::serve::Shared;
 use anyhow::{Context, Result, bail};
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
@@ -19,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
@@ -30,18 +28,6 @@
 /// How long a probe may take in all.
 pub const PROBE: Duration = Duration::from_millis(250);
 
-/// What all nodes' actors share.
-#[derive(Clone)]
-pub struct Upstream {
-    pub clock: Clock,
-    pub config: Arc<Config>,
-    pub counters: Arc<Counters>,
-    pub door: Door,
-    pub watch: Watch,
-    /// Connections that may still be opened.
-    pub free: Arc<Semaphore>,
-}
-
 /// What the module asks of a node; the node's address, which may change, comes with it.
 pub enum Errand {
     Try { xchg: Xchg, try_no: usize, cargo: Arc<Cargo>, until: Instant },
@@ -51,15 +37,15 @@
 pub type Mailbox = mpsc::Sender<(SocketAddr, Errand)>;
 
 /// Starts the actor of a node; its mailbox is all that is left to know.
-pub fn start(upstream: &Upstream, node: Node, origin: bool) -> Mailbox {
+pub fn start(shared: &Shared, node: Node, origin: bool) -> Mailbox {
     let (mailbox, errands) = mpsc::channel(MAILBOX);
-    let actor = Actor { upstream: upstream.clone(), node, origin, idle: VecDeque::new() };
+    let actor = Actor { shared: shared.clone(), node, origin, idle: VecDeque::new() };
     tokio::spawn(actor.run(errands));
     mailbox
 }
 
 struct Actor {
-    upstream: Upstream,
+    shared: Shared,
     node: Node,
     origin: bool,
     idle: VecDeque<(Instant, Connection)>,
@@ -101,14 +87,14 @@
             self.idle.push_back((Instant::now(), connection));
         }
         match errand {
-            Errand::Try { xchg, try_no, .. } => self.upstream.door.ended(xchg, try_no, self.node, back).await,
-            Errand::Probe { .. } => self.upstream.door.probed(self.node, back).await,
+            Errand::Try { xchg, try_no, .. } => self.shared.door.ended(xchg, try_no, self.node, back).await,
+            Errand::Probe { .. } => self.shared.door.probed(self.node, back).await,
         }
     }
 
     /// Drops what stood idle for too long and what the node closed.
     fn sweep(&mut self) {
-        let idle = self.upstream.config.idle;
+        let idle = self.shared.config.idle;
         let most = idle - idle / MARGIN;
         self.idle.retain(|(since, connection)| since.elapsed() < most && connection.alive());
     }
@@ -119,11 +105,11 @@
         self.sweep();
         self.idle.retain(|(_, connection)| connection.address == address);
         let connection = self.idle.pop_front().map(|(_, connection)| connection);
-        let (upstream, origin, node) = (self.upstream.clone(), self.origin, self.node);
+        let (shared, origin, node) = (self.shared.clone(), self.origin, self.node);
         async move {
-            let mut leaving = upstream.watch.clone();
+            let mut leaving = shared.watch.clone();
             let (back, connection) = tokio::select! {
-                done = carry(&upstream, &errand, connection, address, origin) => done,
+                done = carry(&shared, &errand, connection, address, origin) => done,
                 () = leaving.reached(Phase::Leaving) => (Outcome::Withdrawn.into(), None),
             };
             if matches!(back.outcome, Outcome::Unsent) {
@@ -136,7 +122,7 @@
 
 /// Carries out one try or probe, over an idle connection or a new one.
 async fn carry(
-    upstream: &Upstream,
+    shared: &Shared,
     errand: &Errand,
     idle: Option<Connection>,
     address: SocketAddr,
@@ -146,13 +132,13 @@
     let begun = timeout_at(*until, async {
         let mut connection = match idle {
             Some(connection) => {
-                upstream.counters.connections_reused.add();
+                shared.counters.connections_reused.add();
                 connection
             }
-            None => connect(upstream, address, origin).await?,
+            None => connect(shared, address, origin).await?,
         };
         // Until the last byte is written nothing can have run.
-        let written = connection.write(upstream, errand).await;
+        let written = connection.write(shared, errand).await;
         written.map(|()| connection).map_err(|_| Outcome::Unreachable)
     });
     let mut connection = match begun.await {
@@ -174,18 +160,18 @@
     }
 }
 
-async fn connect(upstream: &Upstream, address: SocketAddr, origin: bool) -> Result<Connection, Outcome> {
-    let permit = upstream.free.clone().try_acquire_owned().map_err(|_| Outcome::Unsent)?;
-    let stream = match timeout(upstream.config.connect, TcpStream::connect(address)).await {
+async fn connect(shared: &Shared, address: SocketAddr, origin: bool) -> Result<Connection, Outcome> {
+    let permit = shared.spare.clone().try_acquire_owned().map_err(|_| Outcome::Unsent)?;
+    let stream = match timeout(shared.config.connect, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         // This proxy's own want of descriptors says nothing about the node.
         Ok(Err(error)) if matches!(error.raw_os_error(), Some(23 | 24)) => return Err(Outcome::Unsent),
         Ok(Err(_)) | Err(_) => {
-            upstream.counters.connections_failed.add();
+            shared.counters.connections_failed.add();
             return Err(Outcome::Unreachable);
         }
     };
-    upstream.counters.connections_opened.add();
+    shared.counters.connections_opened.add();
     let _ = stream.set_nodelay(true);
     let wire = match origin {
         true => Wire::Origin(Framed::new(stream, Http::new(LONGEST_BULK))),
@@ -205,10 +191,10 @@
         unread.is_empty() && read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
-    async fn write(&mut self, upstream: &Upstream, errand: &Errand) -> std::io::Result<()> {
+    async fn write(&mut self, shared: &Shared, errand: &Errand) -> std::io::Result<()> {
         match (&mut self.wire, errand) {
             (Wire::Cache(framed), Errand::Probe { .. })
-                if upstream.config.settings.text("reports") == "silent" =>
+                if shared.config.settings.text("reports") == "silent" =>
             {
                 framed.send(&Frame::command([b"PING"])).await
             }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -1,9 +1,8 @@
 //! News between proxies over UDP, where the settings allow it: the sender's number, then what `pumicebay_names`
 //! reads. News that can't be sent at once are dropped; loads are told anew with the next change.
 
-use crate::config::Config;
 use crate::counters::Counters;
-use crate::module::Door;
+use crate::serve::Shared;
 use anyhow::{Context, Result};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,7 +20,8 @@
 }
 
 /// Starts the actors of all peers, and the one that hears them; none where the settings forbid it.
-pub async fn start(config: &Arc<Config>, counters: &Arc<Counters>, door: &Door) -> Result<Option<Peers>> {
+pub async fn start(shared: &Shared) -> Result<Option<Peers>> {
+    let config = &shared.config;
     if !config.settings.flag("peers") || config.peers.is_empty() {
         return Ok(None);
     }
@@ -34,7 +34,7 @@
     };
     let me = config.settings.number("me", 0.0) as usize;
     let peers = Peers { me, mailboxes: config.peers.iter().map(mailbox).collect() };
-    tokio::spawn(receive(socket, config.clone(), counters.clone(), door.clone()));
+    tokio::spawn(receive(socket, shared.clone()));
     Ok(Some(peers))
 }
 
@@ -57,18 +57,18 @@
     }
 }
 
-async fn receive(socket: Arc<UdpSocket>, config: Arc<Config>, counters: Arc<Counters>, door: Door) {
-    let fleet = config.settings.number("fleet", 1.0) as usize;
+async fn receive(socket: Arc<UdpSocket>, shared: Shared) {
+    let fleet = shared.config.settings.number("fleet", 1.0) as usize;
     let mut buffer = [0; LONGEST];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else { continue };
         let text = std::str::from_utf8(&buffer[..length]).ok().and_then(|text| text.split_once(' '));
         match text.and_then(|(peer, news)| Some((peer.parse().ok()?, news))) {
             Some((peer, news)) if peer < fleet => {
-                counters.news_received.add();
-                door.news(peer, news.to_string()).await;
+                shared.counters.news_received.add();
+                shared.door.news(peer, news.to_string()).await;
             }
-            _ => counters.news_bad.add(),
+            _ => shared.counters.news_bad.add(),
         }
     }
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -5,8 +5,7 @@
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::list::{self, List};
-use crate::module::{self, Module};
-use crate::node::Upstream;
+use crate::module::{self, Door, Module};
 use crate::peers;
 use crate::phases::{Phase, Phases, Watch};
 use anyhow::{Context, Result, bail};
@@ -21,6 +20,18 @@
 
 const BACKLOG: u32 = 1024;
 
+/// What all actors share.
+#[derive(Clone)]
+pub struct Shared {
+    pub clock: Clock,
+    pub config: Arc<Config>,
+    pub counters: Arc<Counters>,
+    pub door: Door,
+    pub watch: Watch,
+    /// Connections to nodes that may still be opened.
+    pub spare: Arc<Semaphore>,
+}
+
 /// A proxy that serves.
 pub struct Proxy {
     /// Where it listens.
@@ -36,21 +47,16 @@
 impl Proxy {
     /// Opens its sockets only when it is able to serve what comes.
     pub async fn start(config: Config, counters: Arc<Counters>) -> Result<Proxy> {
-        let (phases, clock, config) = (Phases::default(), Clock::start(), Arc::new(config));
+        let (phases, config) = (Phases::default(), Arc::new(config));
         tracing::info!("{}", config.summary().replace('\n', "; "));
         let (door, mailbox) = module::door();
         let (follow, followed) = mpsc::channel(1);
-        let upstream = Upstream {
-            clock,
-            config: config.clone(),
-            counters: counters.clone(),
-            door: door.clone(),
-            watch: phases.watch(),
-            free: Arc::new(Semaphore::new(config.upstream)),
-        };
-        let peers = peers::start(&config, &counters, &door).await?;
-        let mut module = Module::new(upstream, peers, follow, mailbox);
-        match list::entries(&config.known, &config) {
+        let spare = Arc::new(Semaphore::new(config.upstream));
+        let shared = Shared { clock: Clock::start(), config, counters, door, watch: phases.watch(), spare };
+        let config = &shared.config;
+        let peers = peers::start(&shared).await?;
+        let mut module = Module::new(shared.clone(), peers, follow, mailbox);
+        match list::entries(&config.known, config) {
             Ok((_, whole, named)) => module.listed(whole, named),
             Err(error) => tracing::warn!("known: no list to start from: {error:#}"),
         }
@@ -61,11 +67,7 @@
         let address = listener.local_addr()?;
         let connections = TaskTracker::new();
         let front = Front {
-            clock,
-            config: config.clone(),
-            counters: counters.clone(),
-            door: door.clone(),
-            watch: phases.watch(),
+            shared: shared.clone(),
             connections: connections.clone(),
             make_room: Arc::new(Notify::new()),
             ahead: Arc::new(Semaphore::new(config.ahead)),
@@ -73,7 +75,7 @@
         let (draining, longest) = (config.draining, config.longest);
         let mut actors = JoinSet::new();
         actors.spawn(module.run());
-        actors.spawn(List::new(config, counters, door, followed).run());
+        actors.spawn(List::new(shared, followed).run());
         actors.spawn(clients::accept(front, listener));
         phases.enter(Phase::Serving);
         tracing::info!("listens on {address}");
