--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -1,7 +1,7 @@
 //! What both hosts share: the settings under this project's names, and what stands for nodes between proxies.
 
-use pumicebay_core::Settings;
 use pumicebay_core::settings::Value;
+use pumicebay_core::{Balance, Host, Nanos, Node, Settings};
 use serde_json::Value as Json;
 
 /// Settings give times in microseconds.
@@ -110,11 +110,27 @@
     identity(address) >> 32
 }
 
-/// Reads news from a peer: its kind, the node's mark and a figure. Anything else is dropped.
-pub fn news(text: &str) -> Option<(&str, u64, u64)> {
-    let mut words = text.split(' ');
-    let kind = words.next()?;
-    let mut number = || u64::from_str_radix(words.next()?, 16).ok();
-    let read = (kind, number()?, number()?);
-    words.next().is_none().then_some(read)
+/// Passes on news from a peer, in the words `l MARK COUNT` or `j MARK KEY`, figures in hexadecimal; says
+/// whether they made sense.
+pub fn hear<H: Host>(
+    balance: &mut Balance<H>,
+    now: Nanos,
+    peer: usize,
+    text: &str,
+    node: impl Fn(u64) -> Option<Node>,
+) -> bool {
+    let words: Vec<&str> = text.split(' ').collect();
+    let number = |word| u64::from_str_radix(word, 16).ok();
+    let [kind, mark, figure] = words[..] else { return false };
+    match (kind, number(mark).and_then(node), number(figure)) {
+        ("l", Some(node), Some(figure)) if figure <= u64::from(u16::MAX) => {
+            balance.peer_load(now, peer, node, figure as usize);
+            true
+        }
+        ("j", Some(node), Some(key)) => {
+            balance.peer_joined(now, node, key);
+            true
+        }
+        _ => false,
+    }
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hashbrown::HashMap;
 use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Xchg};
-use pumicebay_names::mark;
+use pumicebay_names::{hear, mark};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
@@ -129,6 +129,8 @@
 pub struct Module {
     balance: Balance<Acts>,
     mailbox: Mailbox,
+    /// What stands for nodes in news from peers.
+    marks: HashMap<u64, Node>,
 }
 
 /// Carries out what the decisions ask for.
@@ -139,9 +141,8 @@
     /// Where each node is, and the mailbox of its actor.
     nodes: Vec<(SocketAddr, node::Mailbox)>,
     uids: HashMap<String, Node>,
-    marks: HashMap<u64, Node>,
-    /// The same, from index to mark.
-    marked: Vec<u64>,
+    /// What stands for each node in news to peers.
+    marks: Vec<u64>,
     open: HashMap<Xchg, Open>,
     timers: BinaryHeap<Reverse<(Nanos, u64)>>,
     /// Tries that could not be sent, and probes, to be reported once the decisions have returned.
@@ -165,15 +166,14 @@
             follow,
             nodes: Vec::new(),
             uids: HashMap::new(),
-            marks: HashMap::new(),
-            marked: Vec::new(),
+            marks: Vec::new(),
             open: HashMap::new(),
             timers: BinaryHeap::new(),
             unsent: Vec::new(),
             unprobed: Vec::new(),
         };
         let balance = Balance::new(acts, config.settings.clone(), config.seed, clock.now());
-        Module { balance, mailbox }
+        Module { balance, mailbox, marks: HashMap::new() }
     }
 
     pub async fn run(mut self) {
@@ -255,6 +255,7 @@
         let now = self.balance.host.shared.clock.now();
         let nodes: Vec<Node> = named.iter().map(|named| self.balance.host.node(named)).collect();
         for (node, named) in nodes.iter().zip(named) {
+            self.marks.insert(mark(&named.uid), *node);
             self.balance.listed(now, *node, named.listed);
         }
         if whole {
@@ -263,13 +264,9 @@
     }
 
     fn news(&mut self, now: Nanos, peer: usize, text: &str) {
-        let node = |mark| self.balance.host.marks.get(&mark).copied();
-        match pumicebay_names::news(text).and_then(|(kind, mark, figure)| Some((kind, node(mark)?, figure))) {
-            Some(("l", node, figure)) if figure <= u64::from(u16::MAX) => {
-                self.balance.peer_load(now, peer, node, figure as usize);
-            }
-            Some(("j", node, key)) => self.balance.peer_joined(now, node, key),
-            _ => self.balance.host.shared.counters.news_bad.add(),
+        let node = |mark| self.marks.get(&mark).copied();
+        if !hear(&mut self.balance, now, peer, text, node) {
+            self.balance.host.shared.counters.news_bad.add();
         }
     }
 
@@ -306,8 +303,7 @@
         let node = self.nodes.len();
         tracing::info!("node {node} is {} at {}", named.uid, named.address);
         self.uids.insert(named.uid.clone(), node);
-        self.marks.insert(mark(&named.uid), node);
-        self.marked.push(mark(&named.uid));
+        self.marks.push(mark(&named.uid));
         self.nodes.push((named.address, node::start(&self.shared, node, named.listed.origin)));
         node
     }
@@ -320,7 +316,7 @@
 
     fn tell(&self, kind: &str, node: Node, figure: u64) {
         if let Some(peers) = &self.peers {
-            peers.tell(&self.shared.counters, &format!("{kind} {:x} {figure:x}", self.marked[node]));
+            peers.tell(&self.shared.counters, &format!("{kind} {:x} {figure:x}", self.marks[node]));
         }
     }
 }
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -4,7 +4,7 @@
 use anyhow::{Context, Result, bail};
 use hashbrown::HashMap;
 use pumicebay_core::{Ask, Balance, Listed, Nanos, Node, Standing, Xchg};
-use pumicebay_names::{self as names, NANOS, identity, mark, news};
+use pumicebay_names::{self as names, NANOS, hear, identity, mark};
 use serde_json::Value as Json;
 use std::collections::BTreeMap;
 
@@ -163,13 +163,7 @@
 
     pub fn message(&mut self, now: Nanos, fields: &Fields) -> Result<()> {
         let (peer, text): (usize, String) = (fields.get(1)?, fields.get(2)?);
-        let Some((kind, mark, figure)) = news(&text) else { return Ok(()) };
-        let Some(&node) = self.marks.get(&mark) else { return Ok(()) };
-        match kind {
-            "l" if figure <= u64::from(u16::MAX) => self.balance.peer_load(now, peer, node, figure as usize),
-            "j" => self.balance.peer_joined(now, node, figure),
-            _ => {}
-        }
+        hear(&mut self.balance, now, peer, &text, |mark| self.marks.get(&mark).copied());
         Ok(())
     }
 
