--- a/crates/proxy/tests/proxy/list.rs
+++ b/crates/proxy/tests/proxy/list.rs
@@ -32,6 +32,30 @@
     .assert_eq(&format!("{}{reply}{}", world.discovery.text(), world.cache.text()));
 }
 
+#[tokio::test]
+async fn a_watch_that_falls_silent_is_begun_anew_while_the_old_list_serves() {
+    let world = World::start(&[]).await;
+    world.discovery.until("index=41").await;
+    let mut client = world.client().await;
+    let mut reply = client.get("hit").await;
+    world.until_counted("list_failures 1").await;
+    // The first answer goes to the call that was given up.
+    for version in [42, 43] {
+        let answer = json!({"rev": version, "all": false, "targets": []}).to_string();
+        world.tell.send(answer).await.unwrap();
+    }
+    world.discovery.until("index=43").await;
+    reply += &client.get("hit").await;
+    expect![[r#"
+        GET /registry/instances?index=41&wait=5000 HTTP/1.1
+        GET /registry/instances?index=41&wait=5000 HTTP/1.1
+        GET /registry/instances?index=43&wait=5000 HTTP/1.1
+        hit: value of id-hit
+        hit: value of id-hit
+    "#]]
+    .assert_eq(&format!("{}{reply}", world.discovery.text()));
+}
+
 /// Where the list must be asked for, the decisions say when it is asked for again.
 #[tokio::test]
 async fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() {
--- a/crates/proxy/tests/proxy/nodes.rs
+++ b/crates/proxy/tests/proxy/nodes.rs
@@ -4,7 +4,8 @@
 use expect_test::expect;
 use serde_json::json;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
 
 #[tokio::test]
 async fn each_end_of_a_try_is_told_apart_and_answered_once() {
@@ -164,6 +165,34 @@
     );
 }
 
+/// As with a machine that is cut off: its queue for connections is full, so the next never comes up.
+#[tokio::test]
+async fn a_connection_that_never_comes_up_is_given_up_in_time() {
+    let world = World::start(&[]).await;
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut filling = Vec::new();
+    while let Ok(Ok(stream)) = timeout(Duration::from_millis(300), TcpStream::connect(address)).await {
+        filling.push(stream);
+    }
+    let moved = crate::target("s-cache", &address.to_string(), "node", "active");
+    world.tell.send(json!({"rev": 42, "all": false, "targets": [moved]}).to_string()).await.unwrap();
+    world.discovery.until("index=42").await;
+    let reply = world.client().await.get("miss").await;
+    world.until_counted("tries_unreachable 1").await;
+    world.check(
+        &reply,
+        expect![[r#"
+        miss: origin's id-miss
+        -- cache node
+        -- origin
+        1: GET /miss id-miss c=read,t=acme,d=3000,size=9,k=x
+    "#]],
+    );
+}
+
 #[tokio::test]
 async fn without_a_connection_to_spare_a_try_is_not_sent() {
     let world = World::start_with(&[], |config| config.upstream = 1).await;
