Under few descriptors an idle connection elsewhere makes room; starts with 64 descriptors, 8 MB

Before, a try that found no connection left to open was not sent although other nodes' connections stood idle, and limits under 128 descriptors or 16 MB kept the proxy from starting.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -13,14 +13,14 @@
 /// What a proxy holds at most if its limits do not say.
 const SOCKETS: u64 = 1024;
 const MEMORY_MB: u64 = 192;
-const FEWEST_MEMORY_MB: u64 = 16;
+const FEWEST_MEMORY_MB: u64 = 8;
 /// How long new connections are accepted after the signal to stop: a front hears of it a little later.
 const DRAINING: Duration = Duration::from_millis(500);
 /// Half the memory is for clients' connections, a quarter for those to nodes: what each may hold at worst.
 const CLIENT_BYTES: usize = 4 * LONGEST_BULK;
 const NODE_BYTES: usize = 2 * LONGEST_BULK;
 /// Descriptors for all that is not a connection: the runtime, the listener, discovery, logs.
-const RESERVED: usize = 64;
+const RESERVED: usize = 32;
 const FEWEST_SOCKETS: u64 = 2 * RESERVED as u64;
 const IDLE: Duration = Duration::from_secs(15);
 const CONNECT: Duration = Duration::from_millis(200);
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -33,7 +33,7 @@
     bad_commands
     tries_sent tries_completed tries_missed tries_errored tries_saturated tries_overdue
     tries_unreachable tries_severed tries_withdrawn tries_unsent
-    connections_opened connections_failed connections_reused
+    connections_opened connections_failed connections_reused connections_closed_for_room
     probes_sent probes_failed
     list_answers list_failures
     news_sent news_received news_bad
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -70,6 +70,7 @@
         let mut out = FuturesUnordered::new();
         let mut sweep = interval(SWEEP);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let close_idle = self.shared.close_idle.clone();
         loop {
             tokio::select! {
                 errand = errands.recv() => match errand {
@@ -77,6 +78,10 @@
                     None => return,
                 },
                 Some(done) = out.next() => self.done(done).await,
+                () = close_idle.notified(), if !self.idle.is_empty() => {
+                    self.shared.counters.connections_closed_for_room.add();
+                    self.idle.pop_front();
+                }
                 _ = sweep.tick() => self.sweep(),
             }
         }
@@ -161,7 +166,12 @@
 }
 
 async fn connect(shared: &Shared, address: SocketAddr, origin: bool) -> Result<Connection, Outcome> {
-    let permit = shared.spare.clone().try_acquire_owned().map_err(|_| Outcome::Unsent)?;
+    let spare = shared.spare.clone();
+    if spare.available_permits() == 0 {
+        shared.close_idle.notify_one();
+    }
+    let permit = timeout(shared.config.connect, spare.acquire_owned()).await;
+    let permit = permit.ok().and_then(Result::ok).ok_or(Outcome::Unsent)?;
     let stream = match timeout(shared.config.connect, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         // This proxy's own want of descriptors says nothing about the node.
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -28,8 +28,9 @@
     pub counters: Arc<Counters>,
     pub door: Door,
     pub watch: Watch,
-    /// Connections to nodes that may still be opened.
+    /// Connections to nodes that may still be opened; who finds none asks for an idle one to be closed.
     pub spare: Arc<Semaphore>,
+    pub close_idle: Arc<Notify>,
 }
 
 /// A proxy that serves.
@@ -52,7 +53,8 @@
         let (door, mailbox) = module::door();
         let (follow, followed) = mpsc::channel(1);
         let spare = Arc::new(Semaphore::new(config.upstream));
-        let shared = Shared { clock: Clock::start(), config, counters, door, watch: phases.watch(), spare };
+        let (clock, watch, close_idle) = (Clock::start(), phases.watch(), Arc::new(Notify::new()));
+        let shared = Shared { clock, config, counters, door, watch, spare, close_idle };
         let config = &shared.config;
         let peers = peers::start(&shared).await?;
         let mut module = Module::new(shared.clone(), peers, follow, mailbox);
--- a/crates/proxy/tests/proxy/nodes.rs
+++ b/crates/proxy/tests/proxy/nodes.rs
@@ -218,6 +218,32 @@
     );
 }
 
+#[tokio::test]
+async fn an_idle_connection_makes_room_for_one_to_another_node() {
+    let world = World::start_with(&[], |config| config.upstream = 1).await;
+    let mut client = world.client().await;
+    let mut replies = client.get("hit").await + &client.get("miss").await;
+    world.until_counted("connections_closed_for_room 1").await;
+    replies += &client.get("hit").await;
+    world.origin.until("1: closed").await;
+    world.check(
+        &replies,
+        expect![[r#"
+        hit: value of id-hit
+        miss: origin's id-miss
+        hit: value of id-hit
+        -- cache node
+        1: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
+        1: C.GET miss id-miss c=read,t=acme,d=LEFT,size=9,k=x
+        1: closed
+        2: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
+        -- origin
+        1: GET /miss id-miss c=read,t=acme,d=3000,size=9,k=x
+        1: closed
+    "#]],
+    );
+}
+
 #[tokio::test]
 async fn a_client_that_left_costs_nobody_a_connection() {
     let world = World::start(&[]).await;
