A second copy behind an answer is seen before its connection is used again

Ruled out: bytes that came with the answer (they stay in the read buffer, which was looked at). At fault: `Connection::alive` asked `TcpStream::try_read`, which answers from what the runtime heard when it last looked at its sockets; a copy that came since was not seen and was read as the next exchange's answer. Now the socket itself is asked (`node::quiet`).

The new test of `quiet` fails with the old look.

--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -35,6 +35,11 @@
     pub fn header(&self, name: &str) -> Option<&[u8]> {
         self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| &value[..])
     }
+
+    /// Comes ahead of the answer.
+    pub fn interim(&self) -> bool {
+        matches!(self.status, 100..200)
+    }
 }
 
 #[derive(Debug)]
@@ -118,19 +123,17 @@
         httparse::Status::Partial => return Ok(None),
     };
     let mut response = Response { status: parsed.code.unwrap_or(0), ..Response::default() };
-    if matches!(response.status, 100..200) {
-        // Not yet the answer.
-        let _ = buffer.split_to(length);
-        return head(buffer, longest);
-    }
     response.last = parsed.version == Some(0);
-    let empty = matches!(response.status, 204 | 304);
+    let empty = response.interim() || matches!(response.status, 204 | 304);
     let mut body = if empty { Body::Length(0) } else { Body::UntilEnd };
     for header in parsed.headers.iter() {
         let (name, text) = (header.name.to_ascii_lowercase(), String::from_utf8_lossy(header.value));
         match name.as_str() {
             "content-length" if !empty => {
                 let length = text.trim().parse().map_err(|_| bad("invalid Content-Length"))?;
+                if matches!(body, Body::Length(other) if other != length) {
+                    return Err(bad("two values of Content-Length"));
+                }
                 if length > longest {
                     return Err(bad("body too long"));
                 }
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -92,7 +92,10 @@
             }
         };
         connection.send(Request::get(path)).await?;
-        let answer = connection.next().await.context("closed")??;
+        let mut answer = connection.next().await.context("closed")??;
+        while answer.interim() {
+            answer = connection.next().await.context("closed")??;
+        }
         self.connection = Some(connection);
         Ok(answer)
     }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -12,20 +12,25 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
 use pumicebay_core::{Node, Outcome, Xchg};
+use socket2::SockRef;
 use std::collections::VecDeque;
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Decoder, Framed};
 
 const MAILBOX: usize = 1024;
 const SWEEP: Duration = Duration::from_secs(1);
 /// A connection is used until this part of the nodes' idle limit is left.
 const MARGIN: u32 = 10;
+/// Answers with a status of 1xx that may come ahead of the one that counts.
+const MOST_INTERIM: usize = 8;
+/// No node holds as many exchanges as this.
+const MOST_HELD: f64 = 1e9;
 /// How long a probe may take in all.
 pub const PROBE: Duration = Duration::from_millis(250);
 
@@ -156,7 +161,7 @@
         Ok(Err(outcome)) => return (outcome.into(), None),
         Err(_) => return (Outcome::Unreachable.into(), None),
     };
-    match timeout_at(*until, connection.read(errand)).await {
+    match timeout_at(*until, connection.read(errand, shared.config.connect)).await {
         Ok(Ok((back, last))) => (back, (!last).then_some(connection)),
         Ok(Err(error)) => {
             let garbage =
@@ -191,14 +196,12 @@
 }
 
 impl Connection {
-    /// Idle, open, and without a byte that nobody asked for.
     fn alive(&self) -> bool {
         let (stream, unread) = match &self.wire {
             Wire::Cache(framed) => (framed.get_ref(), framed.read_buffer()),
             Wire::Origin(framed) => (framed.get_ref(), framed.read_buffer()),
         };
-        let read = stream.try_read(&mut [0]);
-        unread.is_empty() && read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+        unread.is_empty() && quiet(stream)
     }
 
     async fn write(&mut self, shared: &Shared, errand: &Errand) -> std::io::Result<()> {
@@ -223,24 +226,48 @@
     }
 
     /// What came back, and whether it was the last on this connection. Severed where nothing whole came.
-    async fn read(&mut self, errand: &Errand) -> Result<(Back, bool)> {
+    async fn read(&mut self, errand: &Errand, within: Duration) -> Result<(Back, bool)> {
         let closed = || std::io::Error::from(ErrorKind::UnexpectedEof);
         let probe = matches!(errand, Errand::Probe { .. });
         match &mut self.wire {
             Wire::Cache(framed) => {
-                let frame = framed.next().await.ok_or_else(closed)??;
+                let frame = whole(framed, within).await?.ok_or_else(closed)?;
                 let back = if probe { probed(frame) } else { replied(frame) };
                 Ok((back.context("cache node")?, false))
             }
             Wire::Origin(framed) => {
-                let response = framed.next().await.ok_or_else(closed)??;
-                let last = response.last;
-                Ok((answered(response), last))
+                for _ in 0..=MOST_INTERIM {
+                    let response = whole(framed, within).await?.ok_or_else(closed)?;
+                    if !response.interim() {
+                        let last = response.last;
+                        return Ok((answered(response), last));
+                    }
+                }
+                bail!("origin: no answer behind those with 1xx")
             }
         }
     }
 }
 
+/// What comes next, which must be whole soon after its first byte: one that stops amid its answer gives none.
+async fn whole<C: Decoder>(framed: &mut Framed<TcpStream, C>, within: Duration) -> Result<Option<C::Item>>
+where
+    C::Error: Into<anyhow::Error>,
+{
+    if framed.read_buffer().is_empty() {
+        framed.get_ref().peek(&mut [0]).await?;
+    }
+    let next = timeout(within, framed.next()).await.context("answer stopped short")?;
+    next.transpose().map_err(Into::into)
+}
+
+/// Open, and without a byte that nobody asked for. Asks the socket itself: the runtime hears of what came
+/// only when it next looks, and an answer's second copy would be read as the next one's.
+pub fn quiet(stream: &TcpStream) -> bool {
+    let read = (&*SockRef::from(stream)).read(&mut [0]);
+    read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
 /// A try as a cache node reads it: all as it came, but for how long this proxy waits.
 pub fn command(cargo: &Cargo, left: Duration) -> Frame {
     let word = if cargo.write { "C.SET" } else { "C.GET" };
@@ -276,16 +303,13 @@
 pub fn replied(frame: Frame) -> Result<Back> {
     match frame {
         Frame::Array(parts) => {
-            let mut parts = parts.into_iter();
-            let (outcome, value) = match parts.next() {
-                Some(Frame::Bulk(value)) => (Outcome::Completed, value),
-                Some(Frame::Null) => (Outcome::Missed, Bytes::new()),
+            let [first, _, report] = <[Frame; 3]>::try_from(parts).ok().context("unexpected array")?;
+            let (outcome, value) = match first {
+                Frame::Bulk(value) => (Outcome::Completed, value),
+                Frame::Null => (Outcome::Missed, Bytes::new()),
                 other => bail!("unexpected value {other:?}"),
             };
-            let in_flight = match parts.nth(1) {
-                Some(Frame::Bulk(report)) => in_flight(&report),
-                _ => None,
-            };
+            let in_flight = if let Frame::Bulk(report) = report { in_flight(&report) } else { None };
             Ok(Back { outcome, value, in_flight })
         }
         Frame::Error(text) if text.starts_with(b"BUSY") => Ok(Outcome::Saturated.into()),
@@ -324,10 +348,10 @@
     Back { outcome, value: response.body, in_flight }
 }
 
-/// How much a node says it holds, in a report of names and values.
+/// How much a node says it holds, in a report of names and values; one that can't be is none.
 fn in_flight(report: &[u8]) -> Option<f64> {
     let report = std::str::from_utf8(report).ok()?;
     let mut fields = report.split([',', ';', ' ']).filter_map(|field| field.split_once(['=', ':']));
     let (_, value) = fields.find(|(name, _)| ["concurrent", "inflight"].contains(&name.trim()))?;
-    value.trim().parse().ok()
+    value.trim().parse().ok().filter(|count| (0.0..MOST_HELD).contains(count))
 }
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -250,6 +250,14 @@
                 continue;
             }
             "odd" => Frame::Integer(7),
+            "short" => {
+                let _ = framed.get_mut().write_all(b"*3\r\n$20\r\nhalf a val").await;
+                continue;
+            }
+            "twice" => {
+                let _ = framed.feed(&array(Frame::Bulk("value".into()))).await;
+                array(Frame::Bulk("value".into()))
+            }
             "cut" => break,
             "hang" => continue,
             "" => Frame::simple("PONG"),
@@ -285,10 +293,16 @@
             "away" => ("503 No", "X-Turned-Away: 1\r\n"),
             "maybe" => ("503 No", ""),
             "mute" => return,
+            "early" => ("103 Hints\r\n\r\nHTTP/1.1 200 OK", ""),
+            "flood" => ("103 Hints", ""),
             _ => ("200 OK", "X-Pressure: inflight=3,util=0.5\r\n"),
         };
         let value = format!("origin's {}", field("X-Txn: "));
-        let answer = format!("HTTP/1.1 {status}\r\n{header}Content-Length: {}\r\n\r\n{value}", value.len());
+        let mut answer =
+            format!("HTTP/1.1 {status}\r\n{header}Content-Length: {}\r\n\r\n{value}", value.len());
+        if status == "103 Hints" {
+            answer = "HTTP/1.1 103 Hints\r\n\r\n".repeat(100);
+        }
         if stream.write_all(answer.as_bytes()).await.is_err() {
             break;
         }
--- a/crates/proxy/tests/proxy/nodes.rs
+++ b/crates/proxy/tests/proxy/nodes.rs
@@ -2,7 +2,9 @@
 
 use crate::World;
 use expect_test::expect;
+use pumicebay::node::quiet;
 use serde_json::json;
+use std::io::Write;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -24,6 +26,10 @@
         "garbage",
         "odd",
         "cut",
+        "short",
+        "twice",
+        "miss-early",
+        "miss-flood",
     ] {
         replies += &client.get(key).await;
     }
@@ -37,60 +43,93 @@
     world.check(
         &replies,
         expect![[r#"
-        hit: value of id-hit
-        miss: origin's id-miss
-        miss-error: -BUSY 250
-        miss-away: -BUSY 250
-        miss-maybe: -BUSY 250
-        miss-mute: -BUSY 250
-        fail: origin's id-fail
-        busy: origin's id-busy
-        garbage: origin's id-garbage
-        odd: origin's id-odd
-        cut: origin's id-cut
-        hit/é: origin's w1
-        x-error: -ERR failed
-        x-away: -BUSY 250
-        tries_sent 30, tries_completed 8, tries_missed 5, tries_errored 10, tries_saturated 3, tries_severed 4
-        -- cache node
-        1: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
-        1: C.GET miss id-miss c=read,t=acme,d=LEFT,size=9,k=x
-        1: C.GET miss-error id-miss-error c=read,t=acme,d=LEFT,size=9,k=x
-        1: C.GET miss-away id-miss-away c=read,t=acme,d=LEFT,size=9,k=x
-        1: C.GET miss-maybe id-miss-maybe c=read,t=acme,d=LEFT,size=9,k=x
-        1: C.GET miss-mute id-miss-mute c=read,t=acme,d=LEFT,size=9,k=x
-        1: C.GET fail id-fail c=read,t=acme,d=LEFT,size=9,k=x
-        1: C.GET busy id-busy c=read,t=acme,d=LEFT,size=9,k=x
-        1: C.GET garbage id-garbage c=read,t=acme,d=LEFT,size=9,k=x
-        1: closed
-        2: C.GET odd id-odd c=read,t=acme,d=LEFT,size=9,k=x
-        2: closed
-        3: C.GET cut id-cut c=read,t=acme,d=LEFT,size=9,k=x
-        3: closed
-        -- origin
-        1: GET /miss id-miss c=read,t=acme,d=3000,size=9,k=x
-        1: GET /miss-error id-miss-error c=read,t=acme,d=3000,size=9,k=x
-        1: GET /miss-error id-miss-error c=read,t=acme,d=3000,size=9,k=x
-        1: GET /miss-error id-miss-error c=read,t=acme,d=3000,size=9,k=x
-        1: GET /miss-away id-miss-away c=read,t=acme,d=3000,size=9,k=x
-        1: GET /miss-maybe id-miss-maybe c=read,t=acme,d=3000,size=9,k=x
-        1: GET /miss-maybe id-miss-maybe c=read,t=acme,d=3000,size=9,k=x
-        1: GET /miss-maybe id-miss-maybe c=read,t=acme,d=3000,size=9,k=x
-        1: GET /miss-mute id-miss-mute c=read,t=acme,d=3000,size=9,k=x
-        2: GET /miss-mute id-miss-mute c=read,t=acme,d=3000,size=9,k=x
-        3: GET /miss-mute id-miss-mute c=read,t=acme,d=3000,size=9,k=x
-        4: GET /fail id-fail c=read,t=acme,d=3000,size=9,k=x
-        4: GET /busy id-busy c=read,t=acme,d=3000,size=9,k=x
-        4: GET /garbage id-garbage c=read,t=acme,d=3000,size=9,k=x
-        4: GET /odd id-odd c=read,t=acme,d=3000,size=9,k=x
-        4: GET /cut id-cut c=read,t=acme,d=3000,size=9,k=x
-        4: PUT /hit%2F%C3%A9 w1 c=put,t=acme,d=3000,size=5 bytes
-        4: PUT /x-error w2 c=put,d=3000 bytes
-        4: PUT /x-away w3 c=put,d=3000 bytes
-    "#]],
+            hit: value of id-hit
+            miss: origin's id-miss
+            miss-error: -BUSY 250
+            miss-away: -BUSY 250
+            miss-maybe: -BUSY 250
+            miss-mute: -BUSY 250
+            fail: origin's id-fail
+            busy: origin's id-busy
+            garbage: origin's id-garbage
+            odd: origin's id-odd
+            cut: origin's id-cut
+            short: origin's id-short
+            twice: value
+            miss-early: origin's id-miss-early
+            miss-flood: -BUSY 250
+            hit/é: origin's w1
+            x-error: -ERR failed
+            x-away: -BUSY 250
+            tries_sent 39, tries_completed 11, tries_missed 7, tries_errored 14, tries_saturated 3, tries_severed 4
+            -- cache node
+            1: C.GET hit id-hit c=read,t=acme,d=LEFT,size=9,k=x
+            1: C.GET miss id-miss c=read,t=acme,d=LEFT,size=9,k=x
+            1: C.GET miss-error id-miss-error c=read,t=acme,d=LEFT,size=9,k=x
+            1: C.GET miss-away id-miss-away c=read,t=acme,d=LEFT,size=9,k=x
+            1: C.GET miss-maybe id-miss-maybe c=read,t=acme,d=LEFT,size=9,k=x
+            1: C.GET miss-mute id-miss-mute c=read,t=acme,d=LEFT,size=9,k=x
+            1: C.GET fail id-fail c=read,t=acme,d=LEFT,size=9,k=x
+            1: C.GET busy id-busy c=read,t=acme,d=LEFT,size=9,k=x
+            1: C.GET garbage id-garbage c=read,t=acme,d=LEFT,size=9,k=x
+            1: closed
+            2: C.GET odd id-odd c=read,t=acme,d=LEFT,size=9,k=x
+            2: closed
+            3: C.GET cut id-cut c=read,t=acme,d=LEFT,size=9,k=x
+            3: closed
+            4: C.GET short id-short c=read,t=acme,d=LEFT,size=9,k=x
+            4: closed
+            5: C.GET twice id-twice c=read,t=acme,d=LEFT,size=9,k=x
+            5: closed
+            6: C.GET miss-early id-miss-early c=read,t=acme,d=LEFT,size=9,k=x
+            6: C.GET miss-flood id-miss-flood c=read,t=acme,d=LEFT,size=9,k=x
+            -- origin
+            1: GET /miss id-miss c=read,t=acme,d=3000,size=9,k=x
+            1: GET /miss-error id-miss-error c=read,t=acme,d=3000,size=9,k=x
+            1: GET /miss-error id-miss-error c=read,t=acme,d=3000,size=9,k=x
+            1: GET /miss-error id-miss-error c=read,t=acme,d=3000,size=9,k=x
+            1: GET /miss-away id-miss-away c=read,t=acme,d=3000,size=9,k=x
+            1: GET /miss-maybe id-miss-maybe c=read,t=acme,d=3000,size=9,k=x
+            1: GET /miss-maybe id-miss-maybe c=read,t=acme,d=3000,size=9,k=x
+            1: GET /miss-maybe id-miss-maybe c=read,t=acme,d=3000,size=9,k=x
+            1: GET /miss-mute id-miss-mute c=read,t=acme,d=3000,size=9,k=x
+            2: GET /miss-mute id-miss-mute c=read,t=acme,d=3000,size=9,k=x
+            3: GET /miss-mute id-miss-mute c=read,t=acme,d=3000,size=9,k=x
+            4: GET /fail id-fail c=read,t=acme,d=3000,size=9,k=x
+            4: GET /busy id-busy c=read,t=acme,d=3000,size=9,k=x
+            4: GET /garbage id-garbage c=read,t=acme,d=3000,size=9,k=x
+            4: GET /odd id-odd c=read,t=acme,d=3000,size=9,k=x
+            4: GET /cut id-cut c=read,t=acme,d=3000,size=9,k=x
+            4: GET /short id-short c=read,t=acme,d=3000,size=9,k=x
+            4: GET /miss-early id-miss-early c=read,t=acme,d=3000,size=9,k=x
+            4: GET /miss-flood id-miss-flood c=read,t=acme,d=3000,size=9,k=x
+            4: closed
+            5: GET /miss-flood id-miss-flood c=read,t=acme,d=3000,size=9,k=x
+            5: closed
+            6: GET /miss-flood id-miss-flood c=read,t=acme,d=3000,size=9,k=x
+            6: closed
+            7: PUT /hit%2F%C3%A9 w1 c=put,t=acme,d=3000,size=5 bytes
+            7: PUT /x-error w2 c=put,d=3000 bytes
+            7: PUT /x-away w3 c=put,d=3000 bytes
+        "#]],
     );
 }
 
+/// What comes behind a good answer is seen before the connection is used again, also where the runtime has
+/// not looked since.
+#[tokio::test]
+async fn a_second_copy_is_seen_at_once() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (mut node, _) = listener.accept().unwrap();
+    node.write_all(b"answer").unwrap();
+    stream.readable().await.unwrap();
+    assert_eq!(stream.try_read(&mut [0; 64]).unwrap(), 6);
+    assert!(quiet(&stream));
+    node.write_all(b"answer").unwrap();
+    assert!(!quiet(&stream));
+}
+
 /// Answers come in order, so a try that is given up takes its connection with it, and no other try.
 #[tokio::test]
 async fn giving_up_a_try_closes_its_connection_alone() {
--- a/crates/proxy/tests/proxy/wire.rs
+++ b/crates/proxy/tests/proxy/wire.rs
@@ -105,6 +105,7 @@
         "HTTP/1.0 200 OK\r\n\r\nto the end",
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi",
         "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nhi",
         "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n",
         "HELLO\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n",
@@ -118,6 +119,7 @@
         HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n1;x=y\r\n!\r\n0\r\nT: 1\r\n\r\n
           Response { status: 200, headers: [("transfer-encoding", b"chunked")], body: b"hi!", last: false }
         HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\nConnection: close\r\n\r\n
+          Response { status: 100, headers: [], body: b"", last: false }
           Response { status: 204, headers: [("connection", b"close")], body: b"", last: true }
         HTTP/1.0 200 OK\r\n\r\nto the end
           Response { status: 200, headers: [], body: b"to the end", last: true }
@@ -125,6 +127,8 @@
           error: unexpected end of file
         HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n
           error: invalid Content-Length
+        HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nhi
+          error: two values of Content-Length
         HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n
           error: body too long
         HELLO\r\n\r\n
@@ -207,6 +211,10 @@
         Frame::Array(vec![bulk("v"), bulk("hit"), bulk("util=0.5,inflight=3")]),
         Frame::Array(vec![Frame::Null, Frame::Null, Frame::Null]),
         Frame::Array(vec![bulk(""), Frame::Null, bulk("inflight=many")]),
+        bulk("inflight=NaN"),
+        bulk("inflight=-1"),
+        bulk("inflight=1e300"),
+        Frame::Array(vec![bulk("v"), Frame::Null]),
         Frame::error("ERR failed"),
         Frame::error("BUSY"),
         Frame::error("SYNTAX"),
@@ -240,6 +248,18 @@
         Array([Bulk(b""), Null, Bulk(b"inflight=many")])
           try: Completed b"" None
           probe: garbage: unexpected reply Array([Bulk(b""), Null, Bulk(b"inflight=many")])
+        Bulk(b"inflight=NaN")
+          try: garbage: unexpected reply Bulk(b"inflight=NaN")
+          probe: Completed b"" None
+        Bulk(b"inflight=-1")
+          try: garbage: unexpected reply Bulk(b"inflight=-1")
+          probe: Completed b"" None
+        Bulk(b"inflight=1e300")
+          try: garbage: unexpected reply Bulk(b"inflight=1e300")
+          probe: Completed b"" None
+        Array([Bulk(b"v"), Null])
+          try: garbage: unexpected array
+          probe: garbage: unexpected reply Array([Bulk(b"v"), Null])
         Error(b"ERR failed")
           try: Errored b"" None
           probe: Errored b"" None
@@ -250,7 +270,7 @@
           try: Errored b"" None
           probe: Errored b"" None
         Array([])
-          try: garbage: unexpected value None
+          try: garbage: unexpected array
           probe: garbage: unexpected reply Array([])
         Null
           try: garbage: unexpected reply Null
