SIGHUP reads the configuration again and follows discovery to its new address

At fault: `serve::signalled`, which knows TERM and INT only, and `List`, which held one address for good.

Now the file is read again, without $PROXY_DISCOVERY; the list actor drops the call that waits and asks the new address for the whole list at once. A file that can't be read leaves the old configuration in force, its key is in the log.

--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -11,7 +11,7 @@
     Text(String),
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings(HashMap<String, Value>);
 
 impl Settings {
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -18,14 +18,15 @@
 
 usage: pumicebay COMMAND [--config FILE]
 
-  serve              run the proxy until SIGTERM
+  serve              run the proxy until SIGTERM; SIGHUP reads FILE again
   check              read and check the configuration, and print what it says
   counters [ADDRESS] print the counters of the proxy that listens there
   version            print the version
   help               print this
 
 FILE is by default what $PROXY_CONFIG names; $PROXY_NAME, $PROXY_LISTEN and $PROXY_DISCOVERY
-go before what it says. ADDRESS is by default where that configuration listens.";
+go before what it says; read again, FILE alone says where discovery is. ADDRESS is by default where
+that configuration listens.";
 
 const LOG_LINES: usize = 4096;
 const ANSWERS: Duration = Duration::from_secs(2);
@@ -45,13 +46,13 @@
             other => return Err(other.unexpected().into()),
         }
     }
-    let config = || {
+    let file = || {
         let file = file.clone().or_else(|| variable("PROXY_CONFIG"));
-        let file = file.context("no configuration: neither --config nor $PROXY_CONFIG is given")?;
-        config::read(&file, variable)
+        file.context("no configuration: neither --config nor $PROXY_CONFIG is given")
     };
+    let config = || config::read(&file()?, variable);
     match command.as_deref() {
-        Some("serve") => run(config()?),
+        Some("serve") => run(config()?, file()?),
         Some("check") => {
             println!("{}", config()?.summary());
             Ok(())
@@ -86,7 +87,7 @@
     Ok(tokio::runtime::Builder::new_current_thread().enable_all().build()?)
 }
 
-fn run(config: Config) -> Result<()> {
+fn run(config: Config, file: String) -> Result<()> {
     // Lines that nobody reads are lost after a while, rather than wait for.
     let lossy = NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES);
     let (log, _flush) = lossy.finish(std::io::stderr());
@@ -95,8 +96,9 @@
     let counters = Arc::new(Counters::default());
     let runtime = runtime()?;
     let served = runtime.block_on(async {
-        let stop = serve::signalled().await?;
-        Proxy::start(config, counters.clone()).await?.run(stop).await
+        let (stop, configs) =
+            (serve::signalled().await?, serve::reread(move || config::reread(&file, variable))?);
+        Proxy::start(config, counters.clone()).await?.run(stop, configs).await
     });
     tracing::info!("counters: {}", counters.to_string().trim_end().replace('\n', ", "));
     runtime.shutdown_background();
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -27,7 +27,7 @@
 const KEYS: &[&str] =
     &["name", "listen", "discovery", "seed", "limits", "known", "settings", "peers", "peer_listen"];
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -59,6 +59,12 @@
     pub draining: Duration,
 }
 
+/// Reads the file at `path` anew: where discovery is it says itself, as what the platform said at the start
+/// may no longer hold.
+pub fn reread(path: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
+    read(path, |name| if name == "PROXY_DISCOVERY" { None } else { variable(name) })
+}
+
 /// Reads the file at `path`; the platform's variables go before what it says.
 pub fn read(path: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
     let text = std::fs::read_to_string(path).with_context(|| format!("configuration {path}"))?;
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -13,13 +13,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
 /// How long discovery may hold a call that has nothing to tell, and how long past that it may stay silent.
 const HELD: Duration = Duration::from_secs(5);
 const SILENT: Duration = Duration::from_millis(1500);
+/// How long a connection to it may take to come up.
+const CONNECT: Duration = Duration::from_millis(500);
 /// The pause before a call after one that failed.
 const AGAIN: Duration = Duration::from_millis(100);
 /// A list of many thousand nodes.
@@ -27,22 +29,40 @@
 
 pub struct List {
     shared: Shared,
+    discovery: SocketAddr,
     /// Where the list must be asked for, the module says when.
     follow: mpsc::Receiver<()>,
     version: Option<u64>,
     connection: Option<Framed<TcpStream, Http>>,
+    /// To be called without being asked to.
+    due: bool,
 }
 
 impl List {
     pub fn new(shared: Shared, follow: mpsc::Receiver<()>) -> Self {
         let version = shared.config.known.get("rev").and_then(Json::as_u64);
-        List { shared, follow, version, connection: None }
+        let (discovery, due) = (shared.config.discovery, false);
+        List { shared, discovery, follow, version, connection: None, due }
     }
 
-    pub async fn run(mut self) {
+    /// Follows discovery where it is now: a new address is asked for the whole list at once.
+    pub async fn run(mut self, mut discovery: watch::Receiver<SocketAddr>) {
+        loop {
+            self.discovery = *discovery.borrow_and_update();
+            tokio::select! {
+                biased;
+                Ok(()) = discovery.changed() => {
+                    (self.version, self.connection, self.due) = (None, None, true);
+                }
+                () = self.follow() => return,
+            }
+        }
+    }
+
+    async fn follow(&mut self) {
         let asked = self.shared.config.settings.text("discovery") == "ask";
         loop {
-            if asked && self.follow.recv().await.is_none() {
+            if asked && !std::mem::take(&mut self.due) && self.follow.recv().await.is_none() {
                 return;
             }
             while let Err(error) = self.watch().await {
@@ -70,11 +90,11 @@
     }
 
     async fn call(&mut self) -> Result<Json> {
-        let path = match self.version {
-            Some(version) => format!("/registry/instances?index={version}&wait={}", HELD.as_millis()),
-            None => "/registry/instances".to_string(),
+        let (path, held) = match self.version {
+            Some(version) => (format!("/registry/instances?index={version}&wait={}", HELD.as_millis()), HELD),
+            None => ("/registry/instances".to_string(), Duration::ZERO),
         };
-        let answer = timeout(HELD + SILENT, self.exchange(path)).await.context("silent")??;
+        let answer = timeout(held + SILENT, self.exchange(path)).await.context("silent")??;
         ensure!(answer.status == 200, "status {}", answer.status);
         if answer.last {
             self.connection = None;
@@ -86,7 +106,8 @@
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
             None => {
-                let stream = TcpStream::connect(self.shared.config.discovery).await.context("not reached")?;
+                let stream = TcpStream::connect(self.discovery);
+                let stream = timeout(CONNECT, stream).await.context("not reached")?.context("not reached")?;
                 stream.set_nodelay(true)?;
                 Framed::new(stream, Http::new(LONGEST))
             }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
 use tokio_util::task::TaskTracker;
 
@@ -38,7 +38,10 @@
     pub address: SocketAddr,
     phases: Phases,
     config: Arc<Config>,
+    counters: Arc<Counters>,
     connections: TaskTracker,
+    /// Where discovery is now.
+    discovery: watch::Sender<SocketAddr>,
     /// Those without which it can't go on.
     actors: JoinSet<()>,
 }
@@ -71,31 +74,69 @@
             room: Room::new(config.clients),
             ahead: Arc::new(Semaphore::new(config.ahead)),
         };
-        let config = config.clone();
+        let (config, counters) = (config.clone(), shared.counters.clone());
+        let discovery = watch::Sender::new(config.discovery);
         let mut actors = JoinSet::new();
         actors.spawn(module.run());
-        actors.spawn(List::new(shared, followed).run());
+        actors.spawn(List::new(shared, followed).run(discovery.subscribe()));
         actors.spawn(clients::accept(front, listener));
         phases.enter(Phase::Serving);
         tracing::info!("listens on {address}");
-        Ok(Proxy { address, phases, config, connections, actors })
+        Ok(Proxy { address, phases, config, counters, connections, discovery, actors })
+    }
+
+    /// Takes from a new configuration what can change while it serves; one that can't be read changes nothing.
+    fn reload(&self, config: Result<Config>) {
+        match config {
+            Ok(config) => {
+                self.counters.reloads.add();
+                tracing::info!("configuration read again: discovery at {}", config.discovery);
+                let discovery = config.discovery;
+                self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
+                // The list and the seed are for a start.
+                let Config { discovery, known, seed, .. } = (*self.config).clone();
+                if *self.config != (Config { discovery, known, seed, ..config }) {
+                    tracing::warn!("configuration: what else is new in it needs a restart");
+                }
+            }
+            Err(error) => {
+                self.counters.reloads_failed.add();
+                tracing::error!("the old configuration stays: {error:#}");
+            }
+        }
     }
 
     pub fn watch(&self) -> Watch {
         self.phases.watch()
     }
 
-    /// Serves until it is told to stop and has answered what it took.
-    pub async fn run(mut self, stop: impl Future<Output = ()>) -> Result<()> {
-        tokio::select! {
-            () = stop => {}
-            ended = self.actors.join_next() => bail!("an actor ended: {ended:?}"),
+    /// Serves until it is told to stop and has answered what it took; meanwhile new configurations come.
+    pub async fn run(
+        mut self,
+        stop: impl Future<Output = ()>,
+        mut configs: mpsc::Receiver<Result<Config>>,
+    ) -> Result<()> {
+        tokio::pin!(stop);
+        loop {
+            tokio::select! {
+                () = &mut stop => break,
+                ended = self.actors.join_next() => bail!("an actor ended: {ended:?}"),
+                Some(config) = configs.recv() => self.reload(config),
+            }
         }
         self.phases.stop(self.config.draining, self.config.longest, &self.connections).await;
         Ok(())
     }
 }
 
+/// Reads the configuration again each time the platform says so.
+pub fn reread(read: impl Fn() -> Result<Config> + Send + 'static) -> Result<mpsc::Receiver<Result<Config>>> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    let (tell, configs) = mpsc::channel(1);
+    tokio::spawn(async move { while hangup.recv().await.is_some() && tell.send(read()).await.is_ok() {} });
+    Ok(configs)
+}
+
 /// Returns when the platform says to stop.
 pub async fn signalled() -> Result<impl Future<Output = ()>> {
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
--- a/crates/proxy/tests/proxy/cli.rs
+++ b/crates/proxy/tests/proxy/cli.rs
@@ -106,10 +106,14 @@
         String::from_utf8_lossy(&counted.stdout).into_owned()
     }
 
+    fn signal(&self, signal: &str) {
+        let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+
     /// Tells it to stop; its exit code and the rest of its log.
     fn stop(&mut self) -> (Option<i32>, String) {
-        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
-        assert!(killed.success());
+        self.signal("-TERM");
         let mut rest = String::new();
         self.log.read_to_string(&mut rest).unwrap();
         (self.child.wait().unwrap().code(), rest)
@@ -136,6 +140,37 @@
     assert!(told && rest.contains("counters: clients_accepted 1, "), "{rest}");
 }
 
+/// What the file then says of discovery goes before the variable.
+#[test]
+fn a_hangup_makes_it_read_its_configuration_again() {
+    let file = File::new("hangup", &configuration(&[]).to_string());
+    let mut command = program(&["serve", "--config", file.path()]);
+    command.env("PROXY_DISCOVERY", "127.0.0.1:7");
+    let mut running = Running::start(command);
+    let mut told = String::new();
+    for (text, word) in [
+        (configuration(&[("/discovery", json!("nowhere"))]).to_string(), "ERROR"),
+        ("{".into(), "ERROR"),
+        (configuration(&[]).to_string(), "read again"),
+    ] {
+        std::fs::write(file.path(), text).unwrap();
+        running.signal("-HUP");
+        let mut line = String::new();
+        while !line.contains(word) {
+            line.clear();
+            assert!(running.log.read_line(&mut line).unwrap() > 0, "ended");
+        }
+        let (_, text) = line.split_once('Z').unwrap();
+        told += text.trim_start().replace(file.path(), "FILE").as_str();
+    }
+    expect![[r#"
+        ERROR the old configuration stays: configuration FILE: discovery: expected ADDRESS:PORT, found "nowhere": invalid socket address syntax
+        ERROR the old configuration stays: configuration FILE: EOF while parsing an object at line 1 column 1
+        INFO configuration read again: discovery at 127.0.0.1:9
+    "#]].assert_eq(&told);
+    assert_eq!(running.stop().0, Some(0));
+}
+
 /// Fewer descriptors than it was told: the connections that are idle longest make room, and it lives on.
 #[test]
 fn it_survives_a_want_of_descriptors() {
--- a/crates/proxy/tests/proxy/list.rs
+++ b/crates/proxy/tests/proxy/list.rs
@@ -56,6 +56,32 @@
     .assert_eq(&format!("{}{reply}", world.discovery.text()));
 }
 
+/// A new address is asked for the whole list while a call still waits at the old one; a configuration that
+/// can't be read changes nothing.
+#[tokio::test]
+async fn discovery_is_followed_to_where_a_new_configuration_says_it_is() {
+    for asked in ["push", "ask"] {
+        let mut world = World::start(&[("/settings/discovery", json!(asked))]).await;
+        world.discovery.until("index=41").await;
+        world.configs.send(Err(anyhow::anyhow!("discovery: missing"))).await.unwrap();
+        world.until_counted("reloads_failed 1").await;
+        let (moved, tell) = world.move_discovery().await;
+        moved.until("instances HTTP").await;
+        let origin = world.json["known"]["targets"][1].clone();
+        tell.send(json!({"rev": 7, "all": true, "targets": [origin]}).to_string()).await.unwrap();
+        moved.until("index=7").await;
+        // The cache node is in the new list no more.
+        let reply = world.client().await.get("hit").await;
+        expect![[r#"
+            GET /registry/instances?index=41&wait=5000 HTTP/1.1
+            GET /registry/instances HTTP/1.1
+            GET /registry/instances?index=7&wait=5000 HTTP/1.1
+            hit: origin's id-hit
+        "#]]
+        .assert_eq(&format!("{}{}{reply}", world.discovery.text(), moved.text()));
+    }
+}
+
 /// Where the list must be asked for, the decisions say when it is asked for again.
 #[tokio::test]
 async fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() {
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -98,6 +98,9 @@
     /// Answers for discovery's next calls; a call without one waits.
     pub tell: mpsc::Sender<String>,
     pub stop: Option<oneshot::Sender<()>>,
+    /// Configurations that are read anew.
+    pub configs: mpsc::Sender<anyhow::Result<Config>>,
+    pub json: Json,
     pub running: JoinHandle<()>,
 }
 
@@ -110,10 +113,7 @@
         let (cache, origin, discovery) = (Trace::default(), Trace::default(), Trace::default());
         let cache_address = listen(cache.clone(), cache_node).await;
         let origin_address = listen(origin.clone(), origin_server).await;
-        let (tell, told) = mpsc::channel(8);
-        let told = Arc::new(tokio::sync::Mutex::new(told));
-        let agent = move |stream, trace, _| agent(stream, trace, told.clone());
-        let discovery_address = listen(discovery.clone(), agent).await;
+        let (tell, discovery_address) = self::discovery(discovery.clone()).await;
         let targets = json!([
             target("s-cache", &cache_address.to_string(), "node", "active"),
             target("s-origin", &origin_address.to_string(), "origin", "active"),
@@ -127,12 +127,35 @@
         let proxy = Proxy::start(config, counters.clone()).await.expect("a proxy");
         let (address, watch) = (proxy.address, proxy.watch());
         let (stop, stopped) = oneshot::channel();
+        let (configs, fresh) = mpsc::channel(1);
         let running = tokio::spawn(async move {
             let stop = async { stopped.await.unwrap_or(()) };
-            proxy.run(stop).await.expect("a proxy that stops by itself");
+            proxy.run(stop, fresh).await.expect("a proxy that stops by itself");
         });
         let stop = Some(stop);
-        World { address, watch, cache, origin, discovery, counters, cache_address, tell, stop, running }
+        World {
+            address,
+            watch,
+            cache,
+            origin,
+            discovery,
+            counters,
+            cache_address,
+            tell,
+            stop,
+            configs,
+            json,
+            running,
+        }
+    }
+
+    /// Another discovery, which the configuration names from now on.
+    pub async fn move_discovery(&mut self) -> (Trace, mpsc::Sender<String>) {
+        let trace = Trace::default();
+        let (tell, address) = discovery(trace.clone()).await;
+        self.json["discovery"] = json!(address.to_string());
+        self.configs.send(parse(&self.json)).await.expect("a running proxy");
+        (trace, tell)
     }
 
     pub async fn client(&self) -> Client {
@@ -311,6 +334,13 @@
     trace.line(&format!("{number}: closed"));
 }
 
+async fn discovery(trace: Trace) -> (mpsc::Sender<String>, SocketAddr) {
+    let (tell, told) = mpsc::channel(8);
+    let told = Arc::new(tokio::sync::Mutex::new(told));
+    let agent = move |stream, trace, _| agent(stream, trace, told.clone());
+    (tell, listen(trace, agent).await)
+}
+
 async fn agent(mut stream: TcpStream, trace: Trace, told: Arc<tokio::sync::Mutex<mpsc::Receiver<String>>>) {
     let mut some = [0; 4096];
     while let Ok(length @ 1..) = stream.read(&mut some).await {
