Ids of open requests are refused, and what a node rejects is told to its client alone

Ruled out: classes, deadlines and lengths, which `clients.rs` refuses at the door. At fault: `Module::handle`, which took an id that was open, and `node::replied`, `node::answered`, which took a rejection for the node's error.

Now the module, which knows the open exchanges, refuses a second one with their id; an error that is not `ERR failed`, and the origin's 4xx, end a try as `Rejected`: passed on to the client, tried nowhere else, no fault of the node.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -548,7 +548,7 @@
         match outcome {
             Outcome::Completed | Outcome::Missed => cache.failures = cache.failures.saturating_sub(1),
             Outcome::Saturated => cache.refuses_until = self.now + TICK,
-            Outcome::Withdrawn | Outcome::Unsent => {}
+            Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
             Outcome::Overdue if cache.owes_since > sent => {}
             _ => cache.failures += 1,
         }
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -68,12 +68,15 @@
     Unsent,
     /// The cache node lacks the key.
     Missed,
+    /// The node can't use what was asked, and said so: the fault is the client's.
+    Rejected,
 }
 
 impl Outcome {
     /// Whether this outcome proves that the try had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Saturated | Outcome::Unreachable | Outcome::Unsent | Outcome::Missed)
+        use Outcome::{Missed, Rejected, Saturated, Unreachable, Unsent};
+        matches!(self, Saturated | Unreachable | Unsent | Missed | Rejected)
     }
 }
 
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -188,6 +188,7 @@
             Ok(Answer::Shed(0)) => Frame::error("BUSY"),
             Ok(Answer::Shed(pause)) => Frame::error(format!("BUSY {}", pause.div_ceil(MILLIS))),
             Ok(Answer::Errored) => Frame::error("ERR failed"),
+            Ok(Answer::Rejected(why)) => Frame::Error(why),
             Err(_) => Frame::error("ERR no answer"),
         },
         None => std::future::pending().await,
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -29,10 +29,11 @@
 
 counters! {
     clients_accepted clients_closed_for_room accept_failures
-    exchanges_taken exchanges_completed exchanges_shed exchanges_errored exchanges_dropped
+    exchanges_taken exchanges_completed exchanges_shed exchanges_errored exchanges_rejected
+    exchanges_dropped
     bad_commands
     tries_sent tries_completed tries_missed tries_errored tries_saturated tries_overdue
-    tries_unreachable tries_severed tries_withdrawn tries_unsent
+    tries_unreachable tries_severed tries_withdrawn tries_unsent tries_rejected
     connections_opened connections_failed connections_reused connections_closed_for_room
     probes_sent probes_failed
     list_answers list_failures reloads reloads_failed
@@ -51,6 +52,7 @@
             Outcome::Severed => self.tries_severed.add(),
             Outcome::Withdrawn => self.tries_withdrawn.add(),
             Outcome::Unsent => self.tries_unsent.add(),
+            Outcome::Rejected => self.tries_rejected.add(),
         }
     }
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -6,7 +6,7 @@
 use crate::phases::Phase;
 use crate::serve::Shared;
 use bytes::Bytes;
-use hashbrown::HashMap;
+use hashbrown::{HashMap, HashSet};
 use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Xchg};
 use pumicebay_names::{hear, mark};
 use std::cmp::Reverse;
@@ -38,6 +38,8 @@
     Completed(Bytes),
     Shed(Nanos),
     Errored,
+    /// The client's own fault, in words for it.
+    Rejected(Bytes),
 }
 
 /// A node as discovery names it.
@@ -144,6 +146,8 @@
     /// What stands for each node in news to peers.
     marks: Vec<u64>,
     open: HashMap<Xchg, Open>,
+    /// The ids of the exchanges that await their answers.
+    ids: HashSet<Bytes>,
     timers: BinaryHeap<Reverse<(Nanos, u64)>>,
     /// Tries that could not be sent, and probes, to be reported once the decisions have returned.
     unsent: Vec<(Xchg, usize, Node)>,
@@ -168,6 +172,7 @@
             uids: HashMap::new(),
             marks: Vec::new(),
             open: HashMap::new(),
+            ids: HashSet::new(),
             timers: BinaryHeap::new(),
             unsent: Vec::new(),
             unprobed: Vec::new(),
@@ -203,7 +208,13 @@
     fn handle(&mut self, event: Event) {
         let now = self.balance.host.shared.clock.now();
         match event {
+            // Only what is wanted is answered: a value for one must not go to another.
+            Event::Arrived(_, _, _, cargo, answer) if self.balance.host.ids.contains(&cargo.id) => {
+                self.balance.host.shared.counters.exchanges_rejected.add();
+                let _ = answer.send(Answer::Rejected(Bytes::from_static(b"ERR id of an open request")));
+            }
             Event::Arrived(xchg, at, ask, cargo, answer) => {
+                self.balance.host.ids.insert(cargo.id.clone());
                 self.balance.host.shared.counters.exchanges_taken.add();
                 let open = Open { cargo, answer: Some(answer), tries: 0 };
                 self.balance.host.open.insert(xchg, open);
@@ -233,11 +244,17 @@
     fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, node: Node, back: Back) {
         let acts = &mut self.balance.host;
         acts.shared.counters.tried(back.outcome);
-        if back.outcome == Outcome::Completed
-            && let Some(answer) = acts.take_answer(xchg)
-        {
-            acts.shared.counters.exchanges_completed.add();
-            let _ = answer.send(Answer::Completed(back.value));
+        // What the node says to the client itself is passed on.
+        let settles = matches!(back.outcome, Outcome::Completed | Outcome::Rejected);
+        if let Some(answer) = settles.then(|| acts.take_answer(xchg)).flatten() {
+            let rejected = back.outcome == Outcome::Rejected;
+            let counters = &acts.shared.counters;
+            if rejected { &counters.exchanges_rejected } else { &counters.exchanges_completed }.add();
+            let _ = answer.send(if rejected {
+                Answer::Rejected(back.value)
+            } else {
+                Answer::Completed(back.value)
+            });
         }
         let over = acts.open.get(&xchg).is_none_or(|open| open.answer.is_none());
         self.reported(now, node, back.in_flight);
@@ -289,7 +306,10 @@
     }
 
     fn take_answer(&mut self, xchg: Xchg) -> Option<oneshot::Sender<Answer>> {
-        self.open.get_mut(&xchg)?.answer.take()
+        let open = self.open.get_mut(&xchg)?;
+        let answer = open.answer.take()?;
+        self.ids.remove(&open.cargo.id);
+        Some(answer)
     }
 
     /// The index of a node, new ones in the order they come; each has an actor.
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -313,11 +313,9 @@
             Ok(Back { outcome, value, in_flight })
         }
         Frame::Error(text) if text.starts_with(b"BUSY") => Ok(Outcome::Saturated.into()),
-        Frame::Error(text) => {
-            if !text.starts_with(b"ERR failed") {
-                tracing::warn!("cache node: {}", String::from_utf8_lossy(&text));
-            }
-            Ok(Outcome::Errored.into())
+        Frame::Error(text) if text.starts_with(b"ERR failed") => Ok(Outcome::Errored.into()),
+        Frame::Error(text) if text.starts_with(b"ERR ") => {
+            Ok(Back { value: text, ..Outcome::Rejected.into() })
         }
         other => bail!("unexpected reply {other:?}"),
     }
@@ -339,6 +337,10 @@
         200 => Outcome::Completed,
         503 | 504 if turned_away => Outcome::Saturated,
         500 => Outcome::Errored,
+        400..500 => {
+            let value = format!("ERR origin: status {}", response.status).into();
+            return Back { value, ..Outcome::Rejected.into() };
+        }
         status => {
             tracing::warn!("origin: status {status}");
             Outcome::Errored
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -267,6 +267,7 @@
             }
             "large" => array(Frame::Bulk(vec![b'x'; 60_000].into())),
             "fail" => Frame::error("ERR failed"),
+            "reject" => Frame::error("ERR bad request"),
             "busy" => Frame::error("BUSY"),
             "garbage" => {
                 let _ = framed.get_mut().write_all(b"what?\r\n").await;
@@ -316,6 +317,7 @@
             "away" => ("503 No", "X-Turned-Away: 1\r\n"),
             "maybe" => ("503 No", ""),
             "mute" => return,
+            "reject" => ("400 Bad", ""),
             "early" => ("103 Hints\r\n\r\nHTTP/1.1 200 OK", ""),
             "flood" => ("103 Hints", ""),
             _ => ("200 OK", "X-Pressure: inflight=3,util=0.5\r\n"),
