Nodes that are gone and owe nothing are forgotten; slow commands have ten seconds

Read: `Acts.nodes`, `uids`, `marks`, an actor with its connections for each node, and the module's caches only grew with each replaced node. Ruled out as the cause of more: descriptors (164, 173, 163, 164) and the table, which is bounded.

Now the module, which knows what is owed, dismisses a cache that is gone for as long as members stay unpicked in a set, has no try or probe out and stands in no exchange: its number may be given to another uid, which inherits nothing, also at the same address. The hosts then drop the actor. One that left before it was known gets no number. An origin keeps its number, since misses go to it by number.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -151,9 +151,7 @@
 
     pub fn listed(&mut self, now: Nanos, node: Node, listed: Listed) {
         (self.now, self.follow_wait) = (now, TICK);
-        if node >= self.caches.len() {
-            self.caches.resize(node + 1, Cache::default());
-        }
+        self.caches.resize(self.caches.len().max(node + 1), Cache::default());
         let started = listed.started.max(self.caches[node].listed.started);
         let newly = started > self.caches[node].listed.started;
         self.caches[node].listed = Listed { started, ..listed };
@@ -179,8 +177,7 @@
     pub fn reported(&mut self, now: Nanos, node: Node, in_flight: f64) {
         let Some(cache) = self.caches.get_mut(node) else { return };
         cache.heard = true;
-        let in_flight = in_flight.max(0.0) as usize;
-        cache.report = Some(Report { in_flight, own: cache.flow.in_flight, at: now });
+        cache.report = Some(Report { in_flight: in_flight as usize, own: cache.flow.in_flight, at: now });
     }
 
     pub fn probed(&mut self, node: Node, outcome: Outcome) {
@@ -209,10 +206,9 @@
 
     fn place(&mut self, xchg: Xchg) {
         let ask = self.xchgs[&xchg].ask;
-        let filling = self.fetches.get(ask.key).map(|fetch| fetch.fills);
         match self.pick(xchg, ask.key) {
             _ if ask.write && self.origin.is_some() => self.ask_origin(xchg),
-            node if node.is_some() && node == filling => self.wait_for_fetch(xchg),
+            node if node.is_some() && node == self.fetches.fills(ask.key) => self.wait_for_fetch(xchg),
             Some(node) if self.fits(xchg, node) => self.serve(xchg, node),
             Some(_) => self.wait_for_room(xchg),
             None if self.origin.is_some() => self.ask_origin(xchg),
@@ -570,8 +566,7 @@
         measure(self.now, &mut self.all, (ROOM, FEW * caches, f64::INFINITY));
         let few = (FEW / self.fleet).floor().max(1.0);
         for cache in &mut self.caches {
-            let known =
-                usize::from(cache.listed.origin && cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
+            let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
             let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * caches, f64::INFINITY);
             let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
             measure(self.now, &mut cache.flow, bounds);
@@ -581,8 +576,13 @@
     fn tick(&mut self) {
         self.host.wake(self.now + TICK, TICK_TOKEN);
         self.measure();
-        // Guards what may be a sick node from the probes of many proxies.
         for (node, cache) in self.caches.iter_mut().enumerate() {
+            // Guards memory. Past the last mention in any set or exchange, another may have the number.
+            if cache.done(self.now, UNPICKED) && !self.xchgs.values().any(|cx| cx.tried(node)) {
+                *cache = Cache::default();
+                self.host.dismiss(node);
+            }
+            // Guards what may be a sick node from the probes of many proxies.
             let due = cache.aside.is_some() && cache.ready() && !cache.probing;
             if due && f64::from(self.rng.rand_float()) < (FEW / self.fleet).max(0.1) {
                 cache.probing = true;
--- a/crates/core/src/fetches.rs
+++ b/crates/core/src/fetches.rs
@@ -30,6 +30,11 @@
         self.by_key.get(&key?)
     }
 
+    /// The node that is to hold the key, if it is being fetched.
+    pub fn fills(&self, key: Option<u64>) -> Option<Node> {
+        self.get(key).map(|fetch| fetch.fills)
+    }
+
     pub fn wait(&mut self, key: Option<u64>, xchg: Xchg, worth: u64) {
         let Some(fetch) = key.and_then(|key| self.by_key.get_mut(&key)) else { return };
         let in_line = self.line.remove(&(fetch.worth, fetch.by));
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -21,6 +21,8 @@
     fn wake(&mut self, at: Nanos, token: u64);
     /// Asks for `Balance::probed`.
     fn probe(&mut self, node: Node);
+    /// The node is gone and owes nothing: its number may be given to another.
+    fn dismiss(&mut self, node: Node);
     /// Asks discovery for changes from now on.
     fn follow(&mut self);
     /// Tells every peer how much this proxy has in flight at a node.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -17,6 +17,8 @@
     /// What this proxy last told its peers.
     pub told: usize,
     pub report: Option<Report>,
+    /// When it was last seen to be listed, or to owe something.
+    pub live: Nanos,
     /// Any word from it: an outcome or a report.
     pub heard: bool,
     /// Until when this proxy has had its part of it, while it is cold.
@@ -149,6 +151,16 @@
         report.map_or_else(|| own + told(), since) as f64
     }
 
+    /// A cache that has been gone for so long and owes nothing.
+    pub fn done(&mut self, now: Nanos, last: Nanos) -> bool {
+        let owes = self.flow.in_flight > 0 || self.probing;
+        if owes || self.listed.standing != Standing::Gone {
+            self.live = now;
+        }
+        let listed = self.listed.identity != 0 && !self.listed.origin;
+        listed && now >= self.live + last
+    }
+
     /// How long ago its process started.
     pub fn age(&self, now: Nanos) -> Nanos {
         now.saturating_sub(self.listed.started)
@@ -215,6 +227,10 @@
         Some(*this)
     }
 
+    pub fn tried(&self, node: Node) -> bool {
+        self.tries.iter().any(|t| t.node == node)
+    }
+
     pub fn may_have_run(&self) -> bool {
         self.tries.iter().any(|t| t.may_have_run)
     }
--- a/crates/core/tests/balance/failures.rs
+++ b/crates/core/tests/balance/failures.rs
@@ -1,9 +1,9 @@
 //! Each failure met in the bench, as far as this proxy sees it.
 
-use crate::rig::{MS, SECOND, rig};
+use crate::rig::{MS, SECOND, listed, rig};
 use expect_test::expect;
-use pumicebay_core::Outcome;
 use pumicebay_core::settings::Value;
+use pumicebay_core::{Listed, Outcome, Standing};
 
 #[test]
 fn a_node_that_fails_quickly_is_set_aside_until_it_answers_probes() {
@@ -192,3 +192,36 @@
     "#]]
     .assert_eq(&all);
 }
+
+/// Guards memory where nodes come and go for good. A late answer still finds its node, and who gets the number
+/// next inherits nothing.
+#[test]
+fn a_gone_cache_leaves_its_number_once_it_owes_nothing() {
+    let mut rig = rig(1, "retriable", &[("most_tries", Value::Number(1.0))]);
+    rig.ask.grace = 60 * SECOND;
+    rig.arrive(1);
+    rig.balance.listed(rig.now, 1, Listed { standing: Standing::Gone, ..listed(1) });
+    rig.pass(15 * SECOND);
+    rig.note("gone for 15 s, with a try out");
+    rig.end(1, 0, Outcome::Severed);
+    rig.pass(9 * SECOND);
+    rig.note("owes nothing for 9 s");
+    rig.pass(SECOND);
+    rig.note("10 s");
+    rig.balance.listed(rig.now, 1, listed(8));
+    for xchg in 2..5 {
+        rig.arrive(xchg);
+    }
+    rig.end(2, 0, Outcome::Completed);
+    rig.balance.listed(rig.now, 1, Listed { standing: Standing::Gone, ..listed(8) });
+    rig.pass(9 * SECOND);
+    rig.check(expect![[r#"
+        1 to node 1
+        -- gone for 15 s, with a try out
+        1 shed
+        -- owes nothing for 9 s
+        dismiss node 1
+        -- 10 s
+        2 to node 1, 3 to origin, 4 to node 1
+    "#]]);
+}
--- a/crates/core/tests/balance/rig.rs
+++ b/crates/core/tests/balance/rig.rs
@@ -42,6 +42,9 @@
     fn probe(&mut self, node: Node) {
         self.act(format!("probe node {node}"));
     }
+    fn dismiss(&mut self, node: Node) {
+        self.act(format!("dismiss node {node}"));
+    }
     fn follow(&mut self) {
         self.act("follow the list".into());
     }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -23,10 +23,11 @@
 
 /// Commands on one connection that await their answers; more are left unread.
 const PIPELINE: usize = 32;
-/// A connection may be without a whole command for so long after it comes up, and a command without its end.
-/// What stands idle for less is not closed for want of room, as a request might be on its way.
-const SILENT: Duration = Duration::from_millis(2200);
-/// How long a client may take to read what it asked for.
+/// A connection may be without a whole command for so long after it comes up.
+const SILENT: Duration = Duration::from_millis(2700);
+/// What stands idle for less is closed for want of room last, as a request might be on its way.
+const IDLE: Duration = Duration::from_millis(2200);
+/// How long a client may take to read what it asked for, or to write a command that is not its first.
 const READING: Duration = Duration::from_secs(10);
 /// What is still read from a client that was refused, and for how long.
 const LINGER: Duration = Duration::from_secs(1);
@@ -211,7 +212,7 @@
 /// Returns when a connection that has been idle since then is to make room.
 async fn spared(room: &Room, used: bool, since: Instant) {
     let (before, after, spare) =
-        if used { (Spare::Lately, SILENT, Spare::Idle) } else { (Spare::New, NEW, Spare::Unused) };
+        if used { (Spare::Lately, IDLE, Spare::Idle) } else { (Spare::New, NEW, Spare::Unused) };
     if timeout_at(since + after, room.asked(before)).await.is_err() {
         room.asked(spare).await;
     }
@@ -225,7 +226,7 @@
     if let Err(error) = begun(framed).await {
         return Some(Err(error));
     }
-    let by = *since.get_or_insert_with(Instant::now) + SILENT;
+    let by = *since.get_or_insert_with(Instant::now) + READING;
     let frame = timeout_at(by, framed.next()).await;
     *since = None;
     frame.unwrap_or_else(|_| Some(Err(bad("command without end"))))
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -36,6 +36,7 @@
     tries_unreachable tries_severed tries_withdrawn tries_unsent tries_rejected
     connections_opened connections_failed connections_reused connections_closed_for_room
     probes_sent probes_failed
+    nodes_known nodes_dismissed
     list_answers list_failures reloads reloads_failed
     news_sent news_received news_bad
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -7,7 +7,7 @@
 use crate::serve::Shared;
 use bytes::Bytes;
 use hashbrown::{HashMap, HashSet};
-use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Xchg};
+use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
 use pumicebay_names::{hear, mark};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -140,11 +140,9 @@
     shared: Shared,
     peers: Option<Peers>,
     follow: mpsc::Sender<()>,
-    /// Where each node is, and the mailbox of its actor.
-    nodes: Vec<(SocketAddr, node::Mailbox)>,
+    /// By number; a number without a node is given to the next.
+    nodes: Vec<Option<Known>>,
     uids: HashMap<String, Node>,
-    /// What stands for each node in news to peers.
-    marks: Vec<u64>,
     open: HashMap<Xchg, Open>,
     /// The ids of the exchanges that await their answers.
     ids: HashSet<Bytes>,
@@ -152,6 +150,16 @@
     /// Tries that could not be sent, and probes, to be reported once the decisions have returned.
     unsent: Vec<(Xchg, usize, Node)>,
     unprobed: Vec<Node>,
+    /// What stood for nodes that are no more.
+    dismissed: Vec<u64>,
+}
+
+struct Known {
+    uid: String,
+    address: SocketAddr,
+    /// What stands for it in news to peers.
+    mark: u64,
+    actor: node::Mailbox,
 }
 
 struct Open {
@@ -170,12 +178,12 @@
             follow,
             nodes: Vec::new(),
             uids: HashMap::new(),
-            marks: Vec::new(),
             open: HashMap::new(),
             ids: HashSet::new(),
             timers: BinaryHeap::new(),
             unsent: Vec::new(),
             unprobed: Vec::new(),
+            dismissed: Vec::new(),
         };
         let balance = Balance::new(acts, config.settings.clone(), config.seed, clock.now());
         Module { balance, mailbox, marks: HashMap::new() }
@@ -203,6 +211,9 @@
         while let Some(Reverse((_, token))) = self.balance.host.due(now) {
             self.balance.woke(now, token);
         }
+        for mark in self.balance.host.dismissed.drain(..) {
+            self.marks.remove(&mark);
+        }
     }
 
     fn handle(&mut self, event: Event) {
@@ -270,10 +281,12 @@
     /// Takes in a whole list, or changes to it.
     pub fn listed(&mut self, whole: bool, named: Vec<Named>) {
         let now = self.balance.host.shared.clock.now();
-        let nodes: Vec<Node> = named.iter().map(|named| self.balance.host.node(named)).collect();
-        for (node, named) in nodes.iter().zip(named) {
-            self.marks.insert(mark(&named.uid), *node);
-            self.balance.listed(now, *node, named.listed);
+        let mut nodes = Vec::with_capacity(named.len());
+        for named in named {
+            let Some(node) = self.balance.host.node(&named) else { continue };
+            self.marks.insert(mark(&named.uid), node);
+            self.balance.listed(now, node, named.listed);
+            nodes.push(node);
         }
         if whole {
             self.balance.listed_all(&nodes);
@@ -312,29 +325,39 @@
         Some(answer)
     }
 
-    /// The index of a node, new ones in the order they come; each has an actor.
-    fn node(&mut self, named: &Named) -> Node {
-        if let Some(&node) = self.uids.get(&named.uid) {
-            self.nodes[node].0 = named.address;
-            return node;
+    /// The index of a node, new ones the first that is free; each has an actor. None for one that left before
+    /// it was known.
+    fn node(&mut self, named: &Named) -> Option<Node> {
+        let Named { uid, address, listed } = named;
+        if let Some(&node) = self.uids.get(uid) {
+            if let Some(known) = &mut self.nodes[node] {
+                known.address = *address;
+            }
+            return Some(node);
         }
-        let node = self.nodes.len();
-        tracing::info!("node {node} is {} at {}", named.uid, named.address);
-        self.uids.insert(named.uid.clone(), node);
-        self.marks.push(mark(&named.uid));
-        self.nodes.push((named.address, node::start(&self.shared, node, named.listed.origin)));
-        node
+        if listed.standing == Standing::Gone {
+            return None;
+        }
+        let node = self.nodes.iter().position(Option::is_none).unwrap_or(self.nodes.len());
+        tracing::info!("node {node} is {uid} at {address}");
+        self.shared.counters.nodes_known.add();
+        self.uids.insert(uid.clone(), node);
+        let actor = node::start(&self.shared, node, listed.origin);
+        let known = Known { uid: uid.clone(), address: *address, mark: mark(uid), actor };
+        self.nodes.resize_with(self.nodes.len().max(node + 1), || None);
+        self.nodes[node] = Some(known);
+        Some(node)
     }
 
     /// Whether the node's actor took it: a full mailbox does not.
     fn post(&self, node: Node, errand: Errand) -> bool {
-        let (address, mailbox) = &self.nodes[node];
-        mailbox.try_send((*address, errand)).is_ok()
+        let known = self.nodes[node].as_ref();
+        known.is_some_and(|known| known.actor.try_send((known.address, errand)).is_ok())
     }
 
     fn tell(&self, kind: &str, node: Node, figure: u64) {
-        if let Some(peers) = &self.peers {
-            peers.tell(&self.shared.counters, &format!("{kind} {:x} {figure:x}", self.marks[node]));
+        if let (Some(peers), Some(known)) = (&self.peers, &self.nodes[node]) {
+            peers.tell(&self.shared.counters, &format!("{kind} {:x} {figure:x}", known.mark));
         }
     }
 }
@@ -384,6 +407,15 @@
         }
     }
 
+    fn dismiss(&mut self, node: Node) {
+        if let Some(Known { uid, mark, .. }) = self.nodes[node].take() {
+            tracing::info!("node {node} is {uid} no more");
+            self.shared.counters.nodes_dismissed.add();
+            self.uids.remove(&uid);
+            self.dismissed.push(mark);
+        }
+    }
+
     fn follow(&mut self) {
         // A call that is still waiting to be made is the same call.
         let _ = self.follow.try_send(());
--- a/crates/proxy/tests/proxy/list.rs
+++ b/crates/proxy/tests/proxy/list.rs
@@ -82,6 +82,42 @@
     }
 }
 
+/// What is gone is forgotten with its connections, and one with a new uid at its address begins anew.
+#[tokio::test]
+async fn a_node_that_is_gone_is_forgotten() {
+    let world = World::start(&[]).await;
+    let mut client = world.client().await;
+    let mut replies = client.get("hit-1").await;
+    let (old, origin) =
+        (world.json["known"]["targets"][0].clone(), world.json["known"]["targets"][1].clone());
+    let stranger = target("s-9", "127.0.0.1:9", "node", "left");
+    let whole = json!({"rev": 42, "all": true, "targets": [origin, stranger]});
+    world.tell.send(whole.to_string()).await.unwrap();
+    world.discovery.until("index=42").await;
+    replies += &client.get("hit-2").await;
+    world.until_counted("nodes_dismissed 1").await;
+    let new = target("s-new", old["endpoint"].as_str().unwrap(), "node", "active");
+    world.tell.send(json!({"rev": 43, "all": false, "targets": [new]}).to_string()).await.unwrap();
+    world.discovery.until("index=43").await;
+    replies += &(client.get("hit-3").await + &world.counted("nodes_"));
+    world.check(
+        &replies,
+        expect![[r#"
+        hit-1: value of id-hit-1
+        hit-2: origin's id-hit-2
+        hit-3: value of id-hit-3
+        nodes_known 3
+        nodes_dismissed 1
+        -- cache node
+        1: C.GET hit-1 id-hit-1 c=read,t=acme,d=LEFT,size=9,k=x
+        1: closed
+        2: C.GET hit-3 id-hit-3 c=read,t=acme,d=LEFT,size=9,k=x
+        -- origin
+        1: GET /hit-2 id-hit-2 c=read,t=acme,d=3000,size=9,k=x
+    "#]],
+    );
+}
+
 /// Where the list must be asked for, the decisions say when it is asked for again.
 #[tokio::test]
 async fn a_list_that_must_be_asked_for_is_asked_for_again_after_a_failure() {
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -106,6 +106,9 @@
         self.act("Check", format_args!(",{address}"));
     }
 
+    /// An address keeps its number: it may come back.
+    fn dismiss(&mut self, _node: Node) {}
+
     fn follow(&mut self) {
         self.act("Follow", format_args!(",true"));
     }
