Answers of nodes may be as long as there is memory for

Checked in the log: 3903 times "bulk string too long", 1557 times "body too long" from nodes and origin. Spoilt answers, was the first guess; a probe of the lengths ruled that out: 5544 lengths spread evenly from 128,049 to 399,519 bytes, none of 3 GB. At fault: the one limit `LONGEST_BULK` for what clients send and what nodes answer.

Now a node's answer past 64 KiB is admitted by its length out of an eighth of the memory that all connections share (`large.rs`), counted twice, for reading and for writing it, and given back when the value is gone; where it doesn't fit it is a spoilt answer, as 3 GB always are. What clients may send stays at 64 KiB.

The new test fails without it, and found that a long answer of which much came at once was refused as a frame too long.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -43,6 +43,8 @@
     pub upstream: usize,
     /// How many commands clients may send ahead of their answers, over all connections.
     pub ahead: usize,
+    /// How many pieces of the usual longest value answers of nodes may take that are longer.
+    pub large: usize,
     /// Where the other proxies hear news, and where this one does.
     pub peers: Vec<SocketAddr>,
     pub peer_listen: SocketAddr,
@@ -121,6 +123,7 @@
         clients,
         upstream: (sockets - clients_part(sockets)).min(memory / 4 / NODE_BYTES),
         ahead: memory / 8 / LONGEST_BULK,
+        large: memory / 8 / LONGEST_BULK,
         peers: peers(json)?,
         peer_listen: if json.get("peer_listen").is_some() { address(json, "peer_listen")? } else { listen },
         known: known(json)?,
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 as the origin and discovery speak it: requests out, answers in.
 
+use crate::large::Large;
 use crate::resp::bad;
 use bytes::{BufMut, Bytes, BytesMut};
 use std::io::{Error, ErrorKind};
@@ -44,15 +45,21 @@
 
 #[derive(Debug)]
 pub struct Http {
-    /// The longest body that is read.
+    /// The longest body that is read, and the memory for longer ones where these may come.
     longest: usize,
+    pub large: Option<Large>,
     /// The answer whose body is still coming.
     head: Option<(Response, Body)>,
 }
 
 impl Http {
     pub fn new(longest: usize) -> Http {
-        Http { longest, head: None }
+        Http { longest, large: None, head: None }
+    }
+
+    /// Reads bodies that are longer too, where there is memory for them.
+    pub fn with(self, large: Large) -> Http {
+        Http { large: Some(large), ..self }
     }
 }
 
@@ -87,7 +94,7 @@
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Response>, Error> {
         if self.head.is_none() {
-            self.head = head(buffer, self.longest)?;
+            self.head = head(buffer, self.longest, &mut self.large)?;
         }
         let Some((_, body)) = &self.head else { return Ok(None) };
         let body = match body {
@@ -114,7 +121,11 @@
     }
 }
 
-fn head(buffer: &mut BytesMut, longest: usize) -> Result<Option<(Response, Body)>, Error> {
+fn head(
+    buffer: &mut BytesMut,
+    longest: usize,
+    large: &mut Option<Large>,
+) -> Result<Option<(Response, Body)>, Error> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     let length = match parsed.parse(buffer).map_err(|_| bad("malformed answer"))? {
@@ -134,8 +145,10 @@
                 if matches!(body, Body::Length(other) if other != length) {
                     return Err(bad("two values of Content-Length"));
                 }
-                if length > longest {
-                    return Err(bad("body too long"));
+                match large {
+                    Some(large) => large.admit(length)?,
+                    None if length > longest => return Err(bad("body too long")),
+                    None => {}
                 }
                 if !matches!(body, Body::Chunks) {
                     body = Body::Length(length);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod counters;
 pub mod http;
+pub mod large;
 pub mod list;
 pub mod module;
 pub mod node;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -3,9 +3,10 @@
 
 use crate::config::Config;
 use crate::http::{self, Http, Request, Response};
+use crate::large::Large;
 use crate::module::{Back, Cargo};
 use crate::phases::Phase;
-use crate::resp::{Frame, LONGEST_BULK, Resp, begun};
+use crate::resp::{Frame, LONGEST_BULK, Replies, begun};
 use crate::room::Spare;
 use crate::serve::Shared;
 use anyhow::{Context, Result, bail};
@@ -65,7 +66,7 @@
 }
 
 enum Wire {
-    Cache(Framed<TcpStream, Resp>),
+    Cache(Framed<TcpStream, Replies>),
     Origin(Framed<TcpStream, Http>),
 }
 
@@ -162,7 +163,7 @@
         Ok(Err(outcome)) => return (outcome.into(), None),
         Err(_) => return (Outcome::Unreachable.into(), None),
     };
-    match timeout_at(*until, connection.read(errand, shared.config.connect)).await {
+    match timeout_at(*until, connection.read(errand, shared.config.connect / 2)).await {
         Ok(Ok((back, last))) => (back, (!last).then_some(connection)),
         Ok(Err(error)) => {
             let garbage =
@@ -189,9 +190,10 @@
     };
     shared.counters.connections_opened.add();
     let _ = stream.set_nodelay(true);
+    let large = Large::new(shared.large.clone());
     let wire = match origin {
-        true => Wire::Origin(Framed::new(stream, Http::new(LONGEST_BULK))),
-        false => Wire::Cache(Framed::new(stream, Resp)),
+        true => Wire::Origin(Framed::new(stream, Http::new(LONGEST_BULK).with(large))),
+        false => Wire::Cache(Framed::new(stream, Replies(large))),
     };
     Ok(Connection { wire, address, _permit: permit })
 }
@@ -233,15 +235,19 @@
         match &mut self.wire {
             Wire::Cache(framed) => {
                 let frame = whole(framed, within).await?.ok_or_else(closed)?;
-                let back = if probe { probed(frame) } else { replied(frame) };
-                Ok((back.context("cache node")?, false))
+                let mut back = if probe { probed(frame) } else { replied(frame) }.context("cache node")?;
+                back.value = framed.codec_mut().0.keep(back.value);
+                Ok((back, false))
             }
             Wire::Origin(framed) => {
                 for _ in 0..=MOST_INTERIM {
                     let response = whole(framed, within).await?.ok_or_else(closed)?;
                     if !response.interim() {
-                        let last = response.last;
-                        return Ok((answered(response), last));
+                        let (last, mut back) = (response.last, answered(response));
+                        if let Some(large) = &mut framed.codec_mut().large {
+                            back.value = large.keep(back.value);
+                        }
+                        return Ok((back, last));
                     }
                 }
                 bail!("origin: no answer behind those with 1xx")
@@ -251,6 +257,7 @@
 }
 
 /// What comes next, which must be whole soon after its first byte: one that stops amid its answer gives none.
+/// Soon is half of what a connection may take to come up.
 async fn whole<C: Decoder>(framed: &mut Framed<TcpStream, C>, within: Duration) -> Result<Option<C::Item>>
 where
     C::Error: Into<anyhow::Error>,
--- a/crates/proxy/src/resp.rs
+++ b/crates/proxy/src/resp.rs
@@ -1,11 +1,12 @@
 //! RESP2 on the wire: commands from clients and to cache nodes, and the replies to both.
 
+use crate::large::Large;
 use bytes::{BufMut, Bytes, BytesMut};
 use std::io::{Error, ErrorKind};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
-/// The longest bulk string that is read, and the longest line and array.
+/// The longest bulk string that a client may send and a node usually does; the longest line and array.
 pub const LONGEST_BULK: usize = 64 * 1024;
 /// A frame that is not whole by then is no command or reply of ours: guards the memory.
 const LONGEST_FRAME: usize = LONGEST_BULK + 16 * 1024;
@@ -45,14 +46,47 @@
     type Error = Error;
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
-        let mut at = 0;
-        let Some(shape) = measure(buffer, &mut at, DEEPEST)? else {
-            return if buffer.len() > LONGEST_FRAME { Err(bad("frame too long")) } else { Ok(None) };
-        };
-        Ok(Some(cut(&buffer.split_to(at).freeze(), shape)))
+        let admit =
+            &mut |length| if length > LONGEST_BULK { Err(bad("bulk string too long")) } else { Ok(()) };
+        let frame = decode(buffer, admit)?;
+        bounded(frame, buffer, LONGEST_FRAME)
     }
 }
 
+/// The replies of nodes, whose values may be longer where there is memory for them.
+#[derive(Debug)]
+pub struct Replies(pub Large);
+
+impl Decoder for Replies {
+    type Item = Frame;
+    type Error = Error;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
+        let frame = decode(buffer, &mut |length| self.0.admit(length))?;
+        bounded(frame, buffer, LONGEST_FRAME + self.0.admitted())
+    }
+}
+
+impl Encoder<&Frame> for Replies {
+    type Error = Error;
+
+    fn encode(&mut self, frame: &Frame, buffer: &mut BytesMut) -> Result<(), Error> {
+        Resp.encode(frame, buffer)
+    }
+}
+
+type Admit<'a> = &'a mut dyn FnMut(usize) -> Result<(), Error>;
+
+fn decode(buffer: &mut BytesMut, admit: Admit) -> Result<Option<Frame>, Error> {
+    let mut at = 0;
+    let shape = measure(buffer, &mut at, DEEPEST, admit)?;
+    Ok(shape.map(|shape| cut(&buffer.split_to(at).freeze(), shape)))
+}
+
+fn bounded(frame: Option<Frame>, rest: &[u8], longest: usize) -> Result<Option<Frame>, Error> {
+    if frame.is_none() && rest.len() > longest { Err(bad("frame too long")) } else { Ok(frame) }
+}
+
 /// A frame that is whole, by where its parts stand in the buffer.
 enum Shape {
     Line(u8, usize, usize),
@@ -63,7 +97,7 @@
 }
 
 /// Finds the end of the frame that begins at `at`; nothing while it is not whole.
-fn measure(buffer: &[u8], at: &mut usize, depth: usize) -> Result<Option<Shape>, Error> {
+fn measure(buffer: &[u8], at: &mut usize, depth: usize, admit: Admit) -> Result<Option<Shape>, Error> {
     let Some(&kind) = buffer.get(*at) else { return Ok(None) };
     if !b"+-:$*".contains(&kind) {
         return Err(bad("expected a RESP type"));
@@ -84,9 +118,7 @@
         b'$' | b'*' if number()? == -1 => Shape::Null,
         b'$' => {
             let length = usize::try_from(number()?).map_err(|_| bad("invalid bulk length"))?;
-            if length > LONGEST_BULK {
-                return Err(bad("bulk string too long"));
-            }
+            admit(length)?;
             let (begin, end) = (*at, *at + length);
             if buffer.len() < end + 2 {
                 return Ok(None);
@@ -104,7 +136,7 @@
             }
             let mut parts = Vec::with_capacity(length);
             for _ in 0..length {
-                match measure(buffer, at, depth - 1)? {
+                match measure(buffer, at, depth - 1, admit)? {
                     Some(part) => parts.push(part),
                     None => return Ok(None),
                 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -30,6 +30,8 @@
     pub watch: Watch,
     /// For connections to nodes.
     pub upstream: Room,
+    /// For long answers of nodes, by pieces of the usual length.
+    pub large: Arc<Semaphore>,
 }
 
 /// A proxy that serves.
@@ -54,7 +56,8 @@
         let (door, mailbox) = module::door();
         let (follow, followed) = mpsc::channel(1);
         let (clock, watch, upstream) = (Clock::start(), phases.watch(), Room::new(config.upstream));
-        let shared = Shared { clock, config, counters, door, watch, upstream };
+        let large = Arc::new(Semaphore::new(config.large));
+        let shared = Shared { clock, config, counters, door, watch, upstream, large };
         let config = &shared.config;
         let peers = peers::start(&shared).await?;
         let mut module = Module::new(shared.clone(), peers, follow, mailbox);
--- a/crates/proxy/tests/proxy/clients.rs
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -352,3 +352,30 @@
     "#]]
     .assert_eq(&replies);
 }
+
+/// Nodes may answer with more than clients may send, as far as the memory set aside for that goes; it is had
+/// again after each answer.
+#[tokio::test]
+async fn long_answers_pass_while_there_is_memory_for_them() {
+    let mut replies = String::new();
+    for pieces in [14, 13] {
+        let world = World::start_with(&[], |config| config.large = pieces).await;
+        let mut client = world.client().await;
+        for key in ["huge", "huge", "miss-huge", "endless", "hit"] {
+            replies += &client.get(key).await;
+        }
+    }
+    expect![[r#"
+        huge: 400000 bytes
+        huge: 400000 bytes
+        miss-huge: 300000 bytes
+        endless: origin's id-endless
+        hit: value of id-hit
+        huge: origin's id-huge
+        huge: origin's id-huge
+        miss-huge: 300000 bytes
+        endless: origin's id-endless
+        hit: value of id-hit
+    "#]]
+    .assert_eq(&replies);
+}
