Connections that clients use once and keep make room before the clients have none left

Seen in the log with probes: clients_closed_for_room 1360 of 1725 accepted in nine seconds; what waits for room is PING and silence, not exchanges; later nothing is evicted at all, every lobby place is free, and 126 used connections of a proxy are idle, 1 to 2.5 s each, until their clients close them. 128 is a third of 384 descriptors: what clients may hold for requests. They use each connection once, keep it, and have none left for the next request. Ruled out: CPU (0.05 s in the worst second), upstream room, the accept queue, a connection with a request left unread.

Now connections that have brought an exchange are counted; past three quarters of the clients' third, each new one asks those kept longest to close. Unused counts what brought no exchange (a PING is none). Past the cap a new connection that brings nothing waits in a lobby of 16 for up to 20 ms, less when more wait, instead of pausing the accept loop.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -5,7 +5,7 @@
 use crate::module::{Answer, Cargo};
 use crate::phases::Phase;
 use crate::resp::{Frame, Resp, bad, begun};
-use crate::room::{NEW, Room, Spare};
+use crate::room::{Room, Spare};
 use crate::serve::Shared;
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
@@ -13,6 +13,7 @@
 use pumicebay_names::{NANOS, identity};
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +28,10 @@
 const SILENT: Duration = Duration::from_millis(2700);
 /// What stands idle for less is closed for want of room last, as a request might be on its way.
 const IDLE: Duration = Duration::from_millis(2200);
+/// Past the cap, new connections that have brought nothing wait before the door: so many, for no longer than
+/// this, and the less the more there are. The rest of them wait in the kernel.
+const LOBBY: usize = 16;
+const NEW: Duration = Duration::from_millis(20);
 /// How long a client may take to read what it asked for, or to write a command that is not its first.
 const READING: Duration = Duration::from_secs(10);
 /// What is still read from a client that was refused, and for how long.
@@ -41,16 +46,18 @@
 pub struct Front {
     pub shared: Shared,
     pub connections: TaskTracker,
-    /// For clients' connections: asked to close is one that brought nothing yet, else the one without an
-    /// exchange longest, also amid a command.
+    /// For clients' connections: asked to close is one that brought no exchange yet, else the one without one
+    /// longest, also amid a command.
     pub room: Room,
+    /// Connections that have brought an exchange.
+    pub used: Arc<AtomicUsize>,
     /// Commands that connections may take beyond their first: bounds the answers that slow readers leave here.
     pub ahead: Arc<Semaphore>,
 }
 
 /// Accepts until the phase says no more.
 pub async fn accept(front: Front, listener: TcpListener) {
-    let mut closing = front.shared.watch.clone();
+    let (mut closing, lobby) = (front.shared.watch.clone(), Arc::new(Semaphore::new(LOBBY)));
     loop {
         let accepted = tokio::select! {
             biased;
@@ -62,19 +69,32 @@
             Err(error) => {
                 front.shared.counters.accept_failures.add();
                 tracing::warn!("accept: {error}");
-                front.room.ask(false);
+                front.room.ask();
                 sleep(NO_ROOM).await;
                 continue;
             }
         };
-        let permit = front.room.take().await;
         front.shared.counters.clients_accepted.add();
         let _ = stream.set_nodelay(true);
-        let (framed, pending) = (Framed::new(stream, Resp), VecDeque::new());
-        let client = Client { front: front.clone(), framed, pending, begun: None };
-        front.connections.spawn(async move {
-            client.run().await;
-            drop(permit);
+        let permit = front.room.try_take();
+        let place = match permit {
+            None => Some(lobby.clone().acquire_owned().await.expect("never closed")),
+            Some(_) => None,
+        };
+        let patience = NEW * lobby.available_permits() as u32 / LOBBY as u32;
+        let front = front.clone();
+        front.connections.clone().spawn(async move {
+            let _permit = match permit {
+                Some(permit) => permit,
+                // Those that say nothing must not turn out those that do.
+                None if timeout(patience, stream.peek(&mut [0])).await.is_err() => {
+                    return front.shared.counters.clients_closed_for_room.add();
+                }
+                None => front.room.take().await,
+            };
+            drop(place);
+            let (framed, pending) = (Framed::new(stream, Resp), VecDeque::new());
+            Client { front, framed, pending, begun: None, used: false }.run().await;
         });
     }
 }
@@ -86,6 +106,8 @@
     pending: VecDeque<Pending>,
     /// When the command began that has come in part.
     begun: Option<Instant>,
+    /// It has brought an exchange.
+    used: bool,
 }
 
 struct Pending {
@@ -103,6 +125,9 @@
         if let Err(error) = self.serve().await {
             tracing::debug!("client: {error}");
         }
+        if self.used {
+            self.front.used.fetch_sub(1, Ordering::Relaxed);
+        }
         for pending in std::mem::take(&mut self.pending) {
             if let Reply::Waiting(xchg, _) = pending.reply {
                 self.front.shared.door.dropped(xchg).await;
@@ -114,7 +139,7 @@
     async fn serve(&mut self) -> std::io::Result<()> {
         let (mut closing, mut close_at) = (self.front.shared.watch.clone(), Phase::Closing);
         let room = self.front.room.clone();
-        let (mut used, mut since) = (false, Instant::now());
+        let (mut spoke, mut since) = (false, Instant::now());
         loop {
             let idle = self.pending.is_empty();
             let more = idle || self.pending.len() < PIPELINE && self.front.ahead.available_permits() > 0;
@@ -128,8 +153,11 @@
                 }
                 frame = whole(&mut self.framed, &mut self.begun), if more => match frame {
                     Some(Ok(frame)) => {
-                        used = true;
                         let reply = self.command(frame).await;
+                        spoke = true;
+                        if !self.used && matches!(reply, Reply::Waiting(..)) {
+                            self.crowd();
+                        }
                         let ahead = || self.front.ahead.clone().try_acquire_owned().ok();
                         let _ahead = if idle { None } else { ahead() };
                         self.pending.push_back(Pending { reply, _ahead });
@@ -144,11 +172,11 @@
                     }
                     close_at = Phase::Leaving;
                 }
-                () = spared(&room, used, since), if idle => {
+                () = spared(&room, self.used, since), if idle => {
                     self.front.shared.counters.clients_closed_for_room.add();
                     return Ok(());
                 }
-                () = sleep_until(since + SILENT), if !used => {
+                () = sleep_until(since + SILENT), if !spoke => {
                     self.front.shared.counters.clients_silent.add();
                     return self.refuse(bad("no whole command in time")).await;
                 }
@@ -156,6 +184,15 @@
         }
     }
 
+    /// A connection has brought its first exchange. Clients may hold so many for requests: some use each
+    /// once and keep it, and have none left for others unless those idle longest are closed.
+    fn crowd(&mut self) {
+        self.used = true;
+        let used = self.front.used.fetch_add(1, Ordering::Relaxed) + 1;
+        let most = self.front.shared.config.used;
+        self.front.room.ask_used(used.saturating_sub(most));
+    }
+
     /// What can't be read: answers what came before it, says what is wrong, and closes.
     async fn refuse(&mut self, error: std::io::Error) -> std::io::Result<()> {
         if error.kind() != std::io::ErrorKind::InvalidData {
@@ -211,10 +248,12 @@
 
 /// Returns when a connection that has been idle since then is to make room.
 async fn spared(room: &Room, used: bool, since: Instant) {
-    let (before, after, spare) =
-        if used { (Spare::Lately, IDLE, Spare::Idle) } else { (Spare::New, NEW, Spare::Unused) };
-    if timeout_at(since + after, room.asked(before)).await.is_err() {
-        room.asked(spare).await;
+    if !used {
+        sleep_until(since + NEW).await;
+        return room.asked(Spare::Unused).await;
+    }
+    if timeout_at(since + IDLE, room.asked(Spare::Lately)).await.is_err() {
+        room.asked(Spare::Idle).await;
     }
 }
 
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -41,6 +41,8 @@
     /// How many connections clients may hold here, and this proxy to nodes.
     pub clients: usize,
     pub upstream: usize,
+    /// How many of those may stay open between exchanges: three quarters of what clients may hold for requests.
+    pub used: usize,
     /// How many commands clients may send ahead of their answers, over all connections.
     pub ahead: usize,
     /// How many pieces of the usual longest value answers of nodes may take that are longer.
@@ -100,6 +102,8 @@
     let least = FEWEST_MEMORY_MB;
     ensure!(memory >= least, "limits.memory_mb: expected {least} or more, found {memory}");
     let memory = usize::try_from(memory).unwrap_or(usize::MAX).saturating_mul(1 << 20);
+    // Clients hold a third of all descriptors for requests.
+    let used = (sockets + RESERVED) / 3 * 3 / 4;
     let clients = clients_part(sockets).min(memory / 2 / CLIENT_BYTES);
     let listen = address(json, "listen")?;
     let kinds = names::list(wire, "/skus", "");
@@ -121,6 +125,7 @@
         discovery: address(json, "discovery")?,
         seed: seed(json)?,
         clients,
+        used: used.min(clients),
         upstream: (sockets - clients_part(sockets)).min(memory / 4 / NODE_BYTES),
         ahead: memory / 8 / LONGEST_BULK,
         large: memory / 8 / LONGEST_BULK,
--- a/crates/proxy/src/room.rs
+++ b/crates/proxy/src/room.rs
@@ -8,16 +8,12 @@
 
 /// The pause between one connection that is asked to close and the next.
 const AGAIN: Duration = Duration::from_millis(25);
-/// What is new is asked to close no sooner than this.
-pub const NEW: Duration = Duration::from_millis(20);
 
 /// How well a connection can be spared, best first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub enum Spare {
     /// Never used.
     Unused,
-    /// Not yet used, and so new that it may still be: not asked, but worth a pause.
-    New,
     Idle,
     /// Idle for so short a time that something may be on its way.
     Lately,
@@ -26,7 +22,7 @@
 #[derive(Clone)]
 pub struct Room {
     free: Arc<Semaphore>,
-    spare: Arc<[Waiting; 4]>,
+    spare: Arc<[Waiting; 3]>,
 }
 
 /// Connections that can be closed.
@@ -49,28 +45,40 @@
         Room { free: Arc::new(Semaphore::new(connections)), spare: Arc::default() }
     }
 
+    /// A place for one more, if there is one now.
+    pub fn try_take(&self) -> Option<OwnedSemaphorePermit> {
+        self.free.clone().try_acquire_owned().ok()
+    }
+
     /// A place for one more, once there is one.
     pub async fn take(&self) -> OwnedSemaphorePermit {
         let permit = self.free.clone().acquire_owned();
         tokio::pin!(permit);
-        let mut pauses = true;
         loop {
             tokio::select! {
                 biased;
                 permit = &mut permit => return permit.expect("never closed"),
-                () = async { self.ask(pauses); sleep(AGAIN).await } => pauses = false,
+                () = async { self.ask(); sleep(AGAIN).await } => {}
             }
         }
     }
 
-    /// Asks the connection to close that can be spared best, if there is one; where one may soon turn out to
-    /// be unused, a caller that pauses asks none.
-    pub fn ask(&self, pauses: bool) {
-        let waits = |spare: &Spare| self.spare[*spare as usize].count.load(Ordering::Relaxed) > 0;
-        let order = [Spare::Unused, Spare::New, Spare::Idle, Spare::Lately];
-        let best = order.into_iter().find(|spare| waits(spare) && (pauses || *spare != Spare::New));
-        if let Some(best) = best.filter(|best| *best != Spare::New) {
-            self.spare[best as usize].close.notify_one();
+    /// Asks the connection to close that can be spared best, if there is one.
+    pub fn ask(&self) {
+        let mut spare = self.spare.iter();
+        if let Some(waiting) = spare.find(|waiting| waiting.count.load(Ordering::Relaxed) > 0) {
+            waiting.close.notify_one();
+        }
+    }
+
+    /// Asks for so many of those that have been used.
+    pub fn ask_used(&self, connections: usize) {
+        for _ in 0..connections {
+            let mut used = self.spare[Spare::Idle as usize..].iter();
+            let Some(waiting) = used.find(|waiting| waiting.count.load(Ordering::Relaxed) > 0) else {
+                return;
+            };
+            waiting.close.notify_one();
         }
     }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -75,6 +75,7 @@
             shared: shared.clone(),
             connections: connections.clone(),
             room: Room::new(config.clients),
+            used: Arc::default(),
             ahead: Arc::new(Semaphore::new(config.ahead)),
         };
         let (config, counters) = (config.clone(), shared.counters.clone());
--- a/crates/proxy/tests/proxy/clients.rs
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -306,6 +306,32 @@
     .assert_eq(&replies);
 }
 
+/// Clients that use each connection once and keep it would have none left: the one kept longest is closed
+/// while there is room for others yet.
+#[tokio::test]
+async fn used_connections_are_closed_before_they_fill_the_clients_allowance() {
+    // Of 96 descriptors clients hold 32 for requests, and may keep 24.
+    let world = World::start(&[("/limits/sockets", json!(96))]).await;
+    let mut kept = Vec::new();
+    for at in 0..26 {
+        let mut client = world.client().await;
+        client.get(&format!("hit-{at}")).await;
+        kept.push(client);
+    }
+    let mut trace = String::new();
+    for at in [0, 1] {
+        trace += &format!("{at}: {}", kept[at].reply().await);
+    }
+    trace += &kept[2].get("hit-again").await;
+    trace += &world.counted("clients_closed");
+    expect![[r#"
+        0: closed
+        1: closed
+        hit-again: value of id-hit-again
+        clients_closed_for_room 2
+    "#]].assert_eq(&trace);
+}
+
 /// Clients that stop amid a command hold no place that others need.
 #[tokio::test]
 async fn half_a_command_holds_no_place() {
