--- a/crates/proxy/tests/proxy/clients.rs
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -329,7 +329,8 @@
         1: closed
         hit-again: value of id-hit-again
         clients_closed_for_room 2
-    "#]].assert_eq(&trace);
+    "#]]
+    .assert_eq(&trace);
 }
 
 /// Clients that stop amid a command hold no place that others need.
