--- a/crates/proxy/src/large.rs
+++ b/crates/proxy/src/large.rs
@@ -16,11 +16,14 @@
 }
 
 /// Gives the memory back once nobody needs the value any more.
-struct Kept(Bytes, #[allow(dead_code)] OwnedSemaphorePermit);
+struct Kept {
+    value: Bytes,
+    _memory: OwnedSemaphorePermit,
+}
 
 impl AsRef<[u8]> for Kept {
     fn as_ref(&self) -> &[u8] {
-        &self.0
+        &self.value
     }
 }
 
@@ -48,7 +51,7 @@
     /// The value that was read, with the memory that was taken for it.
     pub fn keep(&mut self, value: Bytes) -> Bytes {
         match self.held.take() {
-            Some((_, permit)) => Bytes::from_owner(Kept(value, permit)),
+            Some((_, memory)) => Bytes::from_owner(Kept { value, _memory: memory }),
             None => value,
         }
     }
