The lab in virtual time: emulated world, baselines and an auditor of the four rules

crates/model is the emulated world without I/O or clock; crates/lab plays many instances of the decisions, or of five baselines, against it, and holds the four rules by reasons of its own. Windows no longer than a message takes let proxies run on many threads with the same bytes on any number.

--- /dev/null
+++ b/crates/lab/src/audit.rs
@@ -0,0 +1,288 @@
+//! Holds the four rules against what was seen, by reasons of its own: it shares nothing with the decisions.
+//! Whoever plays a day tells it what was taken, sent, run, answered and told, in any order within a second
+//! or so; each exchange is judged once, some time after its overall timeout.
+
+use hashbrown::HashMap;
+use pumicebay_model::registry::State;
+use pumicebay_model::spec::{Effect, Scenario, Scope};
+use pumicebay_model::{Nanos, SECOND, millis, seconds};
+use serde::Serialize;
+use std::collections::VecDeque;
+
+/// How long after its deadline an exchange is judged: what comes later is not seen.
+const LATER: Nanos = 3 * SECOND;
+/// Broken rules that are kept with their words; more are only counted.
+const KEPT: usize = 100;
+
+/// The final answer to an exchange, as the client has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    Served,
+    Shed,
+    Errored,
+}
+
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Broken {
+    /// 1 to 4; 0 for a value that was not made for its exchange.
+    pub rule: u8,
+    pub exchange: u64,
+    pub node: Option<String>,
+    /// Seconds from the start of the day.
+    pub at: f64,
+    pub what: String,
+}
+
+#[derive(Clone, Debug)]
+struct Sent {
+    at: Nanos,
+    node: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    proxy: usize,
+    route: usize,
+    taken: Nanos,
+    deadline: Nanos,
+    answers: Vec<(Nanos, Final)>,
+    sent: Vec<Sent>,
+    /// When tries were over, and at which node.
+    overs: Vec<(Nanos, usize)>,
+    ran: Vec<(Nanos, usize)>,
+    /// Its client left, or its proxy died.
+    lost: Option<Nanos>,
+}
+
+pub struct Auditor {
+    effects: Vec<(Effect, Scope, Nanos)>,
+    zones: usize,
+    grace: Nanos,
+    /// What measuring may be off by, and whether the same proxy may have two tries out.
+    slack: Nanos,
+    records: HashMap<u64, Record>,
+    /// The exchanges in the order they were taken.
+    line: VecDeque<(Nanos, u64)>,
+    /// What each proxy was told of a node, and when.
+    told: HashMap<(usize, usize), Vec<(Nanos, State)>>,
+    pub broken: Vec<Broken>,
+    pub counts: [u64; 5],
+    judged: u64,
+}
+
+impl Auditor {
+    /// `slack` is what times may be off by: nothing in virtual time, what the machine takes on sockets.
+    pub fn new(day: &Scenario, slack: Nanos) -> Auditor {
+        let effect =
+            |route: &pumicebay_model::spec::Route| (route.effect, route.scope, seconds(route.window_seconds));
+        Auditor {
+            effects: day.route.iter().map(effect).collect(),
+            zones: day.nodes.zones,
+            grace: millis(day.nodes.drain_grace_ms),
+            slack,
+            records: HashMap::new(),
+            line: VecDeque::new(),
+            told: HashMap::new(),
+            broken: Vec::new(),
+            counts: [0; 5],
+            judged: 0,
+        }
+    }
+
+    /// A proxy has taken an exchange; `deadline` is its overall timeout.
+    pub fn taken(&mut self, at: Nanos, xchg: u64, proxy: usize, route: usize, deadline: Nanos) {
+        let record = Record {
+            proxy,
+            route,
+            taken: at,
+            deadline,
+            answers: Vec::new(),
+            sent: Vec::new(),
+            overs: Vec::new(),
+            ran: Vec::new(),
+            lost: None,
+        };
+        self.line.push_back((deadline + LATER, xchg));
+        self.records.insert(xchg, record);
+    }
+
+    /// A try left its proxy. Nodes count from 0, the origin is none of them.
+    pub fn sent(&mut self, at: Nanos, xchg: u64, node: Option<usize>) {
+        let Some(record) = self.records.get_mut(&xchg) else {
+            return self.breaks(1, xchg, node, at, "sent long after its end".into());
+        };
+        let (proxy, node_no) = (record.proxy, node.unwrap_or(usize::MAX));
+        record.sent.push(Sent { at, node: node_no });
+        let before = |told: &&(Nanos, State)| told.0 <= at;
+        let Some(told) = self.told.get(&(proxy, node_no)) else { return };
+        let Some(&(since, state)) = told.iter().rev().find(before) else { return };
+        if state != State::Ready && at > since + self.grace + self.slack {
+            let late = (at - since) as f64 / 1e9;
+            let what = format!("p{} sent it new work {late:.3} s after it was told {state:?}", proxy + 1);
+            self.breaks(3, xchg, node, at, what);
+        }
+    }
+
+    /// A try at this node is over, as far as its proxy can know.
+    pub fn over(&mut self, at: Nanos, xchg: u64, node: Option<usize>) {
+        if let Some(record) = self.records.get_mut(&xchg) {
+            record.overs.push((at, node.unwrap_or(usize::MAX)));
+        }
+    }
+
+    /// A node, or the origin, has run it.
+    pub fn ran(&mut self, at: Nanos, xchg: u64, node: Option<usize>) {
+        if let Some(record) = self.records.get_mut(&xchg) {
+            record.ran.push((at, node.unwrap_or(usize::MAX)));
+        }
+    }
+
+    /// The proxy has answered; `sound` says that a value was made for this exchange.
+    pub fn answered(&mut self, at: Nanos, xchg: u64, answer: Final, sound: bool) {
+        let Some(record) = self.records.get_mut(&xchg) else {
+            return self.breaks(1, xchg, None, at, "answered long after its end, or never taken".into());
+        };
+        record.answers.push((at, answer));
+        if !sound {
+            self.breaks(0, xchg, None, at, "served with what was not made for it".into());
+        }
+    }
+
+    /// The client has left, or the proxy has died: no answer is owed any more.
+    pub fn lost(&mut self, at: Nanos, xchg: u64) {
+        if let Some(record) = self.records.get_mut(&xchg) {
+            record.lost.get_or_insert(at);
+        }
+    }
+
+    /// A proxy was told what becomes of a node.
+    pub fn told(&mut self, at: Nanos, proxy: usize, node: usize, state: State) {
+        let told = self.told.entry((proxy, node)).or_default();
+        // Told again the same, it learned nothing.
+        if told.last().is_none_or(|&(_, last)| last != state) {
+            told.push((at, state));
+            told.sort_by_key(|(at, _)| *at);
+        }
+    }
+
+    /// A proxy starts from nothing, with a list of its own.
+    pub fn restarted(&mut self, proxy: usize) {
+        self.told.retain(|(told, _), _| *told != proxy);
+    }
+
+    /// A node fell over while it was cold.
+    pub fn buried(&mut self, at: Nanos, node: usize) {
+        self.breaks(4, 0, Some(node), at, "a cold node was buried".into());
+    }
+
+    /// The origin stopped, overrun, with nothing wrong with it but misses while nodes were cold.
+    pub fn origin_stopped(&mut self, at: Nanos) {
+        self.breaks(4, 0, None, at, "the origin was stopped by misses at cold nodes".into());
+    }
+
+    /// Judges those that are over by now.
+    pub fn sweep(&mut self, now: Nanos) {
+        while let Some(&(due, xchg)) = self.line.front().filter(|(due, _)| *due <= now) {
+            debug_assert!(due <= now);
+            self.line.pop_front();
+            if let Some(record) = self.records.remove(&xchg) {
+                self.judge(xchg, &record);
+            }
+        }
+    }
+
+    /// Judges all that is left; the day is over.
+    pub fn finish(&mut self) {
+        self.sweep(Nanos::MAX);
+    }
+
+    /// How many exchanges were judged.
+    pub fn judged(&self) -> u64 {
+        self.judged
+    }
+
+    fn judge(&mut self, xchg: u64, record: &Record) {
+        self.judged += 1;
+        self.judge_answers(xchg, record);
+        self.judge_tries(xchg, record);
+        self.judge_effects(xchg, record);
+    }
+
+    fn judge_answers(&mut self, xchg: u64, record: &Record) {
+        match record.answers[..] {
+            [] if record.lost.is_none() => {
+                self.breaks(1, xchg, None, record.deadline, "never answered".into());
+            }
+            [] => {}
+            [(at, _), ..] if at > record.deadline + self.slack => {
+                let late = (at - record.deadline) as f64 / 1e9;
+                self.breaks(1, xchg, None, at, format!("answered {late:.3} s past its overall timeout"));
+            }
+            _ => {}
+        }
+        if let [_, (at, _), ..] = record.answers[..] {
+            self.breaks(1, xchg, None, at, format!("answered {} times", record.answers.len()));
+        }
+    }
+
+    fn judge_tries(&mut self, xchg: u64, record: &Record) {
+        let ends = record.answers.first().map(|(at, _)| *at).into_iter().chain(record.lost).min();
+        let ends = ends.unwrap_or(Nanos::MAX).min(record.deadline);
+        if let Some(late) = record.sent.iter().find(|sent| sent.at > ends + self.slack) {
+            self.breaks(1, xchg, named(late.node), late.at, "sent after its final answer".into());
+        }
+        let (mut sent, mut overs) = (record.sent.clone(), record.overs.clone());
+        sent.sort_by_key(|sent| sent.at);
+        overs.sort_unstable();
+        for (place, this) in sent.iter().enumerate() {
+            let over = overs.iter().position(|&(at, node)| node == this.node && at >= this.at);
+            let until = over.map_or(Nanos::MAX, |over| overs.remove(over).0);
+            if let Some(also) = sent.get(place + 1).filter(|also| also.at + self.slack < until) {
+                self.breaks(2, xchg, named(also.node), also.at, "sent while another try was out".into());
+                return;
+            }
+        }
+    }
+
+    fn judge_effects(&mut self, xchg: u64, record: &Record) {
+        let (effect, scope, window) = self.effects[record.route];
+        let mut ran = record.ran.clone();
+        ran.sort_unstable();
+        let Some(&(first, at_node)) = ran.first() else { return };
+        let zones = self.zones;
+        let group = |node: usize| if node == usize::MAX { 0 } else { node % zones };
+        for &(at, node) in &ran[1..] {
+            let discarded = match (effect, scope) {
+                (Effect::Retriable, _) => true,
+                (Effect::NonRetriable, _) => false,
+                (Effect::Deduped, Scope::Fleet) => at <= first + window,
+                (Effect::Deduped, Scope::Zone) => at <= first + window && group(node) == group(at_node),
+            };
+            if !discarded {
+                self.breaks(2, xchg, named(node), at, "took effect twice".into());
+            }
+        }
+        let answer = record.answers.first();
+        let harmless = effect == Effect::Retriable || effect == Effect::Deduped && scope == Scope::Fleet;
+        if let Some(&(at, Final::Shed)) = answer
+            && !harmless
+            && first < at
+        {
+            let what = "shed, as if it had never run, though it had".to_string();
+            self.breaks(2, xchg, named(at_node), at, what);
+        }
+        debug_assert!(record.taken <= record.deadline);
+    }
+
+    fn breaks(&mut self, rule: u8, exchange: u64, node: Option<usize>, at: Nanos, what: String) {
+        self.counts[usize::from(rule)] += 1;
+        if self.broken.len() < KEPT {
+            let node = node.filter(|&node| node != usize::MAX).map(|node| format!("n{}", node + 1));
+            self.broken.push(Broken { rule, exchange, node, at: at as f64 / 1e9, what });
+        }
+    }
+}
+
+fn named(node: usize) -> Option<usize> {
+    (node != usize::MAX).then_some(node)
+}
--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,68 @@
+//! Many days: policies against each other on the same seeds, and a scenario over a grid of settings.
+
+use crate::progress::Progress;
+use crate::results::Results;
+use crate::stats::Mean;
+use crate::virt;
+use anyhow::Result;
+use pumicebay_model::spec::Scenario;
+use rayon::prelude::*;
+use std::fmt::Write;
+
+/// Plays the scenario with each policy and seed, over the cores; by policy, then seed.
+pub fn days(scenario: &Scenario, policies: &[String], seeds: u64) -> Result<Vec<Vec<Results>>> {
+    let pairs: Vec<(usize, u64)> = (0..policies.len())
+        .flat_map(|policy| (0..seeds).map(move |seed| (policy, scenario.seed + seed)))
+        .collect();
+    let progress = Progress::new(&scenario.name, pairs.len());
+    let played: Result<Vec<Results>> = pairs
+        .par_iter()
+        .map(|&(policy, seed)| {
+            let results = virt::play(scenario, &policies[policy], seed, &|_| {});
+            progress.step();
+            results
+        })
+        .collect();
+    let mut played = played?.into_iter();
+    Ok(policies.iter().map(|_| played.by_ref().take(seeds as usize).collect()).collect())
+}
+
+/// A row for each policy: its figures, and the paired difference of the first from it.
+pub fn table(policies: &[String], days: &[Vec<Results>]) -> String {
+    let mut text = String::new();
+    let first = &policies[0];
+    let _ = writeln!(
+        text,
+        "| policy | payoff | worst 10 s | hit rate | origin/s | tries | {first} gains (95%) | rules broken |"
+    );
+    let _ = writeln!(text, "| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (name, played) in policies.iter().zip(days) {
+        let mean =
+            |figure: fn(&Results) -> f64| Mean::of(&played.iter().map(figure).collect::<Vec<_>>()).mean;
+        let shares = |played: &[Results]| played.iter().map(|day| day.share).collect::<Vec<f64>>();
+        let gain = Mean::paired(&shares(&days[0]), &shares(played));
+        let broken: Vec<String> = (1..5)
+            .chain([0])
+            .filter_map(|rule: usize| {
+                let count: u64 = played.iter().map(|day| day.rules_broken[rule]).sum();
+                (count > 0).then(|| format!("{rule}: {count}x"))
+            })
+            .collect();
+        let gain = if std::ptr::eq(played, &days[0]) {
+            "-".to_string()
+        } else {
+            format!("{:+.4} ±{:.4}", gain.mean, gain.half)
+        };
+        let _ = writeln!(
+            text,
+            "| {name} | {:.3} | {:.3} | {:.3} | {:.1} | {:.3} | {gain} | {} |",
+            mean(|day| day.share),
+            mean(|day| day.worst_ten_seconds),
+            mean(|day| day.hit_rate),
+            mean(|day| day.fetches_per_second),
+            mean(|day| day.tries_per_exchange),
+            if broken.is_empty() { "none".to_string() } else { broken.join(", ") },
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,17 @@
+//! The lab: plays scenarios against the decisions in virtual time, or against real proxies on loopback
+//! sockets, audits the four rules, and compares. Start reading at [`cli`].
+
+pub mod audit;
+pub mod baselines;
+pub mod cli;
+pub mod compare;
+pub mod platform;
+pub mod policy;
+pub mod progress;
+pub mod results;
+pub mod scenario;
+pub mod seat;
+pub mod stats;
+pub mod tally;
+pub mod virt;
+pub mod world;
--- /dev/null
+++ b/crates/lab/src/platform.rs
@@ -0,0 +1,68 @@
+//! The scenario's rules in the words of the platform's configuration: what the proxy on sockets reads from a
+//! file, and what the decisions get in virtual time by the same way.
+
+use pumicebay_model::spec::{Effect, Follow, Scenario, Scope};
+use serde_json::{Value as Json, json};
+
+/// The kind that the origin has in the list of nodes, and that of the caches.
+pub const ORIGIN: &str = "origin";
+pub const CACHE: &str = "cache";
+
+fn micros(millis: f64) -> u64 {
+    (millis * 1000.0) as u64
+}
+
+pub fn zone(number: usize) -> String {
+    format!("z{}", number + 1)
+}
+
+/// The object `settings` of a proxy's configuration.
+pub fn settings(day: &Scenario, me: usize) -> Json {
+    let routes = day.route.iter().map(|route| {
+        json!({
+            "name": route.name,
+            "effect": match route.effect {
+                Effect::Retriable => "repeatable",
+                Effect::Deduped => "by_key",
+                Effect::NonRetriable => "once",
+            },
+            "dedup-scope": match route.scope { Scope::Fleet => "all", Scope::Zone => "zone" },
+            "window-us": micros(route.window_seconds * 1000.0),
+            "latency-objective-us": micros(route.objective_ms),
+            "overall-timeout-us": micros(route.timeout_ms),
+            "payoff": route.payoff,
+        })
+    });
+    let routes: Vec<Json> = routes.collect();
+    let tenants = day.tenant.iter().map(|tenant| json!({"name": tenant.name, "quota-per-s": tenant.quota}));
+    let tenants: Vec<Json> = tenants.collect();
+    json!({
+        "discovery": match day.discovery.follow { Follow::Push => "push", Follow::Ask => "ask" },
+        "domain": {"mode": "aside", "origin-kind": 1},
+        "fleet-size": day.proxies.count,
+        "me": me,
+        "skus": [CACHE, ORIGIN],
+        "failure-domains": (0..day.nodes.zones).map(zone).collect::<Vec<_>>(),
+        "orgs": tenants,
+        "permissions": {
+            "may-probe": day.proxies.probes,
+            "peers": day.proxies.peers,
+            "retry-after": day.proxies.pauses,
+            "most-upstream-tries": day.proxies.tries,
+            "conn-idle-us": micros(day.nodes.idle_seconds * 1000.0),
+            "connect-timeout-us": micros(CONNECT_MS),
+        },
+        "routes": Json::Array(routes),
+        "rules": {
+            "cold-us": micros(day.nodes.warm_up_seconds * 1000.0),
+            "fall-us": micros(day.nodes.fall_seconds * 1000.0),
+            "fall-multiple": day.nodes.fall_multiple,
+            "start-capacity": day.nodes.start_capacity,
+            "drain-grace-us": micros(day.nodes.drain_grace_ms),
+        },
+        "telemetry": {"columns": [], "via": "silent"},
+    })
+}
+
+/// How long a connection to a node may take to come up.
+pub const CONNECT_MS: f64 = 200.0;
--- /dev/null
+++ b/crates/lab/src/policy.rs
@@ -0,0 +1,80 @@
+//! The interface that the decisions have, so that others can stand in their place.
+
+use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Settings, Xchg};
+
+/// What a policy is told, each by a call of its own; it acts through its host.
+pub trait Policy<H: Host>: Send {
+    fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask);
+    fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, outcome: Outcome, over: bool);
+    fn dropped(&mut self, now: Nanos, xchg: Xchg);
+    fn woke(&mut self, now: Nanos, token: u64);
+    fn listed(&mut self, now: Nanos, node: Node, listed: Listed);
+    fn listed_all(&mut self, named: &[Node]);
+    fn list_failed(&mut self, now: Nanos);
+    fn probed(&mut self, node: Node, outcome: Outcome);
+    fn peer_load(&mut self, now: Nanos, peer: usize, node: Node, in_flight: usize);
+    fn peer_joined(&mut self, now: Nanos, node: Node, key: u64);
+    fn host(&mut self) -> &mut H;
+}
+
+impl<H: Host + Send> Policy<H> for Balance<H> {
+    fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
+        Balance::arrived(self, now, xchg, ask);
+    }
+    fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, outcome: Outcome, over: bool) {
+        Balance::ended(self, now, xchg, try_no, outcome, over);
+    }
+    fn dropped(&mut self, now: Nanos, xchg: Xchg) {
+        Balance::dropped(self, now, xchg);
+    }
+    fn woke(&mut self, now: Nanos, token: u64) {
+        Balance::woke(self, now, token);
+    }
+    fn listed(&mut self, now: Nanos, node: Node, listed: Listed) {
+        Balance::listed(self, now, node, listed);
+    }
+    fn listed_all(&mut self, named: &[Node]) {
+        Balance::listed_all(self, named);
+    }
+    fn list_failed(&mut self, now: Nanos) {
+        Balance::list_failed(self, now);
+    }
+    fn probed(&mut self, node: Node, outcome: Outcome) {
+        Balance::probed(self, node, outcome);
+    }
+    fn peer_load(&mut self, now: Nanos, peer: usize, node: Node, in_flight: usize) {
+        Balance::peer_load(self, now, peer, node, in_flight);
+    }
+    fn peer_joined(&mut self, now: Nanos, node: Node, key: u64) {
+        Balance::peer_joined(self, now, node, key);
+    }
+    fn host(&mut self) -> &mut H {
+        &mut self.host
+    }
+}
+
+/// The policies by name: the project's own, and the baselines.
+pub const NAMES: &[&str] = &["pumicebay", "random", "two", "rendezvous", "bounded", "careless"];
+
+pub type Boxed<H> = Box<dyn Policy<H>>;
+
+/// Makes one; none where the name is not known.
+pub fn make<H: Host + Send + 'static>(
+    name: &str,
+    host: H,
+    settings: Settings,
+    seed: u64,
+    now: Nanos,
+) -> Option<Boxed<H>> {
+    use crate::baselines::{Baseline, Choice};
+    let choice = match name {
+        "pumicebay" => return Some(Box::new(Balance::new(host, settings, seed, now))),
+        "random" => Choice::Random,
+        "two" => Choice::LeastOfTwo,
+        "rendezvous" => Choice::Rendezvous,
+        "bounded" => Choice::Bounded,
+        "careless" => Choice::Careless,
+        _ => return None,
+    };
+    Some(Box::new(Baseline::new(host, choice, &settings, seed, now)))
+}
--- /dev/null
+++ b/crates/lab/src/seat.rs
@@ -0,0 +1,477 @@
+//! One proxy in virtual time: a policy, and the host that carries out its acts as messages to the world. Seats
+//! share nothing, so that many can be played at once.
+
+use crate::policy::{self, Boxed};
+use hashbrown::HashMap;
+use pumicebay_core::{Ask, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+use pumicebay_model::network::Network;
+use pumicebay_model::registry::{Entry, State};
+use pumicebay_model::seeds::{Rng, mix, rng};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::sync::Arc;
+
+/// What becomes known to a proxy.
+#[derive(Clone, Debug)]
+pub enum ToSeat {
+    Arrived {
+        xchg: Xchg,
+        ask: Ask,
+    },
+    /// What came of a try; `epoch` is the node's incarnation, and `value` the exchange it was made for.
+    Back {
+        xchg: Xchg,
+        try_no: usize,
+        outcome: Outcome,
+        epoch: u64,
+        value: Xchg,
+    },
+    /// The node's process died: its connections break.
+    Reset {
+        node: Node,
+    },
+    Listed {
+        whole: bool,
+        entries: Arc<Vec<Entry>>,
+    },
+    ListFailed,
+    Probed {
+        node: Node,
+        outcome: Outcome,
+    },
+    News {
+        peer: usize,
+        news: News,
+    },
+    Kill,
+    /// A new process, with the list it last had.
+    Start {
+        entries: Arc<Vec<Entry>>,
+        life: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum News {
+    Load(Node, usize),
+    Joined(Node, u64),
+}
+
+/// What a proxy does to the world.
+#[derive(Clone, Debug)]
+pub enum ToWorld {
+    /// `epoch` is that of the connection; none for a new one.
+    Try {
+        xchg: Xchg,
+        try_no: usize,
+        node: Node,
+        sent: Nanos,
+        epoch: Option<u64>,
+    },
+    /// Gives up a try by closing its connection.
+    Cancel {
+        xchg: Xchg,
+        try_no: usize,
+        node: Node,
+        sent: Nanos,
+    },
+    /// A try's connection broke.
+    Severed {
+        xchg: Xchg,
+        try_no: usize,
+        node: Node,
+        sent: Nanos,
+    },
+    /// Closes an idle connection.
+    Close {
+        node: Node,
+        epoch: u64,
+    },
+    Served {
+        xchg: Xchg,
+        sent: Nanos,
+        value: Xchg,
+    },
+    Shed {
+        xchg: Xchg,
+        sent: Nanos,
+        pause: Nanos,
+    },
+    Errored {
+        xchg: Xchg,
+        sent: Nanos,
+    },
+    /// There is no process to take it.
+    Refused {
+        xchg: Xchg,
+    },
+    Probe {
+        node: Node,
+    },
+    Follow,
+    News(News),
+    Log(String),
+}
+
+/// A message and when it arrives; those at the same time in the order they were sent.
+pub struct Due<T> {
+    pub at: Nanos,
+    pub order: u64,
+    pub what: T,
+}
+
+impl<T> PartialEq for Due<T> {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl<T> Eq for Due<T> {}
+
+impl<T> PartialOrd for Due<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Due<T> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        // The earliest first.
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+enum Timer {
+    Woke(u64),
+    Overdue(Xchg, usize),
+}
+
+struct Open {
+    answered: bool,
+    /// The node of each try that is out.
+    tries: Vec<Option<Node>>,
+}
+
+/// Carries out what a policy asks for.
+pub struct Acts {
+    number: usize,
+    now: Nanos,
+    zones: usize,
+    network: Network,
+    rng: Rng,
+    idle_limit: Nanos,
+    /// By node: when each idle connection was last used, and its epoch.
+    idle: Vec<VecDeque<(Nanos, u64)>>,
+    open: HashMap<Xchg, Open>,
+    timers: BinaryHeap<Reverse<(Nanos, u64)>>,
+    /// What the timers are for, by their order.
+    due: HashMap<u64, Timer>,
+    order: u64,
+    out: Vec<(Nanos, ToWorld)>,
+}
+
+impl Acts {
+    fn post(&mut self, after: Nanos, what: ToWorld) {
+        self.out.push((self.now + after, what));
+    }
+
+    /// To a node; the origin is in the first zone.
+    fn delay(&mut self, node: Node) -> Nanos {
+        let zone = if node + 1 >= self.idle.len() { 0 } else { node % self.zones };
+        self.network.delay(&mut self.rng, self.number % self.zones, zone)
+    }
+
+    fn client_delay(&mut self) -> Nanos {
+        self.network.delay(&mut self.rng, 0, 0)
+    }
+
+    fn timer(&mut self, at: Nanos, timer: Timer) {
+        self.order += 1;
+        self.timers.push(Reverse((at, self.order)));
+        self.due.insert(self.order, timer);
+    }
+
+    /// An idle connection to the node that is not too old; those that are get closed.
+    fn connection(&mut self, node: Node) -> Option<u64> {
+        while let Some((used, epoch)) = self.idle[node].pop_front() {
+            if self.now < used + self.idle_limit {
+                return Some(epoch);
+            }
+            let delay = self.delay(node);
+            self.post(delay, ToWorld::Close { node, epoch });
+        }
+        None
+    }
+
+    /// Whether the exchange still awaits its answer, which it now has.
+    fn answer(&mut self, xchg: Xchg) -> bool {
+        self.open.get_mut(&xchg).is_some_and(|open| !std::mem::replace(&mut open.answered, true))
+    }
+}
+
+impl Host for Acts {
+    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
+        let Some(open) = self.open.get_mut(&xchg) else { return };
+        let try_no = open.tries.len();
+        open.tries.push(Some(node));
+        let epoch = self.connection(node);
+        let one_way = self.delay(node);
+        // A new connection is there and back before it carries anything.
+        let takes = if epoch.is_some() { one_way } else { 3 * one_way };
+        self.post(takes, ToWorld::Try { xchg, try_no, node, sent: self.now, epoch });
+        self.timer(self.now + timeout, Timer::Overdue(xchg, try_no));
+    }
+
+    fn shed(&mut self, xchg: Xchg, pause: Nanos) {
+        if self.answer(xchg) {
+            let delay = self.client_delay();
+            self.post(delay, ToWorld::Shed { xchg, sent: self.now, pause });
+        }
+    }
+
+    fn error(&mut self, xchg: Xchg) {
+        if self.answer(xchg) {
+            let delay = self.client_delay();
+            self.post(delay, ToWorld::Errored { xchg, sent: self.now });
+        }
+    }
+
+    fn forget(&mut self, xchg: Xchg) {
+        self.open.remove(&xchg);
+    }
+
+    fn wake(&mut self, at: Nanos, token: u64) {
+        self.timer(at, Timer::Woke(token));
+    }
+
+    fn probe(&mut self, node: Node) {
+        let delay = self.delay(node);
+        self.post(delay, ToWorld::Probe { node });
+    }
+
+    /// A node keeps its number here: it may come back.
+    fn dismiss(&mut self, _node: Node) {}
+
+    fn follow(&mut self) {
+        self.post(self.network.least(), ToWorld::Follow);
+    }
+
+    fn tell_load(&mut self, node: Node, in_flight: usize) {
+        self.post(self.network.least(), ToWorld::News(News::Load(node, in_flight)));
+    }
+
+    fn tell_joined(&mut self, node: Node, key: u64) {
+        self.post(self.network.least(), ToWorld::News(News::Joined(node, key)));
+    }
+
+    fn log(&mut self, line: &str) {
+        self.post(self.network.least(), ToWorld::Log(line.to_string()));
+    }
+}
+
+/// What a seat is made of, the same for each.
+#[derive(Clone)]
+pub struct Rules {
+    pub policy: String,
+    pub settings: Settings,
+    pub seed: u64,
+    pub nodes: usize,
+    pub zones: usize,
+    pub idle_limit: Nanos,
+    pub network: Network,
+}
+
+pub struct Seat {
+    number: usize,
+    rules: Rules,
+    policy: Option<Boxed<Acts>>,
+    inbox: BinaryHeap<Due<ToSeat>>,
+    /// What it did, since last taken.
+    out: Vec<(Nanos, ToWorld)>,
+}
+
+impl Seat {
+    pub fn new(rules: Rules, number: usize) -> Seat {
+        Seat { number, rules, policy: None, inbox: BinaryHeap::new(), out: Vec::new() }
+    }
+
+    pub fn mail(&mut self, at: Nanos, order: u64, what: ToSeat) {
+        self.inbox.push(Due { at, order, what });
+    }
+
+    /// When something is next to happen here.
+    pub fn next_at(&mut self) -> Nanos {
+        let mail = self.inbox.peek().map_or(Nanos::MAX, |due| due.at);
+        let timer = self.policy.as_mut().and_then(|policy| policy.host().timers.peek().map(|due| due.0.0));
+        mail.min(timer.unwrap_or(Nanos::MAX))
+    }
+
+    /// Plays all that happens here before that time.
+    pub fn play(&mut self, until: Nanos) {
+        loop {
+            let mail = self.inbox.peek().map_or(Nanos::MAX, |due| due.at);
+            let next = self.next_at();
+            if next >= until {
+                break;
+            }
+            if mail <= next {
+                let Some(due) = self.inbox.pop() else { break };
+                self.handle(due.at, due.what);
+            } else if let Some(policy) = &mut self.policy {
+                let Some(Reverse((at, order))) = policy.host().timers.pop() else { break };
+                policy.host().now = at;
+                match policy.host().due.remove(&order) {
+                    Some(Timer::Woke(token)) => policy.woke(at, token),
+                    Some(Timer::Overdue(xchg, try_no)) => self.overdue(at, xchg, try_no),
+                    None => {}
+                }
+            }
+            self.collect();
+        }
+    }
+
+    /// What it did since last asked: when each arrives, in the order it was done.
+    pub fn take(&mut self) -> std::vec::Drain<'_, (Nanos, ToWorld)> {
+        self.out.drain(..)
+    }
+
+    fn collect(&mut self) {
+        if let Some(policy) = &mut self.policy {
+            self.out.append(&mut policy.host().out);
+        }
+    }
+
+    fn handle(&mut self, now: Nanos, what: ToSeat) {
+        if let ToSeat::Start { entries, life } = what {
+            self.start(now, life);
+            return self.listed(now, true, &entries);
+        }
+        let Some(policy) = &mut self.policy else {
+            if let ToSeat::Arrived { xchg, .. } = what {
+                self.out.push((now + self.rules.network.least(), ToWorld::Refused { xchg }));
+            }
+            return;
+        };
+        policy.host().now = now;
+        match what {
+            ToSeat::Arrived { xchg, ask } => {
+                policy.host().open.insert(xchg, Open { answered: false, tries: Vec::new() });
+                policy.arrived(now, xchg, ask);
+            }
+            ToSeat::Back { xchg, try_no, outcome, epoch, value } => {
+                self.back(now, xchg, try_no, outcome, (epoch, value));
+            }
+            ToSeat::Reset { node } => self.reset(now, node),
+            ToSeat::Listed { whole, entries } => self.listed(now, whole, &entries),
+            ToSeat::ListFailed => policy.list_failed(now),
+            ToSeat::Probed { node, outcome } => policy.probed(node, outcome),
+            ToSeat::News { peer, news: News::Load(node, count) } => policy.peer_load(now, peer, node, count),
+            ToSeat::News { news: News::Joined(node, key), .. } => policy.peer_joined(now, node, key),
+            ToSeat::Kill => {
+                self.collect();
+                self.policy = None;
+            }
+            ToSeat::Start { .. } => {}
+        }
+    }
+
+    fn start(&mut self, now: Nanos, life: u64) {
+        let Rules { policy, settings, seed, nodes, zones, idle_limit, network } = &self.rules;
+        let acts = Acts {
+            number: self.number,
+            now,
+            zones: *zones,
+            network: network.clone(),
+            rng: rng(*seed, "seat", mix(self.number as u64) ^ life),
+            idle_limit: *idle_limit,
+            idle: vec![VecDeque::new(); nodes + 1],
+            open: HashMap::new(),
+            timers: BinaryHeap::new(),
+            due: HashMap::new(),
+            order: 0,
+            out: Vec::new(),
+        };
+        let seed = mix(seed ^ mix(self.number as u64 ^ life << 32));
+        self.policy = policy::make(policy, acts, settings.clone(), seed, now);
+    }
+
+    fn listed(&mut self, now: Nanos, whole: bool, entries: &[Entry]) {
+        let (origin, zones) = (self.rules.nodes, self.rules.zones);
+        let Some(policy) = &mut self.policy else { return };
+        for entry in entries {
+            policy.listed(now, entry.node, listed(entry, origin, zones));
+        }
+        if whole {
+            let named: Vec<Node> = entries.iter().map(|entry| entry.node).collect();
+            policy.listed_all(&named);
+        }
+    }
+
+    /// An outcome counts if its try is still out; a connection that is sound is kept.
+    fn back(&mut self, now: Nanos, xchg: Xchg, try_no: usize, outcome: Outcome, came: (u64, Xchg)) {
+        let Some(policy) = &mut self.policy else { return };
+        let acts = policy.host();
+        let Some(open) = acts.open.get_mut(&xchg) else { return };
+        let Some(node) = open.tries.get_mut(try_no).and_then(Option::take) else { return };
+        if !matches!(outcome, Outcome::Unreachable | Outcome::Severed | Outcome::Overdue) {
+            acts.idle[node].push_back((now, came.0));
+        }
+        if outcome == Outcome::Completed && acts.answer(xchg) {
+            let delay = acts.client_delay();
+            acts.post(delay, ToWorld::Served { xchg, sent: now, value: came.1 });
+        }
+        let over = acts.open.get(&xchg).is_none_or(|open| open.answered);
+        policy.ended(now, xchg, try_no, outcome, over);
+    }
+
+    fn overdue(&mut self, now: Nanos, xchg: Xchg, try_no: usize) {
+        let Some(policy) = &mut self.policy else { return };
+        let acts = policy.host();
+        let Some(open) = acts.open.get_mut(&xchg) else { return };
+        let Some(node) = open.tries.get_mut(try_no).and_then(Option::take) else { return };
+        let over = open.answered;
+        let delay = acts.delay(node);
+        acts.post(delay, ToWorld::Cancel { xchg, try_no, node, sent: now });
+        policy.ended(now, xchg, try_no, Outcome::Overdue, over);
+    }
+
+    fn reset(&mut self, now: Nanos, node: Node) {
+        let Some(policy) = &mut self.policy else { return };
+        let acts = policy.host();
+        acts.idle[node].clear();
+        let mut broken: Vec<(Xchg, usize)> = Vec::new();
+        for (&xchg, open) in &acts.open {
+            let tries = open.tries.iter().enumerate().filter(|(_, at)| **at == Some(node));
+            broken.extend(tries.map(|(try_no, _)| (xchg, try_no)));
+        }
+        broken.sort_unstable();
+        for &(xchg, try_no) in &broken {
+            let delay = acts.delay(node);
+            acts.post(delay, ToWorld::Severed { xchg, try_no, node, sent: now });
+        }
+        for (xchg, try_no) in broken {
+            self.back(now, xchg, try_no, Outcome::Severed, (0, xchg));
+        }
+    }
+}
+
+/// What stands for a node at every proxy.
+pub fn uid(node: Node) -> String {
+    format!("n{}", node + 1)
+}
+
+pub fn listed(entry: &Entry, origin: Node, zones: usize) -> Listed {
+    let is_origin = entry.node == origin;
+    Listed {
+        identity: pumicebay_names::identity(&if is_origin { "origin".into() } else { uid(entry.node) }),
+        zone: if is_origin { 0 } else { entry.node % zones },
+        cell: 0,
+        standing: match entry.state {
+            State::Ready => Standing::Ready,
+            State::Draining => Standing::Draining,
+            State::Left => Standing::Gone,
+        },
+        started: entry.started,
+        origin: is_origin,
+    }
+}
