--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::progress::Progress;
-use crate::{compare, scenario, virt};
+use crate::{compare, real, scenario, virt};
 use anyhow::{Context, Result, bail};
 use lexopt::prelude::*;
 use std::path::PathBuf;
@@ -30,6 +30,7 @@
     seed: Option<u64>,
     seeds: Option<u64>,
     policy: Option<String>,
+    proxy: Option<PathBuf>,
     json: Option<PathBuf>,
     set: Vec<(String, String)>,
     threads: Option<usize>,
@@ -60,6 +61,7 @@
             Long("seed") => call.seed = Some(args.value()?.parse()?),
             Long("seeds") => call.seeds = Some(args.value()?.parse()?),
             Long("policy") => call.policy = Some(args.value()?.string()?),
+            Long("proxy") => call.proxy = Some(args.value()?.into()),
             Long("json") => call.json = Some(args.value()?.into()),
             Long("threads") => call.threads = Some(args.value()?.parse()?),
             Long("set") => {
@@ -89,7 +91,13 @@
     let day = call.read()?;
     let policy = call.policy.as_deref().unwrap_or("pumicebay");
     let progress = Progress::new(&day.name, 1);
-    let results = virt::play(&day, policy, day.seed, &|part| progress.at(part))?;
+    let shows = |part| progress.at(part);
+    let results = match call.clock.as_deref() {
+        None | Some("virtual") => virt::play(&day, policy, day.seed, &shows)?,
+        Some("real") if policy == "pumicebay" => real::play(&day, day.seed, call.proxy.as_ref(), &shows)?,
+        Some("real") => bail!("--policy: baselines are played in virtual time only"),
+        Some(other) => bail!("--clock: expected virtual or real, found {other:?}"),
+    };
     drop(progress);
     print!("{}", results.table());
     if let Some(path) = &call.json {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod platform;
 pub mod policy;
 pub mod progress;
+pub mod real;
 pub mod results;
 pub mod scenario;
 pub mod seat;
--- /dev/null
+++ b/crates/lab/src/real/process.rs
@@ -0,0 +1,257 @@
+//! Proxies as processes: started, watched, killed as the day has it, and ended whatever happens. One that
+//! prints without end is read without end, and all but its last lines are dropped.
+
+use crate::platform;
+use crate::real::SharedFleet;
+use anyhow::{Context, Result, bail};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use pumicebay_model::Nanos;
+use pumicebay_model::seeds::mix;
+use pumicebay_model::spec::Scenario;
+use serde_json::json;
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::{Instant, sleep, timeout};
+
+/// How long a proxy may take until it answers, and to end once it was asked to.
+const READY: Duration = Duration::from_secs(10);
+const ENDS: Duration = Duration::from_secs(8);
+/// Lines of a proxy's log that are kept, and the bytes of each.
+const LINES: usize = 40;
+const LINE: u64 = 400;
+
+type Log = Arc<Mutex<VecDeque<String>>>;
+
+struct Proxy {
+    address: SocketAddr,
+    config: PathBuf,
+    child: Option<Child>,
+    log: Log,
+    /// When it is to start again.
+    again: Option<Instant>,
+    life: u64,
+}
+
+pub struct Proxies {
+    day: Scenario,
+    seed: u64,
+    program: PathBuf,
+    /// Where the program is the lab itself, it serves when asked by this word.
+    proxies: Vec<Proxy>,
+    notes: Vec<String>,
+    _folder: TempDir,
+}
+
+impl Proxies {
+    /// Starts all, and waits until each answers.
+    pub async fn start(
+        day: &Scenario,
+        seed: u64,
+        program: Option<&PathBuf>,
+        fleet: &SharedFleet,
+    ) -> Result<Proxies> {
+        let program = match program {
+            Some(program) => program.clone(),
+            None => std::env::current_exe().context("this program's own path")?,
+        };
+        let folder = tempfile::tempdir().context("a folder for configurations")?;
+        let mut proxies = Vec::new();
+        for number in 0..day.proxies.count {
+            proxies.push(Proxy {
+                address: free()?,
+                config: folder.path().join(format!("p{}.json", number + 1)),
+                child: None,
+                log: Log::default(),
+                again: None,
+                life: 0,
+            });
+        }
+        let mut all =
+            Proxies { day: day.clone(), seed, program, proxies, notes: Vec::new(), _folder: folder };
+        for number in 0..day.proxies.count {
+            all.spawn(number, fleet)?;
+        }
+        for number in 0..day.proxies.count {
+            all.ready(number).await?;
+        }
+        Ok(all)
+    }
+
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.proxies.iter().map(|proxy| proxy.address).collect()
+    }
+
+    fn spawn(&mut self, number: usize, fleet: &SharedFleet) -> Result<()> {
+        fleet.restarted(number);
+        let addresses = self.addresses();
+        let peers = addresses.iter().filter(|address| **address != addresses[number]);
+        let peers: Vec<String> = peers.filter(|_| self.day.proxies.peers).map(ToString::to_string).collect();
+        let this = &mut self.proxies[number];
+        this.life += 1;
+        let seed = mix(self.seed ^ mix(number as u64 ^ this.life << 32));
+        let config = json!({
+            "name": format!("p{}", number + 1),
+            "listen": this.address.to_string(),
+            "discovery": fleet.discovery(number).context("discovery")?.to_string(),
+            "seed": format!("{seed:016x}"),
+            "limits": {"sockets": 4096, "memory_mb": 512},
+            "known": fleet.list(number, None),
+            "settings": platform::settings(&self.day, number),
+            "peers": peers,
+        });
+        std::fs::write(&this.config, config.to_string())?;
+        let mut child = Command::new(&self.program)
+            .args(["serve", "--config"])
+            .arg(&this.config)
+            .env_remove("PROXY_NAME")
+            .env_remove("PROXY_LISTEN")
+            .env_remove("PROXY_DISCOVERY")
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("p{}: {}", number + 1, self.program.display()))?;
+        if let Some(stdout) = child.stdout.take() {
+            tokio::spawn(keep(stdout, this.log.clone()));
+        }
+        if let Some(stderr) = child.stderr.take() {
+            tokio::spawn(keep(stderr, this.log.clone()));
+        }
+        this.child = Some(child);
+        this.again = None;
+        Ok(())
+    }
+
+    async fn ready(&mut self, number: usize) -> Result<()> {
+        let name = format!("p{}", number + 1);
+        let until = Instant::now() + READY;
+        while Instant::now() < until {
+            let this = &mut self.proxies[number];
+            if let Some(child) = &mut this.child
+                && let Some(status) = child.try_wait()?
+            {
+                // What it said may still be on its way.
+                sleep(Duration::from_millis(50)).await;
+                bail!("{name} did not start: {status}; it said:\n{}", last(&this.log));
+            }
+            if timeout(Duration::from_millis(500), pong(this.address)).await.unwrap_or(false) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        let log = last(&self.proxies[number].log);
+        bail!("{name} did not answer within {} s; it said:\n{log}", READY.as_secs());
+    }
+
+    /// Kills it outright; it starts again as the scenario has it.
+    pub async fn kill(&mut self, number: usize, fleet: &SharedFleet) {
+        let this = &mut self.proxies[number];
+        if let Some(mut child) = this.child.take() {
+            let _ = child.kill().await;
+        }
+        let wait = Duration::from_secs_f64(self.day.proxies.restart_seconds);
+        this.again = Some(Instant::now() + wait);
+        fleet.restarted(number);
+    }
+
+    /// Starts those again that are due, and notices those that ended by themselves.
+    pub async fn look_after(&mut self, fleet: &SharedFleet) {
+        for number in 0..self.proxies.len() {
+            let this = &mut self.proxies[number];
+            let ended = this.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
+            if let Some(status) = ended {
+                this.child = None;
+                let at = at(fleet.now());
+                let said = last(&this.log);
+                self.notes
+                    .push(format!("p{} ended by itself at {at}: {status}; it said:\n{said}", number + 1));
+            }
+            if self.proxies[number].again.is_some_and(|again| again <= Instant::now())
+                && let Err(error) = self.spawn(number, fleet)
+            {
+                self.proxies[number].again = None;
+                self.notes.push(format!("p{} did not start again: {error:#}", number + 1));
+            }
+        }
+    }
+
+    /// Asks all to end, and sees that they do. Gives what was noticed; what begins with a proxy's name spoils
+    /// the day.
+    pub async fn stop(&mut self) -> Vec<String> {
+        for proxy in &self.proxies {
+            let id = proxy.child.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok());
+            if let Some(id) = id {
+                let _ = kill(Pid::from_raw(id), Signal::SIGTERM);
+            }
+        }
+        let until = Instant::now() + ENDS;
+        for (number, proxy) in self.proxies.iter_mut().enumerate() {
+            let Some(mut child) = proxy.child.take() else { continue };
+            if tokio::time::timeout_at(until, child.wait()).await.is_err() {
+                let _ = child.kill().await;
+                self.notes.push(format!("p{} hung: it did not end when asked to", number + 1));
+            }
+        }
+        std::mem::take(&mut self.notes)
+    }
+}
+
+fn at(now: Nanos) -> String {
+    format!("{:.1} s", now as f64 / 1e9)
+}
+
+/// An address that nobody listens at.
+fn free() -> Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").context("a free port")?;
+    Ok(listener.local_addr()?)
+}
+
+async fn pong(address: SocketAddr) -> bool {
+    let asked = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(b"*1\r\n$4\r\nPING\r\n").await?;
+        let mut answer = [0; 5];
+        stream.read_exact(&mut answer).await?;
+        std::io::Result::Ok(&answer == b"+PONG")
+    };
+    asked.await.unwrap_or(false)
+}
+
+/// Reads to the end and keeps the last lines, each cut to a length.
+async fn keep(from: impl tokio::io::AsyncRead + Unpin, log: Log) {
+    let mut from = BufReader::new(from);
+    let mut line = Vec::new();
+    loop {
+        line.clear();
+        match (&mut from).take(LINE).read_until(b'\n', &mut line).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {
+                let mut log = log.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                if log.len() == LINES {
+                    log.pop_front();
+                }
+                log.push_back(String::from_utf8_lossy(&line).trim_end().to_string());
+            }
+        }
+    }
+}
+
+fn last(log: &Log) -> String {
+    let log = log.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    log.iter().map(|line| format!("    {line}\n")).collect::<String>().trim_end().to_string()
+}
+
+/// Where a program's path leads to; for messages.
+pub fn shown(path: &Path) -> String {
+    path.file_name().map_or_else(String::new, |name| name.to_string_lossy().into_owned())
+}
--- a/crates/lab/src/seat.rs
+++ b/crates/lab/src/seat.rs
@@ -460,6 +460,15 @@
     format!("n{}", node + 1)
 }
 
+/// A key as clients write it, and what stands for it in the decisions, which is a hash of that.
+pub fn key_text(key: u64) -> String {
+    format!("{key:016x}")
+}
+
+pub fn key_mark(key: u64) -> u64 {
+    pumicebay_names::identity(&key_text(key))
+}
+
 pub fn listed(entry: &Entry, origin: Node, zones: usize) -> Listed {
     let is_origin = entry.node == origin;
     Listed {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -2,7 +2,7 @@
 //! proxies what comes of it.
 
 use crate::audit::{Auditor, Final};
-use crate::seat::{Due, News, ToSeat, ToWorld, uid};
+use crate::seat::{Due, News, ToSeat, ToWorld, key_mark, uid};
 use crate::tally::{End, Tally};
 use hashbrown::HashMap;
 use pumicebay_core::table::rendezvous;
@@ -369,7 +369,7 @@
         let ask = Ask {
             route: wish.route,
             tenant: (!self.day.tenant.is_empty()).then_some(wish.tenant),
-            key: Some(wish.key),
+            key: Some(key_mark(wish.key)),
             write: route.write,
             hint: None,
             grace: timeout,
@@ -807,9 +807,10 @@
     let most = (day.clients.keys as f64 * day.clients.warm_keys) as u64;
     for rank in (1..=most).rev() {
         let key = traffic::key(rank % day.clients.keys);
+        let mark = key_mark(key);
         let mut best: [(u64, Node); 2] = [(0, usize::MAX); 2];
         for &(node, identity) in &there {
-            let hash = rendezvous(key, identity);
+            let hash = rendezvous(mark, identity);
             if hash > best[0].0 {
                 best = [(hash, node), best[0]];
             } else if hash > best[1].0 {
