--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,37 +1,55 @@
 //! The command line.
 
 use crate::progress::Progress;
-use crate::{compare, real, scenario, virt};
-use anyhow::{Context, Result, bail};
+use crate::results::Results;
+use crate::scenario::{self, Text};
+use crate::{compare, hunt, policy, real, report, sweep, virt};
+use anyhow::{Context, Result, bail, ensure};
 use lexopt::prelude::*;
-use std::path::PathBuf;
+use pumicebay_model::spec::Scenario;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 const HELP: &str = "\
-pumicebay-lab: plays scenarios, audits the rules, and compares
+pumicebay-lab: plays scenarios against the proxy's decisions, audits the rules, and compares
 
 usage: pumicebay-lab COMMAND ...
 
-  list                      the scenarios that ship, one line each
+  list [FOLDER]        the scenarios that ship, one line each (FOLDER: scenarios)
   run SCENARIO [--clock virtual|real] [--seed N] [--policy NAME] [--proxy PATH]
-      [--json FILE] [--report FILE.html]
+      [--json FILE] [--report FILE.html] [--set KEY=VALUE]
+                       plays one day, in virtual time or with real proxies on loopback
+                       sockets (PATH: another build of pumicebay)
   compare SCENARIO --policy A,B,... [--seeds N]
-                            paired by seed: mean difference with a 95% interval
-  help                      print this
+                       paired by seed: mean difference with a 95% interval
+  compare SCENARIO --clock real --proxy PATH,PATH,... [--seeds N]
+                       the same for builds, on sockets; `self` is the lab's own
+  sweep SCENARIO --set KEY=V1,V2,... [--seeds N] [--report FILE.html]
+                       a table and a plot over a grid
+  hunt SCENARIO [--runs N] [--json FILE]
+                       looks for the day that loses most, cuts it down, and writes it
+                       to found/
+  help                 print this
 
-Every command takes --set KEY=VALUE, which changes the scenario, and --threads N.
-A broken rule makes the exit code 1, a wrong call 2.";
+Every command takes --threads N. A broken rule makes the exit code 1, a wrong call 2, a run
+that is not usable 3.";
+
+/// Days of a hunt, and seeds, where the call has none.
+const RUNS: u64 = 100;
+const SEEDS: u64 = 10;
 
 #[derive(Default)]
 struct Call {
     command: Option<String>,
-    scenario: Option<PathBuf>,
+    path: Option<PathBuf>,
     clock: Option<String>,
     seed: Option<u64>,
     seeds: Option<u64>,
+    runs: Option<u64>,
     policy: Option<String>,
-    proxy: Option<PathBuf>,
+    proxy: Option<String>,
     json: Option<PathBuf>,
+    report: Option<PathBuf>,
     set: Vec<(String, String)>,
     threads: Option<usize>,
 }
@@ -42,8 +60,11 @@
         rayon::ThreadPoolBuilder::new().num_threads(threads).build_global().context("--threads")?;
     }
     match call.command.as_deref() {
+        Some("list") => list(call.path.as_deref().unwrap_or(Path::new("scenarios"))),
         Some("run") => run(&call),
         Some("compare") => compare(&call),
+        Some("sweep") => sweep(&call),
+        Some("hunt") => hunt(&call),
         Some("help") => {
             println!("{HELP}");
             Ok(ExitCode::SUCCESS)
@@ -60,9 +81,11 @@
             Long("clock") => call.clock = Some(args.value()?.string()?),
             Long("seed") => call.seed = Some(args.value()?.parse()?),
             Long("seeds") => call.seeds = Some(args.value()?.parse()?),
+            Long("runs") => call.runs = Some(args.value()?.parse()?),
             Long("policy") => call.policy = Some(args.value()?.string()?),
-            Long("proxy") => call.proxy = Some(args.value()?.into()),
+            Long("proxy") => call.proxy = Some(args.value()?.string()?),
             Long("json") => call.json = Some(args.value()?.into()),
+            Long("report") => call.report = Some(args.value()?.into()),
             Long("threads") => call.threads = Some(args.value()?.parse()?),
             Long("set") => {
                 let text = args.value()?.string()?;
@@ -71,7 +94,7 @@
             }
             Short('h') | Long("help") => call.command = Some("help".into()),
             Value(word) if call.command.is_none() => call.command = Some(word.string()?),
-            Value(path) if call.scenario.is_none() => call.scenario = Some(path.into()),
+            Value(path) if call.path.is_none() => call.path = Some(path.into()),
             other => return Err(other.unexpected().into()),
         }
     }
@@ -79,39 +102,148 @@
 }
 
 impl Call {
-    fn read(&self) -> Result<pumicebay_model::spec::Scenario> {
-        let path = self.scenario.as_ref().context("no scenario; see pumicebay-lab list")?;
-        let mut day = scenario::read(path, &self.set)?;
+    fn path(&self) -> Result<&Path> {
+        self.path.as_deref().context("no scenario; see pumicebay-lab list")
+    }
+
+    fn read(&self) -> Result<Scenario> {
+        let mut day = scenario::read(self.path()?, &self.set)?;
         day.seed = self.seed.unwrap_or(day.seed);
         Ok(day)
     }
+
+    fn real(&self) -> Result<bool> {
+        match self.clock.as_deref() {
+            None | Some("virtual") => Ok(false),
+            Some("real") => Ok(true),
+            Some(other) => bail!("--clock: expected virtual or real, found {other:?}"),
+        }
+    }
+
+    fn policy(&self) -> Result<&str> {
+        let name = self.policy.as_deref().unwrap_or("pumicebay");
+        ensure!(
+            policy::NAMES.contains(&name),
+            "--policy: no {name:?}, expected one of {}",
+            policy::NAMES.join(", ")
+        );
+        Ok(name)
+    }
+
+    fn seeds(&self) -> Result<u64> {
+        let seeds = self.seeds.unwrap_or(SEEDS);
+        ensure!(seeds > 0, "--seeds: expected 1 or more");
+        Ok(seeds)
+    }
+}
+
+fn write(path: &Path, text: &str) -> Result<()> {
+    std::fs::write(path, text).with_context(|| path.display().to_string())
+}
+
+fn list(folder: &Path) -> Result<ExitCode> {
+    let entries = std::fs::read_dir(folder).with_context(|| folder.display().to_string())?;
+    let paths = entries.filter_map(|entry| Some(entry.ok()?.path()));
+    let mut paths: Vec<PathBuf> = paths.filter(|path| path.extension().is_some_and(|e| e == "toml")).collect();
+    paths.sort();
+    for path in paths {
+        let line = match scenario::read(&path, &[]) {
+            Ok(day) => day.about,
+            Err(error) => format!("can't be read: {error:#}"),
+        };
+        println!("{:<32} {line}", path.display().to_string());
+    }
+    Ok(ExitCode::SUCCESS)
 }
 
 fn run(call: &Call) -> Result<ExitCode> {
-    let day = call.read()?;
-    let policy = call.policy.as_deref().unwrap_or("pumicebay");
+    let (day, policy) = (call.read()?, call.policy()?);
     let progress = Progress::new(&day.name, 1);
     let shows = |part| progress.at(part);
-    let results = match call.clock.as_deref() {
-        None | Some("virtual") => virt::play(&day, policy, day.seed, &shows)?,
-        Some("real") if policy == "pumicebay" => real::play(&day, day.seed, call.proxy.as_ref(), &shows)?,
-        Some("real") => bail!("--policy: baselines are played in virtual time only"),
-        Some(other) => bail!("--clock: expected virtual or real, found {other:?}"),
+    let results = if call.real()? {
+        ensure!(policy == "pumicebay", "--policy: baselines are played in virtual time only");
+        real::play(&day, day.seed, call.proxy.as_ref().map(PathBuf::from).as_ref(), &shows)?
+    } else {
+        ensure!(call.proxy.is_none(), "--proxy: goes with --clock real");
+        virt::play(&day, policy, day.seed, &shows)?
     };
     drop(progress);
     print!("{}", results.table());
     if let Some(path) = &call.json {
-        let text = serde_json::to_string_pretty(&results)?;
-        std::fs::write(path, text + "\n").with_context(|| path.display().to_string())?;
+        write(path, &(serde_json::to_string_pretty(&results)? + "\n"))?;
+    }
+    // A day on sockets leaves a report in any case: it can't be played again to the letter.
+    let place = std::env::temp_dir().join(format!("pumicebay-{}.html", day.name));
+    let path = call.report.as_ref().or(call.real()?.then_some(&place));
+    if let Some(path) = path {
+        write(path, &report::html(&results)?)?;
+        println!("  report: {}", path.display());
     }
-    Ok(if results.rules_kept() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+    Ok(code(&[results]))
 }
 
+fn code(days: &[Results]) -> ExitCode {
+    if days.iter().any(|day| !day.rules_kept()) {
+        ExitCode::from(1)
+    } else if days.iter().any(|day| !day.usable) {
+        ExitCode::from(3)
+    } else {
+        ExitCode::SUCCESS
+    }
+}
+
+/// The first name's own days decide the exit code: the others are there to be compared with.
 fn compare(call: &Call) -> Result<ExitCode> {
-    let day = call.read()?;
-    let policies = call.policy.as_deref().context("--policy: expected names, as A,B")?;
-    let policies: Vec<String> = policies.split(',').map(str::to_string).collect();
-    let days = compare::days(&day, &policies, call.seeds.unwrap_or(5).max(1))?;
-    print!("{}", compare::table(&policies, &days));
+    let (day, seeds) = (call.read()?, call.seeds()?);
+    let names = |text: &str| text.split(',').map(str::to_string).collect::<Vec<_>>();
+    let (names, days) = if call.real()? {
+        let proxies = names(call.proxy.as_deref().context("--proxy: expected paths, as A,B")?);
+        let days = compare::builds(&day, &proxies, seeds)?;
+        (proxies, days)
+    } else {
+        let policies = names(call.policy.as_deref().context("--policy: expected names, as A,B")?);
+        let days = compare::days(&day, &policies, seeds)?;
+        (policies, days)
+    };
+    print!("{}", compare::table(&names, &days));
+    Ok(code(&days[0]))
+}
+
+fn sweep(call: &Call) -> Result<ExitCode> {
+    ensure!(!call.set.is_empty(), "--set: expected KEY=V1,V2,...");
+    let (text, policy) = (Text::read(call.path()?)?, call.policy()?);
+    let values = |(key, values): &(String, String)| {
+        (key.clone(), values.split(',').map(str::to_string).collect::<Vec<_>>())
+    };
+    let set: Vec<_> = call.set.iter().map(values).collect();
+    let points = sweep::play(&text, &set, policy, call.seeds()?, call.seed)?;
+    print!("{}", sweep::table(&points));
+    if let Some(path) = &call.report {
+        let name = call.path()?.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+        write(path, &report::sweep_html(&name, policy, &points)?)?;
+        println!("report: {}", path.display());
+    }
     Ok(ExitCode::SUCCESS)
 }
+
+fn hunt(call: &Call) -> Result<ExitCode> {
+    let (text, policy) = (Text::read(call.path()?)?, call.policy()?);
+    let found = hunt::hunt(&text, policy, call.runs.unwrap_or(RUNS), call.seed)?;
+    let folder = Path::new("found");
+    std::fs::create_dir_all(folder).context("found")?;
+    let stem = call.path()?.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    let path = folder.join(format!("{stem}-{policy}-{}.toml", found.results.seed));
+    write(&path, &found.text)?;
+    print!("{}", found.results.table());
+    let (before, after) = found.changes;
+    println!(
+        "loses {:.3} ({:.3} before it was cut down from {before} changes to {after}): {}",
+        found.loss,
+        found.whole_loss,
+        path.display()
+    );
+    if let Some(path) = &call.json {
+        write(path, &(serde_json::to_string_pretty(&found.results)? + "\n"))?;
+    }
+    Ok(code(&[found.results]))
+}
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -3,11 +3,12 @@
 use crate::progress::Progress;
 use crate::results::Results;
 use crate::stats::Mean;
-use crate::virt;
+use crate::{real, virt};
 use anyhow::Result;
 use pumicebay_model::spec::Scenario;
 use rayon::prelude::*;
 use std::fmt::Write;
+use std::path::PathBuf;
 
 /// Plays the scenario with each policy and seed, over the cores; by policy, then seed.
 pub fn days(scenario: &Scenario, policies: &[String], seeds: u64) -> Result<Vec<Vec<Results>>> {
@@ -27,6 +28,21 @@
     Ok(policies.iter().map(|_| played.by_ref().take(seeds as usize).collect()).collect())
 }
 
+/// Plays the scenario on sockets with each build and seed, one day after another; `self` is the lab's own.
+pub fn builds(scenario: &Scenario, proxies: &[String], seeds: u64) -> Result<Vec<Vec<Results>>> {
+    let progress = Progress::new(&scenario.name, proxies.len() * seeds as usize);
+    let mut days: Vec<Vec<Results>> = proxies.iter().map(|_| Vec::new()).collect();
+    // Seed by seed, so that what the machine does meanwhile meets all builds alike.
+    for seed in 0..seeds {
+        for (proxy, played) in proxies.iter().zip(&mut days) {
+            let path = (proxy != "self").then(|| PathBuf::from(proxy));
+            played.push(real::play(scenario, scenario.seed + seed, path.as_ref(), &|_| {})?);
+            progress.step();
+        }
+    }
+    Ok(days)
+}
+
 /// A row for each policy: its figures, and the paired difference of the first from it.
 pub fn table(policies: &[String], days: &[Vec<Results>]) -> String {
     let mut text = String::new();
--- a/crates/lab/src/real/stand_ins.rs
+++ b/crates/lab/src/real/stand_ins.rs
@@ -174,12 +174,9 @@
                 };
                 // What comes meanwhile is the end, or a command that waits its turn.
                 let gone = async {
-                    match framed.next().await {
-                        Some(Ok(frame)) => {
-                            ahead = Some(frame);
-                            std::future::pending().await
-                        }
-                        _ => {}
+                    if let Some(Ok(frame)) = framed.next().await {
+                        ahead = Some(frame);
+                        std::future::pending::<()>().await;
                     }
                 };
                 match work(fleet, node, xchg, gone).await {
@@ -233,12 +230,9 @@
             Answer { status: 200, ..Answer::default() }
         } else if let Some(xchg) = asked.header("x-txn").and_then(id_of) {
             let gone = async {
-                match framed.next().await {
-                    Some(Ok(asked)) => {
-                        ahead = Some(asked);
-                        std::future::pending().await
-                    }
-                    _ => {}
+                if let Some(Ok(asked)) = framed.next().await {
+                    ahead = Some(asked);
+                    std::future::pending::<()>().await;
                 }
             };
             match work(fleet, node, xchg, gone).await {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -5,35 +5,108 @@
 use std::path::Path;
 use toml::Value;
 
-/// Reads the file, with these keys set to other values first.
+/// Reads the file, with these keys set to other values first. A file may name another as its `base`, relative
+/// to itself, whose keys hold where it has none.
 pub fn read(path: &Path, set: &[(String, String)]) -> Result<Scenario> {
-    let text = std::fs::read_to_string(path).with_context(|| format!("scenario {}", path.display()))?;
-    let mut day = parse(&text, set).with_context(|| format!("scenario {}", path.display()))?;
+    let day = Text::read(path)?.scenario(set);
+    let mut day = day.with_context(|| format!("scenario {}", path.display()))?;
     if day.name.is_empty() {
         day.name = path.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default();
     }
     Ok(day)
 }
 
-pub fn parse(text: &str, set: &[(String, String)]) -> Result<Scenario> {
-    let day: Scenario = if set.is_empty() {
-        toml::from_str(text).map_err(|error| anyhow!("{}", error.to_string().trim_end()))?
-    } else {
-        let mut tree: Value = toml::from_str(text).map_err(|error| anyhow!("{error}"))?;
+/// A scenario as it is written, and what it is based on.
+pub struct Text {
+    text: String,
+    base: Option<Box<Text>>,
+}
+
+/// How many files may stand on each other.
+const DEEPEST: usize = 8;
+
+impl Text {
+    pub fn new(text: &str) -> Text {
+        Text { text: text.into(), base: None }
+    }
+
+    pub fn read(path: &Path) -> Result<Text> {
+        Text::read_deep(path, DEEPEST)
+    }
+
+    fn read_deep(path: &Path, depth: usize) -> Result<Text> {
+        let text = std::fs::read_to_string(path).with_context(|| format!("scenario {}", path.display()))?;
+        let tree: Value =
+            toml::from_str(&text).map_err(|error| anyhow!("scenario {}: {error}", path.display()))?;
+        let base = match tree.get("base") {
+            None => None,
+            Some(Value::String(_)) if depth == 0 => bail!("base: more than {DEEPEST} files on each other"),
+            Some(Value::String(name)) => {
+                let path = path.parent().unwrap_or(Path::new("")).join(name);
+                Some(Box::new(Text::read_deep(&path, depth - 1)?))
+            }
+            Some(other) => bail!("base: expected a file's name, found {other}"),
+        };
+        Ok(Text { text, base })
+    }
+
+    /// All keys, those of the base where this has none. Each file is checked by itself first, so that messages
+    /// show the line.
+    pub fn tree(&self) -> Result<Value> {
+        let own: Result<Scenario, _> = toml::from_str(&self.text);
+        own.map_err(|error| anyhow!("{}", error.to_string().trim_end()))?;
+        let own: Value = toml::from_str(&self.text).map_err(|error| anyhow!("{error}"))?;
+        let Some(base) = &self.base else { return Ok(own) };
+        let mut tree = base.tree().context("in its base")?;
+        merge(&mut tree, own);
+        Ok(tree)
+    }
+
+    /// The scenario with these keys set to other values.
+    pub fn scenario(&self, set: &[(String, String)]) -> Result<Scenario> {
+        let mut tree = self.tree()?;
         for (key, value) in set {
             put(&mut tree, key, value).with_context(|| format!("{key} = {value}"))?;
         }
-        tree.try_into().map_err(|error: toml::de::Error| anyhow!("{}", error.to_string().trim_end()))?
-    };
-    let problems = day.problems();
-    if problems.is_empty() {
-        return Ok(day);
+        self.check(tree)
+    }
+
+    /// Checks a tree of keys, naming lines where they stand in these files.
+    pub fn check(&self, tree: Value) -> Result<Scenario> {
+        let day: Scenario = tree
+            .try_into()
+            .map_err(|error: toml::de::Error| anyhow!("{}", error.to_string().trim_end()))?;
+        let problems = day.problems();
+        if problems.is_empty() {
+            return Ok(day);
+        }
+        let lines = problems.iter().map(|problem| match line(&self.text, &problem.key) {
+            Some(line) => format!("line {line}: {}: {}", problem.key, problem.why),
+            None => format!("{}: {}", problem.key, problem.why),
+        });
+        bail!("{}", lines.collect::<Vec<_>>().join("\n"))
+    }
+}
+
+pub fn parse(text: &str, set: &[(String, String)]) -> Result<Scenario> {
+    Text::new(text).scenario(set)
+}
+
+/// Puts the keys of one tree over those of another; lists are taken whole.
+fn merge(under: &mut Value, over: Value) {
+    match (under, over) {
+        (Value::Table(under), Value::Table(over)) => {
+            for (key, value) in over {
+                match under.get_mut(&key) {
+                    Some(there) => merge(there, value),
+                    None => {
+                        under.insert(key, value);
+                    }
+                }
+            }
+        }
+        (under, over) => *under = over,
     }
-    let lines = problems.iter().map(|problem| match line(text, &problem.key) {
-        Some(line) => format!("line {line}: {}: {}", problem.key, problem.why),
-        None => format!("{}: {}", problem.key, problem.why),
-    });
-    bail!("{}", lines.collect::<Vec<_>>().join("\n"))
 }
 
 /// Sets the value at a path such as `clients.rate` or `route.0.share`; a value that is no TOML is a text.
--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec.rs
@@ -23,6 +23,8 @@
     /// A day: its world, and what goes wrong in it.
     Scenario {
         name: String = String::new(),
+        /// Another file, whose keys hold where this has none.
+        base: String = String::new(),
         /// One line that says what the day is for.
         about: String = String::new(),
         seed: u64 = 1,
@@ -257,9 +259,9 @@
         need(part(self.clients.one_off), "clients.one_off", "expected 0 to 1");
         need(part(self.clients.warm_keys), "clients.warm_keys", "expected 0 to 1");
         need(
-            more(self.clients.size_kb) && self.clients.size_kb <= 60.0,
+            more(self.clients.size_kb) && self.clients.size_kb <= 40.0,
             "clients.size_kb",
-            "expected more than 0, at most 60",
+            "expected more than 0, at most 40",
         );
         need(self.network.delay_ms >= 0.05, "network.delay_ms", "expected 0.05 or more");
         need(self.network.zone_delay_ms >= 0.0, "network.zone_delay_ms", "expected 0 or more");
