--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,6 +7,7 @@
 use anyhow::{Context, Result, bail, ensure};
 use lexopt::prelude::*;
 use pumicebay_model::spec::Scenario;
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -66,7 +67,7 @@
         Some("sweep") => sweep(&call),
         Some("hunt") => hunt(&call),
         Some("help") => {
-            println!("{HELP}");
+            say(&format!("{HELP}\n"));
             Ok(ExitCode::SUCCESS)
         }
         Some(other) => bail!("unknown command {other:?}; see pumicebay-lab help"),
@@ -122,11 +123,7 @@
 
     fn policy(&self) -> Result<&str> {
         let name = self.policy.as_deref().unwrap_or("pumicebay");
-        ensure!(
-            policy::NAMES.contains(&name),
-            "--policy: no {name:?}, expected one of {}",
-            policy::NAMES.join(", ")
-        );
+        policy::named(name).context("--policy")?;
         Ok(name)
     }
 
@@ -137,6 +134,11 @@
     }
 }
 
+/// A reader that has seen enough ends nothing.
+fn say(text: &str) {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
 fn write(path: &Path, text: &str) -> Result<()> {
     std::fs::write(path, text).with_context(|| path.display().to_string())
 }
@@ -144,14 +146,15 @@
 fn list(folder: &Path) -> Result<ExitCode> {
     let entries = std::fs::read_dir(folder).with_context(|| folder.display().to_string())?;
     let paths = entries.filter_map(|entry| Some(entry.ok()?.path()));
-    let mut paths: Vec<PathBuf> = paths.filter(|path| path.extension().is_some_and(|e| e == "toml")).collect();
+    let mut paths: Vec<PathBuf> =
+        paths.filter(|path| path.extension().is_some_and(|e| e == "toml")).collect();
     paths.sort();
     for path in paths {
         let line = match scenario::read(&path, &[]) {
             Ok(day) => day.about,
             Err(error) => format!("can't be read: {error:#}"),
         };
-        println!("{:<32} {line}", path.display().to_string());
+        say(&format!("{:<32} {line}\n", path.display().to_string()));
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -168,7 +171,7 @@
         virt::play(&day, policy, day.seed, &shows)?
     };
     drop(progress);
-    print!("{}", results.table());
+    say(&results.table());
     if let Some(path) = &call.json {
         write(path, &(serde_json::to_string_pretty(&results)? + "\n"))?;
     }
@@ -177,7 +180,7 @@
     let path = call.report.as_ref().or(call.real()?.then_some(&place));
     if let Some(path) = path {
         write(path, &report::html(&results)?)?;
-        println!("  report: {}", path.display());
+        say(&format!("  report: {}\n", path.display()));
     }
     Ok(code(&[results]))
 }
@@ -205,7 +208,7 @@
         let days = compare::days(&day, &policies, seeds)?;
         (policies, days)
     };
-    print!("{}", compare::table(&names, &days));
+    say(&compare::table(&names, &days));
     Ok(code(&days[0]))
 }
 
@@ -217,11 +220,11 @@
     };
     let set: Vec<_> = call.set.iter().map(values).collect();
     let points = sweep::play(&text, &set, policy, call.seeds()?, call.seed)?;
-    print!("{}", sweep::table(&points));
+    say(&sweep::table(&points));
     if let Some(path) = &call.report {
         let name = call.path()?.file_stem().unwrap_or_default().to_string_lossy().into_owned();
         write(path, &report::sweep_html(&name, policy, &points)?)?;
-        println!("report: {}", path.display());
+        say(&format!("report: {}\n", path.display()));
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -234,14 +237,14 @@
     let stem = call.path()?.file_stem().unwrap_or_default().to_string_lossy().into_owned();
     let path = folder.join(format!("{stem}-{policy}-{}.toml", found.results.seed));
     write(&path, &found.text)?;
-    print!("{}", found.results.table());
+    say(&found.results.table());
     let (before, after) = found.changes;
-    println!(
-        "loses {:.3} ({:.3} before it was cut down from {before} changes to {after}): {}",
+    say(&format!(
+        "loses {:.3} ({:.3} before it was cut down from {before} changes to {after}): {}\n",
         found.loss,
         found.whole_loss,
         path.display()
-    );
+    ));
     if let Some(path) = &call.json {
         write(path, &(serde_json::to_string_pretty(&found.results)? + "\n"))?;
     }
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -1,5 +1,6 @@
 //! The interface that the decisions have, so that others can stand in their place.
 
+use anyhow::{Context, Result, ensure};
 use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Settings, Xchg};
 
 /// What a policy is told, each by a call of its own; it acts through its host.
@@ -56,6 +57,15 @@
 /// The policies by name: the project's own, and the baselines.
 pub const NAMES: &[&str] = &["pumicebay", "random", "two", "rendezvous", "bounded", "careless"];
 
+/// A policy's name and the salt of its own chance: `two#1` is `two` with other draws on the same day, which
+/// tells how large the noise is.
+pub fn named(text: &str) -> Result<(&str, u64)> {
+    let (name, salt) = text.split_once('#').unwrap_or((text, "0"));
+    ensure!(NAMES.contains(&name), "no policy {name:?}, expected one of {}", NAMES.join(", "));
+    let salt = salt.parse().with_context(|| format!("policy {text:?}: expected a number behind #"))?;
+    Ok((name, salt))
+}
+
 pub type Boxed<H> = Box<dyn Policy<H>>;
 
 /// Makes one; none where the name is not known.
--- a/crates/lab/src/real/fleet.rs
+++ b/crates/lab/src/real/fleet.rs
@@ -211,6 +211,11 @@
         self.lives[node].subscribe()
     }
 
+    /// Where a node, or the origin, listens while it does.
+    pub fn address(&self, node: usize) -> Option<SocketAddr> {
+        self.addresses.get()?.get(node).copied()
+    }
+
     pub fn discovery(&self, proxy: usize) -> Option<SocketAddr> {
         self.discoveries.get()?.get(proxy).copied()
     }
--- a/crates/lab/src/real/process.rs
+++ b/crates/lab/src/real/process.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::Stdio;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -22,9 +22,6 @@
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep, timeout};
 
-/// How long a proxy may take until it answers, and to end once it was asked to.
-const READY: Duration = Duration::from_secs(10);
-const ENDS: Duration = Duration::from_secs(8);
 /// Lines of a proxy's log that are kept, and the bytes of each.
 const LINES: usize = 40;
 const LINE: u64 = 400;
@@ -45,7 +42,6 @@
     day: Scenario,
     seed: u64,
     program: PathBuf,
-    /// Where the program is the lab itself, it serves when asked by this word.
     proxies: Vec<Proxy>,
     notes: Vec<String>,
     _folder: TempDir,
@@ -134,7 +130,8 @@
 
     async fn ready(&mut self, number: usize) -> Result<()> {
         let name = format!("p{}", number + 1);
-        let until = Instant::now() + READY;
+        let patience = self.day.proxies.ready_seconds;
+        let until = Instant::now() + Duration::from_secs_f64(patience);
         while Instant::now() < until {
             let this = &mut self.proxies[number];
             if let Some(child) = &mut this.child
@@ -150,7 +147,7 @@
             sleep(Duration::from_millis(20)).await;
         }
         let log = last(&self.proxies[number].log);
-        bail!("{name} did not answer within {} s; it said:\n{log}", READY.as_secs());
+        bail!("{name} did not answer within {patience} s; it said:\n{log}");
     }
 
     /// Kills it outright; it starts again as the scenario has it.
@@ -194,7 +191,7 @@
                 let _ = kill(Pid::from_raw(id), Signal::SIGTERM);
             }
         }
-        let until = Instant::now() + ENDS;
+        let until = Instant::now() + Duration::from_secs_f64(self.day.proxies.ends_seconds);
         for (number, proxy) in self.proxies.iter_mut().enumerate() {
             let Some(mut child) = proxy.child.take() else { continue };
             if tokio::time::timeout_at(until, child.wait()).await.is_err() {
@@ -250,8 +247,3 @@
     let log = log.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     log.iter().map(|line| format!("    {line}\n")).collect::<String>().trim_end().to_string()
 }
-
-/// Where a program's path leads to; for messages.
-pub fn shown(path: &Path) -> String {
-    path.file_name().map_or_else(String::new, |name| name.to_string_lossy().into_owned())
-}
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -77,7 +77,12 @@
         ("worst ten seconds", RGBColor(178, 34, 34), figure(|day| day.worst_ten_seconds)),
         ("hit rate", RGBColor(30, 120, 60), figure(|day| day.hit_rate)),
     ];
-    section(&mut page, "By point of the grid", "In the order of the table below.", &plot(&lines, &[], Some(1.0))?);
+    section(
+        &mut page,
+        "By point of the grid",
+        "In the order of the table below.",
+        &plot(&lines, &[], Some(1.0))?,
+    );
     let _ = writeln!(page, "<pre>{}</pre>", escape(&sweep::table(points)));
     page += "</body></html>\n";
     Ok(page)
@@ -233,9 +238,9 @@
             let series = LineSeries::new(points.iter().copied(), colour.stroke_width(2));
             let drawn = chart.draw_series(series).map_err(|error| wrong(&error))?;
             let colour = *colour;
-            drawn.label(*name).legend(move |(x, y)| {
-                PathElement::new(vec![(x, y), (x + 18, y)], colour.stroke_width(2))
-            });
+            drawn
+                .label(*name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour.stroke_width(2)));
         }
         if lines.len() > 1 {
             chart
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -73,9 +73,8 @@
 
     /// Checks a tree of keys, naming lines where they stand in these files.
     pub fn check(&self, tree: Value) -> Result<Scenario> {
-        let day: Scenario = tree
-            .try_into()
-            .map_err(|error: toml::de::Error| anyhow!("{}", error.to_string().trim_end()))?;
+        let day: Scenario =
+            tree.try_into().map_err(|error: toml::de::Error| anyhow!("{}", error.to_string().trim_end()))?;
         let problems = day.problems();
         if problems.is_empty() {
             return Ok(day);
--- a/crates/lab/src/seat.rs
+++ b/crates/lab/src/seat.rs
@@ -273,6 +273,8 @@
 #[derive(Clone)]
 pub struct Rules {
     pub policy: String,
+    /// Added to the seed of the policy's own chance.
+    pub salt: u64,
     pub settings: Settings,
     pub seed: u64,
     pub nodes: usize,
@@ -376,7 +378,7 @@
     }
 
     fn start(&mut self, now: Nanos, life: u64) {
-        let Rules { policy, settings, seed, nodes, zones, idle_limit, network } = &self.rules;
+        let Rules { policy, salt, settings, seed, nodes, zones, idle_limit, network } = &self.rules;
         let acts = Acts {
             number: self.number,
             now,
@@ -391,7 +393,7 @@
             order: 0,
             out: Vec::new(),
         };
-        let seed = mix(seed ^ mix(self.number as u64 ^ life << 32));
+        let seed = mix(seed ^ mix(self.number as u64 ^ life << 32)).wrapping_add(*salt);
         self.policy = policy::make(policy, acts, settings.clone(), seed, now);
     }
 
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -50,10 +50,8 @@
     let grid = grid(set);
     ensure!(grid.len() <= MOST, "--set: {} points, at most {MOST}", grid.len());
     // All are checked before the first is played.
-    let days: Result<Vec<Scenario>> = grid
-        .iter()
-        .map(|set| text.scenario(set).with_context(|| format!("with {set:?}")))
-        .collect();
+    let days: Result<Vec<Scenario>> =
+        grid.iter().map(|set| text.scenario(set).with_context(|| format!("with {set:?}"))).collect();
     let days = days?;
     let progress = Progress::new("sweep", days.len() * seeds as usize);
     let one = |day: &Scenario, number: u64| {
--- a/crates/lab/src/virt.rs
+++ b/crates/lab/src/virt.rs
@@ -9,7 +9,7 @@
 use crate::seat::{Rules, Seat};
 use crate::tally::Tally;
 use crate::world::World;
-use anyhow::{Result, ensure};
+use anyhow::Result;
 use pumicebay_core::Nanos;
 use pumicebay_model::network::Network;
 use pumicebay_model::spec::Scenario;
@@ -33,9 +33,10 @@
     seed: u64,
     progress: &(dyn Fn(f64) + Sync),
 ) -> Result<(Auditor, Tally)> {
-    ensure!(policy::NAMES.contains(&policy), "no policy {policy:?}, expected {}", policy::NAMES.join(", "));
+    let (name, salt) = policy::named(policy)?;
     let rules = |proxy| Rules {
-        policy: policy.into(),
+        policy: name.into(),
+        salt,
         settings: pumicebay_names::translate(&platform::settings(day, proxy)),
         seed,
         nodes: day.nodes.count,
--- /dev/null
+++ b/crates/lab/tests/lab/audit.rs
@@ -0,0 +1,167 @@
+//! Every rule broken on purpose, and kept where it looks like broken.
+
+use crate::day;
+use pumicebay_lab::audit::{Auditor, Final};
+use pumicebay_model::registry::State;
+
+const MS: u64 = 1_000_000;
+const READ: usize = 0;
+const PUT: usize = 1;
+const MARK: usize = 2;
+
+const ROUTES: &str = r#"
+    [nodes]
+    zones = 2
+    [[route]]
+    name = "read"
+    [[route]]
+    name = "put"
+    effect = "non_retriable"
+    [[route]]
+    name = "mark"
+    effect = "deduped"
+    scope = "zone"
+    window_seconds = 0.2
+"#;
+
+/// What the auditor says of one exchange, taken at 0 with a second to go, after this has happened.
+fn judged(route: usize, happens: impl FnOnce(&mut Auditor)) -> Vec<String> {
+    let mut auditor = Auditor::new(&day(ROUTES), MS);
+    auditor.taken(0, 1, 0, route, 1000 * MS);
+    happens(&mut auditor);
+    auditor.finish();
+    assert_eq!(auditor.judged(), 1);
+    let line = |broken: &pumicebay_lab::audit::Broken| format!("{}: {}", broken.rule, broken.what);
+    auditor.broken.iter().map(line).collect()
+}
+
+/// A try at a node from one time to another; it ran there.
+fn tried(auditor: &mut Auditor, node: usize, from: u64, until: u64) {
+    auditor.sent(from * MS, 1, Some(node));
+    auditor.ran((from + 1) * MS, 1, Some(node));
+    auditor.over(until * MS, 1, Some(node));
+}
+
+#[test]
+fn an_ordinary_exchange_breaks_nothing() {
+    let broken = judged(PUT, |auditor| {
+        tried(auditor, 0, 10, 20);
+        auditor.answered(20 * MS, 1, Final::Served, true);
+    });
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+#[test]
+fn one_answer_in_time() {
+    assert_eq!(judged(READ, |_| {}), ["1: never answered"]);
+    let twice = judged(READ, |auditor| {
+        auditor.answered(20 * MS, 1, Final::Shed, true);
+        auditor.answered(30 * MS, 1, Final::Served, true);
+    });
+    assert_eq!(twice, ["1: answered 2 times"]);
+    let late = judged(READ, |auditor| auditor.answered(1020 * MS, 1, Final::Errored, true));
+    assert_eq!(late, ["1: answered 0.020 s past its overall timeout"]);
+    // A proxy that died owes nothing.
+    assert!(judged(READ, |auditor| auditor.lost(500 * MS, 1)).is_empty());
+}
+
+#[test]
+fn no_try_after_the_answer() {
+    let broken = judged(READ, |auditor| {
+        auditor.answered(20 * MS, 1, Final::Shed, true);
+        auditor.sent(30 * MS, 1, Some(2));
+    });
+    assert_eq!(broken, ["1: sent after its final answer"]);
+}
+
+#[test]
+fn no_two_tries_at_once() {
+    let broken = judged(READ, |auditor| {
+        tried(auditor, 0, 10, 40);
+        tried(auditor, 1, 20, 30);
+        auditor.answered(40 * MS, 1, Final::Served, true);
+    });
+    assert_eq!(broken, ["2: sent while another try was out"]);
+    let one_by_one = judged(READ, |auditor| {
+        tried(auditor, 0, 10, 20);
+        tried(auditor, 1, 20, 30);
+        auditor.answered(40 * MS, 1, Final::Served, true);
+    });
+    assert!(one_by_one.is_empty(), "{one_by_one:?}");
+}
+
+#[test]
+fn no_effect_twice() {
+    let twice = |route, node, second| {
+        judged(route, |auditor| {
+            tried(auditor, 0, 10, 20);
+            tried(auditor, node, second, second + 5);
+            auditor.answered((second + 6) * MS, 1, Final::Served, true);
+        })
+    };
+    assert!(twice(READ, 1, 30).is_empty());
+    assert_eq!(twice(PUT, 1, 30), ["2: took effect twice"]);
+    // Node 2 is in the zone of node 0 and discards the repeat, for 200 ms; node 1 is not.
+    assert!(twice(MARK, 2, 30).is_empty());
+    assert_eq!(twice(MARK, 1, 30), ["2: took effect twice"]);
+    assert_eq!(twice(MARK, 2, 300), ["2: took effect twice"]);
+}
+
+#[test]
+fn nothing_is_shed_that_ran() {
+    let shed = |route| {
+        judged(route, |auditor| {
+            tried(auditor, 0, 10, 20);
+            auditor.answered(30 * MS, 1, Final::Shed, true);
+        })
+    };
+    assert!(shed(READ).is_empty());
+    assert_eq!(shed(PUT), ["2: shed, as if it had never run, though it had"]);
+    assert_eq!(shed(MARK).len(), 1);
+}
+
+#[test]
+fn nothing_new_to_a_node_past_the_grace() {
+    let sent = |at: u64, tell: &dyn Fn(&mut Auditor)| {
+        judged(READ, |auditor| {
+            auditor.told(0, 0, 3, State::Ready);
+            tell(auditor);
+            auditor.sent(at * MS, 1, Some(3));
+            auditor.over((at + 1) * MS, 1, Some(3));
+            auditor.answered((at + 2).min(999) * MS, 1, Final::Served, true);
+        })
+    };
+    // The drain was a second and more before the exchange began.
+    let drained = |auditor: &mut Auditor| auditor.told(0, 0, 3, State::Draining);
+    assert!(sent(900, &drained).is_empty());
+    let mut auditor = Auditor::new(&day(ROUTES), MS);
+    auditor.told(0, 0, 3, State::Draining);
+    auditor.told(0, 1, 4, State::Draining);
+    for (xchg, proxy) in [(1, 0), (2, 1)] {
+        auditor.taken(2000 * MS, xchg, proxy, READ, 3000 * MS);
+        auditor.sent(2010 * MS, xchg, Some(3));
+        auditor.over(2020 * MS, xchg, Some(3));
+        auditor.answered(2020 * MS, xchg, Final::Served, true);
+    }
+    // Told again the same it has no new grace, and ready again it may be sent to.
+    auditor.told(1900 * MS, 0, 3, State::Left);
+    auditor.told(2050 * MS, 0, 3, State::Ready);
+    auditor.taken(4000 * MS, 3, 0, READ, 5000 * MS);
+    auditor.sent(4010 * MS, 3, Some(3));
+    auditor.over(4020 * MS, 3, Some(3));
+    auditor.answered(4020 * MS, 3, Final::Served, true);
+    auditor.finish();
+    let broken: Vec<(u8, u64, Option<String>)> =
+        auditor.broken.iter().map(|broken| (broken.rule, broken.exchange, broken.node.clone())).collect();
+    assert_eq!(broken, [(3, 1, Some("n4".to_string()))]);
+}
+
+#[test]
+fn values_and_cold_nodes() {
+    let broken = judged(READ, |auditor| auditor.answered(20 * MS, 1, Final::Served, false));
+    assert_eq!(broken, ["0: served with what was not made for it"]);
+    let mut auditor = Auditor::new(&day(ROUTES), MS);
+    auditor.buried(7 * MS, 2);
+    auditor.origin_stopped(8 * MS);
+    assert_eq!(auditor.counts, [0, 0, 0, 0, 2]);
+}
--- /dev/null
+++ b/crates/lab/tests/lab/stand_ins.rs
@@ -0,0 +1,169 @@
+//! The stand-ins against the proxy's own codecs.
+
+use crate::day;
+use bytes::BytesMut;
+use futures_util::{SinkExt, StreamExt};
+use pumicebay::http::{Http, Request};
+use pumicebay::node::{answered, probed, replied};
+use pumicebay::resp::{Frame, Resp};
+use pumicebay_core::{Outcome, Standing};
+use pumicebay_lab::platform;
+use pumicebay_lab::real::fleet::Fleet;
+use pumicebay_lab::real::http::{Answer, Server};
+use pumicebay_lab::real::stand_ins::made_for;
+use pumicebay_lab::seat::key_text;
+use pumicebay_model::faults::Change;
+use pumicebay_model::traffic::{Wish, key};
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Decoder, Encoder, Framed};
+
+async fn fleet() -> Arc<Fleet> {
+    let day = day("[nodes]\ncount = 2\n[clients]\nkeys = 50\n[discovery]\ntold_ms = 5\nnotice_ms = 10");
+    let fleet = Fleet::start(&day, 1).await.expect("stand-ins");
+    fleet.begin();
+    fleet
+}
+
+/// Tells the stand-ins of an exchange, as the load generator does.
+fn take(fleet: &Fleet, xchg: u64, rank: u64) -> Wish {
+    let wish = Wish { at: 0, route: 0, tenant: 0, key: key(rank), size: 900, proxy: 0 };
+    fleet.taken(xchg, &wish, 0, 1_000_000_000);
+    wish
+}
+
+async fn ask(node: &mut Framed<TcpStream, Resp>, wish: &Wish, xchg: u64) -> Frame {
+    let (key, id) = (key_text(wish.key), format!("{xchg:016x}"));
+    let command = Frame::command([b"C.GET", key.as_bytes(), id.as_bytes(), b"c=read,d=500"]);
+    node.send(&command).await.expect("a command sent");
+    node.next().await.expect("a reply").expect("a frame")
+}
+
+async fn connect(fleet: &Fleet, node: usize) -> Framed<TcpStream, Resp> {
+    let address = fleet.address(node).expect("an address");
+    Framed::new(TcpStream::connect(address).await.expect("a connection"), Resp)
+}
+
+#[tokio::test]
+async fn cache_nodes_speak_as_the_proxy_reads() {
+    let fleet = fleet().await;
+    let mut node = connect(&fleet, 0).await;
+    let wish = take(&fleet, 77, 3);
+    let back = replied(ask(&mut node, &wish, 77).await).expect("a reply that can be read");
+    assert_eq!((back.outcome, made_for(&back.value), back.value.len()), (Outcome::Completed, Some(77), 900));
+    let wish = take(&fleet, 78, 1_000_000);
+    let back = replied(ask(&mut node, &wish, 78).await).expect("a reply that can be read");
+    assert_eq!(back.outcome, Outcome::Missed);
+    node.send(&Frame::command([b"PING"])).await.expect("a probe sent");
+    let pong = node.next().await.expect("a reply").expect("a frame");
+    assert_eq!(probed(pong).expect("a probe's answer").outcome, Outcome::Completed);
+    // What no client asked for is turned away, and spoilt answers can't be read.
+    let wish = take(&fleet, 79, 3);
+    let unknown = replied(ask(&mut node, &wish, 4000).await).expect("a reply that can be read");
+    assert_eq!(unknown.outcome, Outcome::Saturated);
+    fleet.changes(Change::Errors(0, 1.0)).await;
+    assert_eq!(replied(ask(&mut node, &wish, 79).await).expect("a reply").outcome, Outcome::Errored);
+    fleet.changes(Change::Errors(0, 0.0)).await;
+    fleet.changes(Change::Spoils(0, 1.0)).await;
+    let wish = take(&fleet, 80, 3);
+    let id = format!("{:016x}", 80);
+    let key = key_text(wish.key);
+    let command = Frame::command([b"C.GET", key.as_bytes(), id.as_bytes(), b"c=read,d=500"]);
+    node.send(&command).await.expect("a command sent");
+    assert!(node.next().await.is_none_or(|frame| frame.is_err()));
+}
+
+#[tokio::test]
+async fn a_node_that_dies_breaks_its_connections_and_listens_again() {
+    let fleet = fleet().await;
+    let mut node = connect(&fleet, 0).await;
+    fleet.changes(Change::Stop(0)).await;
+    let end = timeout(Duration::from_secs(5), node.next()).await.expect("an end");
+    assert!(end.is_none_or(|frame| frame.is_err()));
+    let address = fleet.address(0).expect("an address");
+    let mut refused = false;
+    for _ in 0..200 {
+        refused = TcpStream::connect(address).await.is_err();
+        if refused {
+            break;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(refused);
+    fleet.changes(Change::Start(0)).await;
+    let mut back = false;
+    for _ in 0..200 {
+        back = TcpStream::connect(address).await.is_ok();
+        if back {
+            break;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(back);
+    // It came back empty.
+    let mut node = connect(&fleet, 0).await;
+    let wish = take(&fleet, 90, 3);
+    assert_eq!(replied(ask(&mut node, &wish, 90).await).expect("a reply").outcome, Outcome::Missed);
+}
+
+#[tokio::test]
+async fn the_origin_speaks_as_the_proxy_reads() {
+    let fleet = fleet().await;
+    let address = fleet.address(fleet.origin()).expect("an address");
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    let mut origin = Framed::new(stream, Http::new(64 * 1024));
+    let wish = take(&fleet, 5, 4);
+    let id = format!("{:016x}", 5);
+    let path = format!("/{}", key_text(wish.key));
+    let headers = vec![("X-Txn", id.as_bytes()), ("X-Labels", &b"c=read,d=500"[..])];
+    origin.send(Request { method: "GET", path, headers, body: None }).await.expect("a request sent");
+    let response = origin.next().await.expect("an answer").expect("that can be read");
+    let back = answered(response);
+    assert_eq!((back.outcome, made_for(&back.value)), (Outcome::Completed, Some(5)));
+}
+
+#[tokio::test]
+async fn discovery_speaks_as_the_proxy_reads() {
+    let fleet = fleet().await;
+    let config = json!({
+        "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": platform::settings(fleet.day(), 0)
+    });
+    let config = pumicebay::config::parse(&config).expect("a configuration that the proxy takes");
+    let address = fleet.discovery(0).expect("an address");
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    let mut agent = Framed::new(stream, Http::new(64 * 1024));
+    agent.send(Request::get("/registry/instances".into())).await.expect("a request sent");
+    let whole = agent.next().await.expect("an answer").expect("that can be read");
+    let whole = serde_json::from_slice(&whole.body).expect("JSON");
+    let (version, all, named) = pumicebay::list::entries(&whole, &config).expect("a list");
+    assert!(all && named.len() == 3 && named[2].listed.origin);
+    let watch = format!("/registry/instances?index={version}&wait=5000");
+    agent.send(Request::get(watch)).await.expect("a request sent");
+    fleet.changes(Change::Drain(1)).await;
+    let changes = agent.next().await.expect("an answer").expect("that can be read");
+    let changes = serde_json::from_slice(&changes.body).expect("JSON");
+    let (later, all, named) = pumicebay::list::entries(&changes, &config).expect("a list");
+    assert!(later > version && !all);
+    assert_eq!((named[0].uid.as_str(), named[0].listed.standing), ("n2", Standing::Draining));
+}
+
+#[test]
+fn http_comes_whole_or_not_at_all() {
+    let mut buffer =
+        BytesMut::from(&b"PUT /k?index=4 HTTP/1.1\r\nX-Txn: 9\r\nContent-Length: 3\r\n\r\nab"[..]);
+    let mut server = Server;
+    assert_eq!(server.decode(&mut buffer).expect("so far sound"), None);
+    buffer.extend_from_slice(b"cGET");
+    let asked = server.decode(&mut buffer).expect("sound").expect("whole");
+    assert_eq!((asked.query("index"), &asked.body[..], &buffer[..]), (Some(4), &b"abc"[..], &b"GET"[..]));
+    let mut buffer = BytesMut::from(&b"GET / HTTP/1.1\r\nContent-Length: many\r\n\r\n"[..]);
+    assert!(server.decode(&mut buffer).is_err());
+    let mut buffer = BytesMut::new();
+    let answer = Answer { status: 503, header: Some(("X-Turned-Away", "1")), body: "no".into() };
+    server.encode(answer, &mut buffer).expect("room");
+    let response = Http::new(100).decode(&mut buffer).expect("sound").expect("whole");
+    assert_eq!(answered(response).outcome, Outcome::Saturated);
+}
--- /dev/null
+++ b/crates/lab/tests/lab/virtual_days.rs
@@ -0,0 +1,219 @@
+//! Days in virtual time: the same on any number of threads, with every wish ending once, and with careless
+//! policies caught.
+
+use crate::day;
+use pumicebay_lab::results::Results;
+use pumicebay_lab::stats::Mean;
+use pumicebay_lab::sweep::grid;
+use pumicebay_lab::{compare, hunt, virt};
+use pumicebay_model::spec::Scenario;
+use pumicebay_model::traffic::Traffic;
+
+fn play(day: &Scenario, policy: &str) -> Results {
+    virt::play(day, policy, day.seed, &|_| {}).expect("a day that plays")
+}
+
+#[test]
+fn any_number_of_threads_gives_the_same_bytes() {
+    let day = day(r#"
+        seconds = 3
+        warm_up_seconds = 1
+        [proxies]
+        count = 40
+        peers = true
+        [nodes]
+        count = 120
+        zones = 2
+        [network]
+        delay_ms = 20
+        [[fault]]
+        kind = "crash"
+        at = 1
+        lasts = 1
+        nodes = ["n1..n30"]
+        [[fault]]
+        kind = "kill_proxy"
+        at = 1.5
+        proxies = ["p1..p5"]
+    "#);
+    let played = |threads| {
+        let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build().expect("threads");
+        serde_json::to_string(&pool.install(|| play(&day, "pumicebay"))).expect("results are JSON")
+    };
+    let one = played(1);
+    assert!(one.len() > 1000);
+    assert_eq!(one, played(8));
+}
+
+/// A small day with trouble of every kind, on which wishes must still end once each.
+const TROUBLE: &str = r#"
+    seconds = 12
+    warm_up_seconds = 0
+    [proxies]
+    count = 3
+    [nodes]
+    memory_mb = 8
+    warm_up_seconds = 4
+    down_seconds = 2
+    [origin]
+    slots = 4
+    waiting = 8
+    overrun_seconds = 0.5
+    stop_seconds = 1
+    [clients]
+    rate = 300
+    [[fault]]
+    kind = "crash"
+    at = 3
+    lasts = 2
+    nodes = ["n1", "n2"]
+    [[fault]]
+    kind = "kill_proxy"
+    at = 4
+    proxies = ["p1"]
+    [[fault]]
+    kind = "silent"
+    at = 6
+    lasts = 2
+    nodes = ["n3"]
+    [[fault]]
+    kind = "partition"
+    at = 6
+    lasts = 2
+    nodes = ["n4"]
+    [[fault]]
+    kind = "origin_stop"
+    at = 8
+    lasts = 1
+"#;
+
+#[test]
+fn every_wish_ends_once() {
+    let day = day(TROUBLE);
+    for policy in ["pumicebay", "two", "bounded"] {
+        let results = play(&day, policy);
+        assert_eq!(results.wishes, Traffic::new(&day, day.seed).count() as u64, "{policy}");
+        let Results { served, shed, errored, lost, .. } = results;
+        assert!((served + shed + errored + lost - 1.0).abs() < 1e-9, "{policy}: {results:?}");
+        assert_eq!(results.rules_broken[..4], [0; 4], "{policy}: {:?}", results.broken);
+    }
+    assert!(play(&day, "pumicebay").rules_kept());
+}
+
+#[test]
+fn the_careless_one_is_caught() {
+    let spoilt = day(r#"
+        seconds = 6
+        warm_up_seconds = 1
+        [clients]
+        retry = "never"
+        [[route]]
+        name = "take"
+        effect = "non_retriable"
+        [[fault]]
+        kind = "spoilt"
+        at = 2
+        lasts = 3
+        share = 1.0
+        nodes = ["n1..n4"]
+    "#);
+    let careless = play(&spoilt, "careless");
+    assert!(careless.rules_broken[2] > 10, "{:?}", careless.rules_broken);
+    let broken = &careless.broken[0];
+    assert!(broken.rule == 2 && broken.exchange > 0 && broken.node.is_some() && broken.at >= 2.0);
+    let drained = day(r#"
+        seconds = 8
+        warm_up_seconds = 1
+        [nodes]
+        drain_grace_ms = 500
+        [[fault]]
+        kind = "drain"
+        at = 2
+        lasts = 5
+        nodes = ["n1..n4"]
+    "#);
+    assert!(play(&drained, "careless").rules_broken[3] > 10);
+    for day in [spoilt, drained] {
+        for careful in ["pumicebay", "random"] {
+            let results = play(&day, careful);
+            assert!(results.rules_kept(), "{careful}: {:?}", results.broken);
+        }
+    }
+}
+
+#[test]
+fn a_policy_without_budgets_buries_cold_nodes() {
+    let day = day(r#"
+        seconds = 10
+        [nodes]
+        count = 4
+        cores = 1
+        start_capacity = 0.05
+        fall_multiple = 2.0
+        [clients]
+        rate = 600
+        [[fault]]
+        kind = "crash"
+        at = 4
+        lasts = 2
+        nodes = ["n1"]
+    "#);
+    assert!(play(&day, "random").rules_broken[4] > 0);
+    let results = play(&day, "pumicebay");
+    assert!(results.rules_kept(), "{:?}", results.broken);
+}
+
+#[test]
+fn faults_are_seen_and_service_comes_back() {
+    let day = day(r#"
+        seconds = 20
+        [clients]
+        retry = "never"
+        [[fault]]
+        kind = "origin_stop"
+        at = 8
+        lasts = 4
+        [[route]]
+        name = "put"
+        write = true
+        share = 0.5
+        [[route]]
+        name = "read"
+        share = 0.5
+    "#);
+    let recovery = &play(&day, "pumicebay").recovery[0];
+    assert!(recovery.lowest < 0.7, "{recovery:?}");
+    assert!(recovery.seconds.is_some_and(|seconds| (2.0..8.0).contains(&seconds)), "{recovery:?}");
+}
+
+#[test]
+fn comparisons_pair_by_seed_and_noise_covers_zero() {
+    let day = day("seconds = 6\n[nodes]\nmemory_mb = 8\n[origin]\nslots = 4\n[clients]\nrate = 800");
+    let names = ["pumicebay".to_string(), "pumicebay#1".into(), "random".into()];
+    let days = compare::days(&day, &names, 6).expect("days that play");
+    let shares = |at: usize| days[at].iter().map(|day| day.share).collect::<Vec<_>>();
+    let noise = Mean::paired(&shares(0), &shares(1));
+    assert!(noise.covers_zero(), "{noise:?}");
+    let gain = Mean::paired(&shares(0), &shares(2));
+    assert!(gain.mean > gain.half, "{gain:?}");
+    assert!(compare::table(&names, &days).lines().count() == 5);
+}
+
+#[test]
+fn grids_and_hunts() {
+    let set =
+        [("a".to_string(), vec!["1".to_string(), "2".into()]), ("b".into(), vec!["3".into(), "4".into()])];
+    let points: Vec<String> = grid(&set)
+        .into_iter()
+        .map(|point| point.into_iter().map(|(key, value)| key + &value).collect::<String>())
+        .collect();
+    assert_eq!(points, ["a1b3", "a1b4", "a2b3", "a2b4"]);
+    let text = pumicebay_lab::scenario::Text::new(
+        "seconds = 8\n[clients]\nrate = 200\n[ranges]\n\"clients.rate\" = [100.0, 600.0]",
+    );
+    let found = hunt::hunt(&text, "random", 6, Some(3)).expect("a hunt");
+    assert!(found.loss >= 0.9 * found.whole_loss && found.changes.1 <= found.changes.0);
+    // The day that was written is the day that was found.
+    let again = play(&day(&found.text), "random");
+    assert_eq!(again.share, found.results.share);
+}
--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec.rs
@@ -57,6 +57,9 @@
         pauses: bool = true,
         /// How long one that was killed stays away.
         restart_seconds: f64 = 1.0,
+        /// On sockets: how long one may take until it answers, and until it ends once it was asked to.
+        ready_seconds: f64 = 10.0,
+        ends_seconds: f64 = 8.0,
     }
 }
 
@@ -233,6 +236,12 @@
         need((1..=10_000).contains(&self.proxies.count), "proxies.count", "expected 1 to 10000");
         need(self.proxies.tries > 0, "proxies.tries", "expected 1 or more");
         need(self.proxies.restart_seconds >= 0.0, "proxies.restart_seconds", "expected 0 or more");
+        let waits = [self.proxies.ready_seconds, self.proxies.ends_seconds];
+        need(
+            waits.iter().all(|&wait| more(wait) && wait <= 600.0),
+            "proxies.ready_seconds",
+            "expected more than 0, at most 600, as for ends_seconds",
+        );
         need((1..=100_000).contains(&self.nodes.count), "nodes.count", "expected 1 to 100000");
         need(self.nodes.zones > 0, "nodes.zones", "expected 1 or more");
         need(self.nodes.cores > 0, "nodes.cores", "expected 1 or more");
--- /dev/null
+++ b/crates/model/tests/model/days.rs
@@ -0,0 +1,135 @@
+//! Traffic, faults, lists and networks.
+
+use expect_test::expect;
+use pumicebay_model::faults::{Fault, Kind, timeline};
+use pumicebay_model::network::Network;
+use pumicebay_model::registry::{Entry, Registry, State};
+use pumicebay_model::seeds::rng;
+use pumicebay_model::spec::{Clients, Network as NetworkSpec, Scenario};
+use pumicebay_model::traffic::{Traffic, Wish};
+
+fn fault(kind: Kind, nodes: &[&str]) -> Fault {
+    Fault {
+        kind,
+        at: 5.0,
+        lasts: 4.0,
+        nodes: nodes.iter().map(ToString::to_string).collect(),
+        proxies: Vec::new(),
+        factor: 3.0,
+        share: 0.5,
+        every: 2.0,
+    }
+}
+
+fn day(faults: Vec<Fault>) -> Scenario {
+    Scenario { seconds: 20.0, fault: faults, ..Scenario::default() }
+}
+
+fn wishes(day: &Scenario) -> Vec<Wish> {
+    Traffic::new(day, 9).collect()
+}
+
+#[test]
+fn a_fault_does_not_redraw_the_traffic() {
+    let calm = wishes(&day(Vec::new()));
+    assert_eq!(wishes(&day(vec![fault(Kind::Crash, &["n1"])])), calm);
+    // A burst and a scan add to what comes, and a hot key changes nothing but keys.
+    let burst = wishes(&day(vec![fault(Kind::Burst, &[])]));
+    let mut left = burst.clone();
+    left.retain(|wish| calm.contains(wish));
+    assert_eq!(left, calm);
+    let hot = wishes(&day(vec![fault(Kind::HotKey, &[])]));
+    assert!(hot.iter().zip(&calm).all(|(one, other)| (one.at, one.route) == (other.at, other.route)));
+    let changed = hot.iter().zip(&calm).filter(|(one, other)| one.key != other.key).count();
+    let within = calm.iter().filter(|wish| (5_000_000_000..9_000_000_000).contains(&wish.at)).count();
+    assert!((0.4..0.6).contains(&(changed as f64 / within as f64)));
+}
+
+#[test]
+fn rates_and_popularity_are_as_told() {
+    let calm = wishes(&day(Vec::new()));
+    let rate = calm.len() as f64 / 20.0;
+    assert!((380.0..420.0).contains(&rate), "{rate} a second");
+    let burst = wishes(&day(vec![fault(Kind::Burst, &[])]));
+    assert!((burst.len() as f64 - calm.len() as f64 - 3200.0).abs() < 300.0);
+    let swing = Clients { swing: 1.0, swing_seconds: 20.0, ..Clients::default() };
+    let swing = wishes(&Scenario { clients: swing, ..day(Vec::new()) });
+    let first = swing.iter().filter(|wish| wish.at < 10_000_000_000).count();
+    assert!(first * 4 > swing.len() * 3, "{first} of {} in the first half", swing.len());
+    let mut top: Vec<u64> = calm.iter().map(|wish| wish.key).collect();
+    top.sort_unstable();
+    let most = top.chunk_by(|one, other| one == other).map(<[u64]>::len).max().unwrap_or(0);
+    assert!(most > calm.len() / 40, "the most popular key is asked for {most} times");
+}
+
+#[test]
+fn timelines_are_in_order() {
+    let faults = vec![
+        fault(Kind::Replace, &["n1..n2"]),
+        fault(Kind::Crash, &["n3"]),
+        fault(Kind::KillProxy, &[]),
+        fault(Kind::Flap, &["n4"]),
+    ];
+    let lines = timeline(&day(faults));
+    let lines: String = lines.iter().map(|(at, change)| format!("{} {change:?}\n", at / 1_000_000)).collect();
+    expect![[r#"
+        5000 Drain(0)
+        5000 Stop(2)
+        5000 Kill(0)
+        5000 Kill(1)
+        5000 Stop(3)
+        6000 Start(3)
+        7000 Leave(0)
+        7000 Drain(1)
+        7000 Stop(3)
+        8000 Start(0)
+        8000 Start(3)
+        9000 Leave(1)
+        9000 Start(2)
+        10000 Start(1)
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn what_can_not_be_is_named() {
+    let mut wrong = day(vec![fault(Kind::Crash, &["n9"]), fault(Kind::Slow, &[])]);
+    wrong.clients.rate = 0.0;
+    let problems: Vec<String> =
+        wrong.problems().into_iter().map(|problem| format!("{}: {}", problem.key, problem.why)).collect();
+    assert_eq!(
+        problems,
+        [
+            "clients.rate: expected more than 0",
+            "fault.0.nodes: no \"n9\" in this scenario, expected n1 to n8",
+            "fault.1.nodes: expected the nodes it befalls",
+        ]
+    );
+}
+
+#[test]
+fn the_list_tells_changes_since_a_version_and_may_be_stale() {
+    let mut list = Registry::default();
+    let entry = |node, state| Entry { node, state, started: 0 };
+    assert!(list.set(entry(0, State::Ready)) && list.set(entry(1, State::Ready)));
+    let version = list.version();
+    assert!(!list.set(entry(1, State::Ready)));
+    assert!(list.set(entry(1, State::Left)));
+    assert_eq!(list.since(version), [entry(1, State::Left)]);
+    assert_eq!(list.whole(), [entry(0, State::Ready)]);
+    list.freeze(0, true);
+    assert!(!list.set(entry(0, State::Left)));
+}
+
+#[test]
+fn networks_delay_by_zone_and_part() {
+    let spec = NetworkSpec { delay_ms: 1.0, zone_delay_ms: 5.0, jitter_ms: 0.1 };
+    let (mut network, mut rng) = (Network::new(&spec), rng(1, "test", 0));
+    let near = network.delay(&mut rng, 0, 0);
+    let far = network.delay(&mut rng, 0, 1);
+    assert!(near >= network.least() && near < 3_000_000 && far >= 6_000_000);
+    network.cut(0, 3, true);
+    assert!(!network.reaches(0, 3) && network.reaches(1, 3));
+    network.cut(0, 3, false);
+    assert!(network.reaches(0, 3));
+}
