--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -85,7 +85,8 @@
 
 pub fn parse(json: &Json) -> Result<Config> {
     let Some(object) = json.as_object() else { bail!("expected an object") };
-    for key in object.keys().filter(|key| !KEYS.contains(&key.as_str())) {
+    // Names that begin with # are notes.
+    for key in object.keys().filter(|key| !KEYS.contains(&key.as_str()) && !key.starts_with('#')) {
         tracing::warn!("configuration: {key} is not known and not used");
     }
     let wire = json.get("settings").context("settings: missing")?;
