A decision costs about the same at ten nodes and at ten thousand: loads, ranks and times are indexed

fleet.rs keeps sums, classes by load (classes.rs, ranks.rs), groups of keys with the nodes they rank highest (groups.rs) and one queue of when time alone changes a node. Choices stay in balance.rs. By design: ties are broken by one draw; in fleets of more than 128 ready nodes a key's two rendezvous nodes come from the 128 that its group ranks first; caches past 512 are measured by turns within a second. A property test drives the index and a plain walk with the same events and compares every act.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -7,11 +7,13 @@
 //! lacks the key says so, and the origin is asked. All else here is for when that goes wrong.
 
 use crate::fetches::{Fetch, Fetches};
+use crate::fleet::{Finder, Fleet, Indexed};
 use crate::host::{Ask, Host, Listed, Nanos, Node, Outcome, Repeat, Standing, Xchg};
+use crate::ranks::Bits;
 use crate::ring::{Allowance, Ring};
 use crate::settings::Settings;
 use crate::state::{Cache, Cx, Flow, Report, Route, Tenant, Tenants, Try};
-use crate::table::{Table, rendezvous};
+use crate::table::Table;
 use hashbrown::HashMap;
 use oorandom::Rand32;
 
@@ -48,15 +50,19 @@
 /// What an exchange waits for room, a shed client to come back, or a fetch to begin: its objective over this.
 const PATIENCE: u64 = 8;
 const ORIGIN_PATIENCE: u64 = 2;
+/// Nodes that a tick measures: all of a smaller fleet, else by turns, a second for all.
+const SLICE: usize = 512;
+/// Draws among the least loaded that may come to nothing, before all are looked at.
+const DRAWS: usize = 8;
 
-pub struct Balance<H: Host> {
+pub struct Balance<H: Host, F: Finder = Indexed> {
     pub host: H,
     settings: Settings,
     rng: Rand32,
     now: Nanos,
     routes: Vec<Route>,
     fleet: f64,
-    caches: Vec<Cache>,
+    nodes: Fleet<F>,
     /// All caches taken as one: where a proxy sees little of each, it still sees enough of all.
     all: Flow,
     origin: Option<Node>,
@@ -67,21 +73,33 @@
     tenants: Tenants,
     asked: Ring,
     normal: Ring,
-    serving: f64,
+    /// What each warm cache that serves answers a second, as of its turn, and whose turn is next.
+    rates: Vec<Option<f64>>,
+    turn: Node,
     follow_at: Nanos,
     follow_wait: Nanos,
     news: Allowance,
+    /// Kept for their memory.
+    set: Vec<Node>,
+    ranked: Vec<(u64, Node)>,
+    not: Vec<Node>,
 }
 
 impl<H: Host> Balance<H> {
     pub fn new(host: H, settings: Settings, seed: u64, now: Nanos) -> Self {
+        Balance::with_finder(host, settings, seed, now)
+    }
+}
+
+impl<H: Host, F: Finder> Balance<H, F> {
+    pub fn with_finder(host: H, settings: Settings, seed: u64, now: Nanos) -> Self {
         let mut balance = Balance {
             host,
             rng: Rand32::new(seed),
             now,
             fleet: settings.number("fleet", 1.0),
             routes: Route::all(&settings),
-            caches: Vec::new(),
+            nodes: Fleet::new(settings.time("cold", 0), NEWS_LAST),
             all: Flow::default(),
             origin: None,
             table: Table::new(TABLE_KEYS, UNPICKED),
@@ -91,20 +109,29 @@
             tenants: Tenants::new(&settings),
             asked: Ring::new(2 * SECOND, 8),
             normal: Ring::new(60 * SECOND, 20),
-            serving: 1.0,
+            rates: Vec::new(),
+            turn: 0,
             follow_at: 0,
             follow_wait: TICK,
             news: Allowance::default(),
+            set: Vec::new(),
+            ranked: Vec::new(),
+            not: Vec::new(),
             settings,
         };
         balance.tick();
         balance
     }
 
+    fn at(&mut self, now: Nanos) {
+        self.now = now;
+        self.nodes.at(now);
+    }
+
     // ---- What happens -------------------------------------------------------------------------
 
     pub fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
-        self.now = now;
+        self.at(now);
         self.asked.add(now, ask.work());
         let news = if self.settings.flag("peers") { NEWS_PART } else { 0.0 };
         self.news.add(news, NEWS_PART * self.fleet);
@@ -114,7 +141,7 @@
 
     /// A try ended; `over` says that its exchange has its final answer.
     pub fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, outcome: Outcome, over: bool) {
-        self.now = now;
+        self.at(now);
         let Some(cx) = self.xchgs.get_mut(&xchg) else { return };
         let Some(this) = cx.end(try_no, outcome, over) else { return };
         let (over, held) = (cx.over, cx.held());
@@ -134,14 +161,14 @@
     }
 
     pub fn dropped(&mut self, now: Nanos, xchg: Xchg) {
-        self.now = now;
+        self.at(now);
         let Some(cx) = self.xchgs.get_mut(&xchg) else { return };
         cx.over = true;
         self.settle(xchg);
     }
 
     pub fn woke(&mut self, now: Nanos, token: u64) {
-        self.now = now;
+        self.at(now);
         if token == TICK_TOKEN {
             self.tick();
         } else if self.xchgs.get(&token).is_some_and(|cx| cx.held() && now >= cx.until) {
@@ -150,22 +177,28 @@
     }
 
     pub fn listed(&mut self, now: Nanos, node: Node, listed: Listed) {
-        (self.now, self.follow_wait) = (now, TICK);
-        self.caches.resize(self.caches.len().max(node + 1), Cache::default());
-        let started = listed.started.max(self.caches[node].listed.started);
-        let newly = started > self.caches[node].listed.started;
-        self.caches[node].listed = Listed { started, ..listed };
+        self.at(now);
+        self.follow_wait = TICK;
+        let before = self.nodes.caches.get(node).map_or(0, |cache| cache.listed.started);
+        let started = listed.started.max(before);
+        self.nodes.list(node, Listed { started, ..listed });
         self.origin = listed.origin.then_some(node).or(self.origin);
-        if newly && !self.warm(node) {
+        if started > before && !self.warm(node) {
             self.cool(node);
         }
+        if self.nodes.caches[node].flow.room == 0.0 {
+            self.measure_node(node);
+        }
     }
 
     pub fn listed_all(&mut self, named: &[Node]) {
-        for node in (0..self.caches.len()).filter(|node| !named.contains(node)) {
-            self.caches[node].listed.standing = Standing::Gone;
+        let mut there = Bits::default();
+        named.iter().for_each(|&node| _ = there.set(node, true));
+        for node in (0..self.nodes.caches.len()).filter(|&node| !there.has(node)) {
+            let listed = self.nodes.caches[node].listed;
+            self.nodes.list(node, Listed { standing: Standing::Gone, ..listed });
         }
-        self.measure();
+        self.measure_all();
     }
 
     /// Guards the list service, which many proxies that ask again at once would drown.
@@ -175,29 +208,36 @@
     }
 
     pub fn reported(&mut self, now: Nanos, node: Node, in_flight: f64) {
-        let Some(cache) = self.caches.get_mut(node) else { return };
-        cache.heard = true;
-        cache.report = Some(Report { in_flight: in_flight as usize, own: cache.flow.in_flight, at: now });
+        self.at(now);
+        if node < self.nodes.caches.len() {
+            self.nodes.change(node, |cache| {
+                cache.heard = true;
+                let (in_flight, own) = (in_flight as usize, cache.flow.in_flight);
+                cache.report = Some(Report { in_flight, own, at: now });
+            });
+        }
     }
 
     pub fn probed(&mut self, node: Node, outcome: Outcome) {
-        let Some(cache) = self.caches.get_mut(node) else { return };
+        let Some(cache) = self.nodes.caches.get_mut(node) else { return };
         cache.probing = false;
         let Some(answered) = &mut cache.aside else { return };
         *answered = if outcome == Outcome::Completed { *answered + 1 } else { 0 };
         if *answered >= PROBES {
-            (cache.aside, cache.failures) = (None, 0);
+            self.nodes.change(node, |cache| (cache.aside, cache.failures) = (None, 0));
             self.host.log(&format!("node {node} back: {PROBES} probes answered"));
         }
     }
 
     pub fn peer_load(&mut self, now: Nanos, peer: usize, node: Node, in_flight: usize) {
-        let Some(cache) = self.caches.get_mut(node) else { return };
-        cache.peers.insert(peer, (in_flight, now));
+        self.at(now);
+        if node < self.nodes.caches.len() {
+            self.nodes.tell(node, peer, in_flight);
+        }
     }
 
     pub fn peer_joined(&mut self, now: Nanos, node: Node, key: u64) {
-        if self.caches.get(node).is_some_and(Cache::serves) {
+        if self.nodes.caches.get(node).is_some_and(Cache::serves) {
             self.table.pick(now, key, node);
         }
     }
@@ -218,17 +258,20 @@
 
     /// The set's least loaded member; past T, the least loaded cache overall joins it.
     fn pick(&mut self, xchg: Xchg, key: Option<u64>) -> Option<Node> {
-        let mean = self.mean_load();
-        let Some(key) = key else { return self.least(&self.takers(xchg), mean) };
-        let caches = &self.caches;
-        let mut set = self.table.set(self.now, key, |node| caches[node].serves());
-        set.retain(|&node| self.may_take(xchg, node));
-        let mut chosen = match self.least(&set, mean) {
+        let mean = self.nodes.mean_load();
+        let Some(key) = key else { return self.least_of_all(xchg, mean) };
+        let (mut set, caches) = (std::mem::take(&mut self.set), &self.nodes.caches);
+        set.clear();
+        self.table.set(self.now, key, |node| caches[node].serves(), &mut set);
+        set.retain(|&node| self.may_take(&self.xchgs[&xchg], node));
+        let member = self.least(&set, mean);
+        self.set = set;
+        let mut chosen = match member {
             Some(member) => member,
             None => self.seed(xchg, key, mean)?,
         };
         if self.past_t(chosen, mean)
-            && let Some(joins) = self.least(&self.takers(xchg), mean)
+            && let Some(joins) = self.least_of_all(xchg, mean)
             && !self.past_t(joins, mean)
         {
             chosen = joins;
@@ -238,9 +281,10 @@
 
     /// Past T now, or on average: one of many proxies seldom has two at a node, and would see no hot key.
     fn past_t(&self, node: Node, mean: f64) -> bool {
-        let lately = self.all.average(self.now) / self.serving;
+        let lately = self.all.average(self.now) / self.serving();
         self.load(node, mean) > (T_FACTOR * mean).max(FEW / self.fleet).max(1.0)
-            || self.caches[node].flow.average(self.now) > (T_FACTOR * lately).max(2.0 * FEW / self.fleet)
+            || self.nodes.caches[node].flow.average(self.now)
+                > (T_FACTOR * lately).max(2.0 * FEW / self.fleet)
     }
 
     fn serve(&mut self, xchg: Xchg, node: Node) {
@@ -255,46 +299,87 @@
         self.send(xchg, node);
     }
 
-    /// The less busy of the key's two highest rendezvous-hash caches.
+    /// The less busy of the key's two highest rendezvous-hash caches, of its group or, if none takes it, of all.
     fn seed(&mut self, xchg: Xchg, key: u64, mean: f64) -> Option<Node> {
-        let rank = |node: &Node| rendezvous(key, self.caches[*node].listed.identity);
-        let takers = self.takers(xchg);
-        let first = takers.iter().copied().max_by_key(rank);
-        let second = takers.into_iter().filter(|&node| Some(node) != first).max_by_key(rank);
-        let two: Vec<Node> = first.into_iter().chain(second).collect();
-        self.least(&two, mean)
+        let mut ranked = std::mem::take(&mut self.ranked);
+        self.nodes.ranked(key, &mut ranked);
+        let (cx, mut two, mut found) = (&self.xchgs[&xchg], [0; 2], 0);
+        while found < 2 && !ranked.is_empty() {
+            let highest = (0..ranked.len()).max_by_key(|&place| ranked[place]).unwrap_or(0);
+            let (_, node) = ranked.swap_remove(highest);
+            if self.may_take(cx, node) {
+                two[found] = node;
+                found += 1;
+            }
+        }
+        self.ranked = ranked;
+        if found > 0 { self.least(&two[..found], mean) } else { self.least_of_all(xchg, mean) }
     }
 
-    fn takers(&self, xchg: Xchg) -> Vec<Node> {
-        (0..self.caches.len()).filter(|&n| Some(n) != self.origin && self.may_take(xchg, n)).collect()
+    /// The least loaded cache overall that may take the exchange.
+    fn least_of_all(&mut self, xchg: Xchg, mean: f64) -> Option<Node> {
+        let cx = &self.xchgs[&xchg];
+        let first = cx.tries.iter().any(|t| t.may_have_run);
+        let repeat = self.routes[cx.ask.route].repeat;
+        let most = self.settings.number("most_tries", 1.0) as usize;
+        if !cx.tries.is_empty() && cx.tries.len() >= most || first && repeat == Repeat::NonRetriable {
+            return None;
+        }
+        let scoped = first && repeat != Repeat::Retriable;
+        let mut not = std::mem::take(&mut self.not);
+        not.clear();
+        for t in &cx.tries {
+            if !not.contains(&t.node) {
+                not.push(t.node);
+            }
+        }
+        let (mut found, mut draws) = (None, if scoped { 0 } else { DRAWS });
+        while found.is_none() && draws > 0 {
+            let Some(least) = self.nodes.least(mean, &not) else { break };
+            let place = self.draw(least.ties);
+            let Some(node) = self.nodes.tie(mean, &not, place) else { break };
+            if self.may_take(&self.xchgs[&xchg], node) {
+                found = Some(node);
+            } else {
+                not.push(node);
+            }
+            draws -= 1;
+        }
+        self.not = not;
+        // A repeat that only some nodes discard, or work too heavy for cold ones: looked for one by one.
+        if found.is_none() && draws == 0 {
+            let (cx, caches) = (&self.xchgs[&xchg], 0..self.nodes.caches.len());
+            let takes = |&node: &Node| Some(node) != self.origin && self.may_take(cx, node);
+            let takers: Vec<Node> = caches.filter(takes).collect();
+            found = self.least(&takers, mean);
+        }
+        found
     }
 
     /// The least loaded of these, ties broken at random.
     fn least(&mut self, among: &[Node], mean: f64) -> Option<Node> {
-        let (mut best, mut lowest, mut ties) = (None, f64::INFINITY, 0);
-        for &node in among {
-            let load = self.load(node, mean);
-            ties = if load < lowest { 1 } else { ties + u32::from(load == lowest) };
-            if load < lowest || load == lowest && self.rng.rand_range(0..ties) == 0 {
-                (best, lowest) = (Some(node), load);
-            }
-        }
-        best
+        let lowest = among.iter().map(|&node| self.load(node, mean)).fold(f64::INFINITY, f64::min);
+        let ties = among.iter().filter(|&&node| self.load(node, mean) == lowest).count();
+        let place = self.draw(ties);
+        among.iter().copied().filter(|&node| self.load(node, mean) == lowest).nth(place)
+    }
+
+    fn draw(&mut self, ties: usize) -> usize {
+        if ties < 2 { 0 } else { self.rng.rand_range(0..ties as u32) as usize }
     }
 
     /// A refusal counts as over T, a cache not yet heard from as carrying the mean.
     fn load(&self, node: Node, mean: f64) -> f64 {
-        let cache = &self.caches[node];
-        match cache.load(self.now, NEWS_LAST) {
+        let cache = &self.nodes.caches[node];
+        match cache.load() {
             _ if self.now < cache.refuses_until => f64::MAX,
             load if cache.heard => load,
             load => load.max(mean),
         }
     }
 
-    fn mean_load(&self) -> f64 {
-        let serving = self.caches.iter().filter(|cache| cache.serves());
-        serving.map(|cache| cache.load(self.now, NEWS_LAST)).sum::<f64>() / self.serving
+    fn serving(&self) -> f64 {
+        self.nodes.serving().max(1) as f64
     }
 
     // ---- Misses and the origin ----------------------------------------------------------------
@@ -307,7 +392,7 @@
 
     /// One fetch a key, the others wait for it; past the origin's bound a fetch waits in line.
     fn ask_origin(&mut self, xchg: Xchg) {
-        let Some(origin) = self.origin.filter(|&node| self.may_take(xchg, node)) else {
+        let Some(origin) = self.origin.filter(|&node| self.may_take(&self.xchgs[&xchg], node)) else {
             return self.conclude(xchg);
         };
         let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
@@ -329,7 +414,7 @@
 
     /// The line is no longer than the origin's rate times what the exchange waits: the least worthy is shed.
     fn shorten_line(&mut self, origin: Node, wait: Nanos) {
-        let most = self.caches[origin].flow.answers.rate(self.now) * wait as f64 / SECOND as f64;
+        let most = self.nodes.caches[origin].flow.answers.rate(self.now) * wait as f64 / SECOND as f64;
         if self.fetches.in_line() as f64 > most.max(2.0)
             && let Some(xchg) = self.fetches.least_worthy()
         {
@@ -350,24 +435,28 @@
         let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
         cx.start(self.now, node);
         let (work, left) = (cx.ask.work(), cx.ends().saturating_sub(self.now));
-        self.caches[node].send(self.now);
+        let rests = (!self.warm(node)).then(|| {
+            let saved = self.settings.time("fall", SECOND) / 2;
+            let from = self.nodes.caches[node].rests_until.max(self.now.saturating_sub(saved));
+            from + self.pause(node, work) as Nanos
+        });
+        let now = self.now;
+        self.nodes.change(node, |cache| {
+            cache.send(now);
+            cache.rests_until = rests.unwrap_or(cache.rests_until);
+        });
         if Some(node) != self.origin {
             self.all.start(self.now);
         }
-        if !self.warm(node) {
-            let saved = self.settings.time("fall", SECOND) / 2;
-            let from = self.caches[node].rests_until.max(self.now.saturating_sub(saved));
-            self.caches[node].rests_until = from + self.pause(node, work) as Nanos;
-        }
         self.host.send(xchg, node, left);
         self.tell_load(node);
     }
 
     fn tell_load(&mut self, node: Node) {
-        let cache = &self.caches[node];
+        let cache = &self.nodes.caches[node];
         let (told, in_flight) = (cache.told, cache.flow.in_flight);
         if in_flight.abs_diff(told) >= NEWS && !cache.listed.origin && self.news.spend(self.fleet) {
-            self.caches[node].told = in_flight;
+            self.nodes.caches[node].told = in_flight;
             self.host.tell_load(node, in_flight);
         }
     }
@@ -385,8 +474,8 @@
     }
 
     /// Whether the rules let this exchange go to this node now, and the node may be sent it.
-    fn may_take(&self, xchg: Xchg, node: Node) -> bool {
-        let (cx, cache) = (&self.xchgs[&xchg], &self.caches[node]);
+    fn may_take(&self, cx: &Cx, node: Node) -> bool {
+        let cache = &self.nodes.caches[node];
         let here = |t: &Try| t.node == node && (t.out || !t.missed);
         let origin = cache.listed.origin && cache.ready();
         let takes = origin || cache.serves() && self.within_budget(node, cx.ask.work());
@@ -399,7 +488,7 @@
     fn may_repeat(&self, cx: &Cx, node: Node) -> bool {
         let Some(first) = cx.tries.iter().find(|t| t.may_have_run) else { return true };
         let route = &self.routes[cx.ask.route];
-        let (here, there) = (&self.caches[node].listed, &self.caches[first.node].listed);
+        let (here, there) = (&self.nodes.caches[node].listed, &self.nodes.caches[first.node].listed);
         match route.repeat {
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
@@ -481,7 +570,7 @@
     /// more from each proxy is many. Guards large fleets, with one from each at every node: all caches are
     /// bounded together, and what room was saved goes first to tenants that had little of their part.
     fn fits(&self, xchg: Xchg, node: Node) -> bool {
-        let (here, all) = (&self.caches[node].flow, &self.all);
+        let (here, all) = (&self.nodes.caches[node].flow, &self.all);
         let little = here.room < 2.0 || here.squeeze < 1.0;
         let room = if little { here.room.floor().max(1.0) } else { here.room };
         let had = (self.part_had(self.xchgs[&xchg].ask.tenant) / UNEVEN).min(1.0);
@@ -491,7 +580,7 @@
 
     /// Guards the origin in the same way; a proxy's part below one is one fetch now and then.
     fn origin_fits(&self, xchg: Xchg) -> bool {
-        let Some(Cache { flow, .. }) = self.origin.map(|node| &self.caches[node]) else { return false };
+        let Some(Cache { flow, .. }) = self.origin.map(|node| &self.nodes.caches[node]) else { return false };
         let reserve = if self.surplus(self.xchgs[&xchg].ask.tenant) { SAVED - 1.0 } else { 0.0 };
         flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved - reserve)
     }
@@ -509,20 +598,21 @@
     // ---- Health ---------------------------------------------------------------------------------
 
     fn warm(&self, node: Node) -> bool {
-        self.caches[node].warm(self.now, self.settings.time("cold", 0))
+        self.nodes.caches[node].warm(self.now, self.settings.time("cold", 0))
     }
 
     /// Rule 4: a cold node gets its part of normal work, spread evenly, and nothing heavy for all its parts.
     fn within_budget(&self, node: Node, work: f64) -> bool {
         let window = || self.settings.time("fall", SECOND) as f64;
         self.warm(node)
-            || self.now >= self.caches[node].rests_until && self.pause(node, work) <= self.fleet * window()
+            || self.now >= self.nodes.caches[node].rests_until
+                && self.pause(node, work) <= self.fleet * window()
     }
 
     /// How long this work takes up this proxy's part of a cold node. Normal is what warm ones did at best.
     fn pause(&self, node: Node, work: f64) -> f64 {
         let (cold, start) = (self.settings.time("cold", 0), self.settings.number("start_capacity", 1.0));
-        let part = start + (1.0 - start) * (self.caches[node].age(self.now) as f64 / cold as f64);
+        let part = start + (1.0 - start) * (self.nodes.caches[node].age(self.now) as f64 / cold as f64);
         let normal = self.normal.most_mean(self.now).unwrap_or(0.0);
         let usual = self.asked.mean(self.now).unwrap_or(work);
         SECOND as f64 * work / usual / (normal * part).max(1.0 / self.fleet)
@@ -531,64 +621,91 @@
     /// A node's process is new. Guards it from the first exchanges of many proxies at once.
     fn cool(&mut self, node: Node) {
         let pause = self.pause(node, self.asked.mean(self.now).unwrap_or(1.0));
-        self.caches[node].rests_until = self.now + (pause * f64::from(self.rng.rand_float())) as Nanos;
+        let until = self.now + (pause * f64::from(self.rng.rand_float())) as Nanos;
+        self.nodes.change(node, |cache| cache.rests_until = until);
         self.host.log(&format!("node {node} cold: one exchange in {:.1} s at first", pause / 1e9));
     }
 
     fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome) {
-        let cache = &mut self.caches[node];
-        cache.end(self.now, sent, outcome);
-        if !cache.listed.origin {
-            self.all.end(self.now, sent, outcome);
-        }
-        match outcome {
-            Outcome::Completed | Outcome::Missed => cache.failures = cache.failures.saturating_sub(1),
-            Outcome::Saturated => cache.refuses_until = self.now + TICK,
-            Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
-            Outcome::Overdue if cache.owes_since > sent => {}
-            _ => cache.failures += 1,
-        }
-        let enough = (FAILURES / self.fleet).max(1.0);
-        if cache.failures as f64 >= enough && cache.serves() && self.settings.flag("probes") {
+        let now = self.now;
+        let enough =
+            if self.settings.flag("probes") { (FAILURES / self.fleet).max(1.0) } else { f64::INFINITY };
+        let failures = self.nodes.change(node, |cache| {
+            cache.end(now, sent, outcome);
+            match outcome {
+                Outcome::Completed | Outcome::Missed => cache.failures = cache.failures.saturating_sub(1),
+                Outcome::Saturated => cache.refuses_until = now + TICK,
+                Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
+                Outcome::Overdue if cache.owes_since > sent => {}
+                _ => cache.failures += 1,
+            }
             // Guards against nodes that fail quickly: their empty queues would attract load.
-            cache.aside = Some(0);
-            self.host.log(&format!("node {node} aside: {} failures, last {outcome:?}", cache.failures));
+            let aside = cache.failures as f64 >= enough && cache.serves();
+            cache.aside = if aside { Some(0) } else { cache.aside };
+            aside.then_some(cache.failures)
+        });
+        if Some(node) != self.origin {
+            self.all.end(now, sent, outcome);
+        }
+        if let Some(failures) = failures {
+            self.host.log(&format!("node {node} aside: {failures} failures, last {outcome:?}"));
         }
         self.tell_load(node);
     }
 
-    fn measure(&mut self) {
-        self.serving = self.caches.iter().filter(|cache| cache.serves()).count().max(1) as f64;
-        let caches = self.serving / self.fleet;
-        let warm = (0..self.caches.len()).filter(|&node| self.caches[node].serves() && self.warm(node));
-        let rates: Vec<f64> = warm.map(|node| self.caches[node].flow.answers.rate(self.now)).collect();
-        self.normal.add(self.now, rates.iter().sum::<f64>() / rates.len().max(1) as f64);
+    fn measure_all(&mut self) {
+        let (sum, count) = self.rates.iter().flatten().fold((0.0, 0), |(sum, n), rate| (sum + rate, n + 1));
+        self.normal.add(self.now, sum / f64::from(count.max(1)));
+        let caches = self.serving() / self.fleet;
         measure(self.now, &mut self.all, (ROOM, FEW * caches, f64::INFINITY));
-        let few = (FEW / self.fleet).floor().max(1.0);
-        for cache in &mut self.caches {
-            let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
-            let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * caches, f64::INFINITY);
-            let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
-            measure(self.now, &mut cache.flow, bounds);
+        self.origin.into_iter().for_each(|origin| self.measure_node(origin));
+    }
+
+    fn measure_node(&mut self, node: Node) {
+        let (caches, few) = (self.serving() / self.fleet, (FEW / self.fleet).floor().max(1.0));
+        let counts = self.nodes.caches[node].serves() && self.warm(node);
+        let cache = &mut self.nodes.caches[node];
+        let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
+        let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * caches, f64::INFINITY);
+        let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
+        measure(self.now, &mut cache.flow, bounds);
+        self.rates.resize(self.rates.len().max(node + 1), None);
+        self.rates[node] = counts.then(|| cache.flow.answers.rate(self.now));
+    }
+
+    /// Measures the nodes whose turn it is, and dismisses those that are done.
+    fn take_turns(&mut self) {
+        let count = self.nodes.caches.len();
+        for _ in 0..count.min(SLICE.max(count.div_ceil(10))) {
+            self.turn = (self.turn + 1) % count;
+            let node = self.turn;
+            self.measure_node(node);
+            // Guards memory. Past the last mention in any set or exchange, another may have the number.
+            let done = self.nodes.caches[node].done(self.now, UNPICKED);
+            if done && !self.xchgs.values().any(|cx| cx.tried(node)) {
+                self.nodes.list(node, Listed::default());
+                self.nodes.change(node, |cache| *cache = Cache::default());
+                self.host.dismiss(node);
+            }
         }
     }
 
     fn tick(&mut self) {
         self.host.wake(self.now + TICK, TICK_TOKEN);
-        self.measure();
-        for (node, cache) in self.caches.iter_mut().enumerate() {
-            // Guards memory. Past the last mention in any set or exchange, another may have the number.
-            if cache.done(self.now, UNPICKED) && !self.xchgs.values().any(|cx| cx.tried(node)) {
-                *cache = Cache::default();
-                self.host.dismiss(node);
-            }
-            // Guards what may be a sick node from the probes of many proxies.
-            let due = cache.aside.is_some() && cache.ready() && !cache.probing;
-            if due && f64::from(self.rng.rand_float()) < (FEW / self.fleet).max(0.1) {
-                cache.probing = true;
+        self.take_turns();
+        self.measure_all();
+        // Guards what may be a sick node from the probes of many proxies.
+        let mut due = std::mem::take(&mut self.set);
+        due.clear();
+        due.extend(self.nodes.aside());
+        due.retain(|&node| self.nodes.caches[node].ready() && !self.nodes.caches[node].probing);
+        for &node in &due {
+            if f64::from(self.rng.rand_float()) < (FEW / self.fleet).max(0.1) {
+                self.nodes.caches[node].probing = true;
                 self.host.probe(node);
             }
         }
+        self.set = due;
         self.serve_line();
         if self.follow_at <= self.now && self.settings.text("discovery") == "ask" {
             self.follow_at = Nanos::MAX;
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,296 @@
+//! The nodes as this proxy knows them, with what is kept as they change so that nothing walks over all of them:
+//! who can take an exchange by load, the sum of loads, who is aside, and when time alone changes any of it.
+//! There are no choices here.
+
+use crate::classes::Classes;
+use crate::groups::Groups;
+use crate::host::{Listed, Nanos, Node, Outcome};
+use crate::ranks::Bits;
+use crate::state::Cache;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
+
+/// What a search may look at: the nodes themselves.
+#[derive(Clone, Copy)]
+pub struct View<'a> {
+    pub caches: &'a [Cache],
+    pub now: Nanos,
+    /// How long a new process takes to warm, and how long news count.
+    pub cold: Nanos,
+    pub last: Nanos,
+}
+
+/// Where a node stands for a search; none for one that takes nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Place {
+    Heard(u64),
+    /// Counts as carrying the mean at least.
+    Unheard(u64),
+    Refuses,
+}
+
+/// The least load, and how many nodes carry it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Least {
+    pub load: f64,
+    pub ties: usize,
+}
+
+/// Finds the least loaded of all that take exchanges. The project's own is [`Indexed`]; tests have one that walks.
+pub trait Finder: Default {
+    fn put(&mut self, node: Node, place: Option<Place>);
+    /// Of all that these do not name.
+    fn least(&self, view: View<'_>, mean: f64, not: &[Node]) -> Option<Least>;
+    /// The one of that place among the ties: those heard from by number, then the others by load and number.
+    fn tie(&self, view: View<'_>, mean: f64, not: &[Node], place: usize) -> Option<Node>;
+    /// The first nodes of a key's group, each with its rank for the key.
+    fn ranked(&mut self, view: View<'_>, key: u64, into: &mut Vec<(u64, Node)>);
+    fn listed(&mut self, node: Node, identity: u64, ready: bool);
+    /// The loads of all that serve, given what was counted as they changed.
+    fn sum(&self, view: View<'_>, counted: u64) -> u64;
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Indexed {
+    heard: Classes,
+    unheard: Classes,
+    refuses: Bits,
+    pub groups: Groups,
+}
+
+impl Finder for Indexed {
+    fn put(&mut self, node: Node, place: Option<Place>) {
+        let class = |wanted: fn(Place) -> Option<u64>| place.and_then(wanted);
+        self.heard.put(node, class(|place| if let Place::Heard(load) = place { Some(load) } else { None }));
+        self.unheard
+            .put(node, class(|place| if let Place::Unheard(load) = place { Some(load) } else { None }));
+        self.refuses.set(node, place == Some(Place::Refuses));
+    }
+
+    fn least(&self, _view: View<'_>, mean: f64, not: &[Node]) -> Option<Least> {
+        let least = |load: u64, ties: usize| Least { load: load as f64, ties };
+        let mut heard = self.heard.each().map(|(load, set)| least(load, set.without(not)));
+        let heard = heard.find(|least| least.ties > 0);
+        // All that carry the mean or less count the same.
+        let under = self.unheard.each().take_while(|(load, _)| *load as f64 <= mean);
+        let under: usize = under.map(|(_, set)| set.without(not)).sum();
+        let mut over = self.unheard.each().map(|(load, set)| least(load, set.without(not)));
+        let unheard = match under {
+            0 => over.find(|least| least.load > mean && least.ties > 0),
+            ties => Some(Least { load: mean, ties }),
+        };
+        match (heard, unheard) {
+            (Some(one), Some(other)) if one.load == other.load => {
+                Some(Least { ties: one.ties + other.ties, ..one })
+            }
+            (Some(one), Some(other)) => Some(if one.load < other.load { one } else { other }),
+            (Some(one), None) | (None, Some(one)) => Some(one),
+            (None, None) => {
+                let ties = self.refuses.without(not);
+                (ties > 0).then_some(Least { load: f64::MAX, ties })
+            }
+        }
+    }
+
+    fn tie(&self, view: View<'_>, mean: f64, not: &[Node], mut place: usize) -> Option<Node> {
+        let Least { load, .. } = self.least(view, mean, not)?;
+        if load == f64::MAX {
+            return self.refuses.nth(place, not);
+        }
+        let heard = self.heard.each().filter(|(class, _)| *class as f64 == load);
+        let unheard = self.unheard.each().filter(|(class, _)| (*class as f64).max(mean) == load);
+        for (_, set) in heard.chain(unheard) {
+            match set.nth(place, not) {
+                Some(node) => return Some(node),
+                None => place -= set.without(not),
+            }
+        }
+        None
+    }
+
+    fn ranked(&mut self, _view: View<'_>, key: u64, into: &mut Vec<(u64, Node)>) {
+        self.groups.of(key, into);
+    }
+
+    fn listed(&mut self, node: Node, identity: u64, ready: bool) {
+        self.groups.put(node, identity, ready);
+    }
+
+    fn sum(&self, _view: View<'_>, counted: u64) -> u64 {
+        counted
+    }
+}
+
+/// What is counted of one node.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counted {
+    /// Its load, while it serves.
+    load: Option<u64>,
+    /// Whether it serves while cold.
+    cold: bool,
+    /// When time alone next changes it.
+    due: Nanos,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet<F: Finder> {
+    pub caches: Vec<Cache>,
+    pub finder: F,
+    counted: Vec<Counted>,
+    sum: u64,
+    serving: usize,
+    cold_serving: usize,
+    aside: BTreeSet<Node>,
+    due: BinaryHeap<Reverse<(Nanos, Node)>>,
+    /// Loads that peers told, in the order that they will be too old.
+    told: VecDeque<(Nanos, Node, usize)>,
+    now: Nanos,
+    cold: Nanos,
+    last: Nanos,
+}
+
+impl<F: Finder> Fleet<F> {
+    /// With how long a new process takes to warm, and how long news and reports count.
+    pub fn new(cold: Nanos, last: Nanos) -> Self {
+        Fleet {
+            caches: Vec::new(),
+            finder: F::default(),
+            counted: Vec::new(),
+            sum: 0,
+            serving: 0,
+            cold_serving: 0,
+            aside: BTreeSet::new(),
+            due: BinaryHeap::new(),
+            told: VecDeque::new(),
+            now: 0,
+            cold,
+            last,
+        }
+    }
+
+    pub fn view(&self) -> View<'_> {
+        View { caches: &self.caches, now: self.now, cold: self.cold, last: self.last }
+    }
+
+    /// Time has passed: what grew too old no longer counts.
+    pub fn at(&mut self, now: Nanos) {
+        self.now = now;
+        while let Some(&(due, node, peer)) = self.told.front().filter(|(due, ..)| *due <= now) {
+            self.told.pop_front();
+            let cache = &mut self.caches[node];
+            if cache.peers.get(&peer).is_some_and(|(_, at)| at + self.last == due) {
+                cache.forget_peer(peer);
+                self.place(node);
+            }
+        }
+        while let Some(&Reverse((due, node))) = self.due.peek().filter(|Reverse((due, _))| *due <= now) {
+            self.due.pop();
+            if self.counted[node].due == due {
+                self.counted[node].due = 0;
+                self.place(node);
+            }
+        }
+    }
+
+    /// Changes a node, new ones come to be; all that is counted of it follows.
+    pub fn change<R>(&mut self, node: Node, change: impl FnOnce(&mut Cache) -> R) -> R {
+        if node >= self.caches.len() {
+            self.caches.resize(node + 1, Cache::default());
+            self.counted.resize(node + 1, Counted::default());
+        }
+        let result = change(&mut self.caches[node]);
+        self.place(node);
+        result
+    }
+
+    pub fn list(&mut self, node: Node, listed: Listed) {
+        self.change(node, |cache| cache.listed = listed);
+        let ready = self.caches[node].ready() && !listed.origin;
+        self.finder.listed(node, listed.identity, ready);
+    }
+
+    /// A peer told how much it has in flight at a node.
+    pub fn tell(&mut self, node: Node, peer: usize, in_flight: usize) {
+        let now = self.now;
+        self.told.push_back((now + self.last, node, peer));
+        self.change(node, |cache| cache.hear_peer(peer, in_flight, now));
+    }
+
+    /// A try at a node has ended, in some way.
+    pub fn end(&mut self, node: Node, sent: Nanos, outcome: Outcome) {
+        let now = self.now;
+        self.change(node, |cache| cache.end(now, sent, outcome));
+    }
+
+    fn place(&mut self, node: Node) {
+        let (cache, now) = (&mut self.caches[node], self.now);
+        if cache.report.is_some_and(|report| now >= report.at + self.last) {
+            cache.report = None;
+        }
+        let (load, warm) = (cache.whole_load(), cache.warm(now, self.cold));
+        let (serves, rests) = (cache.serves(), !warm && now < cache.rests_until);
+        let place = match () {
+            () if !serves || rests => None,
+            () if now < cache.refuses_until => Some(Place::Refuses),
+            () if cache.heard => Some(Place::Heard(load)),
+            () => Some(Place::Unheard(load)),
+        };
+        self.finder.put(node, place);
+        let counted = &mut self.counted[node];
+        self.sum = self.sum - counted.load.unwrap_or(0) + if serves { load } else { 0 };
+        self.serving = self.serving - usize::from(counted.load.is_some()) + usize::from(serves);
+        self.cold_serving = self.cold_serving - usize::from(counted.cold) + usize::from(serves && !warm);
+        (counted.load, counted.cold) = (serves.then_some(load), serves && !warm);
+        if cache.aside.is_some() {
+            self.aside.insert(node);
+        } else if !self.aside.is_empty() {
+            self.aside.remove(&node);
+        }
+        let later = [
+            cache.report.map(|report| report.at + self.last),
+            Some(cache.refuses_until),
+            (!warm).then_some(cache.rests_until),
+            (!warm).then_some(cache.listed.started.saturating_add(self.cold)),
+        ];
+        let next = later.into_iter().flatten().filter(|due| *due > now).min();
+        if let Some(next) = next
+            && (counted.due <= now || next < counted.due)
+        {
+            counted.due = next;
+            self.due.push(Reverse((next, node)));
+        }
+    }
+
+    /// The caches that serve, and how many of them are warm.
+    pub fn serving(&self) -> usize {
+        self.serving
+    }
+
+    pub fn warm_serving(&self) -> usize {
+        self.serving - self.cold_serving
+    }
+
+    pub fn mean_load(&self) -> f64 {
+        self.finder.sum(self.view(), self.sum) as f64 / self.serving.max(1) as f64
+    }
+
+    pub fn least(&self, mean: f64, not: &[Node]) -> Option<Least> {
+        self.finder.least(self.view(), mean, not)
+    }
+
+    pub fn tie(&self, mean: f64, not: &[Node], place: usize) -> Option<Node> {
+        self.finder.tie(self.view(), mean, not, place)
+    }
+
+    /// The first nodes of a key's group, each with its rank for the key.
+    pub fn ranked(&mut self, key: u64, into: &mut Vec<(u64, Node)>) {
+        into.clear();
+        let Fleet { finder, caches, now, cold, last, .. } = self;
+        finder.ranked(View { caches, now: *now, cold: *cold, last: *last }, key, into);
+    }
+
+    /// Those that are set aside.
+    pub fn aside(&self) -> impl Iterator<Item = Node> + '_ {
+        self.aside.iter().copied()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,8 +1,12 @@
 //! The decisions of pumicebay, free of wire, I/O and clock. Start reading at [`balance`].
 
 pub mod balance;
+pub mod classes;
 pub mod fetches;
+pub mod fleet;
+pub mod groups;
 pub mod host;
+pub mod ranks;
 pub mod ring;
 pub mod settings;
 pub mod state;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -3,6 +3,7 @@
 use crate::host::{Ask, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing};
 use crate::ring::Ring;
 use crate::settings::Settings;
+use smallvec::SmallVec;
 use std::collections::BTreeMap;
 
 const SECOND: Nanos = 1_000_000_000;
@@ -12,8 +13,9 @@
 pub struct Cache {
     pub listed: Listed,
     pub flow: Flow,
-    /// In flight from each peer that told, and when it did.
+    /// In flight from each peer that told lately, when it did, and the sum of these.
     pub peers: BTreeMap<usize, (usize, Nanos)>,
+    told_sum: usize,
     /// What this proxy last told its peers.
     pub told: usize,
     pub report: Option<Report>,
@@ -140,15 +142,25 @@
         }
     }
 
-    /// Exchanges in flight here: as it reported plus own sends since, else own and what peers told. Words
-    /// older than this no longer count.
-    pub fn load(&self, now: Nanos, last: Nanos) -> f64 {
-        let fresh = |at: Nanos| now < at + last;
+    pub fn hear_peer(&mut self, peer: usize, in_flight: usize, now: Nanos) {
+        let before = self.peers.insert(peer, (in_flight, now)).map_or(0, |(told, _)| told);
+        self.told_sum = self.told_sum - before + in_flight;
+    }
+
+    pub fn forget_peer(&mut self, peer: usize) {
+        self.told_sum -= self.peers.remove(&peer).map_or(0, |(told, _)| told);
+    }
+
+    /// Exchanges in flight here: as it reported plus own sends since, else own and what peers told. What is too
+    /// old is forgotten by whoever keeps the time.
+    pub fn whole_load(&self) -> u64 {
         let own = self.flow.in_flight;
-        let told = || self.peers.values().filter(|(_, at)| fresh(*at)).map(|(told, _)| told).sum::<usize>();
         let since = |report: Report| (report.in_flight + own).saturating_sub(report.own).max(own);
-        let report = self.report.filter(|report| fresh(report.at));
-        report.map_or_else(|| own + told(), since) as f64
+        self.report.map_or(own + self.told_sum, since) as u64
+    }
+
+    pub fn load(&self) -> f64 {
+        self.whole_load() as f64
     }
 
     /// A cache that has been gone for so long and owes nothing.
@@ -177,7 +189,7 @@
 pub struct Cx {
     pub ask: Ask,
     pub arrived: Nanos,
-    pub tries: Vec<Try>,
+    pub tries: SmallVec<[Try; 2]>,
     /// Has its final answer.
     pub over: bool,
     /// The answer has begun to stream.
@@ -204,7 +216,7 @@
         Cx {
             ask,
             arrived: now,
-            tries: Vec::new(),
+            tries: SmallVec::new(),
             over: false,
             under_way: false,
             fetching: false,
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -20,11 +20,11 @@
         Table { sets: LruCache::new(NonZeroUsize::new(keys).unwrap_or(NonZeroUsize::MIN)), unpicked }
     }
 
-    /// The key's set after dropping what aged and what `stays` denies.
-    pub fn set(&mut self, now: Nanos, key: u64, stays: impl Fn(Node) -> bool) -> Vec<Node> {
-        let Some(set) = self.sets.get_mut(&key) else { return Vec::new() };
+    /// Adds the key's set to `into`, after dropping what aged and what `stays` denies.
+    pub fn set(&mut self, now: Nanos, key: u64, stays: impl Fn(Node) -> bool, into: &mut Vec<Node>) {
+        let Some(set) = self.sets.get_mut(&key) else { return };
         set.retain(|member| now < member.picked + self.unpicked && stays(member.node));
-        set.iter().map(|member| member.node).collect()
+        into.extend(set.iter().map(|member| member.node));
     }
 
     /// Puts a node in the key's set, or marks it picked; says whether it is new there.
--- a/crates/core/tests/balance/main.rs
+++ b/crates/core/tests/balance/main.rs
@@ -1,4 +1,5 @@
 mod failures;
 mod path;
+mod plain;
 mod rig;
 mod rules;
