--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -12,7 +12,7 @@
 use crate::ranks::Bits;
 use crate::ring::{Allowance, Ring};
 use crate::settings::Settings;
-use crate::state::{Cache, Cx, Flow, Report, Route, Tenant, Tenants, Try};
+use crate::state::{Cache, Cx, Flow, Report, Route, Rules, Tenant, Tenants, Try};
 use crate::table::Table;
 use hashbrown::HashMap;
 use oorandom::Rand32;
@@ -57,7 +57,7 @@
 
 pub struct Balance<H: Host, F: Finder = Indexed> {
     pub host: H,
-    settings: Settings,
+    rules: Rules,
     rng: Rand32,
     now: Nanos,
     routes: Vec<Route>,
@@ -98,6 +98,7 @@
             rng: Rand32::new(seed),
             now,
             fleet: settings.number("fleet", 1.0),
+            rules: Rules::new(&settings),
             routes: Route::all(&settings),
             nodes: Fleet::new(settings.time("cold", 0), NEWS_LAST),
             all: Flow::default(),
@@ -117,7 +118,6 @@
             set: Vec::new(),
             ranked: Vec::new(),
             not: Vec::new(),
-            settings,
         };
         balance.tick();
         balance
@@ -133,7 +133,7 @@
     pub fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
         self.at(now);
         self.asked.add(now, ask.work());
-        let news = if self.settings.flag("peers") { NEWS_PART } else { 0.0 };
+        let news = if self.rules.peers { NEWS_PART } else { 0.0 };
         self.news.add(news, NEWS_PART * self.fleet);
         self.xchgs.insert(xchg, Cx::new(ask, now, self.worth(&ask)));
         self.place(xchg);
@@ -263,7 +263,8 @@
         let (mut set, caches) = (std::mem::take(&mut self.set), &self.nodes.caches);
         set.clear();
         self.table.set(self.now, key, |node| caches[node].serves(), &mut set);
-        set.retain(|&node| self.may_take(&self.xchgs[&xchg], node));
+        let cx = &self.xchgs[&xchg];
+        set.retain(|&node| self.may_take(cx, node));
         let member = self.least(&set, mean);
         self.set = set;
         let mut chosen = match member {
@@ -321,8 +322,9 @@
         let cx = &self.xchgs[&xchg];
         let first = cx.tries.iter().any(|t| t.may_have_run);
         let repeat = self.routes[cx.ask.route].repeat;
-        let most = self.settings.number("most_tries", 1.0) as usize;
-        if !cx.tries.is_empty() && cx.tries.len() >= most || first && repeat == Repeat::NonRetriable {
+        if !cx.tries.is_empty() && cx.tries.len() >= self.rules.most_tries
+            || first && repeat == Repeat::NonRetriable
+        {
             return None;
         }
         let scoped = first && repeat != Repeat::Retriable;
@@ -436,7 +438,7 @@
         cx.start(self.now, node);
         let (work, left) = (cx.ask.work(), cx.ends().saturating_sub(self.now));
         let rests = (!self.warm(node)).then(|| {
-            let saved = self.settings.time("fall", SECOND) / 2;
+            let saved = self.rules.fall / 2;
             let from = self.nodes.caches[node].rests_until.max(self.now.saturating_sub(saved));
             from + self.pause(node, work) as Nanos
         });
@@ -479,8 +481,7 @@
         let here = |t: &Try| t.node == node && (t.out || !t.missed);
         let origin = cache.listed.origin && cache.ready();
         let takes = origin || cache.serves() && self.within_budget(node, cx.ask.work());
-        let most = || self.settings.number("most_tries", 1.0) as usize;
-        let again = || cx.tries.len() < most() && self.may_repeat(cx, node);
+        let again = || cx.tries.len() < self.rules.most_tries && self.may_repeat(cx, node);
         takes && (cx.tries.is_empty() || again() && (origin || !cx.tries.iter().any(here)))
     }
 
@@ -503,7 +504,7 @@
         let harmless = self.routes[cx.ask.route].repeat.harmless(cx.may_have_run());
         if harmless && !cx.under_way {
             let pause = self.routes[cx.ask.route].objective / PATIENCE;
-            self.host.shed(xchg, if self.settings.flag("pauses") { pause } else { 0 });
+            self.host.shed(xchg, if self.rules.pauses { pause } else { 0 });
         } else {
             self.host.error(xchg);
         }
@@ -562,7 +563,7 @@
 
     /// What an answer is worth, in thousandths: a fetch costs the origin about the same for each.
     fn worth(&self, ask: &Ask) -> u64 {
-        let part = if self.surplus(ask.tenant) { self.settings.number("surplus_payoff", 1.0) } else { 1.0 };
+        let part = if self.surplus(ask.tenant) { self.rules.surplus_payoff } else { 1.0 };
         (1000.0 * self.routes[ask.route].payoff * part) as u64
     }
 
@@ -598,20 +599,19 @@
     // ---- Health ---------------------------------------------------------------------------------
 
     fn warm(&self, node: Node) -> bool {
-        self.nodes.caches[node].warm(self.now, self.settings.time("cold", 0))
+        self.nodes.caches[node].warm(self.now, self.rules.cold)
     }
 
     /// Rule 4: a cold node gets its part of normal work, spread evenly, and nothing heavy for all its parts.
     fn within_budget(&self, node: Node, work: f64) -> bool {
-        let window = || self.settings.time("fall", SECOND) as f64;
         self.warm(node)
             || self.now >= self.nodes.caches[node].rests_until
-                && self.pause(node, work) <= self.fleet * window()
+                && self.pause(node, work) <= self.fleet * self.rules.fall as f64
     }
 
     /// How long this work takes up this proxy's part of a cold node. Normal is what warm ones did at best.
     fn pause(&self, node: Node, work: f64) -> f64 {
-        let (cold, start) = (self.settings.time("cold", 0), self.settings.number("start_capacity", 1.0));
+        let Rules { cold, start_capacity: start, .. } = self.rules;
         let part = start + (1.0 - start) * (self.nodes.caches[node].age(self.now) as f64 / cold as f64);
         let normal = self.normal.most_mean(self.now).unwrap_or(0.0);
         let usual = self.asked.mean(self.now).unwrap_or(work);
@@ -628,8 +628,7 @@
 
     fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome) {
         let now = self.now;
-        let enough =
-            if self.settings.flag("probes") { (FAILURES / self.fleet).max(1.0) } else { f64::INFINITY };
+        let enough = if self.rules.probes { (FAILURES / self.fleet).max(1.0) } else { f64::INFINITY };
         let failures = self.nodes.change(node, |cache| {
             cache.end(now, sent, outcome);
             match outcome {
@@ -707,7 +706,7 @@
         }
         self.set = due;
         self.serve_line();
-        if self.follow_at <= self.now && self.settings.text("discovery") == "ask" {
+        if self.follow_at <= self.now && self.rules.asks_list {
             self.follow_at = Nanos::MAX;
             self.host.follow();
         }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -266,6 +266,37 @@
     }
 }
 
+/// The settings that hold for all routes, as the decisions look them up for each exchange.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    pub cold: Nanos,
+    pub fall: Nanos,
+    pub start_capacity: f64,
+    pub most_tries: usize,
+    pub surplus_payoff: f64,
+    pub peers: bool,
+    pub pauses: bool,
+    pub probes: bool,
+    /// The list must be asked for.
+    pub asks_list: bool,
+}
+
+impl Rules {
+    pub fn new(settings: &Settings) -> Rules {
+        Rules {
+            cold: settings.time("cold", 0),
+            fall: settings.time("fall", SECOND),
+            start_capacity: settings.number("start_capacity", 1.0),
+            most_tries: settings.number("most_tries", 1.0) as usize,
+            surplus_payoff: settings.number("surplus_payoff", 1.0),
+            peers: settings.flag("peers"),
+            pauses: settings.flag("pauses"),
+            probes: settings.flag("probes"),
+            asks_list: settings.text("discovery") == "ask",
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Route {
     pub objective: Nanos,
