--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -8,6 +8,7 @@
 
 use crate::fetches::{Fetch, Fetches};
 use crate::fleet::{Finder, Fleet, Indexed};
+use crate::groups::two_highest;
 use crate::host::{Ask, Host, Listed, Nanos, Node, Outcome, Repeat, Standing, Xchg};
 use crate::ranks::Bits;
 use crate::ring::{Allowance, Ring};
@@ -258,7 +259,10 @@
 
     /// The set's least loaded member; past T, the least loaded cache overall joins it.
     fn pick(&mut self, xchg: Xchg, key: Option<u64>) -> Option<Node> {
-        let mean = self.nodes.mean_load();
+        let (cx, mean) = (&self.xchgs[&xchg], self.nodes.mean_load());
+        if !cx.tries.is_empty() && !self.may_try_again(cx) {
+            return None;
+        }
         let Some(key) = key else { return self.least_of_all(xchg, mean) };
         let (mut set, caches) = (std::mem::take(&mut self.set), &self.nodes.caches);
         set.clear();
@@ -304,58 +308,38 @@
     fn seed(&mut self, xchg: Xchg, key: u64, mean: f64) -> Option<Node> {
         let mut ranked = std::mem::take(&mut self.ranked);
         self.nodes.ranked(key, &mut ranked);
-        let (cx, mut two, mut found) = (&self.xchgs[&xchg], [0; 2], 0);
-        while found < 2 && !ranked.is_empty() {
-            let highest = (0..ranked.len()).max_by_key(|&place| ranked[place]).unwrap_or(0);
-            let (_, node) = ranked.swap_remove(highest);
-            if self.may_take(cx, node) {
-                two[found] = node;
-                found += 1;
-            }
-        }
+        let cx = &self.xchgs[&xchg];
+        let two = two_highest(&mut ranked, |node| self.may_take(cx, node));
         self.ranked = ranked;
-        if found > 0 { self.least(&two[..found], mean) } else { self.least_of_all(xchg, mean) }
+        if two.is_empty() { self.least_of_all(xchg, mean) } else { self.least(&two, mean) }
     }
 
     /// The least loaded cache overall that may take the exchange.
     fn least_of_all(&mut self, xchg: Xchg, mean: f64) -> Option<Node> {
         let cx = &self.xchgs[&xchg];
-        let first = cx.tries.iter().any(|t| t.may_have_run);
-        let repeat = self.routes[cx.ask.route].repeat;
-        if !cx.tries.is_empty() && cx.tries.len() >= self.rules.most_tries
-            || first && repeat == Repeat::NonRetriable
-        {
-            return None;
-        }
-        let scoped = first && repeat != Repeat::Retriable;
+        let draws = if cx.may_have_run() && !self.routes[cx.ask.route].free() { 0 } else { DRAWS };
         let mut not = std::mem::take(&mut self.not);
         not.clear();
-        for t in &cx.tries {
-            if !not.contains(&t.node) {
-                not.push(t.node);
-            }
-        }
-        let (mut found, mut draws) = (None, if scoped { 0 } else { DRAWS });
-        while found.is_none() && draws > 0 {
+        not.extend(cx.tries.iter().map(|t| t.node));
+        not.sort_unstable();
+        not.dedup();
+        for _ in 0..draws {
             let Some(least) = self.nodes.least(mean, &not) else { break };
             let place = self.draw(least.ties);
-            let Some(node) = self.nodes.tie(mean, &not, place) else { break };
+            let node = self.nodes.tie(mean, &not, place)?;
             if self.may_take(&self.xchgs[&xchg], node) {
-                found = Some(node);
-            } else {
-                not.push(node);
+                self.not = not;
+                return Some(node);
             }
-            draws -= 1;
+            not.push(node);
         }
+        let all = self.nodes.least(mean, &not).is_none();
         self.not = not;
         // A repeat that only some nodes discard, or work too heavy for cold ones: looked for one by one.
-        if found.is_none() && draws == 0 {
-            let (cx, caches) = (&self.xchgs[&xchg], 0..self.nodes.caches.len());
-            let takes = |&node: &Node| Some(node) != self.origin && self.may_take(cx, node);
-            let takers: Vec<Node> = caches.filter(takes).collect();
-            found = self.least(&takers, mean);
-        }
-        found
+        let (cx, caches) = (&self.xchgs[&xchg], 0..if all { 0 } else { self.nodes.caches.len() });
+        let takes = |&node: &Node| Some(node) != self.origin && self.may_take(cx, node);
+        let takers: Vec<Node> = caches.filter(takes).collect();
+        self.least(&takers, mean)
     }
 
     /// The least loaded of these, ties broken at random.
@@ -481,10 +465,15 @@
         let here = |t: &Try| t.node == node && (t.out || !t.missed);
         let origin = cache.listed.origin && cache.ready();
         let takes = origin || cache.serves() && self.within_budget(node, cx.ask.work());
-        let again = || cx.tries.len() < self.rules.most_tries && self.may_repeat(cx, node);
+        let again = || self.may_try_again(cx) && self.may_repeat(cx, node);
         takes && (cx.tries.is_empty() || again() && (origin || !cx.tries.iter().any(here)))
     }
 
+    fn may_try_again(&self, cx: &Cx) -> bool {
+        let never = self.routes[cx.ask.route].repeat == Repeat::NonRetriable && cx.may_have_run();
+        cx.tries.len() < self.rules.most_tries && !never
+    }
+
     /// Rule 2: no effect twice.
     fn may_repeat(&self, cx: &Cx, node: Node) -> bool {
         let Some(first) = cx.tries.iter().find(|t| t.may_have_run) else { return true };
--- a/crates/core/src/groups.rs
+++ b/crates/core/src/groups.rs
@@ -8,6 +8,7 @@
 use crate::ranks::Bits;
 use crate::table::rendezvous;
 use hashbrown::HashMap;
+use smallvec::SmallVec;
 use std::collections::VecDeque;
 
 /// Nodes of a group, and how many more are remembered for those that leave.
@@ -47,6 +48,33 @@
     rendezvous(group.wrapping_add(1), identity)
 }
 
+/// The two that rank highest of those that `takes` admits, asked by falling rank; leaves the rest in any order.
+pub fn two_highest(ranked: &mut Vec<(u64, Node)>, takes: impl Fn(Node) -> bool) -> SmallVec<[Node; 2]> {
+    let mut two = SmallVec::new();
+    while two.len() < 2 && !ranked.is_empty() {
+        // Both at once, as they are mostly admitted.
+        let (mut first, mut second) = (0, usize::MAX);
+        for place in 1..ranked.len() {
+            if ranked[place] > ranked[first] {
+                (first, second) = (place, first);
+            } else if second == usize::MAX || ranked[place] > ranked[second] {
+                second = place;
+            }
+        }
+        let places = [first, second].into_iter().filter(|&place| place != usize::MAX);
+        let nodes: SmallVec<[Node; 2]> = places.clone().map(|place| ranked[place].1).collect();
+        for node in nodes {
+            if two.len() < 2 && takes(node) {
+                two.push(node);
+            }
+        }
+        let mut places: SmallVec<[usize; 2]> = places.collect();
+        places.sort_unstable();
+        places.into_iter().rev().for_each(|place| _ = ranked.swap_remove(place));
+    }
+    two
+}
+
 /// Tells apart the nodes that have had one number, one after another.
 fn short(identity: u64) -> u32 {
     (identity ^ identity >> 32) as u32
@@ -58,7 +86,8 @@
             self.identities.resize(node + 1, 0);
         }
         let other = std::mem::replace(&mut self.identities[node], identity) != identity;
-        if self.ready.set(node, ready) && ready || other && ready {
+        let changed = self.ready.set(node, ready);
+        if ready && (changed || other) {
             if self.lately.len() == LATELY {
                 self.lately.pop_front();
             }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -306,6 +306,11 @@
 }
 
 impl Route {
+    /// May run again anywhere.
+    pub fn free(&self) -> bool {
+        self.repeat == Repeat::Retriable
+    }
+
     pub fn all(settings: &Settings) -> Vec<Route> {
         (0..settings.number("routes", 0.0) as usize).map(|at| Route::one(settings, at)).collect()
     }
