--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -301,14 +301,15 @@
     let words = words.ok_or("expected a command of bulk strings")?;
     let Some((name, rest)) = words.split_first() else { return Err("empty command".into()) };
     let arity = || format!("wrong number of arguments for '{}'", String::from_utf8_lossy(name));
-    match (name.to_ascii_uppercase().as_slice(), rest) {
-        (b"C.GET", [key, id, labels]) => exchange(config, key, id, labels, None),
-        (b"C.SET", [key, id, labels, value]) => exchange(config, key, id, labels, Some(value)),
-        (b"PING", []) => Ok(Command::Reply(Frame::simple("PONG"))),
-        (b"PING", [text]) => Ok(Command::Reply(Frame::Bulk(text.clone()))),
-        (b"CLIENT" | b"SELECT", _) => Ok(Command::Reply(Frame::simple("OK"))),
-        (b"INFO", [what]) if what.eq_ignore_ascii_case(b"counters") => Ok(Command::Counters),
-        (b"C.GET" | b"C.SET" | b"PING", _) => Err(arity()),
+    let is = |word: &[u8]| name.eq_ignore_ascii_case(word);
+    match rest {
+        [key, id, labels] if is(b"C.GET") => exchange(config, key, id, labels, None),
+        [key, id, labels, value] if is(b"C.SET") => exchange(config, key, id, labels, Some(value)),
+        [] if is(b"PING") => Ok(Command::Reply(Frame::simple("PONG"))),
+        [text] if is(b"PING") => Ok(Command::Reply(Frame::Bulk(text.clone()))),
+        _ if is(b"CLIENT") || is(b"SELECT") => Ok(Command::Reply(Frame::simple("OK"))),
+        [what] if is(b"INFO") && what.eq_ignore_ascii_case(b"counters") => Ok(Command::Counters),
+        _ if is(b"C.GET") || is(b"C.SET") || is(b"PING") => Err(arity()),
         _ => Err(format!("unknown command '{}'", String::from_utf8_lossy(name))),
     }
 }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -10,12 +10,13 @@
 use crate::room::Spare;
 use crate::serve::Shared;
 use anyhow::{Context, Result, bail};
-use bytes::Bytes;
+use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
 use pumicebay_core::{Node, Outcome, Xchg};
 use socket2::SockRef;
 use std::collections::VecDeque;
+use std::fmt::Write;
 use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,6 +34,8 @@
 const MOST_INTERIM: usize = 8;
 /// No node holds as many exchanges as this.
 const MOST_HELD: f64 = 1e9;
+/// What a label of its own takes at most.
+const LEFT: usize = 24;
 /// How long a probe may take in all.
 pub const PROBE: Duration = Duration::from_millis(250);
 
@@ -277,23 +280,35 @@
 
 /// A try as a cache node reads it: all as it came, but for how long this proxy waits.
 pub fn command(cargo: &Cargo, left: Duration) -> Frame {
-    let word = if cargo.write { "C.SET" } else { "C.GET" };
-    let left = format!("d={}", left.as_millis().max(1));
-    let (mut labels, mut told) = (Vec::new(), false);
-    for label in cargo.labels.split(|&byte| byte == b',') {
-        let replaced = label.starts_with(b"d=");
-        labels.push(if replaced { left.as_bytes() } else { label });
-        told |= replaced;
+    let word: &'static [u8] = if cargo.write { b"C.SET" } else { b"C.GET" };
+    let mut words = Vec::with_capacity(5);
+    words.extend([Bytes::from_static(word), cargo.key.clone(), cargo.id.clone()].map(Frame::Bulk));
+    words.push(Frame::Bulk(labels(&cargo.labels, left)));
+    if cargo.write {
+        words.push(Frame::Bulk(cargo.value.clone()));
     }
-    if !told {
-        labels.push(left.as_bytes());
+    Frame::Array(words)
+}
+
+/// The labels as they came, with `d` as what is left, in milliseconds: put at its place, or at the end.
+fn labels(came: &[u8], left: Duration) -> Bytes {
+    let (left, mut told) = (left.as_millis().max(1), false);
+    let mut labels = BytesMut::with_capacity(came.len() + LEFT);
+    for (place, label) in came.split(|&byte| byte == b',').enumerate() {
+        if place > 0 {
+            labels.put_u8(b',');
+        }
+        if label.starts_with(b"d=") {
+            let _ = write!(labels, "d={left}");
+            told = true;
+        } else {
+            labels.put_slice(label);
+        }
     }
-    let mut words = vec![Bytes::from_static(word.as_bytes()), cargo.key.clone(), cargo.id.clone()];
-    words.push(labels.join(&b',').into());
-    if cargo.write {
-        words.push(cargo.value.clone());
+    if !told {
+        let _ = write!(labels, ",d={left}");
     }
-    Frame::Array(words.into_iter().map(Frame::Bulk).collect())
+    labels.freeze()
 }
 
 /// A try as the origin reads it.
--- a/crates/proxy/src/resp.rs
+++ b/crates/proxy/src/resp.rs
@@ -2,6 +2,7 @@
 
 use crate::large::Large;
 use bytes::{BufMut, Bytes, BytesMut};
+use std::fmt::Write;
 use std::io::{Error, ErrorKind};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder, Framed};
@@ -166,16 +167,16 @@
         match frame {
             Frame::Simple(text) => line(buffer, b'+', text),
             Frame::Error(text) => line(buffer, b'-', text),
-            Frame::Integer(number) => line(buffer, b':', number.to_string().as_bytes()),
+            Frame::Integer(number) => number_line(buffer, b':', *number),
             Frame::Null => line(buffer, b'$', b"-1"),
             Frame::Bulk(bytes) => {
-                line(buffer, b'$', bytes.len().to_string().as_bytes());
+                number_line(buffer, b'$', bytes.len() as i64);
                 buffer.reserve(bytes.len() + 2);
                 buffer.put_slice(bytes);
                 buffer.put_slice(b"\r\n");
             }
             Frame::Array(parts) => {
-                line(buffer, b'*', parts.len().to_string().as_bytes());
+                number_line(buffer, b'*', parts.len() as i64);
                 for part in parts {
                     self.encode(part, buffer)?;
                 }
@@ -185,6 +186,12 @@
     }
 }
 
+/// Without a text of its own, which would have to be allocated.
+fn number_line(buffer: &mut BytesMut, kind: u8, number: i64) {
+    buffer.put_u8(kind);
+    let _ = write!(buffer, "{number}\r\n");
+}
+
 fn line(buffer: &mut BytesMut, kind: u8, text: &[u8]) {
     buffer.reserve(text.len() + 3);
     buffer.put_u8(kind);
