--- a/crates/proxy/src/resp.rs
+++ b/crates/proxy/src/resp.rs
@@ -2,6 +2,7 @@
 
 use crate::large::Large;
 use bytes::{BufMut, Bytes, BytesMut};
+use smallvec::SmallVec;
 use std::fmt::Write;
 use std::io::{Error, ErrorKind};
 use tokio::net::TcpStream;
@@ -79,34 +80,44 @@
 type Admit<'a> = &'a mut dyn FnMut(usize) -> Result<(), Error>;
 
 fn decode(buffer: &mut BytesMut, admit: Admit) -> Result<Option<Frame>, Error> {
-    let mut at = 0;
-    let shape = measure(buffer, &mut at, DEEPEST, admit)?;
-    Ok(shape.map(|shape| cut(&buffer.split_to(at).freeze(), shape)))
+    let (mut at, mut shapes) = (0, Shapes::new());
+    let whole = measure(buffer, &mut at, DEEPEST, admit, &mut shapes)?;
+    Ok(whole.then(|| cut(&buffer.split_to(at).freeze(), &mut shapes.iter())))
 }
 
 fn bounded(frame: Option<Frame>, rest: &[u8], longest: usize) -> Result<Option<Frame>, Error> {
     if frame.is_none() && rest.len() > longest { Err(bad("frame too long")) } else { Ok(frame) }
 }
 
-/// A frame that is whole, by where its parts stand in the buffer.
+/// A part of a frame, by where it stands in the buffer. The parts of an array follow it.
+#[derive(Clone, Copy)]
 enum Shape {
     Line(u8, usize, usize),
     Integer(i64),
     Bulk(usize, usize),
     Null,
-    Array(Vec<Shape>),
+    Array(usize),
 }
 
-/// Finds the end of the frame that begins at `at`; nothing while it is not whole.
-fn measure(buffer: &[u8], at: &mut usize, depth: usize, admit: Admit) -> Result<Option<Shape>, Error> {
-    let Some(&kind) = buffer.get(*at) else { return Ok(None) };
+/// As many as a command or reply of ours has, without memory of their own.
+type Shapes = SmallVec<[Shape; 8]>;
+
+/// Finds the end of the frame that begins at `at`, and its parts; false while it is not whole.
+fn measure(
+    buffer: &[u8],
+    at: &mut usize,
+    depth: usize,
+    admit: Admit,
+    shapes: &mut Shapes,
+) -> Result<bool, Error> {
+    let Some(&kind) = buffer.get(*at) else { return Ok(false) };
     if !b"+-:$*".contains(&kind) {
         return Err(bad("expected a RESP type"));
     }
     let from = *at + 1;
     let line = &buffer[from..buffer.len().min(from + LONGEST_LINE)];
     let Some(length) = line.iter().position(|&byte| byte == b'\n') else {
-        return if line.len() == LONGEST_LINE { Err(bad("line too long")) } else { Ok(None) };
+        return if line.len() == LONGEST_LINE { Err(bad("line too long")) } else { Ok(false) };
     };
     let text = line[..length].strip_suffix(b"\r").ok_or_else(|| bad("line without CR"))?;
     *at = from + length + 1;
@@ -122,7 +133,7 @@
             admit(length)?;
             let (begin, end) = (*at, *at + length);
             if buffer.len() < end + 2 {
-                return Ok(None);
+                return Ok(false);
             }
             if &buffer[end..end + 2] != b"\r\n" {
                 return Err(bad("bulk string without end"));
@@ -135,28 +146,29 @@
             if length > LONGEST_ARRAY || depth == 0 {
                 return Err(bad("array too long or too deep"));
             }
-            let mut parts = Vec::with_capacity(length);
+            shapes.push(Shape::Array(length));
             for _ in 0..length {
-                match measure(buffer, at, depth - 1, admit)? {
-                    Some(part) => parts.push(part),
-                    None => return Ok(None),
+                if !measure(buffer, at, depth - 1, admit, shapes)? {
+                    return Ok(false);
                 }
             }
-            Shape::Array(parts)
+            return Ok(true);
         }
         _ => Shape::Line(kind, from, from + text.len()),
     };
-    Ok(Some(shape))
+    shapes.push(shape);
+    Ok(true)
 }
 
-fn cut(buffer: &Bytes, shape: Shape) -> Frame {
-    match shape {
-        Shape::Line(b'+', begin, end) => Frame::Simple(buffer.slice(begin..end)),
-        Shape::Line(_, begin, end) => Frame::Error(buffer.slice(begin..end)),
-        Shape::Integer(number) => Frame::Integer(number),
-        Shape::Bulk(begin, end) => Frame::Bulk(buffer.slice(begin..end)),
-        Shape::Null => Frame::Null,
-        Shape::Array(parts) => Frame::Array(parts.into_iter().map(|part| cut(buffer, part)).collect()),
+/// The next frame of these shapes; each was measured, so none is missing.
+fn cut(buffer: &Bytes, shapes: &mut std::slice::Iter<'_, Shape>) -> Frame {
+    match shapes.next() {
+        Some(&Shape::Line(b'+', begin, end)) => Frame::Simple(buffer.slice(begin..end)),
+        Some(&Shape::Line(_, begin, end)) => Frame::Error(buffer.slice(begin..end)),
+        Some(&Shape::Integer(number)) => Frame::Integer(number),
+        Some(&Shape::Bulk(begin, end)) => Frame::Bulk(buffer.slice(begin..end)),
+        Some(&Shape::Array(length)) => Frame::Array((0..length).map(|_| cut(buffer, shapes)).collect()),
+        Some(Shape::Null) | None => Frame::Null,
     }
 }
 
