--- a/crates/core/benches/decide.rs
+++ b/crates/core/benches/decide.rs
@@ -79,6 +79,10 @@
     Flaps,
     /// Every key is new.
     OneOff,
+    /// A quarter of all ask for one key.
+    HotKey,
+    /// With each exchange one of 300 peers tells of a node; news age out after five seconds.
+    News,
 }
 
 struct Cost {
@@ -105,6 +109,7 @@
         now += GAP;
         let key = match day {
             Day::OneOff => xchg.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            Day::HotKey if xchg % 4 == 0 => 7,
             _ => (zipf.sample(&mut rng) as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15),
         };
         if xchg == warm + 1 {
@@ -129,6 +134,10 @@
             let standing = if flaps % 2 == 1 { Standing::Gone } else { Standing::Ready };
             turn(&mut balance, &mut |balance| balance.listed(now, node, listed(node, standing)));
         }
+        if day == Day::News {
+            let (peer, node) = ((xchg % 300) as usize, 1 + (xchg as usize).wrapping_mul(7919) % nodes);
+            turn(&mut balance, &mut |balance| balance.peer_load(now, peer, node, (xchg % 5) as usize));
+        }
         let ask = Ask { key: Some(key), grace: 2 * SECOND, ..Ask::default() };
         turn(&mut balance, &mut |balance| balance.arrived(now, xchg, ask));
         out.extend(balance.host.sent.drain(..));
@@ -146,9 +155,14 @@
 fn main() {
     println!("| nodes | day | µs an exchange | longest turn, µs | allocations an exchange |");
     println!("| --- | --- | --- | --- | --- |");
-    for (day, name) in
-        [(Day::Calm, "calm"), (Day::Flaps, "1% flap each second"), (Day::OneOff, "one-off keys")]
-    {
+    let days = [
+        (Day::Calm, "calm"),
+        (Day::Flaps, "1% flap each second"),
+        (Day::OneOff, "one-off keys"),
+        (Day::HotKey, "one key takes a quarter"),
+        (Day::News, "news of 300 peers"),
+    ];
+    for (day, name) in days {
         for nodes in [10, 100, 1000, 10_000] {
             let quick = std::env::args().any(|arg| arg == "--quick");
             let cost = measure(nodes, day, if quick { 2_000 } else { 60_000 });
