--- a/crates/core/src/ring.rs
+++ b/crates/core/src/ring.rs
@@ -20,40 +20,42 @@
     }
 }
 
+/// `N` buckets, in one piece with whatever has the ring: of many nodes' measures few are in the core's cache.
 #[derive(Clone, Debug)]
-pub struct Ring {
+pub struct Ring<const N: usize> {
     width: Nanos,
-    buckets: Vec<Bucket>,
+    buckets: [Bucket; N],
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
-    /// Which stretch of time it holds; 0 for none yet.
-    stretch: u64,
+    /// Which stretch of time it holds, by its lowest bits: they are the same again after decades.
+    stretch: u32,
+    /// 0 for a bucket that holds none yet.
     count: u32,
     sum: f64,
 }
 
-impl Ring {
-    /// Covers `span`, in `count` buckets.
-    pub fn new(span: Nanos, count: usize) -> Self {
-        Ring { width: (span / count as u64).max(1), buckets: vec![Bucket::default(); count] }
+impl<const N: usize> Ring<N> {
+    /// Covers `span`.
+    pub fn new(span: Nanos) -> Self {
+        Ring { width: (span / N as u64).max(1), buckets: [Bucket::default(); N] }
     }
 
     pub fn add(&mut self, now: Nanos, amount: f64) {
         let stretch = now / self.width + 1;
-        let place = stretch as usize % self.buckets.len();
-        let bucket = &mut self.buckets[place];
-        if bucket.stretch != stretch {
-            *bucket = Bucket { stretch, ..Bucket::default() };
+        let bucket = &mut self.buckets[stretch as usize % N];
+        if bucket.stretch != stretch as u32 {
+            *bucket = Bucket { stretch: stretch as u32, ..Bucket::default() };
         }
         bucket.count += 1;
         bucket.sum += amount;
     }
 
     fn live(&self, now: Nanos) -> impl Iterator<Item = &Bucket> {
-        let (stretch, span) = (now / self.width + 1, self.buckets.len() as u64);
-        self.buckets.iter().filter(move |bucket| bucket.stretch > 0 && bucket.stretch + span > stretch)
+        let stretch = (now / self.width + 1) as u32;
+        let lately = move |bucket: &&Bucket| stretch.wrapping_sub(bucket.stretch) < N as u32;
+        self.buckets.iter().filter(lately).filter(|bucket| bucket.count > 0)
     }
 
     fn seconds(&self) -> f64 {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -41,10 +41,10 @@
 pub struct Flow {
     pub in_flight: usize,
     /// How long the answers took, in seconds: lately, and over the last minute.
-    pub answers: Ring,
-    pub minute: Ring,
+    pub answers: Ring<8>,
+    pub minute: Ring<20>,
     /// Seconds in flight, lately.
-    held: Ring,
+    held: Ring<8>,
     /// The part of its room that is left while answers take far longer than they can.
     pub squeeze: f64,
     /// How many may be in flight on average, and what was saved of that until lately.
@@ -58,9 +58,9 @@
     fn default() -> Self {
         Flow {
             in_flight: 0,
-            answers: Ring::new(2 * SECOND, 8),
-            minute: Ring::new(60 * SECOND, 20),
-            held: Ring::new(2 * SECOND, 8),
+            answers: Ring::new(2 * SECOND),
+            minute: Ring::new(60 * SECOND),
+            held: Ring::new(2 * SECOND),
             squeeze: 1.0,
             room: 0.0,
             saved: f64::INFINITY,
@@ -338,7 +338,7 @@
 /// What a tenant gets from this proxy, and its quota over all proxies, a second.
 #[derive(Clone, Debug)]
 pub struct Tenant {
-    pub served: Ring,
+    pub served: Ring<8>,
     pub quota: f64,
 }
 
@@ -348,7 +348,7 @@
 impl Tenants {
     pub fn new(settings: &Settings) -> Self {
         let quota = |at| settings.number(&format!("tenant.{at}.quota"), f64::INFINITY);
-        let ring = || Ring::new(8 * SECOND, 8);
+        let ring = || Ring::new(8 * SECOND);
         let tenants = 0..settings.number("tenants", 0.0) as usize;
         let each = tenants.map(|at| Tenant { served: ring(), quota: quota(at) }).collect();
         Tenants(each)
