--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -42,24 +42,25 @@
     ensure!(day.proxies.count <= MOST_PROXIES, "proxies.count: at most {MOST_PROXIES} on sockets");
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let results = runtime.block_on(async {
+        let signal = signals()?;
         tokio::select! {
             results = whole(day, seed, proxy, progress) => results,
             // What was started ends with the future that holds it.
-            signal = signalled() => Err(signal),
+            signal = signal => Err(signal),
         }
     });
     runtime.shutdown_timeout(Duration::from_secs(1));
     results
 }
 
-async fn signalled() -> anyhow::Error {
+/// Heard from this call on; the future ends with the first signal.
+fn signals() -> Result<impl Future<Output = anyhow::Error>> {
     use tokio::signal::unix::{SignalKind, signal};
-    let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
-        return std::future::pending().await;
-    };
-    tokio::select! { _ = term.recv() => {} _ = int.recv() => {} }
-    anyhow::anyhow!("interrupted: the day is over, its processes are ended")
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    Ok(async move {
+        tokio::select! { _ = term.recv() => {} _ = int.recv() => {} }
+        anyhow::anyhow!("interrupted: the day is over, its processes are ended")
+    })
 }
 
 async fn whole(
--- a/crates/lab/tests/lab/sockets.rs
+++ b/crates/lab/tests/lab/sockets.rs
@@ -172,3 +172,43 @@
         page.contains("<svg") && page.contains("All four rules were kept") && !page.contains("http-equiv")
     );
 }
+
+/// Whether the process runs: one that is dead and not yet noticed does not.
+fn runs(id: &str) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    stat.rsplit(')').next().is_some_and(|rest| !rest.is_empty() && !rest.trim_start().starts_with('Z'))
+}
+
+#[test]
+fn an_interrupted_day_leaves_no_proxy_behind() {
+    use nix::sys::signal::{Signal, kill};
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("day.toml");
+    std::fs::write(&path, SHORT.replace("seconds = 3", "seconds = 60")).expect("a file");
+    let mut lab = Command::new(LAB)
+        .args(["run", "--clock", "real"])
+        .arg(&path)
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .expect("the lab");
+    let until = |done: &mut dyn FnMut() -> bool| {
+        (0..400).any(|_| {
+            std::thread::sleep(std::time::Duration::from_millis(25));
+            done()
+        })
+    };
+    // Children are listed by the thread that started them.
+    let children = |lab: u32| -> Vec<String> {
+        let threads = std::fs::read_dir(format!("/proc/{lab}/task")).expect("a process");
+        let lists = threads.flatten().filter_map(|t| std::fs::read_to_string(t.path().join("children")).ok());
+        lists.flat_map(|list| list.split_whitespace().map(str::to_string).collect::<Vec<_>>()).collect()
+    };
+    let mut proxies = Vec::new();
+    assert!(until(&mut || {
+        proxies = children(lab.id());
+        !proxies.is_empty()
+    }));
+    kill(nix::unistd::Pid::from_raw(lab.id() as i32), Signal::SIGINT).expect("a signal sent");
+    assert!(until(&mut || lab.try_wait().expect("a child").is_some()));
+    assert!(until(&mut || !proxies.iter().any(|id| runs(id))));
+}
