--- a/crates/lab/src/real/fleet.rs
+++ b/crates/lab/src/real/fleet.rs
@@ -587,17 +587,8 @@
 
 impl Inner {
     fn actual(&self, node: usize) -> Entry {
-        let this = &self.nodes[node];
-        let state = match this.drains {
-            _ if !this.up || self.left[node] || self.lies[node] => State::Left,
-            Some(_) => State::Draining,
-            None => State::Ready,
-        };
-        let started = match self.clock[node] {
-            Some(off) => self.desk.now.saturating_add_signed(off),
-            None => this.started,
-        };
-        Entry { node, state, started }
+        let gone = self.left[node] || self.lies[node];
+        self.nodes[node].entry(node, self.desk.now, gone, self.clock[node])
     }
 }
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -258,17 +258,8 @@
 
     /// What a node is, as it says itself.
     fn actual(&self, node: Node) -> Entry {
-        let this = &self.nodes[node];
-        let state = match this.drains {
-            _ if !this.up || self.left[node] || self.lies[node] => State::Left,
-            Some(_) => State::Draining,
-            None => State::Ready,
-        };
-        let started = match self.clock[node] {
-            Some(off) => self.core.now.saturating_add_signed(off),
-            None => this.started,
-        };
-        Entry { node, state, started }
+        let gone = self.left[node] || self.lies[node];
+        self.nodes[node].entry(node, self.core.now, gone, self.clock[node])
     }
 
     pub fn next_at(&self) -> Nanos {
--- a/crates/model/src/node.rs
+++ b/crates/model/src/node.rs
@@ -1,6 +1,7 @@
 //! One cache node: it serves what it holds, turns away what it has no room for, starts cold, and falls over
 //! when it is buried while cold.
 
+use crate::registry::{Entry, State};
 use crate::seeds::{Rng, rng};
 use crate::spec::Nodes;
 use crate::station::{Job, JobId, Site, Station, Taken, Verdict};
@@ -194,6 +195,17 @@
         self.paused = self.paused.max(until);
     }
 
+    /// What it says of itself to discovery; `clock` is by how much what it takes for its start is off now.
+    pub fn entry(&self, node: usize, now: Nanos, gone: bool, clock: Option<i64>) -> Entry {
+        let state = match self.drains {
+            _ if !self.up || gone => State::Left,
+            Some(_) => State::Draining,
+            None => State::Ready,
+        };
+        let started = clock.map_or(self.started, |off| now.saturating_add_signed(off));
+        Entry { node, state, started }
+    }
+
     pub fn in_flight(&self) -> usize {
         self.station.served() + self.station.queued()
     }
