Dead counts and copies of one figure taken out of the index and the lab; no act changes

A reading of the whole change found code that nothing calls any more (cold nodes that serve, the bytes of groups, Fleet::end, a proxy's flag of being up), a try's number worked out in three places, and how long clients listen and how many proxies they ask written once for each clock. Members of a set of bits are walked in one step, not two.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use crate::classes::Classes;
 use crate::groups::Groups;
-use crate::host::{Listed, Nanos, Node, Outcome};
+use crate::host::{Listed, Nanos, Node};
 use crate::ranks::Bits;
 use crate::state::Cache;
 use std::cmp::Reverse;
@@ -126,8 +126,6 @@
 struct Counted {
     /// Its load, while it serves.
     load: Option<u64>,
-    /// Whether it serves while cold.
-    cold: bool,
     /// When time alone next changes it.
     due: Nanos,
 }
@@ -139,7 +137,6 @@
     counted: Vec<Counted>,
     sum: u64,
     serving: usize,
-    cold_serving: usize,
     aside: BTreeSet<Node>,
     due: BinaryHeap<Reverse<(Nanos, Node)>>,
     /// Loads that peers told, in the order that they will be too old.
@@ -158,7 +155,6 @@
             counted: Vec::new(),
             sum: 0,
             serving: 0,
-            cold_serving: 0,
             aside: BTreeSet::new(),
             due: BinaryHeap::new(),
             told: VecDeque::new(),
@@ -216,12 +212,6 @@
         self.change(node, |cache| cache.hear_peer(peer, in_flight, now));
     }
 
-    /// A try at a node has ended, in some way.
-    pub fn end(&mut self, node: Node, sent: Nanos, outcome: Outcome) {
-        let now = self.now;
-        self.change(node, |cache| cache.end(now, sent, outcome));
-    }
-
     fn place(&mut self, node: Node) {
         let (cache, now) = (&mut self.caches[node], self.now);
         if cache.report.is_some_and(|report| now >= report.at + self.last) {
@@ -239,8 +229,7 @@
         let counted = &mut self.counted[node];
         self.sum = self.sum - counted.load.unwrap_or(0) + if serves { load } else { 0 };
         self.serving = self.serving - usize::from(counted.load.is_some()) + usize::from(serves);
-        self.cold_serving = self.cold_serving - usize::from(counted.cold) + usize::from(serves && !warm);
-        (counted.load, counted.cold) = (serves.then_some(load), serves && !warm);
+        counted.load = serves.then_some(load);
         if cache.aside.is_some() {
             self.aside.insert(node);
         } else if !self.aside.is_empty() {
@@ -261,15 +250,11 @@
         }
     }
 
-    /// The caches that serve, and how many of them are warm.
+    /// How many caches serve.
     pub fn serving(&self) -> usize {
         self.serving
     }
 
-    pub fn warm_serving(&self) -> usize {
-        self.serving - self.cold_serving
-    }
-
     pub fn mean_load(&self) -> f64 {
         self.finder.sum(self.view(), self.sum) as f64 / self.serving.max(1) as f64
     }
--- a/crates/core/src/groups.rs
+++ b/crates/core/src/groups.rs
@@ -96,10 +96,6 @@
         }
     }
 
-    pub fn identity(&self, node: Node) -> u64 {
-        self.identities.get(node).copied().unwrap_or(0)
-    }
-
     /// Adds the nodes of the key's group, each with its rank for the key.
     pub fn of(&mut self, key: u64, into: &mut Vec<(u64, Node)>) {
         let ranked = |node: Node| (rendezvous(key, self.identities[node]), node);
@@ -177,10 +173,4 @@
             group.whole = false;
         }
     }
-
-    /// The bytes that it holds, about.
-    pub fn bytes(&self) -> usize {
-        let group = |group: &Group| std::mem::size_of::<(u64, Group)>() + group.nodes.capacity() * 8;
-        self.groups.values().map(group).sum::<usize>() + self.identities.capacity() * 8
-    }
 }
--- a/crates/core/src/ranks.rs
+++ b/crates/core/src/ranks.rs
@@ -59,10 +59,10 @@
 
     pub fn iter(&self) -> impl Iterator<Item = Node> + '_ {
         let ones = |(at, &word): (usize, &u64)| {
-            let next = |word: &u64| Some(word & (word - 1)).filter(|_| *word != 0);
-            let rest =
-                std::iter::successors(Some(word), move |word| if *word == 0 { None } else { next(word) });
-            rest.take_while(|word| *word != 0).map(move |word| at * 64 + word.trailing_zeros() as usize)
+            let first = (word != 0).then_some(word);
+            let words =
+                std::iter::successors(first, |word| Some(word & (word - 1)).filter(|rest| *rest != 0));
+            words.map(move |word| at * 64 + word.trailing_zeros() as usize)
         };
         self.words.iter().enumerate().flat_map(ones)
     }
--- a/crates/lab/src/real/load.rs
+++ b/crates/lab/src/real/load.rs
@@ -12,7 +12,7 @@
 use pumicebay::resp::{Frame, Resp};
 use pumicebay_model::seeds::{Rng, rng};
 use pumicebay_model::spec::Scenario;
-use pumicebay_model::traffic::{Traffic, Wish, again};
+use pumicebay_model::traffic::{ASKS, LISTENS, Traffic, Wish, again};
 use pumicebay_model::{Nanos, millis};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -23,13 +23,9 @@
 use tokio::time::{sleep, sleep_until, timeout};
 use tokio_util::codec::Framed;
 
-/// How much longer than its exchange's overall timeout a client listens.
-const LISTENS: Duration = Duration::from_millis(100);
 const CONNECT: Duration = Duration::from_millis(500);
 /// Idle connections that are kept to each proxy.
 const KEPT: usize = 64;
-/// Proxies that a client asks in a row when all refuse it.
-const ASKS: usize = 4;
 
 type Wire = Framed<TcpStream, Resp>;
 
@@ -138,7 +134,7 @@
         sleep(delay).await;
         self.fleet.taken(xchg, wish, proxy, patience);
         let words = self.words(wish, xchg, retry);
-        let carried = timeout(Duration::from_nanos(patience) + LISTENS, self.carry(proxy, &words)).await;
+        let carried = timeout(Duration::from_nanos(patience + LISTENS), self.carry(proxy, &words)).await;
         let ended = carried.unwrap_or(Ended::Lost);
         match &ended {
             Ended::Answer(frame) => self.answered(xchg, frame),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -21,14 +21,17 @@
 use std::collections::BinaryHeap;
 use std::sync::Arc;
 
-/// How much longer than its exchange's overall timeout a client listens.
-const LISTENS: Nanos = 100_000_000;
 /// Tries that an exchange has at most, as part of a job's number.
 const TRIES: u64 = 16;
 /// A silent list is given up after this.
 const LIST_SILENT: Nanos = 3 * SECOND / 2;
 const SWEEP: Nanos = SECOND;
 
+/// A try's number at its node.
+fn job_of(xchg: Xchg, try_no: usize) -> JobId {
+    xchg * TRIES + (try_no as u64).min(TRIES - 1)
+}
+
 enum Event {
     Seat(usize, ToWorld),
     Finished(Node, JobId),
@@ -37,8 +40,6 @@
     Notice(Node),
     /// A node that fell over comes back.
     Back(Node),
-    /// The process of a proxy begins anew.
-    Restarted(usize),
     Again(u64, usize),
     TimedOut(Xchg),
     Cut(Xchg, Nanos),
@@ -177,7 +178,6 @@
 /// What discovery has told a proxy.
 #[derive(Clone, Default)]
 struct Known {
-    up: bool,
     follows: bool,
     version: u64,
     told: Nanos,
@@ -282,10 +282,6 @@
         self.core.mail.drain(..)
     }
 
-    pub fn now(&self) -> Nanos {
-        self.core.now
-    }
-
     /// The rules and the counts, once the day is over.
     pub fn end(mut self) -> (Auditor, Tally) {
         self.core.auditor.finish();
@@ -321,7 +317,6 @@
                 }
             }
             Event::Back(node) => self.node_starts(node),
-            Event::Restarted(proxy) => self.proxies[proxy].up = true,
             Event::Again(wish, proxy) => self.ask(wish, proxy),
             Event::TimedOut(xchg) => self.ended(xchg, End::Lost, 0),
             Event::Cut(xchg, died) => {
@@ -370,7 +365,7 @@
         self.core.tally.exchanges += 1;
         self.core.auditor.taken(at, xchg, proxy, wish.route, at + timeout);
         self.core.tell(proxy, at, ToSeat::Arrived { xchg, ask });
-        self.core.at(now + timeout + LISTENS, Event::TimedOut(xchg));
+        self.core.at(now + timeout + traffic::LISTENS, Event::TimedOut(xchg));
         self.xchgs.insert(xchg, Cx { wish: number, proxy, sent: now, missed: Vec::new() });
     }
 
@@ -409,7 +404,7 @@
         wanted.refused += 1;
         // Nothing was taken: it does not count as a try.
         wanted.tries -= 1;
-        if wanted.refused < self.day.proxies.count.min(4) {
+        if wanted.refused < self.day.proxies.count.min(traffic::ASKS) {
             self.ask(cx.wish, (cx.proxy + 1) % self.day.proxies.count);
         } else if let Some(wanted) = self.wishes.remove(&cx.wish) {
             self.core.tally.wish(&wanted.wish, End::Lost);
@@ -439,11 +434,10 @@
     fn did(&mut self, proxy: usize, what: ToWorld) {
         match what {
             ToWorld::Try { xchg, try_no, node, sent, epoch } => {
-                let job = xchg * TRIES + (try_no as u64).min(TRIES - 1);
-                self.tried(At { proxy, node }, job, sent, epoch);
+                self.tried(At { proxy, node }, job_of(xchg, try_no), sent, epoch);
             }
             ToWorld::Cancel { xchg, try_no, node, sent } => {
-                let job = xchg * TRIES + (try_no as u64).min(TRIES - 1);
+                let job = job_of(xchg, try_no);
                 self.core.auditor.over(sent, xchg, self.core.cache(node));
                 self.core.jobs.remove(&job);
                 match self.nodes.get_mut(node) {
@@ -456,7 +450,7 @@
             }
             ToWorld::Severed { xchg, try_no, node, sent } => {
                 self.core.auditor.over(sent, xchg, self.core.cache(node));
-                self.core.jobs.remove(&(xchg * TRIES + (try_no as u64).min(TRIES - 1)));
+                self.core.jobs.remove(&job_of(xchg, try_no));
             }
             ToWorld::Close { node, epoch } => {
                 if self.core.epochs[node] == epoch
@@ -611,7 +605,6 @@
         known.follows = self.day.discovery.follow == Follow::Push;
         let life = known.life;
         self.core.tell(proxy, at, ToSeat::Start { entries: Arc::new(entries), life });
-        self.core.at(at, Event::Restarted(proxy));
     }
 
     fn tell_all(&mut self) {
@@ -771,7 +764,6 @@
 
     fn killed(&mut self, proxy: usize) {
         let now = self.core.now;
-        self.proxies[proxy].up = false;
         self.proxies[proxy].follows = false;
         let open = self.xchgs.iter().filter(|(_, cx)| cx.proxy == proxy).map(|(&xchg, _)| xchg);
         let mut open: Vec<Xchg> = open.collect();
--- a/crates/model/src/traffic.rs
+++ b/crates/model/src/traffic.rs
@@ -7,6 +7,11 @@
 use rand::RngExt;
 use rand_distr::{Distribution, Exp1, Zipf};
 
+/// How much longer than its exchange's overall timeout a client listens.
+pub const LISTENS: Nanos = 100_000_000;
+/// Proxies that a client asks in a row when all refuse it.
+pub const ASKS: usize = 4;
+
 /// What a client asks for first; its retries ask for the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Wish {
