Ties by the key's rank, ranks by capacity, slow first tries cut short, more at a quick origin

Change: ties among all go to the key's highest rank, ranks weigh listed size over the kind's answer time; a retriable exchange's first try at a cache ends at half its objective while the origin has room; the origin's part is up to three times while its answers are quick.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -24,6 +24,7 @@
 const FOLLOW_WAIT: Nanos = 4 * SECOND;
 /// T is this multiple of the mean load over the ready caches, and no less than this proxy's part of FEW.
 const T_FACTOR: f64 = 1.5;
+const HOT: f64 = 4.0;
 /// Keys in the table; members leave their set when unpicked for so long.
 const TABLE_KEYS: usize = 1 << 16;
 const UNPICKED: Nanos = 10 * SECOND;
@@ -41,9 +42,12 @@
 const ORIGIN_ROOM: f64 = 2.0;
 const ENOUGH: u32 = 10;
 const FEW: f64 = 9.0;
+const QUICK: f64 = 3.0;
+const MORE: f64 = 3.0;
 const ORIGIN_FEW: [f64; 2] = [1.8, 1.3];
 /// How many times their best time answers may take before a node's room shrinks.
 const SLOW: f64 = 1.5;
+const SLOW_LAST: Nanos = 2 * SECOND;
 /// Exchanges that unused room adds up to at most: a part below one is one now and then.
 const SAVED: f64 = 3.0;
 /// How much more than its part of the traffic a proxy may see.
@@ -76,6 +80,9 @@
     normal: Ring<20>,
     /// What each warm cache that serves answers a second, as of its turn, and whose turn is next.
     rates: Vec<Option<f64>>,
+    /// How long answers of each kind of machine take, in seconds, with what it was at the last tick; and of all.
+    kinds: Vec<(Ring<20>, f64)>,
+    usual: f64,
     turn: Node,
     follow_at: Nanos,
     follow_wait: Nanos,
@@ -112,6 +119,8 @@
             asked: Ring::new(2 * SECOND),
             normal: Ring::new(60 * SECOND),
             rates: Vec::new(),
+            kinds: Vec::new(),
+            usual: 0.0,
             turn: 0,
             follow_at: 0,
             follow_wait: TICK,
@@ -145,8 +154,8 @@
         self.at(now);
         let Some(cx) = self.xchgs.get_mut(&xchg) else { return };
         let Some(this) = cx.end(try_no, outcome, over) else { return };
-        let (over, held) = (cx.over, cx.held());
-        self.learn(this.node, this.sent, outcome);
+        let (over, held, early) = (cx.over, cx.held(), now < cx.ends());
+        self.learn(this.node, this.sent, outcome, early);
         if over {
             self.settle(xchg);
         } else if held {
@@ -287,9 +296,10 @@
     /// Past T now, or on average: one of many proxies seldom has two at a node, and would see no hot key.
     fn past_t(&self, node: Node, mean: f64) -> bool {
         let lately = self.all.average(self.now) / self.serving();
+        let some = HOT * self.usual / 2.0;
         self.load(node, mean) > (T_FACTOR * mean).max(FEW / self.fleet).max(1.0)
             || self.nodes.caches[node].flow.average(self.now)
-                > (T_FACTOR * lately).max(2.0 * FEW / self.fleet)
+                > (T_FACTOR * lately).max(2.0 * FEW / self.fleet).max(some)
     }
 
     fn serve(&mut self, xchg: Xchg, node: Node) {
@@ -307,34 +317,53 @@
     /// The less busy of the key's two highest rendezvous-hash caches, of its group or, if none takes it, of all.
     fn seed(&mut self, xchg: Xchg, key: u64, mean: f64) -> Option<Node> {
         let mut ranked = std::mem::take(&mut self.ranked);
-        self.nodes.ranked(key, &mut ranked);
+        self.rank(key, &mut ranked);
         let cx = &self.xchgs[&xchg];
         let two = two_highest(&mut ranked, |node| self.may_take(cx, node));
         self.ranked = ranked;
-        if two.is_empty() { self.least_of_all(xchg, mean) } else { self.least(&two, mean) }
+        let lighter = |one: &Node, other: &Node| self.load(*one, mean).total_cmp(&self.load(*other, mean));
+        match two.iter().copied().min_by(lighter) {
+            Some(node) => Some(node),
+            None => self.least_of_all(xchg, mean),
+        }
     }
 
-    /// The least loaded cache overall that may take the exchange.
+    /// The least loaded cache overall that may take the exchange; of equals the one that ranks highest for its
+    /// key. Guards fleets of many proxies, where most loads are equal, from a copy of each key at every node.
     fn least_of_all(&mut self, xchg: Xchg, mean: f64) -> Option<Node> {
         let cx = &self.xchgs[&xchg];
         let draws = if cx.may_have_run() && !self.routes[cx.ask.route].free() { 0 } else { DRAWS };
-        let mut not = std::mem::take(&mut self.not);
+        let (mut not, mut ranked) = (std::mem::take(&mut self.not), std::mem::take(&mut self.ranked));
         not.clear();
         not.extend(cx.tries.iter().map(|t| t.node));
         not.sort_unstable();
         not.dedup();
+        ranked.clear();
+        if let Some(key) = cx.ask.key.filter(|_| draws > 0) {
+            self.rank(key, &mut ranked);
+        }
+        let mut found = None;
         for _ in 0..draws {
             let Some(least) = self.nodes.least(mean, &not) else { break };
+            let (cx, equal) = (&self.xchgs[&xchg], |node| self.load(node, mean) == least.load);
+            let takes = |node: Node| !not.contains(&node) && equal(node) && self.may_take(cx, node);
+            found = ranked.iter().filter(|ranked| takes(ranked.1)).max().map(|ranked| ranked.1);
+            if found.is_some() {
+                break;
+            }
             let place = self.draw(least.ties);
-            let node = self.nodes.tie(mean, &not, place)?;
+            let Some(node) = self.nodes.tie(mean, &not, place) else { break };
             if self.may_take(&self.xchgs[&xchg], node) {
-                self.not = not;
-                return Some(node);
+                found = Some(node);
+                break;
             }
             not.push(node);
         }
         let all = self.nodes.least(mean, &not).is_none();
-        self.not = not;
+        (self.not, self.ranked) = (not, ranked);
+        if found.is_some() {
+            return found;
+        }
         // A repeat that only some nodes discard, or work too heavy for cold ones: looked for one by one.
         let (cx, caches) = (&self.xchgs[&xchg], 0..if all { 0 } else { self.nodes.caches.len() });
         let takes = |&node: &Node| Some(node) != self.origin && self.may_take(cx, node);
@@ -342,6 +371,21 @@
         self.least(&takers, mean)
     }
 
+    /// The nodes of a key's group by rendezvous hash, each as likely to be first as it has capacity: what the
+    /// list says of its size, over what its kind of machine takes for an answer.
+    fn rank(&mut self, key: u64, ranked: &mut Vec<(u64, Node)>) {
+        self.nodes.ranked(key, ranked);
+        for (rank, node) in ranked {
+            let part = (*rank as f64 + 1.0) / u64::MAX as f64;
+            *rank = !(-part.ln().min(0.0) / self.capacity(*node)).to_bits();
+        }
+    }
+
+    fn capacity(&self, node: Node) -> f64 {
+        let Listed { kind, rating, .. } = self.nodes.caches[node].listed;
+        rating / self.kinds.get(kind).map_or(self.usual, |(_, took)| *took).max(1e-6)
+    }
+
     /// The least loaded of these, ties broken at random.
     fn least(&mut self, among: &[Node], mean: f64) -> Option<Node> {
         let lowest = among.iter().map(|&node| self.load(node, mean)).fold(f64::INFINITY, f64::min);
@@ -420,7 +464,20 @@
     fn send(&mut self, xchg: Xchg, node: Node) {
         let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
         cx.start(self.now, node);
-        let (work, left) = (cx.ask.work(), cx.ends().saturating_sub(self.now));
+        let cx = &self.xchgs[&xchg];
+        let work = cx.ask.work();
+        let (ends, route) = (cx.ends(), &self.routes[cx.ask.route]);
+        let first = route.free()
+            && cx.tries.len() == 1
+            && self.rules.most_tries > 2
+            && self.origin.is_some_and(|o| o != node)
+            && self.origin_fits(xchg);
+        let until = if first {
+            (cx.arrived + route.objective / 2).max(self.now + route.objective / 8).min(ends)
+        } else {
+            ends
+        };
+        let left = until.saturating_sub(self.now);
         let rests = (!self.warm(node)).then(|| {
             let saved = self.rules.fall / 2;
             let from = self.nodes.caches[node].rests_until.max(self.now.saturating_sub(saved));
@@ -615,7 +672,7 @@
         self.host.log(&format!("node {node} cold: one exchange in {:.1} s at first", pause / 1e9));
     }
 
-    fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome) {
+    fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome, early: bool) {
         let now = self.now;
         let enough = if self.rules.probes { (FAILURES / self.fleet).max(1.0) } else { f64::INFINITY };
         let failures = self.nodes.change(node, |cache| {
@@ -624,6 +681,8 @@
                 Outcome::Completed | Outcome::Missed => cache.failures = cache.failures.saturating_sub(1),
                 Outcome::Saturated => cache.refuses_until = now + TICK,
                 Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
+                // Slow, as long as its exchange has time left; else a failure, unless it gave signs of life since.
+                Outcome::Overdue if early => cache.refuses_until = now + SLOW_LAST,
                 Outcome::Overdue if cache.owes_since > sent => {}
                 _ => cache.failures += 1,
             }
@@ -635,6 +694,11 @@
         if Some(node) != self.origin {
             self.all.end(now, sent, outcome);
         }
+        if outcome == Outcome::Completed && Some(node) != self.origin {
+            let kind = self.nodes.caches[node].listed.kind;
+            self.kinds.resize(self.kinds.len().max(kind + 1), (Ring::new(60 * SECOND), self.usual));
+            self.kinds[kind].0.add(now, now.saturating_sub(sent) as f64 / 1e9);
+        }
         if let Some(failures) = failures {
             self.host.log(&format!("node {node} aside: {failures} failures, last {outcome:?}"));
         }
@@ -644,6 +708,10 @@
     fn measure_all(&mut self) {
         let (sum, count) = self.rates.iter().flatten().fold((0.0, 0), |(sum, n), rate| (sum + rate, n + 1));
         self.normal.add(self.now, sum / f64::from(count.max(1)));
+        self.usual = self.all.minute.mean(self.now).unwrap_or(self.usual);
+        for (took, mean) in &mut self.kinds {
+            *mean = took.mean(self.now).unwrap_or(self.usual);
+        }
         let caches = self.serving() / self.fleet;
         measure(self.now, &mut self.all, (ROOM, FEW * caches, f64::INFINITY));
         self.origin.into_iter().for_each(|origin| self.measure_node(origin));
@@ -654,7 +722,10 @@
         let counts = self.nodes.caches[node].serves() && self.warm(node);
         let cache = &mut self.nodes.caches[node];
         let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
-        let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * caches, f64::INFINITY);
+        let objective = self.routes.iter().map(|route| route.objective).min().unwrap_or(SECOND);
+        let lately = cache.flow.answers.mean(self.now).unwrap_or(0.0) * QUICK * 1e9 / objective as f64;
+        let more = (1.0 / lately).clamp(1.0, MORE);
+        let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * more * caches, f64::INFINITY);
         let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
         measure(self.now, &mut cache.flow, bounds);
         self.rates.resize(self.rates.len().max(node + 1), None);
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -91,7 +91,7 @@
 }
 
 /// A node as discovery lists it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Listed {
     /// A hash of the node's address, the same at every proxy.
     pub identity: u64,
@@ -101,6 +101,25 @@
     /// When its process started; 0 for long ago.
     pub started: Nanos,
     pub origin: bool,
+    /// Its kind of machine: nodes of one kind are about as fast.
+    pub kind: usize,
+    /// Its size beside that of others, as the list states it.
+    pub rating: f64,
+}
+
+impl Default for Listed {
+    fn default() -> Self {
+        Listed {
+            identity: 0,
+            zone: 0,
+            cell: 0,
+            standing: Standing::Gone,
+            started: 0,
+            origin: false,
+            kind: 0,
+            rating: 1.0,
+        }
+    }
 }
 
 impl Listed {
--- a/crates/lab/src/seat.rs
+++ b/crates/lab/src/seat.rs
@@ -484,5 +484,6 @@
         },
         started: entry.started,
         origin: is_origin,
+        ..Listed::default()
     }
 }
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -159,6 +159,7 @@
         standing,
         started: number("boot_ms") * MILLIS,
         origin: origin.is_some() && origin == text("model"),
+        ..Listed::default()
     };
     Ok(Named { uid: uid.to_string(), address, listed })
 }
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -15,6 +15,7 @@
     routes: Vec<String>,
     tenants: Vec<String>,
     zones: Vec<String>,
+    kinds: Vec<String>,
     origin_kind: Option<String>,
     /// Where a load report says how much is in flight.
     in_flight: Option<usize>,
@@ -36,6 +37,7 @@
             tenants: names::list(&settings, "/orgs", "/name"),
             zones: names::list(&settings, "/failure-domains", ""),
             origin_kind: origin.and_then(|kind| kinds.get(kind as usize).cloned()),
+            kinds,
             in_flight: columns.iter().position(|column| column == "concurrent"),
             last: 0,
         })
@@ -70,7 +72,7 @@
     }
 
     fn describe(&self, entry: &Entry) -> Result<Listed> {
-        let Entry(cell, started, address, _, zone, mode, kind) = entry;
+        let Entry(cell, started, address, rating, zone, mode, kind) = entry;
         Ok(Listed {
             identity: identity(address),
             zone: self.zones.iter().position(|name| Some(name) == zone.as_ref()).unwrap_or(self.zones.len()),
@@ -83,6 +85,8 @@
             },
             started: started.unwrap_or(0) * NANOS,
             origin: kind.is_some() && *kind == self.origin_kind,
+            kind: self.kinds.iter().position(|name| Some(name) == kind.as_ref()).unwrap_or(self.kinds.len()),
+            rating: rating.filter(|rating| *rating > 0.0).unwrap_or(1.0),
         })
     }
 
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -27,7 +27,7 @@
     pub Option<u64>,
     pub Option<u64>,
     pub String,
-    pub serde::de::IgnoredAny,
+    pub Option<f64>,
     pub Option<String>,
     pub u64,
     pub Option<String>,
