--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -42,6 +42,7 @@
 const ORIGIN_ROOM: f64 = 2.0;
 const ENOUGH: u32 = 10;
 const FEW: f64 = 9.0;
+/// Answers are quick below the shortest objective over this; its least room is then more, so many times at most.
 const QUICK: f64 = 3.0;
 const MORE: f64 = 3.0;
 const ORIGIN_FEW: [f64; 2] = [1.8, 1.3];
@@ -632,9 +633,11 @@
         flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved - reserve)
     }
 
-    /// What the tenant had lately of this proxy's part of its quota.
+    /// What the tenant had lately of this proxy's part of its quota. Guards proxies that see far more than an
+    /// equal part of all tenants' traffic: their part of each quota is as much larger.
     fn part_had(&self, tenant: Option<usize>) -> f64 {
-        let served = |tenant: &Tenant| tenant.served.rate(self.now) * self.fleet / tenant.quota;
+        let part = (1.0 / self.fleet).max(self.tenants.all_had(self.now));
+        let served = |tenant: &Tenant| tenant.served.rate(self.now) / tenant.quota / part;
         self.tenants.get(tenant).map_or(0.0, served)
     }
 
@@ -713,18 +716,17 @@
             *mean = took.mean(self.now).unwrap_or(self.usual);
         }
         let caches = self.serving() / self.fleet;
-        measure(self.now, &mut self.all, (ROOM, FEW * caches, f64::INFINITY));
+        let few = FEW * caches * self.more(&self.all);
+        measure(self.now, &mut self.all, (ROOM, few, f64::INFINITY));
         self.origin.into_iter().for_each(|origin| self.measure_node(origin));
     }
 
     fn measure_node(&mut self, node: Node) {
         let (caches, few) = (self.serving() / self.fleet, (FEW / self.fleet).floor().max(1.0));
         let counts = self.nodes.caches[node].serves() && self.warm(node);
+        let more = self.more(&self.nodes.caches[node].flow);
         let cache = &mut self.nodes.caches[node];
         let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
-        let objective = self.routes.iter().map(|route| route.objective).min().unwrap_or(SECOND);
-        let lately = cache.flow.answers.mean(self.now).unwrap_or(0.0) * QUICK * 1e9 / objective as f64;
-        let more = (1.0 / lately).clamp(1.0, MORE);
         let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * more * caches, f64::INFINITY);
         let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
         measure(self.now, &mut cache.flow, bounds);
@@ -732,6 +734,13 @@
         self.rates[node] = counts.then(|| cache.flow.answers.rate(self.now));
     }
 
+    /// How many times its least part a proxy may have in flight while answers take little of the shortest
+    /// objective. Guards busy proxies among many idle ones: what these leave unused shows as quick answers.
+    fn more(&self, flow: &Flow) -> f64 {
+        let took = flow.answers.mean(self.now).unwrap_or(0.0);
+        (self.rules.objective as f64 / 1e9 / QUICK / took).clamp(1.0, MORE)
+    }
+
     /// Measures the nodes whose turn it is, and dismisses those that are done.
     fn take_turns(&mut self) {
         let count = self.nodes.caches.len();
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -273,6 +273,8 @@
     pub fall: Nanos,
     pub start_capacity: f64,
     pub most_tries: usize,
+    /// The shortest of all routes.
+    pub objective: Nanos,
     pub surplus_payoff: f64,
     pub peers: bool,
     pub pauses: bool,
@@ -288,6 +290,7 @@
             fall: settings.time("fall", SECOND),
             start_capacity: settings.number("start_capacity", 1.0),
             most_tries: settings.number("most_tries", 1.0) as usize,
+            objective: Route::all(settings).iter().map(|route| route.objective).min().unwrap_or(SECOND),
             surplus_payoff: settings.number("surplus_payoff", 1.0),
             peers: settings.flag("peers"),
             pauses: settings.flag("pauses"),
@@ -358,6 +361,12 @@
         self.0.get(tenant?)
     }
 
+    /// What all together are served, beside all their quotas.
+    pub fn all_had(&self, now: Nanos) -> f64 {
+        let served: f64 = self.0.iter().map(|tenant| tenant.served.rate(now)).sum();
+        served / self.0.iter().map(|tenant| tenant.quota).sum::<f64>().max(1.0)
+    }
+
     pub fn serve(&mut self, now: Nanos, tenant: Option<usize>) {
         if let Some(tenant) = tenant.and_then(|tenant| self.0.get_mut(tenant)) {
             tenant.served.add(now, 1.0);
