--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -48,7 +48,7 @@
 const ORIGIN_FEW: [f64; 2] = [1.8, 1.3];
 /// How many times their best time answers may take before a node's room shrinks.
 const SLOW: f64 = 1.5;
-const SLOW_LAST: Nanos = 2 * SECOND;
+const SLOW_LAST: Nanos = 10 * SECOND;
 /// Exchanges that unused room adds up to at most: a part below one is one now and then.
 const SAVED: f64 = 3.0;
 /// How much more than its part of the traffic a proxy may see.
