--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -678,6 +678,8 @@
     fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome, early: bool) {
         let now = self.now;
         let enough = if self.rules.probes { (FAILURES / self.fleet).max(1.0) } else { f64::INFINITY };
+        let often = self.all.answers.rate(now) / self.serving();
+        let slow = (FEW / often * SECOND as f64) as Nanos;
         let failures = self.nodes.change(node, |cache| {
             cache.end(now, sent, outcome);
             match outcome {
@@ -685,7 +687,7 @@
                 Outcome::Saturated => cache.refuses_until = now + TICK,
                 Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
                 // Slow, as long as its exchange has time left; else a failure, unless it gave signs of life since.
-                Outcome::Overdue if early => cache.refuses_until = now + SLOW_LAST,
+                Outcome::Overdue if early => cache.refuses_until = now + slow.min(SLOW_LAST),
                 Outcome::Overdue if cache.owes_since > sent => {}
                 _ => cache.failures += 1,
             }
