--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -44,7 +44,8 @@
 const FEW: f64 = 9.0;
 /// Answers are quick below the shortest objective over this; its least room is then more, so many times at most.
 const QUICK: f64 = 3.0;
-const MORE: f64 = 3.0;
+const ORIGIN_QUICK: f64 = 1.5;
+const MORE: f64 = 4.0;
 const ORIGIN_FEW: [f64; 2] = [1.8, 1.3];
 /// How many times their best time answers may take before a node's room shrinks.
 const SLOW: f64 = 1.5;
@@ -472,7 +473,8 @@
             && cx.tries.len() == 1
             && self.rules.most_tries > 2
             && self.origin.is_some_and(|o| o != node)
-            && self.origin_fits(xchg);
+            && self.origin_fits(xchg)
+            && self.more(&self.all, 3.0) > 1.0;
         let until = if first {
             (cx.arrived + route.objective / 2).max(self.now + route.objective / 8).min(ends)
         } else {
@@ -718,7 +720,7 @@
             *mean = took.mean(self.now).unwrap_or(self.usual);
         }
         let caches = self.serving() / self.fleet;
-        let few = FEW * caches * self.more(&self.all);
+        let few = FEW * caches * self.more(&self.all, QUICK);
         measure(self.now, &mut self.all, (ROOM, few, f64::INFINITY));
         self.origin.into_iter().for_each(|origin| self.measure_node(origin));
     }
@@ -726,7 +728,8 @@
     fn measure_node(&mut self, node: Node) {
         let (caches, few) = (self.serving() / self.fleet, (FEW / self.fleet).floor().max(1.0));
         let counts = self.nodes.caches[node].serves() && self.warm(node);
-        let more = self.more(&self.nodes.caches[node].flow);
+        let quick = if Some(node) == self.origin { ORIGIN_QUICK } else { QUICK };
+        let more = self.more(&self.nodes.caches[node].flow, quick);
         let cache = &mut self.nodes.caches[node];
         let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
         let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * more * caches, f64::INFINITY);
@@ -738,9 +741,9 @@
 
     /// How many times its least part a proxy may have in flight while answers take little of the shortest
     /// objective. Guards busy proxies among many idle ones: what these leave unused shows as quick answers.
-    fn more(&self, flow: &Flow) -> f64 {
+    fn more(&self, flow: &Flow, quick: f64) -> f64 {
         let took = flow.answers.mean(self.now).unwrap_or(0.0);
-        (self.rules.objective as f64 / 1e9 / QUICK / took).clamp(1.0, MORE)
+        (self.rules.objective as f64 / 1e9 / quick / took).clamp(1.0, MORE)
     }
 
     /// Measures the nodes whose turn it is, and dismisses those that are done.
