--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -9,7 +9,7 @@
 use crate::fetches::{Fetch, Fetches};
 use crate::fleet::{Finder, Fleet, Indexed};
 use crate::groups::two_highest;
-use crate::host::{Ask, Host, Listed, Nanos, Node, Outcome, Repeat, Standing, Xchg};
+use crate::host::{Ask, Held, Host, Listed, Nanos, Node, Outcome, Repeat, Standing, Xchg};
 use crate::ranks::Bits;
 use crate::ring::{Allowance, Ring};
 use crate::settings::Settings;
@@ -24,13 +24,13 @@
 const FOLLOW_WAIT: Nanos = 4 * SECOND;
 /// T is this multiple of the mean load over the ready caches, and no less than this proxy's part of FEW.
 const T_FACTOR: f64 = 1.5;
-const HOT: f64 = 4.0;
 /// Keys in the table; members leave their set when unpicked for so long.
 const TABLE_KEYS: usize = 1 << 16;
 const UNPICKED: Nanos = 10 * SECOND;
 /// A change of load that peers hear of, and how long news count: guards against peers that died.
 const NEWS: usize = 4;
 const NEWS_LAST: Nanos = 5 * SECOND;
+const REPORT_LAST: Nanos = SECOND / 2;
 /// Deliveries of news that an exchange allows: guards large fleets, where set changes are not rare.
 const NEWS_PART: f64 = 8.0;
 /// Failures beyond the answers since, of the whole fleet, that set a node aside; probes that bring it back.
@@ -110,7 +110,7 @@
             fleet: settings.number("fleet", 1.0),
             rules: Rules::new(&settings),
             routes: Route::all(&settings),
-            nodes: Fleet::new(settings.time("cold", 0), NEWS_LAST),
+            nodes: Fleet::new(settings.time("cold", 0), NEWS_LAST, REPORT_LAST),
             all: Flow::default(),
             origin: None,
             table: Table::new(TABLE_KEYS, UNPICKED),
@@ -219,12 +219,17 @@
         self.follow_wait = (2 * self.follow_wait).min(FOLLOW_WAIT);
     }
 
-    pub fn reported(&mut self, now: Nanos, node: Node, in_flight: f64) {
+    /// Where a node tells its queue alone, this proxy's own exchanges there count as in work.
+    pub fn reported(&mut self, now: Nanos, node: Node, held: Held) {
         self.at(now);
         if node < self.nodes.caches.len() {
             self.nodes.change(node, |cache| {
                 cache.heard = true;
-                let (in_flight, own) = (in_flight as usize, cache.flow.in_flight);
+                let own = cache.flow.in_flight;
+                let in_flight = match held {
+                    Held::InFlight(count) => count as usize,
+                    Held::Waiting(count) => count as usize + own,
+                };
                 cache.report = Some(Report { in_flight, own, at: now });
             });
         }
@@ -298,7 +303,7 @@
     /// Past T now, or on average: one of many proxies seldom has two at a node, and would see no hot key.
     fn past_t(&self, node: Node, mean: f64) -> bool {
         let lately = self.all.average(self.now) / self.serving();
-        let some = HOT * self.usual / 2.0;
+        let some = FEW * self.usual / 2.0;
         self.load(node, mean) > (T_FACTOR * mean).max(FEW / self.fleet).max(1.0)
             || self.nodes.caches[node].flow.average(self.now)
                 > (T_FACTOR * lately).max(2.0 * FEW / self.fleet).max(some)
@@ -343,13 +348,15 @@
         ranked.clear();
         if let Some(key) = cx.ask.key.filter(|_| draws > 0) {
             self.rank(key, &mut ranked);
+            ranked.sort_unstable_by(|one, other| other.cmp(one));
         }
         let mut found = None;
         for _ in 0..draws {
             let Some(least) = self.nodes.least(mean, &not) else { break };
             let (cx, equal) = (&self.xchgs[&xchg], |node| self.load(node, mean) == least.load);
             let takes = |node: Node| !not.contains(&node) && equal(node) && self.may_take(cx, node);
-            found = ranked.iter().filter(|ranked| takes(ranked.1)).max().map(|ranked| ranked.1);
+            let free = |&&(_, node): &&(u64, Node)| takes(node) && !self.past_t(node, mean);
+            found = ranked.iter().find(free).map(|ranked| ranked.1);
             if found.is_some() {
                 break;
             }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -18,6 +18,8 @@
     /// How long a new process takes to warm, and how long news count.
     pub cold: Nanos,
     pub last: Nanos,
+    /// How long reports count.
+    pub reports: Nanos,
 }
 
 /// Where a node stands for a search; none for one that takes nothing.
@@ -144,11 +146,12 @@
     now: Nanos,
     cold: Nanos,
     last: Nanos,
+    reports: Nanos,
 }
 
 impl<F: Finder> Fleet<F> {
     /// With how long a new process takes to warm, and how long news and reports count.
-    pub fn new(cold: Nanos, last: Nanos) -> Self {
+    pub fn new(cold: Nanos, last: Nanos, reports: Nanos) -> Self {
         Fleet {
             caches: Vec::new(),
             finder: F::default(),
@@ -161,11 +164,13 @@
             now: 0,
             cold,
             last,
+            reports,
         }
     }
 
     pub fn view(&self) -> View<'_> {
-        View { caches: &self.caches, now: self.now, cold: self.cold, last: self.last }
+        let Fleet { caches, now, cold, last, reports, .. } = self;
+        View { caches, now: *now, cold: *cold, last: *last, reports: *reports }
     }
 
     /// Time has passed: what grew too old no longer counts.
@@ -214,7 +219,7 @@
 
     fn place(&mut self, node: Node) {
         let (cache, now) = (&mut self.caches[node], self.now);
-        if cache.report.is_some_and(|report| now >= report.at + self.last) {
+        if cache.report.is_some_and(|report| now >= report.at + self.reports) {
             cache.report = None;
         }
         let (load, warm) = (cache.whole_load(), cache.warm(now, self.cold));
@@ -236,7 +241,7 @@
             self.aside.remove(&node);
         }
         let later = [
-            cache.report.map(|report| report.at + self.last),
+            cache.report.map(|report| report.at + self.reports),
             Some(cache.refuses_until),
             (!warm).then_some(cache.rests_until),
             (!warm).then_some(cache.listed.started.saturating_add(self.cold)),
@@ -270,8 +275,8 @@
     /// The first nodes of a key's group, each with its rank for the key.
     pub fn ranked(&mut self, key: u64, into: &mut Vec<(u64, Node)>) {
         into.clear();
-        let Fleet { finder, caches, now, cold, last, .. } = self;
-        finder.ranked(View { caches, now: *now, cold: *cold, last: *last }, key, into);
+        let Fleet { finder, caches, now, cold, last, reports, .. } = self;
+        finder.ranked(View { caches, now: *now, cold: *cold, last: *last, reports: *reports }, key, into);
     }
 
     /// Those that are set aside.
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// What a node says that it holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Held {
+    /// Exchanges waiting and in work.
+    InFlight(f64),
+    /// Exchanges waiting alone.
+    Waiting(f64),
+}
+
 /// How an upstream try ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod table;
 
 pub use balance::Balance;
-pub use host::{Ask, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
+pub use host::{Ask, Held, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
 pub use settings::Settings;
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -1,7 +1,7 @@
 //! What both hosts share: the settings under this project's names, and what stands for nodes between proxies.
 
 use pumicebay_core::settings::Value;
-use pumicebay_core::{Balance, Host, Nanos, Node, Settings};
+use pumicebay_core::{Balance, Held, Host, Nanos, Node, Settings};
 use serde_json::Value as Json;
 
 /// Settings give times in microseconds.
@@ -88,6 +88,15 @@
     wire.pointer(place).and_then(Json::as_str).unwrap_or_default()
 }
 
+/// What a figure of a load report tells, by its name; nothing for a name that is not about what a node holds.
+pub fn held(name: &str, count: f64) -> Option<Held> {
+    match name {
+        "concurrent" | "inflight" => Some(Held::InFlight(count)),
+        "depth" | "queue" => Some(Held::Waiting(count)),
+        _ => None,
+    }
+}
+
 /// The names in a list of the settings; their positions are the decisions' indices.
 pub fn list(wire: &Json, place: &str, field: &str) -> Vec<String> {
     let members = wire.pointer(place).and_then(Json::as_array).map_or(&[][..], |members| members);
