--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -11,9 +11,9 @@
 use crate::groups::two_highest;
 use crate::host::{Ask, Held, Host, Listed, Nanos, Node, Outcome, Repeat, Standing, Xchg};
 use crate::ranks::Bits;
-use crate::ring::{Allowance, Ring};
+use crate::ring::Ring;
 use crate::settings::Settings;
-use crate::state::{Cache, Cx, Flow, Report, Route, Rules, Tenant, Tenants, Try};
+use crate::state::{Cache, Cx, Flow, Kinds, Route, Rules, Tenant, Tenants, Try};
 use crate::table::Table;
 use hashbrown::HashMap;
 use oorandom::Rand32;
@@ -27,12 +27,8 @@
 /// Keys in the table; members leave their set when unpicked for so long.
 const TABLE_KEYS: usize = 1 << 16;
 const UNPICKED: Nanos = 10 * SECOND;
-/// A change of load that peers hear of, and how long news count: guards against peers that died.
-const NEWS: usize = 4;
-const NEWS_LAST: Nanos = 5 * SECOND;
+/// How long a report counts: a queue is gone soon.
 const REPORT_LAST: Nanos = SECOND / 2;
-/// Deliveries of news that an exchange allows: guards large fleets, where set changes are not rare.
-const NEWS_PART: f64 = 8.0;
 /// Failures beyond the answers since, of the whole fleet, that set a node aside; probes that bring it back.
 const FAILURES: f64 = 9.0;
 const PROBES: usize = 2;
@@ -42,13 +38,14 @@
 const ORIGIN_ROOM: f64 = 2.0;
 const ENOUGH: u32 = 10;
 const FEW: f64 = 9.0;
-/// Answers are quick below the shortest objective over this; its least room is then more, so many times at most.
+const ORIGIN_FEW: [f64; 2] = [1.8, 1.3];
+/// Answers are quick below the shortest objective over this: the least room is then so many times as large.
 const QUICK: f64 = 3.0;
 const ORIGIN_QUICK: f64 = 1.5;
 const MORE: f64 = 4.0;
-const ORIGIN_FEW: [f64; 2] = [1.8, 1.3];
 /// How many times their best time answers may take before a node's room shrinks.
 const SLOW: f64 = 1.5;
+/// A node that let a first try run out counts as refusing for FEW of this proxy's asks, no longer than this.
 const SLOW_LAST: Nanos = 10 * SECOND;
 /// Exchanges that unused room adds up to at most: a part below one is one now and then.
 const SAVED: f64 = 3.0;
@@ -82,13 +79,10 @@
     normal: Ring<20>,
     /// What each warm cache that serves answers a second, as of its turn, and whose turn is next.
     rates: Vec<Option<f64>>,
-    /// How long answers of each kind of machine take, in seconds, with what it was at the last tick; and of all.
-    kinds: Vec<(Ring<20>, f64)>,
-    usual: f64,
+    kinds: Kinds,
     turn: Node,
     follow_at: Nanos,
     follow_wait: Nanos,
-    news: Allowance,
     /// Kept for their memory.
     set: Vec<Node>,
     ranked: Vec<(u64, Node)>,
@@ -110,7 +104,7 @@
             fleet: settings.number("fleet", 1.0),
             rules: Rules::new(&settings),
             routes: Route::all(&settings),
-            nodes: Fleet::new(settings.time("cold", 0), NEWS_LAST, REPORT_LAST),
+            nodes: Fleet::new(settings.time("cold", 0), REPORT_LAST),
             all: Flow::default(),
             origin: None,
             table: Table::new(TABLE_KEYS, UNPICKED),
@@ -121,12 +115,10 @@
             asked: Ring::new(2 * SECOND),
             normal: Ring::new(60 * SECOND),
             rates: Vec::new(),
-            kinds: Vec::new(),
-            usual: 0.0,
+            kinds: Kinds::default(),
             turn: 0,
             follow_at: 0,
             follow_wait: TICK,
-            news: Allowance::default(),
             set: Vec::new(),
             ranked: Vec::new(),
             not: Vec::new(),
@@ -145,8 +137,6 @@
     pub fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
         self.at(now);
         self.asked.add(now, ask.work());
-        let news = if self.rules.peers { NEWS_PART } else { 0.0 };
-        self.news.add(news, NEWS_PART * self.fleet);
         self.xchgs.insert(xchg, Cx::new(ask, now, self.worth(&ask)));
         self.place(xchg);
     }
@@ -219,19 +209,10 @@
         self.follow_wait = (2 * self.follow_wait).min(FOLLOW_WAIT);
     }
 
-    /// Where a node tells its queue alone, this proxy's own exchanges there count as in work.
     pub fn reported(&mut self, now: Nanos, node: Node, held: Held) {
         self.at(now);
         if node < self.nodes.caches.len() {
-            self.nodes.change(node, |cache| {
-                cache.heard = true;
-                let own = cache.flow.in_flight;
-                let in_flight = match held {
-                    Held::InFlight(count) => count as usize,
-                    Held::Waiting(count) => count as usize + own,
-                };
-                cache.report = Some(Report { in_flight, own, at: now });
-            });
+            self.nodes.change(node, |cache| cache.report(now, held));
         }
     }
 
@@ -246,19 +227,6 @@
         }
     }
 
-    pub fn peer_load(&mut self, now: Nanos, peer: usize, node: Node, in_flight: usize) {
-        self.at(now);
-        if node < self.nodes.caches.len() {
-            self.nodes.tell(node, peer, in_flight);
-        }
-    }
-
-    pub fn peer_joined(&mut self, now: Nanos, node: Node, key: u64) {
-        if self.nodes.caches.get(node).is_some_and(Cache::serves) {
-            self.table.pick(now, key, node);
-        }
-    }
-
     // ---- The ordinary path --------------------------------------------------------------------
 
     fn place(&mut self, xchg: Xchg) {
@@ -300,76 +268,47 @@
         Some(chosen)
     }
 
-    /// Past T now, or on average: one of many proxies seldom has two at a node, and would see no hot key.
+    /// Past T now, or on average: one of many proxies seldom has two at a node, and would see no hot key. Of
+    /// that a few exchanges' worth: guards proxies with little traffic from copies by chance.
     fn past_t(&self, node: Node, mean: f64) -> bool {
         let lately = self.all.average(self.now) / self.serving();
-        let some = FEW * self.usual / 2.0;
+        let some = (2.0 * FEW / self.fleet).max(FEW * self.kinds.usual / 2.0);
         self.load(node, mean) > (T_FACTOR * mean).max(FEW / self.fleet).max(1.0)
-            || self.nodes.caches[node].flow.average(self.now)
-                > (T_FACTOR * lately).max(2.0 * FEW / self.fleet).max(some)
+            || self.nodes.caches[node].flow.average(self.now) > (T_FACTOR * lately).max(some)
     }
 
     fn serve(&mut self, xchg: Xchg, node: Node) {
         let Ask { key, tenant, .. } = self.xchgs[&xchg].ask;
         self.tenants.serve(self.now, tenant);
-        if let Some(key) = key
-            && self.table.pick(self.now, key, node)
-            && self.news.spend(self.fleet)
-        {
-            self.host.tell_joined(node, key);
+        if let Some(key) = key {
+            self.table.pick(self.now, key, node);
         }
         self.send(xchg, node);
     }
 
-    /// The less busy of the key's two highest rendezvous-hash caches, of its group or, if none takes it, of all.
+    /// The less busy of the key's two highest rendezvous-hash caches; where none takes it, the least of all.
     fn seed(&mut self, xchg: Xchg, key: u64, mean: f64) -> Option<Node> {
+        self.rank(key);
         let mut ranked = std::mem::take(&mut self.ranked);
-        self.rank(key, &mut ranked);
         let cx = &self.xchgs[&xchg];
         let two = two_highest(&mut ranked, |node| self.may_take(cx, node));
         self.ranked = ranked;
         let lighter = |one: &Node, other: &Node| self.load(*one, mean).total_cmp(&self.load(*other, mean));
-        match two.iter().copied().min_by(lighter) {
-            Some(node) => Some(node),
-            None => self.least_of_all(xchg, mean),
-        }
+        two.iter().copied().min_by(lighter).or_else(|| self.least_of_all(xchg, mean))
     }
 
-    /// The least loaded cache overall that may take the exchange; of equals the one that ranks highest for its
-    /// key. Guards fleets of many proxies, where most loads are equal, from a copy of each key at every node.
+    /// The least loaded cache overall that may take the exchange.
     fn least_of_all(&mut self, xchg: Xchg, mean: f64) -> Option<Node> {
         let cx = &self.xchgs[&xchg];
-        let draws = if cx.may_have_run() && !self.routes[cx.ask.route].free() { 0 } else { DRAWS };
-        let (mut not, mut ranked) = (std::mem::take(&mut self.not), std::mem::take(&mut self.ranked));
+        let mut not = std::mem::take(&mut self.not);
         not.clear();
         not.extend(cx.tries.iter().map(|t| t.node));
         not.sort_unstable();
         not.dedup();
-        ranked.clear();
-        if let Some(key) = cx.ask.key.filter(|_| draws > 0) {
-            self.rank(key, &mut ranked);
-            ranked.sort_unstable_by(|one, other| other.cmp(one));
-        }
-        let mut found = None;
-        for _ in 0..draws {
-            let Some(least) = self.nodes.least(mean, &not) else { break };
-            let (cx, equal) = (&self.xchgs[&xchg], |node| self.load(node, mean) == least.load);
-            let takes = |node: Node| !not.contains(&node) && equal(node) && self.may_take(cx, node);
-            let free = |&&(_, node): &&(u64, Node)| takes(node) && !self.past_t(node, mean);
-            found = ranked.iter().find(free).map(|ranked| ranked.1);
-            if found.is_some() {
-                break;
-            }
-            let place = self.draw(least.ties);
-            let Some(node) = self.nodes.tie(mean, &not, place) else { break };
-            if self.may_take(&self.xchgs[&xchg], node) {
-                found = Some(node);
-                break;
-            }
-            not.push(node);
-        }
+        let few = cx.may_have_run() && !self.routes[cx.ask.route].free();
+        let found = if few { None } else { self.draw_least(xchg, mean, &mut not) };
         let all = self.nodes.least(mean, &not).is_none();
-        (self.not, self.ranked) = (not, ranked);
+        self.not = not;
         if found.is_some() {
             return found;
         }
@@ -380,19 +319,45 @@
         self.least(&takers, mean)
     }
 
+    /// Of equals the one that ranks highest for the key, else one by chance. Guards fleets of many proxies,
+    /// where most loads are equal, from a copy of each key at every node.
+    fn draw_least(&mut self, xchg: Xchg, mean: f64, not: &mut Vec<Node>) -> Option<Node> {
+        self.ranked.clear();
+        self.xchgs[&xchg].ask.key.into_iter().for_each(|key| self.rank(key));
+        self.ranked.sort_unstable_by(|one, other| other.cmp(one));
+        for _ in 0..DRAWS {
+            let least = self.nodes.least(mean, not)?;
+            let cx = &self.xchgs[&xchg];
+            let equal = |node| self.load(node, mean) == least.load && !not.contains(&node);
+            let free = |&node: &Node| equal(node) && self.may_take(cx, node) && !self.past_t(node, mean);
+            if let Some(node) = self.ranked.iter().map(|ranked| ranked.1).find(free) {
+                return Some(node);
+            }
+            let place = self.draw(least.ties);
+            let node = self.nodes.tie(mean, not, place)?;
+            if self.may_take(&self.xchgs[&xchg], node) {
+                return Some(node);
+            }
+            not.push(node);
+        }
+        None
+    }
+
     /// The nodes of a key's group by rendezvous hash, each as likely to be first as it has capacity: what the
     /// list says of its size, over what its kind of machine takes for an answer.
-    fn rank(&mut self, key: u64, ranked: &mut Vec<(u64, Node)>) {
-        self.nodes.ranked(key, ranked);
-        for (rank, node) in ranked {
+    fn rank(&mut self, key: u64) {
+        let mut ranked = std::mem::take(&mut self.ranked);
+        self.nodes.ranked(key, &mut ranked);
+        for (rank, node) in &mut ranked {
             let part = (*rank as f64 + 1.0) / u64::MAX as f64;
             *rank = !(-part.ln().min(0.0) / self.capacity(*node)).to_bits();
         }
+        self.ranked = ranked;
     }
 
     fn capacity(&self, node: Node) -> f64 {
         let Listed { kind, rating, .. } = self.nodes.caches[node].listed;
-        rating / self.kinds.get(kind).map_or(self.usual, |(_, took)| *took).max(1e-6)
+        rating / self.kinds.took(kind)
     }
 
     /// The least loaded of these, ties broken at random.
@@ -474,20 +439,7 @@
         let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
         cx.start(self.now, node);
         let cx = &self.xchgs[&xchg];
-        let work = cx.ask.work();
-        let (ends, route) = (cx.ends(), &self.routes[cx.ask.route]);
-        let first = route.free()
-            && cx.tries.len() == 1
-            && self.rules.most_tries > 2
-            && self.origin.is_some_and(|o| o != node)
-            && self.origin_fits(xchg)
-            && self.more(&self.all, 3.0) > 1.0;
-        let until = if first {
-            (cx.arrived + route.objective / 2).max(self.now + route.objective / 8).min(ends)
-        } else {
-            ends
-        };
-        let left = until.saturating_sub(self.now);
+        let (work, until) = (cx.ask.work(), if self.cuts(xchg, node) { self.cut(cx) } else { cx.ends() });
         let rests = (!self.warm(node)).then(|| {
             let saved = self.rules.fall / 2;
             let from = self.nodes.caches[node].rests_until.max(self.now.saturating_sub(saved));
@@ -501,17 +453,22 @@
         if Some(node) != self.origin {
             self.all.start(self.now);
         }
-        self.host.send(xchg, node, left);
-        self.tell_load(node);
+        self.host.send(xchg, node, until.saturating_sub(self.now));
     }
 
-    fn tell_load(&mut self, node: Node) {
-        let cache = &self.nodes.caches[node];
-        let (told, in_flight) = (cache.told, cache.flow.in_flight);
-        if in_flight.abs_diff(told) >= NEWS && !cache.listed.origin && self.news.spend(self.fleet) {
-            self.nodes.caches[node].told = in_flight;
-            self.host.tell_load(node, in_flight);
-        }
+    /// Whether a first try at a cache is to leave time for another. Guards from nodes far slower than the
+    /// rest, while these answer quickly and the origin has room for what may follow.
+    fn cuts(&self, xchg: Xchg, node: Node) -> bool {
+        let cx = &self.xchgs[&xchg];
+        let first = cx.tries.len() == 1 && self.rules.most_tries > 2 && self.routes[cx.ask.route].free();
+        let rest = Some(node) != self.origin && self.more(&self.all, QUICK) > 1.0;
+        first && rest && self.origin_fits(xchg)
+    }
+
+    /// When it ends: halfway to the objective, once it had a fair time.
+    fn cut(&self, cx: &Cx) -> Nanos {
+        let objective = self.routes[cx.ask.route].objective;
+        (cx.arrived + objective / 2).max(self.now + objective / PATIENCE).min(cx.ends())
     }
 
     fn again(&mut self, xchg: Xchg, node: Node, outcome: Outcome) {
@@ -688,15 +645,15 @@
         let now = self.now;
         let enough = if self.rules.probes { (FAILURES / self.fleet).max(1.0) } else { f64::INFINITY };
         let often = self.all.answers.rate(now) / self.serving();
-        let slow = (FEW / often * SECOND as f64) as Nanos;
+        let slow = now + SLOW_LAST.min((FEW / often * SECOND as f64) as Nanos);
         let failures = self.nodes.change(node, |cache| {
             cache.end(now, sent, outcome);
             match outcome {
                 Outcome::Completed | Outcome::Missed => cache.failures = cache.failures.saturating_sub(1),
                 Outcome::Saturated => cache.refuses_until = now + TICK,
                 Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
-                // Slow, as long as its exchange has time left; else a failure, unless it gave signs of life since.
-                Outcome::Overdue if early => cache.refuses_until = now + slow.min(SLOW_LAST),
+                // Slow while its exchange has time left; else a failure, unless it gave signs of life since.
+                Outcome::Overdue if early => cache.refuses_until = slow,
                 Outcome::Overdue if cache.owes_since > sent => {}
                 _ => cache.failures += 1,
             }
@@ -710,22 +667,17 @@
         }
         if outcome == Outcome::Completed && Some(node) != self.origin {
             let kind = self.nodes.caches[node].listed.kind;
-            self.kinds.resize(self.kinds.len().max(kind + 1), (Ring::new(60 * SECOND), self.usual));
-            self.kinds[kind].0.add(now, now.saturating_sub(sent) as f64 / 1e9);
+            self.kinds.add(now, kind, now.saturating_sub(sent));
         }
         if let Some(failures) = failures {
             self.host.log(&format!("node {node} aside: {failures} failures, last {outcome:?}"));
         }
-        self.tell_load(node);
     }
 
     fn measure_all(&mut self) {
         let (sum, count) = self.rates.iter().flatten().fold((0.0, 0), |(sum, n), rate| (sum + rate, n + 1));
         self.normal.add(self.now, sum / f64::from(count.max(1)));
-        self.usual = self.all.minute.mean(self.now).unwrap_or(self.usual);
-        for (took, mean) in &mut self.kinds {
-            *mean = took.mean(self.now).unwrap_or(self.usual);
-        }
+        self.kinds.settle(self.now, &self.all);
         let caches = self.serving() / self.fleet;
         let few = FEW * caches * self.more(&self.all, QUICK);
         measure(self.now, &mut self.all, (ROOM, few, f64::INFINITY));
@@ -735,7 +687,9 @@
     fn measure_node(&mut self, node: Node) {
         let (caches, few) = (self.serving() / self.fleet, (FEW / self.fleet).floor().max(1.0));
         let counts = self.nodes.caches[node].serves() && self.warm(node);
-        let quick = if Some(node) == self.origin { ORIGIN_QUICK } else { QUICK };
+        // Guards an origin that stops when asked for too much: no more than its part, however quick it is.
+        let patient = Some(node) == self.origin && !self.rules.origin_falls;
+        let quick = if patient { ORIGIN_QUICK } else { QUICK };
         let more = self.more(&self.nodes.caches[node].flow, quick);
         let cache = &mut self.nodes.caches[node];
         let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -8,18 +8,16 @@
 use crate::ranks::Bits;
 use crate::state::Cache;
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap};
 
 /// What a search may look at: the nodes themselves.
 #[derive(Clone, Copy)]
 pub struct View<'a> {
     pub caches: &'a [Cache],
     pub now: Nanos,
-    /// How long a new process takes to warm, and how long news count.
+    /// How long a new process takes to warm, and how long reports count.
     pub cold: Nanos,
     pub last: Nanos,
-    /// How long reports count.
-    pub reports: Nanos,
 }
 
 /// Where a node stands for a search; none for one that takes nothing.
@@ -141,17 +139,14 @@
     serving: usize,
     aside: BTreeSet<Node>,
     due: BinaryHeap<Reverse<(Nanos, Node)>>,
-    /// Loads that peers told, in the order that they will be too old.
-    told: VecDeque<(Nanos, Node, usize)>,
     now: Nanos,
     cold: Nanos,
     last: Nanos,
-    reports: Nanos,
 }
 
 impl<F: Finder> Fleet<F> {
-    /// With how long a new process takes to warm, and how long news and reports count.
-    pub fn new(cold: Nanos, last: Nanos, reports: Nanos) -> Self {
+    /// With how long a new process takes to warm, and how long reports count.
+    pub fn new(cold: Nanos, last: Nanos) -> Self {
         Fleet {
             caches: Vec::new(),
             finder: F::default(),
@@ -160,30 +155,20 @@
             serving: 0,
             aside: BTreeSet::new(),
             due: BinaryHeap::new(),
-            told: VecDeque::new(),
             now: 0,
             cold,
             last,
-            reports,
         }
     }
 
     pub fn view(&self) -> View<'_> {
-        let Fleet { caches, now, cold, last, reports, .. } = self;
-        View { caches, now: *now, cold: *cold, last: *last, reports: *reports }
+        let Fleet { caches, now, cold, last, .. } = self;
+        View { caches, now: *now, cold: *cold, last: *last }
     }
 
     /// Time has passed: what grew too old no longer counts.
     pub fn at(&mut self, now: Nanos) {
         self.now = now;
-        while let Some(&(due, node, peer)) = self.told.front().filter(|(due, ..)| *due <= now) {
-            self.told.pop_front();
-            let cache = &mut self.caches[node];
-            if cache.peers.get(&peer).is_some_and(|(_, at)| at + self.last == due) {
-                cache.forget_peer(peer);
-                self.place(node);
-            }
-        }
         while let Some(&Reverse((due, node))) = self.due.peek().filter(|Reverse((due, _))| *due <= now) {
             self.due.pop();
             if self.counted[node].due == due {
@@ -210,16 +195,9 @@
         self.finder.listed(node, listed.identity, ready);
     }
 
-    /// A peer told how much it has in flight at a node.
-    pub fn tell(&mut self, node: Node, peer: usize, in_flight: usize) {
-        let now = self.now;
-        self.told.push_back((now + self.last, node, peer));
-        self.change(node, |cache| cache.hear_peer(peer, in_flight, now));
-    }
-
     fn place(&mut self, node: Node) {
         let (cache, now) = (&mut self.caches[node], self.now);
-        if cache.report.is_some_and(|report| now >= report.at + self.reports) {
+        if cache.report.is_some_and(|report| now >= report.at + self.last) {
             cache.report = None;
         }
         let (load, warm) = (cache.whole_load(), cache.warm(now, self.cold));
@@ -241,7 +219,7 @@
             self.aside.remove(&node);
         }
         let later = [
-            cache.report.map(|report| report.at + self.reports),
+            cache.report.map(|report| report.at + self.last),
             Some(cache.refuses_until),
             (!warm).then_some(cache.rests_until),
             (!warm).then_some(cache.listed.started.saturating_add(self.cold)),
@@ -275,8 +253,8 @@
     /// The first nodes of a key's group, each with its rank for the key.
     pub fn ranked(&mut self, key: u64, into: &mut Vec<(u64, Node)>) {
         into.clear();
-        let Fleet { finder, caches, now, cold, last, reports, .. } = self;
-        finder.ranked(View { caches, now: *now, cold: *cold, last: *last, reports: *reports }, key, into);
+        let Fleet { finder, caches, now, cold, last, .. } = self;
+        finder.ranked(View { caches, now: *now, cold: *cold, last: *last }, key, into);
     }
 
     /// Those that are set aside.
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -25,10 +25,6 @@
     fn dismiss(&mut self, node: Node);
     /// Asks discovery for changes from now on.
     fn follow(&mut self);
-    /// Tells every peer how much this proxy has in flight at a node.
-    fn tell_load(&mut self, node: Node, in_flight: usize);
-    /// Tells every peer that a node joined a key's set.
-    fn tell_joined(&mut self, node: Node, key: u64);
     fn log(&mut self, line: &str);
 }
 
--- a/crates/core/src/ring.rs
+++ b/crates/core/src/ring.rs
@@ -2,24 +2,6 @@
 
 use crate::host::Nanos;
 
-/// What may still be spent.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Allowance(f64);
-
-impl Allowance {
-    /// Adds up to no more than `most`.
-    pub fn add(&mut self, amount: f64, most: f64) {
-        self.0 = (self.0 + amount).min(most);
-    }
-
-    /// Spends all of this, or nothing.
-    pub fn spend(&mut self, amount: f64) -> bool {
-        let may = self.0 >= amount;
-        self.0 -= if may { amount } else { 0.0 };
-        may
-    }
-}
-
 /// `N` buckets, in one piece with whatever has the ring: of many nodes' measures few are in the core's cache.
 #[derive(Clone, Debug)]
 pub struct Ring<const N: usize> {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,10 +1,9 @@
 //! What the decisions remember: plain records, no choices.
 
-use crate::host::{Ask, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing};
+use crate::host::{Ask, Held, Listed, Nanos, Node, Outcome, Repeat, Scope, Standing};
 use crate::ring::Ring;
 use crate::settings::Settings;
 use smallvec::SmallVec;
-use std::collections::BTreeMap;
 
 const SECOND: Nanos = 1_000_000_000;
 
@@ -13,11 +12,6 @@
 pub struct Cache {
     pub listed: Listed,
     pub flow: Flow,
-    /// In flight from each peer that told lately, when it did, and the sum of these.
-    pub peers: BTreeMap<usize, (usize, Nanos)>,
-    told_sum: usize,
-    /// What this proxy last told its peers.
-    pub told: usize,
     pub report: Option<Report>,
     /// When it was last seen to be listed, or to owe something.
     pub live: Nanos,
@@ -107,6 +101,38 @@
     }
 }
 
+/// How long answers take, in seconds: of each kind of machine, where it is known, and of all.
+#[derive(Clone, Debug, Default)]
+pub struct Kinds {
+    took: Vec<Took>,
+    pub usual: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Took {
+    minute: Ring<20>,
+    /// The mean, as of when it was last settled.
+    mean: Option<f64>,
+}
+
+impl Kinds {
+    pub fn add(&mut self, now: Nanos, kind: usize, took: Nanos) {
+        let none = || Took { minute: Ring::new(60 * SECOND), mean: None };
+        self.took.resize_with(self.took.len().max(kind + 1), none);
+        self.took[kind].minute.add(now, took as f64 / SECOND as f64);
+    }
+
+    /// Takes the means of the last minute, so that nothing sums them up for each decision.
+    pub fn settle(&mut self, now: Nanos, all: &Flow) {
+        self.usual = all.minute.mean(now).unwrap_or(self.usual);
+        self.took.iter_mut().for_each(|took| took.mean = took.minute.mean(now).or(took.mean));
+    }
+
+    pub fn took(&self, kind: usize) -> f64 {
+        self.took.get(kind).and_then(|took| took.mean).unwrap_or(self.usual).max(1e-6)
+    }
+}
+
 /// What a node reported in flight, and this proxy's own part at that time.
 #[derive(Clone, Copy, Debug)]
 pub struct Report {
@@ -133,6 +159,17 @@
         self.flow.start(now);
     }
 
+    /// Where it tells its queue alone, this proxy's own exchanges count as in work.
+    pub fn report(&mut self, now: Nanos, held: Held) {
+        let own = self.flow.in_flight;
+        let in_flight = match held {
+            Held::InFlight(count) => count as usize,
+            Held::Waiting(count) => count as usize + own,
+        };
+        self.heard = true;
+        self.report = Some(Report { in_flight, own, at: now });
+    }
+
     /// Counts an outcome: any sign of life ends its silence.
     pub fn end(&mut self, now: Nanos, sent: Nanos, outcome: Outcome) {
         self.flow.end(now, sent, outcome);
@@ -142,21 +179,12 @@
         }
     }
 
-    pub fn hear_peer(&mut self, peer: usize, in_flight: usize, now: Nanos) {
-        let before = self.peers.insert(peer, (in_flight, now)).map_or(0, |(told, _)| told);
-        self.told_sum = self.told_sum - before + in_flight;
-    }
-
-    pub fn forget_peer(&mut self, peer: usize) {
-        self.told_sum -= self.peers.remove(&peer).map_or(0, |(told, _)| told);
-    }
-
-    /// Exchanges in flight here: as it reported plus own sends since, else own and what peers told. What is too
-    /// old is forgotten by whoever keeps the time.
+    /// Exchanges in flight here: as it reported plus own sends since, else own. What is too old is forgotten by
+    /// whoever keeps the time.
     pub fn whole_load(&self) -> u64 {
         let own = self.flow.in_flight;
         let since = |report: Report| (report.in_flight + own).saturating_sub(report.own).max(own);
-        self.report.map_or(own + self.told_sum, since) as u64
+        self.report.map_or(own, since) as u64
     }
 
     pub fn load(&self) -> f64 {
@@ -275,8 +303,9 @@
     pub most_tries: usize,
     /// The shortest of all routes.
     pub objective: Nanos,
+    /// The origin stops for a while when it is asked for too much; so it may where nothing is said of it.
+    pub origin_falls: bool,
     pub surplus_payoff: f64,
-    pub peers: bool,
     pub pauses: bool,
     pub probes: bool,
     /// The list must be asked for.
@@ -291,8 +320,8 @@
             start_capacity: settings.number("start_capacity", 1.0),
             most_tries: settings.number("most_tries", 1.0) as usize,
             objective: Route::all(settings).iter().map(|route| route.objective).min().unwrap_or(SECOND),
+            origin_falls: settings.number("origin_fall_multiple", 1.0) > 0.0,
             surplus_payoff: settings.number("surplus_payoff", 1.0),
-            peers: settings.flag("peers"),
             pauses: settings.flag("pauses"),
             probes: settings.flag("probes"),
             asks_list: settings.text("discovery") == "ask",
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -27,15 +27,14 @@
         into.extend(set.iter().map(|member| member.node));
     }
 
-    /// Puts a node in the key's set, or marks it picked; says whether it is new there.
-    pub fn pick(&mut self, now: Nanos, key: u64, node: Node) -> bool {
+    /// Puts a node in the key's set, or marks it picked.
+    pub fn pick(&mut self, now: Nanos, key: u64, node: Node) {
         let set = self.sets.get_or_insert_mut(key, Vec::new);
         if let Some(member) = set.iter_mut().find(|member| member.node == node) {
             member.picked = now;
-            return false;
+        } else {
+            set.push(Member { node, picked: now });
         }
-        set.push(Member { node, picked: now });
-        true
     }
 }
 
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -1,7 +1,7 @@
-//! What both hosts share: the settings under this project's names, and what stands for nodes between proxies.
+//! What both hosts share: the settings under this project's names, and the identities of nodes.
 
 use pumicebay_core::settings::Value;
-use pumicebay_core::{Balance, Held, Host, Nanos, Node, Settings};
+use pumicebay_core::{Held, Settings};
 use serde_json::Value as Json;
 
 /// Settings give times in microseconds.
@@ -22,7 +22,6 @@
     ("/permissions/max-retry-after-us", "max_pause"),
     ("/permissions/may-probe", "probes"),
     ("/permissions/most-upstream-tries", "most_tries"),
-    ("/permissions/peers", "peers"),
     ("/permissions/retry-after", "pauses"),
     ("/permissions/second-copies", "second_copies"),
     ("/permissions/streams-per-conn", "streams"),
@@ -113,33 +112,3 @@
         .bytes()
         .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
 }
-
-/// What stands for a node in news between peers.
-pub fn mark(address: &str) -> u64 {
-    identity(address) >> 32
-}
-
-/// Passes on news from a peer, in the words `l MARK COUNT` or `j MARK KEY`, figures in hexadecimal; says
-/// whether they made sense.
-pub fn hear<H: Host>(
-    balance: &mut Balance<H>,
-    now: Nanos,
-    peer: usize,
-    text: &str,
-    node: impl Fn(u64) -> Option<Node>,
-) -> bool {
-    let words: Vec<&str> = text.split(' ').collect();
-    let number = |word| u64::from_str_radix(word, 16).ok();
-    let [kind, mark, figure] = words[..] else { return false };
-    match (kind, number(mark).and_then(node), number(figure)) {
-        ("l", Some(node), Some(figure)) if figure <= u64::from(u16::MAX) => {
-            balance.peer_load(now, peer, node, figure as usize);
-            true
-        }
-        ("j", Some(node), Some(key)) => {
-            balance.peer_joined(now, node, key);
-            true
-        }
-        _ => false,
-    }
-}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -25,8 +25,7 @@
 const FEWEST_SOCKETS: u64 = 2 * RESERVED as u64;
 const IDLE: Duration = Duration::from_secs(15);
 const CONNECT: Duration = Duration::from_millis(200);
-const KEYS: &[&str] =
-    &["name", "listen", "discovery", "seed", "limits", "known", "settings", "peers", "peer_listen"];
+const KEYS: &[&str] = &["name", "listen", "discovery", "seed", "limits", "known", "settings"];
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -43,9 +42,6 @@
     pub ahead: usize,
     /// How many pieces of the usual longest value answers of nodes may take that are longer.
     pub large: usize,
-    /// Where the other proxies hear news, and where this one does.
-    pub peers: Vec<SocketAddr>,
-    pub peer_listen: SocketAddr,
     /// The list of nodes as this proxy last had it, in discovery's form.
     pub known: Json,
     pub settings: Settings,
@@ -55,6 +51,8 @@
     pub route_names: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
+    /// The kinds of machines, by name.
+    pub kinds: Vec<String>,
     pub origin_kind: Option<String>,
     /// How long a node lets a connection stand idle, and how long one may take to come up.
     pub idle: Duration,
@@ -126,13 +124,12 @@
         upstream: (sockets - clients_part(sockets)).min(memory / 4 / NODE_BYTES),
         ahead: memory / 8 / LONGEST_BULK,
         large: memory / 8 / LONGEST_BULK,
-        peers: peers(json)?,
-        peer_listen: if json.get("peer_listen").is_some() { address(json, "peer_listen")? } else { listen },
         known: known(json)?,
         route_names,
         tenants: names::list(wire, "/orgs", "/name"),
         zones: names::list(wire, "/failure-domains", ""),
         origin_kind: origin_kind.transpose()?,
+        kinds,
         idle: micros("/settings/permissions/conn-idle-us", IDLE)?,
         connect: micros("/settings/permissions/connect-timeout-us", CONNECT)?,
         longest: Duration::from_nanos(longest),
@@ -157,7 +154,7 @@
         let sound = value.is_null() || value.as_f64().is_some_and(|part| (0.0..=1.0).contains(&part));
         ensure!(sound, "{}: expected a part between 0 and 1, found {value}", key(place));
     }
-    for flag in ["may-probe", "peers", "retry-after"] {
+    for flag in ["may-probe", "retry-after"] {
         let value = wire.get("permissions").and_then(|all| all.get(flag)).unwrap_or(&Json::Null);
         let sound = value.is_null() || value.is_boolean();
         ensure!(sound, "settings.permissions.{flag}: expected true or false, found {value}");
@@ -189,16 +186,6 @@
     Ok(known)
 }
 
-fn peers(json: &Json) -> Result<Vec<SocketAddr>> {
-    let peers = json.get("peers").unwrap_or(&Json::Null);
-    ensure!(peers.is_null() || peers.is_array(), "peers: expected a list, found {peers}");
-    let one = |(at, peer): (usize, &Json)| {
-        let address = peer.as_str().and_then(|peer| peer.parse().ok());
-        address.with_context(|| format!("peers[{at}]: expected ADDRESS:PORT, found {peer}"))
-    };
-    peers.as_array().into_iter().flatten().enumerate().map(one).collect()
-}
-
 fn seed(json: &Json) -> Result<u64> {
     match json.get("seed") {
         None | Some(Json::Null) => Ok(0),
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -38,7 +38,6 @@
     probes_sent probes_failed
     nodes_known nodes_dismissed
     list_answers list_failures reloads reloads_failed
-    news_sent news_received news_bad
 }
 
 impl Counters {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod list;
 pub mod module;
 pub mod node;
-pub mod peers;
 pub mod phases;
 pub mod resp;
 pub mod room;
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -26,6 +26,8 @@
 const AGAIN: Duration = Duration::from_millis(100);
 /// A list of many thousand nodes.
 const LONGEST: usize = 16 * 1024 * 1024;
+/// Beyond reason for what the list says of a node's size.
+const MOST_RATED: f64 = 1e6;
 
 pub struct List {
     shared: Shared,
@@ -152,6 +154,8 @@
     };
     let zone = config.zones.iter().position(|zone| Some(zone.as_str()) == text("az"));
     let origin = config.origin_kind.as_deref();
+    let model = config.kinds.iter().position(|kind| Some(kind.as_str()) == text("model"));
+    let rating = target.get("capacity_hint").and_then(Json::as_f64);
     let listed = Listed {
         identity: identity(uid),
         zone: zone.unwrap_or(config.zones.len()),
@@ -159,7 +163,8 @@
         standing,
         started: number("boot_ms") * MILLIS,
         origin: origin.is_some() && origin == text("model"),
-        ..Listed::default()
+        kind: model.unwrap_or(config.kinds.len()),
+        rating: rating.filter(|rating| (0.0..MOST_RATED).contains(rating) && *rating > 0.0).unwrap_or(1.0),
     };
     Ok(Named { uid: uid.to_string(), address, listed })
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -2,13 +2,11 @@
 //! Nothing here waits for anyone: a mailbox that is full makes a try unsent.
 
 use crate::node::{self, Errand};
-use crate::peers::Peers;
 use crate::phases::Phase;
 use crate::serve::Shared;
 use bytes::Bytes;
 use hashbrown::{HashMap, HashSet};
-use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
-use pumicebay_names::{hear, mark};
+use pumicebay_core::{Ask, Balance, Held, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
@@ -55,12 +53,12 @@
 pub struct Back {
     pub outcome: Outcome,
     pub value: Bytes,
-    pub in_flight: Option<f64>,
+    pub held: Option<Held>,
 }
 
 impl From<Outcome> for Back {
     fn from(outcome: Outcome) -> Back {
-        Back { outcome, value: Bytes::new(), in_flight: None }
+        Back { outcome, value: Bytes::new(), held: None }
     }
 }
 
@@ -71,7 +69,6 @@
     Probed(Node, Back),
     Listed(bool, Vec<Named>),
     ListFailed,
-    News(usize, String),
 }
 
 /// The way to the module for all other actors.
@@ -114,10 +111,6 @@
     pub async fn list_failed(&self) {
         self.post(Event::ListFailed).await;
     }
-
-    pub async fn news(&self, peer: usize, text: String) {
-        self.post(Event::News(peer, text)).await;
-    }
 }
 
 /// The module's mailbox.
@@ -131,14 +124,11 @@
 pub struct Module {
     balance: Balance<Acts>,
     mailbox: Mailbox,
-    /// What stands for nodes in news from peers.
-    marks: HashMap<u64, Node>,
 }
 
 /// Carries out what the decisions ask for.
 struct Acts {
     shared: Shared,
-    peers: Option<Peers>,
     follow: mpsc::Sender<()>,
     /// By number; a number without a node is given to the next.
     nodes: Vec<Option<Known>>,
@@ -150,15 +140,11 @@
     /// Tries that could not be sent, and probes, to be reported once the decisions have returned.
     unsent: Vec<(Xchg, usize, Node)>,
     unprobed: Vec<Node>,
-    /// What stood for nodes that are no more.
-    dismissed: Vec<u64>,
 }
 
 struct Known {
     uid: String,
     address: SocketAddr,
-    /// What stands for it in news to peers.
-    mark: u64,
     actor: node::Mailbox,
 }
 
@@ -170,11 +156,10 @@
 }
 
 impl Module {
-    pub fn new(shared: Shared, peers: Option<Peers>, follow: mpsc::Sender<()>, mailbox: Mailbox) -> Module {
+    pub fn new(shared: Shared, follow: mpsc::Sender<()>, mailbox: Mailbox) -> Module {
         let (clock, config) = (shared.clock, shared.config.clone());
         let acts = Acts {
             shared,
-            peers,
             follow,
             nodes: Vec::new(),
             uids: HashMap::new(),
@@ -183,10 +168,9 @@
             timers: BinaryHeap::new(),
             unsent: Vec::new(),
             unprobed: Vec::new(),
-            dismissed: Vec::new(),
         };
         let balance = Balance::new(acts, config.settings.clone(), config.seed, clock.now());
-        Module { balance, mailbox, marks: HashMap::new() }
+        Module { balance, mailbox }
     }
 
     pub async fn run(mut self) {
@@ -211,9 +195,6 @@
         while let Some(Reverse((_, token))) = self.balance.host.due(now) {
             self.balance.woke(now, token);
         }
-        for mark in self.balance.host.dismissed.drain(..) {
-            self.marks.remove(&mark);
-        }
     }
 
     fn handle(&mut self, event: Event) {
@@ -243,12 +224,11 @@
                 if back.outcome != Outcome::Completed {
                     self.balance.host.shared.counters.probes_failed.add();
                 }
-                self.reported(now, node, back.in_flight);
+                self.reported(now, node, back.held);
                 self.balance.probed(node, back.outcome);
             }
             Event::Listed(whole, named) => self.listed(whole, named),
             Event::ListFailed => self.balance.list_failed(now),
-            Event::News(peer, text) => self.news(now, peer, &text),
         }
     }
 
@@ -269,13 +249,13 @@
             let _ = client.send(answer);
         }
         let over = acts.open.get(&xchg).is_none_or(|open| open.answer.is_none());
-        self.reported(now, node, back.in_flight);
+        self.reported(now, node, back.held);
         self.balance.ended(now, xchg, try_no, back.outcome, over);
     }
 
-    fn reported(&mut self, now: Nanos, node: Node, in_flight: Option<f64>) {
-        if let Some(in_flight) = in_flight {
-            self.balance.reported(now, node, in_flight);
+    fn reported(&mut self, now: Nanos, node: Node, held: Option<Held>) {
+        if let Some(held) = held {
+            self.balance.reported(now, node, held);
         }
     }
 
@@ -285,7 +265,6 @@
         let mut nodes = Vec::with_capacity(named.len());
         for named in named {
             let Some(node) = self.balance.host.node(&named) else { continue };
-            self.marks.insert(mark(&named.uid), node);
             self.balance.listed(now, node, named.listed);
             nodes.push(node);
         }
@@ -294,13 +273,6 @@
         }
     }
 
-    fn news(&mut self, now: Nanos, peer: usize, text: &str) {
-        let node = |mark| self.marks.get(&mark).copied();
-        if !hear(&mut self.balance, now, peer, text, node) {
-            self.balance.host.shared.counters.news_bad.add();
-        }
-    }
-
     /// Ends what the decisions asked for in vain, until they ask for nothing more.
     fn report_unsent(&mut self) {
         while let Some((xchg, try_no, node)) = self.balance.host.unsent.pop() {
@@ -344,7 +316,7 @@
         self.shared.counters.nodes_known.add();
         self.uids.insert(uid.clone(), node);
         let actor = node::start(&self.shared, node, listed.origin);
-        let known = Known { uid: uid.clone(), address: *address, mark: mark(uid), actor };
+        let known = Known { uid: uid.clone(), address: *address, actor };
         self.nodes.resize_with(self.nodes.len().max(node + 1), || None);
         self.nodes[node] = Some(known);
         Some(node)
@@ -355,12 +327,6 @@
         let known = self.nodes[node].as_ref();
         known.is_some_and(|known| known.actor.try_send((known.address, errand)).is_ok())
     }
-
-    fn tell(&self, kind: &str, node: Node, figure: u64) {
-        if let (Some(peers), Some(known)) = (&self.peers, &self.nodes[node]) {
-            peers.tell(&self.shared.counters, &format!("{kind} {:x} {figure:x}", known.mark));
-        }
-    }
 }
 
 impl Host for Acts {
@@ -409,11 +375,10 @@
     }
 
     fn dismiss(&mut self, node: Node) {
-        if let Some(Known { uid, mark, .. }) = self.nodes[node].take() {
+        if let Some(Known { uid, .. }) = self.nodes[node].take() {
             tracing::info!("node {node} is {uid} no more");
             self.shared.counters.nodes_dismissed.add();
             self.uids.remove(&uid);
-            self.dismissed.push(mark);
         }
     }
 
@@ -422,14 +387,6 @@
         let _ = self.follow.try_send(());
     }
 
-    fn tell_load(&mut self, node: Node, in_flight: usize) {
-        self.tell("l", node, in_flight as u64);
-    }
-
-    fn tell_joined(&mut self, node: Node, key: u64) {
-        self.tell("j", node, key);
-    }
-
     fn log(&mut self, line: &str) {
         tracing::info!("{line}");
     }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -13,7 +13,8 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
-use pumicebay_core::{Node, Outcome, Xchg};
+use pumicebay_core::{Held, Node, Outcome, Xchg};
+use pumicebay_names as names;
 use socket2::SockRef;
 use std::collections::VecDeque;
 use std::fmt::Write;
@@ -331,8 +332,8 @@
                 Frame::Null => (Outcome::Missed, Bytes::new()),
                 other => bail!("unexpected value {other:?}"),
             };
-            let in_flight = if let Frame::Bulk(report) = report { in_flight(&report) } else { None };
-            Ok(Back { outcome, value, in_flight })
+            let held = if let Frame::Bulk(report) = report { held(&report) } else { None };
+            Ok(Back { outcome, value, held })
         }
         Frame::Error(text) if text.starts_with(b"BUSY") => Ok(Outcome::Saturated.into()),
         Frame::Error(text) if text.starts_with(b"ERR failed") => Ok(Outcome::Errored.into()),
@@ -346,7 +347,7 @@
 pub fn probed(frame: Frame) -> Result<Back> {
     match frame {
         Frame::Simple(_) => Ok(Outcome::Completed.into()),
-        Frame::Bulk(report) => Ok(Back { in_flight: in_flight(&report), ..Outcome::Completed.into() }),
+        Frame::Bulk(report) => Ok(Back { held: held(&report), ..Outcome::Completed.into() }),
         Frame::Error(_) => Ok(Outcome::Errored.into()),
         other => bail!("unexpected reply {other:?}"),
     }
@@ -368,14 +369,16 @@
             Outcome::Errored
         }
     };
-    let in_flight = response.header("x-pressure").and_then(in_flight);
-    Back { outcome, value: response.body, in_flight }
+    let held = response.header("x-pressure").and_then(held);
+    Back { outcome, value: response.body, held }
 }
 
 /// How much a node says it holds, in a report of names and values; one that can't be is none.
-fn in_flight(report: &[u8]) -> Option<f64> {
+fn held(report: &[u8]) -> Option<Held> {
     let report = std::str::from_utf8(report).ok()?;
     let mut fields = report.split([',', ';', ' ']).filter_map(|field| field.split_once(['=', ':']));
-    let (_, value) = fields.find(|(name, _)| ["concurrent", "inflight"].contains(&name.trim()))?;
-    value.trim().parse().ok().filter(|count| (0.0..MOST_HELD).contains(count))
+    fields.find_map(|(name, value)| {
+        let count = value.trim().parse().ok().filter(|count| (0.0..MOST_HELD).contains(count))?;
+        names::held(name.trim(), count)
+    })
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,7 +6,6 @@
 use crate::counters::Counters;
 use crate::list::{self, List};
 use crate::module::{self, Door, Module};
-use crate::peers;
 use crate::phases::{Phase, Phases, Watch};
 use crate::room::Room;
 use anyhow::{Context, Result, bail};
@@ -59,8 +58,7 @@
         let large = Arc::new(Semaphore::new(config.large));
         let shared = Shared { clock, config, counters, door, watch, upstream, large };
         let config = &shared.config;
-        let peers = peers::start(&shared).await?;
-        let mut module = Module::new(shared.clone(), peers, follow, mailbox);
+        let mut module = Module::new(shared.clone(), follow, mailbox);
         match list::entries(&config.known, config) {
             Ok((_, whole, named)) => module.listed(whole, named),
             Err(error) => tracing::warn!("known: no list to start from: {error:#}"),
