pumicebay migrate: a configuration of the old shape to one beside each client; more keys checked

Cause: operators have files for a pool of proxies in several zones with peers. The command lists what it changes, can't carry over and is not told, and writes a whole file or none; tests on loopback with stand-ins.

--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -2,11 +2,13 @@
 
 use crate::config::{self, Config};
 use crate::counters::Counters;
+use crate::migrate::{self, Answers, OWN};
 use crate::resp::{Frame, Resp};
 use crate::serve::{self, Proxy};
 use anyhow::{Context, Result, bail};
 use futures_util::{SinkExt, StreamExt};
 use lexopt::prelude::*;
+use serde_json::Value as Json;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -20,13 +22,23 @@
 
   serve              run the proxy until SIGTERM; SIGHUP reads FILE again
   check              read and check the configuration, and print what it says
+  migrate            write FILE's counterpart for a proxy beside each client, all in one location
   counters [ADDRESS] print the counters of the proxy that listens there
   version            print the version
   help               print this
 
 FILE is by default what $PROXY_CONFIG names; $PROXY_NAME, $PROXY_LISTEN and $PROXY_DISCOVERY
 go before what it says; read again, FILE alone says where discovery is. ADDRESS is by default where
-that configuration listens.";
+that configuration listens.
+
+migrate --config FILE --output NEW [--dry-run] [--force]
+  --proxies N        how many proxies there will be, all clients' together
+  --probes yes|no    whether they may probe the nodes
+  --zone NAME        which of the old zones is the one location, where there are several
+  --name, --listen, --seed, --me
+                     what this proxy has for itself; else as in FILE
+  It lists what it changes, can't carry over and is not told. --dry-run prints the same list and writes
+  nothing; a file already at NEW is replaced with --force only. FILE is never changed.";
 
 const LOG_LINES: usize = 4096;
 const ANSWERS: Duration = Duration::from_secs(2);
@@ -34,6 +46,7 @@
 pub fn main() -> Result<()> {
     let mut args = lexopt::Parser::from_env();
     let (mut command, mut file, mut address) = (None, None, None);
+    let (mut output, mut dry, mut over, mut answers) = (None, false, false, Answers::default());
     while let Some(arg) = args.next()? {
         match arg {
             Long("config") => file = Some(args.value()?.string()?),
@@ -43,6 +56,33 @@
             Value(word) if command.as_deref() == Some("counters") && address.is_none() => {
                 address = Some(word.string()?);
             }
+            Long(option) if command.as_deref() == Some("migrate") => match option {
+                "output" => output = Some(args.value()?.string()?),
+                "dry-run" => dry = true,
+                "force" => over = true,
+                "proxies" => answers.proxies = Some(args.value()?.parse().context("--proxies")?),
+                "zone" => answers.zone = Some(args.value()?.string()?),
+                "probes" => {
+                    answers.probes = Some(match args.value()?.string()?.as_str() {
+                        "yes" => true,
+                        "no" => false,
+                        other => bail!("--probes: expected yes or no, found {other:?}"),
+                    });
+                }
+                option => {
+                    let Some((own, _)) = OWN.iter().find(|(own, _)| *own == option) else {
+                        return Err(Long(option).unexpected().into());
+                    };
+                    let value = args.value()?;
+                    let number = *own == "me";
+                    let value = if number {
+                        Json::from(value.parse::<u64>().context("--me")?)
+                    } else {
+                        Json::from(value.string()?)
+                    };
+                    answers.own.push((own, value));
+                }
+            },
             other => return Err(other.unexpected().into()),
         }
     }
@@ -57,6 +97,10 @@
             println!("{}", config()?.summary());
             Ok(())
         }
+        Some("migrate") => {
+            let output = output.context("migrate: --output NEW is missing")?;
+            migrate::run(file()?.as_ref(), output.as_ref(), &answers, dry, over)
+        }
         Some("counters") => {
             let address = match address {
                 Some(address) => address,
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -159,6 +159,28 @@
         let sound = value.is_null() || value.is_boolean();
         ensure!(sound, "settings.permissions.{flag}: expected true or false, found {value}");
     }
+    let texts = |value: &Json| value.as_array().is_some_and(|all| all.iter().all(Json::is_string));
+    for place in ["/settings/skus", "/settings/failure-domains", "/settings/telemetry/columns"] {
+        let value = json.pointer(place).unwrap_or(&Json::Null);
+        ensure!(value.is_null() || texts(value), "{}: expected a list of texts, found {value}", key(place));
+    }
+    let among = [
+        ("/settings/discovery", &["push", "ask"][..]),
+        ("/settings/telemetry/via", &["silent", "pull", "piggyback"]),
+    ];
+    for (place, words) in among {
+        let value = json.pointer(place).unwrap_or(&Json::Null);
+        let sound = value.is_null() || value.as_str().is_some_and(|value| words.contains(&value));
+        ensure!(sound, "{}: expected {}, found {value}", key(place), words.join(" or "));
+    }
+    let multiple = json.pointer("/settings/domain/origin-fall-multiple").unwrap_or(&Json::Null);
+    let sound = multiple.is_null() || multiple.as_f64().is_some_and(|multiple| multiple >= 0.0);
+    ensure!(sound, "settings.domain.origin-fall-multiple: expected 0 or more, found {multiple}");
+    for (at, tenant) in wire.get("orgs").and_then(Json::as_array).into_iter().flatten().enumerate() {
+        let quota = tenant.get("quota-per-s").unwrap_or(&Json::Null);
+        let sound = quota.is_null() || quota.as_f64().is_some_and(|quota| quota > 0.0);
+        ensure!(sound, "settings.orgs[{at}].quota-per-s: expected more than 0, found {quota}");
+    }
     for place in ["/settings/rules/cold-us", "/settings/rules/fall-us", "/settings/rules/drain-grace-us"] {
         number(json, place)?;
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod large;
 pub mod list;
+pub mod migrate;
 pub mod module;
 pub mod node;
 pub mod phases;
--- a/crates/proxy/tests/proxy/cli.rs
+++ b/crates/proxy/tests/proxy/cli.rs
@@ -6,23 +6,23 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::process::{Child, ChildStderr, Command, Stdio};
 
-fn program(args: &[&str]) -> Command {
+pub fn program(args: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_pumicebay"));
     command.args(args).env_remove("PROXY_CONFIG").stdout(Stdio::piped()).stderr(Stdio::piped());
     command
 }
 
 /// A configuration file, gone with the test.
-struct File(std::path::PathBuf);
+pub struct File(std::path::PathBuf);
 
 impl File {
-    fn new(name: &str, text: &str) -> File {
+    pub fn new(name: &str, text: &str) -> File {
         let path = std::env::temp_dir().join(format!("pumicebay-{}-{name}.json", std::process::id()));
         std::fs::write(&path, text).unwrap();
         File(path)
     }
 
-    fn path(&self) -> &str {
+    pub fn path(&self) -> &str {
         self.0.to_str().unwrap()
     }
 }
--- a/crates/proxy/tests/proxy/config.rs
+++ b/crates/proxy/tests/proxy/config.rs
@@ -31,6 +31,12 @@
         ("/settings/permissions/conn-idle-us", json!(1.5)),
         ("/settings/rules/start-capacity", json!(12)),
         ("/settings/rules/cold-us", json!("24 s")),
+        ("/settings/domain/origin-fall-multiple", json!("three")),
+        ("/settings/telemetry/via", json!("loud")),
+        ("/settings/telemetry/columns", json!([1])),
+        ("/settings/skus", json!("node")),
+        ("/settings/discovery", json!("pull")),
+        ("/settings/orgs", json!([{"name": "acme", "quota-per-s": 0}])),
     ] {
         let error = config::parse(&configuration(&[(place, value)])).expect_err(place);
         trace += &format!("{error:#}\n");
@@ -58,6 +64,12 @@
         settings.permissions.conn-idle-us: expected a whole number, found 1.5
         settings.rules.start-capacity: expected a part between 0 and 1, found 12
         settings.rules.cold-us: expected a whole number, found "24 s"
+        settings.domain.origin-fall-multiple: expected 0 or more, found "three"
+        settings.telemetry.via: expected silent or pull or piggyback, found "loud"
+        settings.telemetry.columns: expected a list of texts, found [1]
+        settings.skus: expected a list of texts, found "node"
+        settings.discovery: expected push or ask, found "pull"
+        settings.orgs[0].quota-per-s: expected more than 0, found 0
     "#]]
     .assert_eq(&trace);
 }
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod config;
 mod list;
+mod migrate;
 mod nodes;
 mod phases;
 mod wire;
