--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -286,7 +286,8 @@
         self.send(xchg, node);
     }
 
-    /// The less busy of the key's two highest rendezvous-hash caches; where none takes it, the least of all.
+    /// The first of the key's two highest rendezvous-hash caches; if it is past T the less busy of them. Guards
+    /// large fleets from two copies of each key. Where neither takes it, the least of all.
     fn seed(&mut self, xchg: Xchg, key: u64, mean: f64) -> Option<Node> {
         self.rank(key);
         let mut ranked = std::mem::take(&mut self.ranked);
@@ -294,7 +295,8 @@
         let two = two_highest(&mut ranked, |node| self.may_take(cx, node));
         self.ranked = ranked;
         let lighter = |one: &Node, other: &Node| self.load(*one, mean).total_cmp(&self.load(*other, mean));
-        two.iter().copied().min_by(lighter).or_else(|| self.least_of_all(xchg, mean))
+        let first = two.first().copied().filter(|&node| !self.past_t(node, mean));
+        first.or_else(|| two.iter().copied().min_by(lighter)).or_else(|| self.least_of_all(xchg, mean))
     }
 
     /// The least loaded cache overall that may take the exchange.
@@ -438,8 +440,7 @@
     fn send(&mut self, xchg: Xchg, node: Node) {
         let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
         cx.start(self.now, node);
-        let cx = &self.xchgs[&xchg];
-        let (work, until) = (cx.ask.work(), if self.cuts(xchg, node) { self.cut(cx) } else { cx.ends() });
+        let (work, until) = (self.xchgs[&xchg].ask.work(), self.try_ends(xchg, node));
         let rests = (!self.warm(node)).then(|| {
             let saved = self.rules.fall / 2;
             let from = self.nodes.caches[node].rests_until.max(self.now.saturating_sub(saved));
@@ -456,19 +457,15 @@
         self.host.send(xchg, node, until.saturating_sub(self.now));
     }
 
-    /// Whether a first try at a cache is to leave time for another. Guards from nodes far slower than the
-    /// rest, while these answer quickly and the origin has room for what may follow.
-    fn cuts(&self, xchg: Xchg, node: Node) -> bool {
+    /// When a try ends: a first one at a cache halfway to the objective, to leave time for another. Guards from
+    /// nodes far slower than the rest, while these answer quickly and the origin has room for what may follow.
+    fn try_ends(&self, xchg: Xchg, node: Node) -> Nanos {
         let cx = &self.xchgs[&xchg];
+        let Route { objective, .. } = self.routes[cx.ask.route];
         let first = cx.tries.len() == 1 && self.rules.most_tries > 2 && self.routes[cx.ask.route].free();
         let rest = Some(node) != self.origin && self.more(&self.all, QUICK) > 1.0;
-        first && rest && self.origin_fits(xchg)
-    }
-
-    /// When it ends: halfway to the objective, once it had a fair time.
-    fn cut(&self, cx: &Cx) -> Nanos {
-        let objective = self.routes[cx.ask.route].objective;
-        (cx.arrived + objective / 2).max(self.now + objective / PATIENCE).min(cx.ends())
+        let half = (cx.arrived + objective / 2).max(self.now + objective / PATIENCE);
+        if first && rest && self.origin_fits(xchg) { half.min(cx.ends()) } else { cx.ends() }
     }
 
     fn again(&mut self, xchg: Xchg, node: Node, outcome: Outcome) {
@@ -643,9 +640,10 @@
 
     fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome, early: bool) {
         let now = self.now;
-        let enough = if self.rules.probes { (FAILURES / self.fleet).max(1.0) } else { f64::INFINITY };
-        let often = self.all.answers.rate(now) / self.serving();
-        let slow = now + SLOW_LAST.min((FEW / often * SECOND as f64) as Nanos);
+        let enough = (FAILURES / self.fleet).max(1.0);
+        let asks = FEW * self.serving() / self.all.answers.rate(now);
+        let slow = now + SLOW_LAST.min((asks * SECOND as f64) as Nanos);
+        let probes = self.rules.probes;
         let failures = self.nodes.change(node, |cache| {
             cache.end(now, sent, outcome);
             match outcome {
@@ -657,17 +655,18 @@
                 Outcome::Overdue if cache.owes_since > sent => {}
                 _ => cache.failures += 1,
             }
-            // Guards against nodes that fail quickly: their empty queues would attract load.
-            let aside = cache.failures as f64 >= enough && cache.serves();
-            cache.aside = if aside { Some(0) } else { cache.aside };
-            aside.then_some(cache.failures)
+            // Guards against nodes that fail quickly: their empty queues would attract load. Where no probe may
+            // bring them back, they count as refusing for a while, and then the next exchange finds out.
+            let fails = cache.failures as f64 >= enough && cache.serves();
+            cache.aside = if fails && probes { Some(0) } else { cache.aside };
+            cache.refuses_until = if fails && !probes { slow } else { cache.refuses_until };
+            (fails && probes).then_some(cache.failures)
         });
         if Some(node) != self.origin {
             self.all.end(now, sent, outcome);
-        }
-        if outcome == Outcome::Completed && Some(node) != self.origin {
-            let kind = self.nodes.caches[node].listed.kind;
-            self.kinds.add(now, kind, now.saturating_sub(sent));
+            if outcome == Outcome::Completed {
+                self.kinds.add(now, self.nodes.caches[node].listed.kind, now.saturating_sub(sent));
+            }
         }
         if let Some(failures) = failures {
             self.host.log(&format!("node {node} aside: {failures} failures, last {outcome:?}"));
@@ -678,8 +677,7 @@
         let (sum, count) = self.rates.iter().flatten().fold((0.0, 0), |(sum, n), rate| (sum + rate, n + 1));
         self.normal.add(self.now, sum / f64::from(count.max(1)));
         self.kinds.settle(self.now, &self.all);
-        let caches = self.serving() / self.fleet;
-        let few = FEW * caches * self.more(&self.all, QUICK);
+        let few = FEW * self.serving() / self.fleet * self.more(&self.all, QUICK);
         measure(self.now, &mut self.all, (ROOM, few, f64::INFINITY));
         self.origin.into_iter().for_each(|origin| self.measure_node(origin));
     }
@@ -687,9 +685,8 @@
     fn measure_node(&mut self, node: Node) {
         let (caches, few) = (self.serving() / self.fleet, (FEW / self.fleet).floor().max(1.0));
         let counts = self.nodes.caches[node].serves() && self.warm(node);
-        // Guards an origin that stops when asked for too much: no more than its part, however quick it is.
-        let patient = Some(node) == self.origin && !self.rules.origin_falls;
-        let quick = if patient { ORIGIN_QUICK } else { QUICK };
+        // Guards an origin that stops when asked for too much: more only while it is quicker still.
+        let quick = if self.rules.origin_falls { QUICK } else { ORIGIN_QUICK };
         let more = self.more(&self.nodes.caches[node].flow, quick);
         let cache = &mut self.nodes.caches[node];
         let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
