--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -463,7 +463,7 @@
         let cx = &self.xchgs[&xchg];
         let Route { objective, .. } = self.routes[cx.ask.route];
         let first = cx.tries.len() == 1 && self.rules.most_tries > 2 && self.routes[cx.ask.route].free();
-        let rest = Some(node) != self.origin && self.more(&self.all, QUICK) > 1.0;
+        let rest = Some(node) != self.origin && self.kinds.hits * QUICK * 1e9 < self.rules.objective as f64;
         let half = (cx.arrived + objective / 2).max(self.now + objective / PATIENCE);
         if first && rest && self.origin_fits(xchg) { half.min(cx.ends()) } else { cx.ends() }
     }
@@ -677,7 +677,7 @@
         let (sum, count) = self.rates.iter().flatten().fold((0.0, 0), |(sum, n), rate| (sum + rate, n + 1));
         self.normal.add(self.now, sum / f64::from(count.max(1)));
         self.kinds.settle(self.now, &self.all);
-        let few = FEW * self.serving() / self.fleet * self.more(&self.all, QUICK);
+        let few = FEW * self.serving() / self.fleet * self.more(self.kinds.hits, QUICK);
         measure(self.now, &mut self.all, (ROOM, few, f64::INFINITY));
         self.origin.into_iter().for_each(|origin| self.measure_node(origin));
     }
@@ -687,7 +687,7 @@
         let counts = self.nodes.caches[node].serves() && self.warm(node);
         // Guards an origin that stops when asked for too much: more only while it is quicker still.
         let quick = if self.rules.origin_falls { QUICK } else { ORIGIN_QUICK };
-        let more = self.more(&self.nodes.caches[node].flow, quick);
+        let more = self.more(self.nodes.caches[node].flow.answers.mean(self.now).unwrap_or(0.0), quick);
         let cache = &mut self.nodes.caches[node];
         let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
         let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * more * caches, f64::INFINITY);
@@ -699,8 +699,7 @@
 
     /// How many times its least part a proxy may have in flight while answers take little of the shortest
     /// objective. Guards busy proxies among many idle ones: what these leave unused shows as quick answers.
-    fn more(&self, flow: &Flow, quick: f64) -> f64 {
-        let took = flow.answers.mean(self.now).unwrap_or(0.0);
+    fn more(&self, took: f64, quick: f64) -> f64 {
         (self.rules.objective as f64 / 1e9 / quick / took).clamp(1.0, MORE)
     }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -106,6 +106,18 @@
 pub struct Kinds {
     took: Vec<Took>,
     pub usual: f64,
+    /// What nodes that had the key took lately.
+    lately: Lately,
+    pub hits: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Lately(Ring<8>);
+
+impl Default for Lately {
+    fn default() -> Self {
+        Lately(Ring::new(2 * SECOND))
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -120,11 +132,13 @@
         let none = || Took { minute: Ring::new(60 * SECOND), mean: None };
         self.took.resize_with(self.took.len().max(kind + 1), none);
         self.took[kind].minute.add(now, took as f64 / SECOND as f64);
+        self.lately.0.add(now, took as f64 / SECOND as f64);
     }
 
     /// Takes the means of the last minute, so that nothing sums them up for each decision.
     pub fn settle(&mut self, now: Nanos, all: &Flow) {
         self.usual = all.minute.mean(now).unwrap_or(self.usual);
+        self.hits = self.lately.0.mean(now).unwrap_or(self.usual);
         self.took.iter_mut().for_each(|took| took.mean = took.minute.mean(now).or(took.mean));
     }
 
