--- a/crates/core/tests/balance/failures.rs
+++ b/crates/core/tests/balance/failures.rs
@@ -343,3 +343,21 @@
     "#]]
     .assert_eq(&format!("{:?}\n", &counts[1..]));
 }
+
+/// Where all nodes were slow every first try was cut, and each cut was a miss and a fetch more.
+#[test]
+fn first_tries_are_not_cut_while_hits_are_slow() {
+    let mut given = Vec::new();
+    for took in [100, 400] {
+        let mut rig = rig(4, "retriable", &[]);
+        for xchg in 1..=10 {
+            rig.arrive_for(xchg, xchg);
+            rig.now += took * MS;
+            rig.end(xchg, 0, Outcome::Completed);
+            rig.balance.woke(rig.now, 0);
+        }
+        rig.arrive(11);
+        given.push(rig.balance.host.1.last().copied().unwrap_or(0) / MS);
+    }
+    assert_eq!(given, [500, 2000]);
+}
