--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -102,21 +102,18 @@
 }
 
 /// How long answers take, in seconds: of each kind of machine, where it is known, and of all.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Kinds {
     took: Vec<Took>,
     pub usual: f64,
     /// What nodes that had the key took lately.
-    lately: Lately,
+    lately: Ring<8>,
     pub hits: f64,
 }
 
-#[derive(Clone, Debug)]
-struct Lately(Ring<8>);
-
-impl Default for Lately {
+impl Default for Kinds {
     fn default() -> Self {
-        Lately(Ring::new(2 * SECOND))
+        Kinds { took: Vec::new(), usual: 0.0, lately: Ring::new(2 * SECOND), hits: 0.0 }
     }
 }
 
@@ -132,13 +129,13 @@
         let none = || Took { minute: Ring::new(60 * SECOND), mean: None };
         self.took.resize_with(self.took.len().max(kind + 1), none);
         self.took[kind].minute.add(now, took as f64 / SECOND as f64);
-        self.lately.0.add(now, took as f64 / SECOND as f64);
+        self.lately.add(now, took as f64 / SECOND as f64);
     }
 
     /// Takes the means of the last minute, so that nothing sums them up for each decision.
     pub fn settle(&mut self, now: Nanos, all: &Flow) {
         self.usual = all.minute.mean(now).unwrap_or(self.usual);
-        self.hits = self.lately.0.mean(now).unwrap_or(self.usual);
+        self.hits = self.lately.mean(now).unwrap_or(self.usual);
         self.took.iter_mut().for_each(|took| took.mean = took.minute.mean(now).or(took.mean));
     }
 
