--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -97,13 +97,14 @@
 
 impl<H: Host, F: Finder> Balance<H, F> {
     pub fn with_finder(host: H, settings: Settings, seed: u64, now: Nanos) -> Self {
+        let routes = Route::all(&settings);
         let mut balance = Balance {
             host,
             rng: Rand32::new(seed),
             now,
             fleet: settings.number("fleet", 1.0),
-            rules: Rules::new(&settings),
-            routes: Route::all(&settings),
+            rules: Rules::new(&settings, &routes),
+            routes,
             nodes: Fleet::new(settings.time("cold", 0), REPORT_LAST),
             all: Flow::default(),
             origin: None,
@@ -286,8 +287,8 @@
         self.send(xchg, node);
     }
 
-    /// The first of the key's two highest rendezvous-hash caches; if it is past T the less busy of them. Guards
-    /// large fleets from two copies of each key. Where neither takes it, the least of all.
+    /// The first of the key's two highest rendezvous-hash caches; if it is past T the less busy of them.
+    /// Guards large fleets from two copies of each key. Where neither takes it, the least of all.
     fn seed(&mut self, xchg: Xchg, key: u64, mean: f64) -> Option<Node> {
         self.rank(key);
         let mut ranked = std::mem::take(&mut self.ranked);
@@ -351,17 +352,13 @@
         let mut ranked = std::mem::take(&mut self.ranked);
         self.nodes.ranked(key, &mut ranked);
         for (rank, node) in &mut ranked {
+            let Listed { kind, rating, .. } = self.nodes.caches[*node].listed;
             let part = (*rank as f64 + 1.0) / u64::MAX as f64;
-            *rank = !(-part.ln().min(0.0) / self.capacity(*node)).to_bits();
+            *rank = !(-part.ln().min(0.0) / (rating / self.kinds.took(kind))).to_bits();
         }
         self.ranked = ranked;
     }
 
-    fn capacity(&self, node: Node) -> f64 {
-        let Listed { kind, rating, .. } = self.nodes.caches[node].listed;
-        rating / self.kinds.took(kind)
-    }
-
     /// The least loaded of these, ties broken at random.
     fn least(&mut self, among: &[Node], mean: f64) -> Option<Node> {
         let lowest = among.iter().map(|&node| self.load(node, mean)).fold(f64::INFINITY, f64::min);
@@ -457,14 +454,14 @@
         self.host.send(xchg, node, until.saturating_sub(self.now));
     }
 
-    /// When a try ends: a first one at a cache halfway to the objective, to leave time for another. Guards from
-    /// nodes far slower than the rest, while these answer quickly and the origin has room for what may follow.
+    /// When a try ends: a first one at a cache halfway to the objective, to leave time for another. Guards
+    /// from nodes far slower than the rest, while these are quick and the origin has room for what follows.
     fn try_ends(&self, xchg: Xchg, node: Node) -> Nanos {
         let cx = &self.xchgs[&xchg];
-        let Route { objective, .. } = self.routes[cx.ask.route];
-        let first = cx.tries.len() == 1 && self.rules.most_tries > 2 && self.routes[cx.ask.route].free();
+        let route = &self.routes[cx.ask.route];
+        let first = cx.tries.len() == 1 && self.rules.most_tries > 2 && route.free();
         let rest = Some(node) != self.origin && self.kinds.hits * QUICK * 1e9 < self.rules.objective as f64;
-        let half = (cx.arrived + objective / 2).max(self.now + objective / PATIENCE);
+        let half = (cx.arrived + route.objective / 2).max(self.now + route.objective / PATIENCE);
         if first && rest && self.origin_fits(xchg) { half.min(cx.ends()) } else { cx.ends() }
     }
 
@@ -639,11 +636,10 @@
     }
 
     fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome, early: bool) {
-        let now = self.now;
+        let (now, probes) = (self.now, self.rules.probes);
         let enough = (FAILURES / self.fleet).max(1.0);
         let asks = FEW * self.serving() / self.all.answers.rate(now);
         let slow = now + SLOW_LAST.min((asks * SECOND as f64) as Nanos);
-        let probes = self.rules.probes;
         let failures = self.nodes.change(node, |cache| {
             cache.end(now, sent, outcome);
             match outcome {
@@ -655,8 +651,8 @@
                 Outcome::Overdue if cache.owes_since > sent => {}
                 _ => cache.failures += 1,
             }
-            // Guards against nodes that fail quickly: their empty queues would attract load. Where no probe may
-            // bring them back, they count as refusing for a while, and then the next exchange finds out.
+            // Guards against nodes that fail quickly: their empty queues would attract load. Where no probe
+            // may bring them back, they count as refusing for a while, and then the next exchange finds out.
             let fails = cache.failures as f64 >= enough && cache.serves();
             cache.aside = if fails && probes { Some(0) } else { cache.aside };
             cache.refuses_until = if fails && !probes { slow } else { cache.refuses_until };
@@ -683,20 +679,25 @@
     }
 
     fn measure_node(&mut self, node: Node) {
-        let (caches, few) = (self.serving() / self.fleet, (FEW / self.fleet).floor().max(1.0));
         let counts = self.nodes.caches[node].serves() && self.warm(node);
-        // Guards an origin that stops when asked for too much: more only while it is quicker still.
-        let quick = if self.rules.origin_falls { QUICK } else { ORIGIN_QUICK };
-        let more = self.more(self.nodes.caches[node].flow.answers.mean(self.now).unwrap_or(0.0), quick);
+        let few = (FEW / self.fleet).floor().max(1.0);
+        let origin = self.nodes.caches[node].listed.origin.then(|| self.origin_few(node));
+        let bounds = origin.map_or((ROOM, few, SLOW), |few| (ORIGIN_ROOM, few, f64::INFINITY));
         let cache = &mut self.nodes.caches[node];
-        let known = usize::from(cache.flow.minute.least_mean(self.now, ENOUGH).is_some());
-        let origin = (ORIGIN_ROOM, ORIGIN_FEW[known] * more * caches, f64::INFINITY);
-        let bounds = if cache.listed.origin { origin } else { (ROOM, few, SLOW) };
         measure(self.now, &mut cache.flow, bounds);
         self.rates.resize(self.rates.len().max(node + 1), None);
         self.rates[node] = counts.then(|| cache.flow.answers.rate(self.now));
     }
 
+    /// Guards an origin that stops when asked for too much: more than its part only while quicker still.
+    fn origin_few(&self, node: Node) -> f64 {
+        let flow = &self.nodes.caches[node].flow;
+        let known = usize::from(flow.minute.least_mean(self.now, ENOUGH).is_some());
+        let quick = if self.rules.origin_falls { QUICK } else { ORIGIN_QUICK };
+        let took = flow.answers.mean(self.now).unwrap_or(0.0);
+        ORIGIN_FEW[known] * self.more(took, quick) * (self.serving() / self.fleet)
+    }
+
     /// How many times its least part a proxy may have in flight while answers take little of the shortest
     /// objective. Guards busy proxies among many idle ones: what these leave unused shows as quick answers.
     fn more(&self, took: f64, quick: f64) -> f64 {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -324,13 +324,13 @@
 }
 
 impl Rules {
-    pub fn new(settings: &Settings) -> Rules {
+    pub fn new(settings: &Settings, routes: &[Route]) -> Rules {
         Rules {
             cold: settings.time("cold", 0),
             fall: settings.time("fall", SECOND),
             start_capacity: settings.number("start_capacity", 1.0),
             most_tries: settings.number("most_tries", 1.0) as usize,
-            objective: Route::all(settings).iter().map(|route| route.objective).min().unwrap_or(SECOND),
+            objective: routes.iter().map(|route| route.objective).min().unwrap_or(SECOND),
             origin_falls: settings.number("origin_fall_multiple", 1.0) > 0.0,
             surplus_payoff: settings.number("surplus_payoff", 1.0),
             pauses: settings.flag("pauses"),
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -150,32 +150,26 @@
         ensure!(number(json, place)? != Some(0), "{}: expected 1 or more, found 0", key(place));
     }
     for place in ["/settings/rules/start-capacity", "/settings/surplus-payoff"] {
-        let value = json.pointer(place).unwrap_or(&Json::Null);
-        let sound = value.is_null() || value.as_f64().is_some_and(|part| (0.0..=1.0).contains(&part));
-        ensure!(sound, "{}: expected a part between 0 and 1, found {value}", key(place));
+        let part = |value: &Json| value.as_f64().is_some_and(|part| (0.0..=1.0).contains(&part));
+        sound(json, place, "a part between 0 and 1", part)?;
     }
-    for flag in ["may-probe", "retry-after"] {
-        let value = wire.get("permissions").and_then(|all| all.get(flag)).unwrap_or(&Json::Null);
-        let sound = value.is_null() || value.is_boolean();
-        ensure!(sound, "settings.permissions.{flag}: expected true or false, found {value}");
+    for place in ["/settings/permissions/may-probe", "/settings/permissions/retry-after"] {
+        sound(json, place, "true or false", Json::is_boolean)?;
     }
-    let texts = |value: &Json| value.as_array().is_some_and(|all| all.iter().all(Json::is_string));
     for place in ["/settings/skus", "/settings/failure-domains", "/settings/telemetry/columns"] {
-        let value = json.pointer(place).unwrap_or(&Json::Null);
-        ensure!(value.is_null() || texts(value), "{}: expected a list of texts, found {value}", key(place));
+        let texts = |value: &Json| value.as_array().is_some_and(|all| all.iter().all(Json::is_string));
+        sound(json, place, "a list of texts", texts)?;
     }
     let among = [
         ("/settings/discovery", &["push", "ask"][..]),
         ("/settings/telemetry/via", &["silent", "pull", "piggyback"]),
     ];
     for (place, words) in among {
-        let value = json.pointer(place).unwrap_or(&Json::Null);
-        let sound = value.is_null() || value.as_str().is_some_and(|value| words.contains(&value));
-        ensure!(sound, "{}: expected {}, found {value}", key(place), words.join(" or "));
+        let one = |value: &Json| value.as_str().is_some_and(|value| words.contains(&value));
+        sound(json, place, &words.join(" or "), one)?;
     }
-    let multiple = json.pointer("/settings/domain/origin-fall-multiple").unwrap_or(&Json::Null);
-    let sound = multiple.is_null() || multiple.as_f64().is_some_and(|multiple| multiple >= 0.0);
-    ensure!(sound, "settings.domain.origin-fall-multiple: expected 0 or more, found {multiple}");
+    let multiple = |value: &Json| value.as_f64().is_some_and(|multiple| multiple >= 0.0);
+    sound(json, "/settings/domain/origin-fall-multiple", "0 or more", multiple)?;
     for (at, tenant) in wire.get("orgs").and_then(Json::as_array).into_iter().flatten().enumerate() {
         let quota = tenant.get("quota-per-s").unwrap_or(&Json::Null);
         let sound = quota.is_null() || quota.as_f64().is_some_and(|quota| quota > 0.0);
@@ -231,8 +225,15 @@
     }
 }
 
+/// What stands there, if anything does, has to pass this test.
+pub fn sound(json: &Json, place: &str, wanted: &str, test: impl Fn(&Json) -> bool) -> Result<()> {
+    let value = json.pointer(place).unwrap_or(&Json::Null);
+    ensure!(value.is_null() || test(value), "{}: expected {wanted}, found {value}", key(place));
+    Ok(())
+}
+
 /// A place in the configuration as its messages name it.
-fn key(place: &str) -> String {
+pub fn key(place: &str) -> String {
     place.trim_start_matches('/').replace('/', ".")
 }
 
--- a/crates/proxy/src/migrate.rs
+++ b/crates/proxy/src/migrate.rs
@@ -2,7 +2,7 @@
 //! of the new one: a proxy for each client process, all in one location. What the old file can't know comes as
 //! [`Answers`]; what is missing is asked for, and nothing is written until it is there.
 
-use crate::config;
+use crate::config::{self, key as name};
 use anyhow::{Context, Result, bail, ensure};
 use serde_json::{Map, Value as Json, json};
 use std::fs::{self, OpenOptions};
@@ -43,11 +43,7 @@
 pub fn migrate(text: &str, answers: &Answers) -> Result<Option<Migrated>> {
     let old: Json = serde_json::from_str(text)?;
     config::parse(&old)?;
-    for (key, kind) in [("/peers", "a list"), ("/settings/failure-domains", "a list")] {
-        let value = old.pointer(key).unwrap_or(&Json::Null);
-        let name = key.trim_start_matches('/').replace('/', ".");
-        ensure!(value.is_null() || value.is_array(), "{name}: expected {kind}, found {value}");
-    }
+    config::sound(&old, "/peers", "a list", Json::is_array)?;
     if new_shape(&old) {
         return Ok(None);
     }
@@ -86,10 +82,6 @@
     zones <= 1 && old.iter().all(|place| json.pointer(place).is_none())
 }
 
-fn name(place: &str) -> String {
-    place.trim_start_matches('/').replace('/', ".")
-}
-
 impl Migrated {
     fn object(&mut self, place: &str) -> Option<&mut Map<String, Json>> {
         self.json.pointer_mut(place).and_then(Json::as_object_mut)
