--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -9,11 +9,9 @@
 use crate::fetches::{Fetch, Fetches};
 use crate::fleet::{Finder, Fleet, Indexed};
 use crate::groups::two_highest;
-use crate::host::{Ask, Held, Host, Listed, Nanos, Node, Outcome, Repeat, Standing, Xchg};
-use crate::ranks::Bits;
-use crate::ring::Ring;
+use crate::host::{Ask, Held, Host, Listed, Nanos, Node, Outcome, Repeat, Xchg};
 use crate::settings::Settings;
-use crate::state::{Cache, Cx, Flow, Kinds, Route, Rules, Tenant, Tenants, Try};
+use crate::state::{Cache, Cx, Flow, Kinds, Pace, Route, Rules, Scratch, Tenant, Tenants, Try};
 use crate::table::Table;
 use hashbrown::HashMap;
 use oorandom::Rand32;
@@ -22,6 +20,8 @@
 const TICK: Nanos = SECOND / 10;
 const TICK_TOKEN: u64 = 0; // exchanges count from 1
 const FOLLOW_WAIT: Nanos = 4 * SECOND;
+/// How long after new settings clients may still mean the old ones.
+const CHANGING: Nanos = 2 * SECOND;
 /// T is this multiple of the mean load over the ready caches, and no less than this proxy's part of FEW.
 const T_FACTOR: f64 = 1.5;
 /// Keys in the table; members leave their set when unpicked for so long.
@@ -65,6 +65,8 @@
     rng: Rand32,
     now: Nanos,
     routes: Vec<Route>,
+    /// Those before the last change, and until when clients may still mean them.
+    before: (Nanos, Vec<Route>),
     fleet: f64,
     nodes: Fleet<F>,
     /// All caches taken as one: where a proxy sees little of each, it still sees enough of all.
@@ -75,18 +77,11 @@
     fetches: Fetches,
     queue: Vec<Xchg>,
     tenants: Tenants,
-    asked: Ring<8>,
-    normal: Ring<20>,
-    /// What each warm cache that serves answers a second, as of its turn, and whose turn is next.
-    rates: Vec<Option<f64>>,
+    pace: Pace,
     kinds: Kinds,
-    turn: Node,
     follow_at: Nanos,
     follow_wait: Nanos,
-    /// Kept for their memory.
-    set: Vec<Node>,
-    ranked: Vec<(u64, Node)>,
-    not: Vec<Node>,
+    scratch: Scratch,
 }
 
 impl<H: Host> Balance<H> {
@@ -105,6 +100,7 @@
             fleet: settings.number("fleet", 1.0),
             rules: Rules::new(&settings, &routes),
             routes,
+            before: (0, Vec::new()),
             nodes: Fleet::new(settings.time("cold", 0), REPORT_LAST),
             all: Flow::default(),
             origin: None,
@@ -113,16 +109,11 @@
             fetches: Fetches::default(),
             queue: Vec::new(),
             tenants: Tenants::new(&settings),
-            asked: Ring::new(2 * SECOND),
-            normal: Ring::new(60 * SECOND),
-            rates: Vec::new(),
+            pace: Pace::default(),
             kinds: Kinds::default(),
-            turn: 0,
             follow_at: 0,
             follow_wait: TICK,
-            set: Vec::new(),
-            ranked: Vec::new(),
-            not: Vec::new(),
+            scratch: Scratch::default(),
         };
         balance.tick();
         balance
@@ -137,8 +128,9 @@
 
     pub fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
         self.at(now);
-        self.asked.add(now, ask.work());
-        self.xchgs.insert(xchg, Cx::new(ask, now, self.worth(&ask)));
+        self.pace.asked.add(now, ask.work());
+        let route = self.route(ask.route);
+        self.xchgs.insert(xchg, Cx::new(ask, route, now, self.worth(&ask, &route)));
         self.place(xchg);
     }
 
@@ -195,15 +187,42 @@
     }
 
     pub fn listed_all(&mut self, named: &[Node]) {
-        let mut there = Bits::default();
-        named.iter().for_each(|&node| _ = there.set(node, true));
-        for node in (0..self.nodes.caches.len()).filter(|&node| !there.has(node)) {
-            let listed = self.nodes.caches[node].listed;
-            self.nodes.list(node, Listed { standing: Standing::Gone, ..listed });
-        }
+        self.nodes.list_only(named);
         self.measure_all();
     }
 
+    /// Operators take a node out of service or put it back, as one that started now, whatever the list tells:
+    /// guards a restarted process from all its old work, and from what was held against the last one.
+    pub fn maintained(&mut self, now: Nanos, identity: u64, out: bool) {
+        self.at(now);
+        let (true, Some(node)) = self.nodes.ban(identity, out) else { return };
+        if out {
+            return self.host.log(&format!("node {node} out of service"));
+        }
+        self.nodes.renew(node);
+        self.cool(node);
+    }
+
+    /// Other routes from now on, under the numbers they had; open exchanges keep theirs. For a while clients
+    /// mean either, and the stricter binds: guards from an effect that may no longer come twice.
+    pub fn retuned(&mut self, now: Nanos, settings: &Settings) {
+        self.at(now);
+        let routes = Route::all(settings);
+        self.rules = Rules::new(settings, &routes);
+        self.before = (now + CHANGING, std::mem::replace(&mut self.routes, routes));
+    }
+
+    fn route(&self, at: usize) -> Route {
+        let (until, before) = &self.before;
+        let mut route = self.routes[at];
+        if let Some(before) = before.get(at).filter(|_| self.now < *until) {
+            route.repeat = route.repeat.max(before.repeat);
+            route.window = route.window.min(before.window);
+            route.most_tries = route.most_tries.min(before.most_tries);
+        }
+        route
+    }
+
     /// Guards the list service, which many proxies that ask again at once would drown.
     pub fn list_failed(&mut self, now: Nanos) {
         self.follow_at = now + (self.follow_wait as f64 * (0.5 + f64::from(self.rng.rand_float()))) as Nanos;
@@ -249,17 +268,13 @@
             return None;
         }
         let Some(key) = key else { return self.least_of_all(xchg, mean) };
-        let (mut set, caches) = (std::mem::take(&mut self.set), &self.nodes.caches);
+        let (mut set, caches) = (std::mem::take(&mut self.scratch.set), &self.nodes.caches);
         set.clear();
         self.table.set(self.now, key, |node| caches[node].serves(), &mut set);
-        let cx = &self.xchgs[&xchg];
-        set.retain(|&node| self.may_take(cx, node));
+        set.retain(|&node| self.may_take(&self.xchgs[&xchg], node));
         let member = self.least(&set, mean);
-        self.set = set;
-        let mut chosen = match member {
-            Some(member) => member,
-            None => self.seed(xchg, key, mean)?,
-        };
+        self.scratch.set = set;
+        let mut chosen = if let Some(member) = member { member } else { self.seed(xchg, key, mean)? };
         if self.past_t(chosen, mean)
             && let Some(joins) = self.least_of_all(xchg, mean)
             && !self.past_t(joins, mean)
@@ -281,9 +296,7 @@
     fn serve(&mut self, xchg: Xchg, node: Node) {
         let Ask { key, tenant, .. } = self.xchgs[&xchg].ask;
         self.tenants.serve(self.now, tenant);
-        if let Some(key) = key {
-            self.table.pick(self.now, key, node);
-        }
+        key.into_iter().for_each(|key| self.table.pick(self.now, key, node));
         self.send(xchg, node);
     }
 
@@ -291,10 +304,10 @@
     /// Guards large fleets from two copies of each key. Where neither takes it, the least of all.
     fn seed(&mut self, xchg: Xchg, key: u64, mean: f64) -> Option<Node> {
         self.rank(key);
-        let mut ranked = std::mem::take(&mut self.ranked);
+        let mut ranked = std::mem::take(&mut self.scratch.ranked);
         let cx = &self.xchgs[&xchg];
         let two = two_highest(&mut ranked, |node| self.may_take(cx, node));
-        self.ranked = ranked;
+        self.scratch.ranked = ranked;
         let lighter = |one: &Node, other: &Node| self.load(*one, mean).total_cmp(&self.load(*other, mean));
         let first = two.first().copied().filter(|&node| !self.past_t(node, mean));
         first.or_else(|| two.iter().copied().min_by(lighter)).or_else(|| self.least_of_all(xchg, mean))
@@ -303,15 +316,12 @@
     /// The least loaded cache overall that may take the exchange.
     fn least_of_all(&mut self, xchg: Xchg, mean: f64) -> Option<Node> {
         let cx = &self.xchgs[&xchg];
-        let mut not = std::mem::take(&mut self.not);
-        not.clear();
-        not.extend(cx.tries.iter().map(|t| t.node));
-        not.sort_unstable();
-        not.dedup();
-        let few = cx.may_have_run() && !self.routes[cx.ask.route].free();
+        let mut not = std::mem::take(&mut self.scratch.not);
+        cx.nodes(&mut not);
+        let few = cx.may_have_run() && !cx.route.free();
         let found = if few { None } else { self.draw_least(xchg, mean, &mut not) };
         let all = self.nodes.least(mean, &not).is_none();
-        self.not = not;
+        self.scratch.not = not;
         if found.is_some() {
             return found;
         }
@@ -325,15 +335,15 @@
     /// Of equals the one that ranks highest for the key, else one by chance. Guards fleets of many proxies,
     /// where most loads are equal, from a copy of each key at every node.
     fn draw_least(&mut self, xchg: Xchg, mean: f64, not: &mut Vec<Node>) -> Option<Node> {
-        self.ranked.clear();
+        self.scratch.ranked.clear();
         self.xchgs[&xchg].ask.key.into_iter().for_each(|key| self.rank(key));
-        self.ranked.sort_unstable_by(|one, other| other.cmp(one));
+        self.scratch.ranked.sort_unstable_by(|one, other| other.cmp(one));
         for _ in 0..DRAWS {
             let least = self.nodes.least(mean, not)?;
             let cx = &self.xchgs[&xchg];
             let equal = |node| self.load(node, mean) == least.load && !not.contains(&node);
             let free = |&node: &Node| equal(node) && self.may_take(cx, node) && !self.past_t(node, mean);
-            if let Some(node) = self.ranked.iter().map(|ranked| ranked.1).find(free) {
+            if let Some(node) = self.scratch.ranked.iter().map(|ranked| ranked.1).find(free) {
                 return Some(node);
             }
             let place = self.draw(least.ties);
@@ -349,14 +359,14 @@
     /// The nodes of a key's group by rendezvous hash, each as likely to be first as it has capacity: what the
     /// list says of its size, over what its kind of machine takes for an answer.
     fn rank(&mut self, key: u64) {
-        let mut ranked = std::mem::take(&mut self.ranked);
+        let mut ranked = std::mem::take(&mut self.scratch.ranked);
         self.nodes.ranked(key, &mut ranked);
         for (rank, node) in &mut ranked {
             let Listed { kind, rating, .. } = self.nodes.caches[*node].listed;
             let part = (*rank as f64 + 1.0) / u64::MAX as f64;
             *rank = !(-part.ln().min(0.0) / (rating / self.kinds.took(kind))).to_bits();
         }
-        self.ranked = ranked;
+        self.scratch.ranked = ranked;
     }
 
     /// The least loaded of these, ties broken at random.
@@ -443,11 +453,7 @@
             let from = self.nodes.caches[node].rests_until.max(self.now.saturating_sub(saved));
             from + self.pause(node, work) as Nanos
         });
-        let now = self.now;
-        self.nodes.change(node, |cache| {
-            cache.send(now);
-            cache.rests_until = rests.unwrap_or(cache.rests_until);
-        });
+        self.nodes.send(node, rests);
         if Some(node) != self.origin {
             self.all.start(self.now);
         }
@@ -458,10 +464,9 @@
     /// from nodes far slower than the rest, while these are quick and the origin has room for what follows.
     fn try_ends(&self, xchg: Xchg, node: Node) -> Nanos {
         let cx = &self.xchgs[&xchg];
-        let route = &self.routes[cx.ask.route];
-        let first = cx.tries.len() == 1 && self.rules.most_tries > 2 && route.free();
+        let first = cx.tries.len() == 1 && cx.route.most_tries > 2 && cx.route.free();
         let rest = Some(node) != self.origin && self.kinds.hits * QUICK * 1e9 < self.rules.objective as f64;
-        let half = (cx.arrived + route.objective / 2).max(self.now + route.objective / PATIENCE);
+        let half = (cx.arrived + cx.route.objective / 2).max(self.now + cx.route.objective / PATIENCE);
         if first && rest && self.origin_fits(xchg) { half.min(cx.ends()) } else { cx.ends() }
     }
 
@@ -488,19 +493,18 @@
     }
 
     fn may_try_again(&self, cx: &Cx) -> bool {
-        let never = self.routes[cx.ask.route].repeat == Repeat::NonRetriable && cx.may_have_run();
-        cx.tries.len() < self.rules.most_tries && !never
+        let never = cx.route.repeat == Repeat::NonRetriable && cx.may_have_run();
+        cx.tries.len() < cx.route.most_tries && !never
     }
 
     /// Rule 2: no effect twice.
     fn may_repeat(&self, cx: &Cx, node: Node) -> bool {
         let Some(first) = cx.tries.iter().find(|t| t.may_have_run) else { return true };
-        let route = &self.routes[cx.ask.route];
         let (here, there) = (&self.nodes.caches[node].listed, &self.nodes.caches[first.node].listed);
-        match route.repeat {
+        match cx.route.repeat {
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
-            Repeat::Deduped(scope) => self.now < first.sent + route.window && here.shares(scope, there),
+            Repeat::Deduped(scope) => self.now < first.sent + cx.route.window && here.shares(scope, there),
         }
     }
 
@@ -508,9 +512,9 @@
     fn conclude(&mut self, xchg: Xchg) {
         let cx = self.xchgs.get_mut(&xchg).expect("concluded exchanges are known");
         cx.over = true;
-        let harmless = self.routes[cx.ask.route].repeat.harmless(cx.may_have_run());
+        let harmless = cx.route.repeat.harmless(cx.may_have_run());
         if harmless && !cx.under_way {
-            let pause = self.routes[cx.ask.route].objective / PATIENCE;
+            let pause = cx.route.objective / PATIENCE;
             self.host.shed(xchg, if self.rules.pauses { pause } else { 0 });
         } else {
             self.host.error(xchg);
@@ -536,7 +540,7 @@
     /// Holds an exchange with nothing out, for this part of its objective since it arrived; then it is shed.
     fn hold(&mut self, xchg: Xchg, part: u64) -> Nanos {
         let cx = self.xchgs.get_mut(&xchg).expect("held exchanges are known");
-        let patience = self.routes[cx.ask.route].objective / part;
+        let patience = cx.route.objective / part;
         cx.until = (cx.arrived + patience.min(cx.ask.grace)).max(self.now);
         self.host.wake(cx.until, xchg);
         patience
@@ -545,8 +549,8 @@
     /// No cache has room: surplus is shed. Within quota the origin serves if it has room; else the
     /// exchange waits, in a queue so short (rate times time) that waits mostly end in an answer.
     fn wait_for_room(&mut self, xchg: Xchg) {
-        let Cx { arrived, ask, .. } = &self.xchgs[&xchg];
-        let patience = self.routes[ask.route].objective / PATIENCE;
+        let Cx { arrived, ask, route, .. } = &self.xchgs[&xchg];
+        let patience = route.objective / PATIENCE;
         let rate = self.all.answers.rate(self.now);
         if self.surplus(ask.tenant) || self.now - arrived >= patience {
             self.conclude(xchg);
@@ -569,9 +573,9 @@
     }
 
     /// What an answer is worth, in thousandths: a fetch costs the origin about the same for each.
-    fn worth(&self, ask: &Ask) -> u64 {
+    fn worth(&self, ask: &Ask, route: &Route) -> u64 {
         let part = if self.surplus(ask.tenant) { self.rules.surplus_payoff } else { 1.0 };
-        (1000.0 * self.routes[ask.route].payoff * part) as u64
+        (1000.0 * route.payoff * part) as u64
     }
 
     /// Guards nodes that lose capacity when crowded; little or shrunk room is rounded down, since the odd one
@@ -622,14 +626,14 @@
     fn pause(&self, node: Node, work: f64) -> f64 {
         let Rules { cold, start_capacity: start, .. } = self.rules;
         let part = start + (1.0 - start) * (self.nodes.caches[node].age(self.now) as f64 / cold as f64);
-        let normal = self.normal.most_mean(self.now).unwrap_or(0.0);
-        let usual = self.asked.mean(self.now).unwrap_or(work);
+        let normal = self.pace.normal.most_mean(self.now).unwrap_or(0.0);
+        let usual = self.pace.asked.mean(self.now).unwrap_or(work);
         SECOND as f64 * work / usual / (normal * part).max(1.0 / self.fleet)
     }
 
     /// A node's process is new. Guards it from the first exchanges of many proxies at once.
     fn cool(&mut self, node: Node) {
-        let pause = self.pause(node, self.asked.mean(self.now).unwrap_or(1.0));
+        let pause = self.pause(node, self.pace.asked.mean(self.now).unwrap_or(1.0));
         let until = self.now + (pause * f64::from(self.rng.rand_float())) as Nanos;
         self.nodes.change(node, |cache| cache.rests_until = until);
         self.host.log(&format!("node {node} cold: one exchange in {:.1} s at first", pause / 1e9));
@@ -670,8 +674,7 @@
     }
 
     fn measure_all(&mut self) {
-        let (sum, count) = self.rates.iter().flatten().fold((0.0, 0), |(sum, n), rate| (sum + rate, n + 1));
-        self.normal.add(self.now, sum / f64::from(count.max(1)));
+        self.pace.settle(self.now);
         self.kinds.settle(self.now, &self.all);
         let few = FEW * self.serving() / self.fleet * self.more(self.kinds.hits, QUICK);
         measure(self.now, &mut self.all, (ROOM, few, f64::INFINITY));
@@ -685,8 +688,8 @@
         let bounds = origin.map_or((ROOM, few, SLOW), |few| (ORIGIN_ROOM, few, f64::INFINITY));
         let cache = &mut self.nodes.caches[node];
         measure(self.now, &mut cache.flow, bounds);
-        self.rates.resize(self.rates.len().max(node + 1), None);
-        self.rates[node] = counts.then(|| cache.flow.answers.rate(self.now));
+        let rate = counts.then(|| cache.flow.answers.rate(self.now));
+        self.pace.rate(node, rate);
     }
 
     /// Guards an origin that stops when asked for too much: more than its part only while quicker still.
@@ -708,14 +711,13 @@
     fn take_turns(&mut self) {
         let count = self.nodes.caches.len();
         for _ in 0..count.min(SLICE.max(count.div_ceil(10))) {
-            self.turn = (self.turn + 1) % count;
-            let node = self.turn;
+            self.pace.turn = (self.pace.turn + 1) % count;
+            let node = self.pace.turn;
             self.measure_node(node);
             // Guards memory. Past the last mention in any set or exchange, another may have the number.
             let done = self.nodes.caches[node].done(self.now, UNPICKED);
             if done && !self.xchgs.values().any(|cx| cx.tried(node)) {
-                self.nodes.list(node, Listed::default());
-                self.nodes.change(node, |cache| *cache = Cache::default());
+                self.nodes.forget(node);
                 self.host.dismiss(node);
             }
         }
@@ -726,17 +728,17 @@
         self.take_turns();
         self.measure_all();
         // Guards what may be a sick node from the probes of many proxies.
-        let mut due = std::mem::take(&mut self.set);
+        let mut due = std::mem::take(&mut self.scratch.set);
         due.clear();
-        due.extend(self.nodes.aside());
-        due.retain(|&node| self.nodes.caches[node].ready() && !self.nodes.caches[node].probing);
+        let idle = |cache: &Cache| cache.ready() && !cache.probing;
+        due.extend(self.nodes.aside().filter(|&node| idle(&self.nodes.caches[node])));
         for &node in &due {
             if f64::from(self.rng.rand_float()) < (FEW / self.fleet).max(0.1) {
                 self.nodes.caches[node].probing = true;
                 self.host.probe(node);
             }
         }
-        self.set = due;
+        self.scratch.set = due;
         self.serve_line();
         if self.follow_at <= self.now && self.rules.asks_list {
             self.follow_at = Nanos::MAX;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,9 +4,10 @@
 
 use crate::classes::Classes;
 use crate::groups::Groups;
-use crate::host::{Listed, Nanos, Node};
+use crate::host::{Listed, Nanos, Node, Standing};
 use crate::ranks::Bits;
 use crate::state::Cache;
+use hashbrown::HashSet;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
 
@@ -138,6 +139,8 @@
     sum: u64,
     serving: usize,
     aside: BTreeSet<Node>,
+    /// Identities that operators took out of service: they outlive all that the list says of a node.
+    bans: HashSet<u64>,
     due: BinaryHeap<Reverse<(Nanos, Node)>>,
     now: Nanos,
     cold: Nanos,
@@ -154,6 +157,7 @@
             sum: 0,
             serving: 0,
             aside: BTreeSet::new(),
+            bans: HashSet::new(),
             due: BinaryHeap::new(),
             now: 0,
             cold,
@@ -190,11 +194,52 @@
     }
 
     pub fn list(&mut self, node: Node, listed: Listed) {
-        self.change(node, |cache| cache.listed = listed);
+        let banned = self.bans.contains(&listed.identity);
+        self.change(node, |cache| (cache.listed, cache.banned) = (listed, banned));
         let ready = self.caches[node].ready() && !listed.origin;
         self.finder.listed(node, listed.identity, ready);
     }
 
+    /// All that these do not name are gone.
+    pub fn list_only(&mut self, named: &[Node]) {
+        let mut there = Bits::default();
+        named.iter().for_each(|&node| _ = there.set(node, true));
+        for node in (0..self.caches.len()).filter(|&node| !there.has(node)) {
+            self.list(node, Listed { standing: Standing::Gone, ..self.caches[node].listed });
+        }
+    }
+
+    /// A try goes there; a cold node then rests for this proxy until that time.
+    pub fn send(&mut self, node: Node, rests: Option<Nanos>) {
+        let now = self.now;
+        self.change(node, |cache| {
+            cache.send(now);
+            cache.rests_until = rests.unwrap_or(cache.rests_until);
+        });
+    }
+
+    /// As one whose process started now, with nothing held against it.
+    pub fn renew(&mut self, node: Node) {
+        self.list(node, Listed { started: self.now, ..self.caches[node].listed });
+        self.change(node, Cache::pardon);
+    }
+
+    /// The node's number is free for another.
+    pub fn forget(&mut self, node: Node) {
+        self.list(node, Listed::default());
+        self.change(node, |cache| *cache = Cache::default());
+    }
+
+    /// Takes an identity out of service or puts it back: whether that changed anything, and which node has it now.
+    pub fn ban(&mut self, identity: u64, out: bool) -> (bool, Option<Node>) {
+        let changed = if out { self.bans.insert(identity) } else { self.bans.remove(&identity) };
+        let node = self.caches.iter().position(|cache| cache.listed.identity == identity);
+        if let Some(node) = node.filter(|_| changed) {
+            self.list(node, self.caches[node].listed);
+        }
+        (changed, node)
+    }
+
     fn place(&mut self, node: Node) {
         let (cache, now) = (&mut self.caches[node], self.now);
         if cache.report.is_some_and(|report| now >= report.at + self.last) {
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -138,8 +138,8 @@
     }
 }
 
-/// Whether an exchange of a route may run again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Whether an exchange of a route may run again, the strictest last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Repeat {
     Retriable,
     /// Repeats are discarded by the nodes of this scope.
@@ -154,7 +154,7 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Scope {
     Fleet,
     Zone,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -28,6 +28,8 @@
     /// Set aside, with the count of probes answered since.
     pub aside: Option<usize>,
     pub probing: bool,
+    /// Operators took it out of service: it counts as draining, whatever the list says.
+    pub banned: bool,
 }
 
 /// Exchanges in flight at a node, or at all caches together, and their answers.
@@ -144,6 +146,43 @@
     }
 }
 
+/// What is asked of this proxy, and what a warm cache that serves answers a second: each as of its turn, and all
+/// on average.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    pub asked: Ring<8>,
+    pub normal: Ring<20>,
+    rates: Vec<Option<f64>>,
+    /// Whose turn it was last.
+    pub turn: Node,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace { asked: Ring::new(2 * SECOND), normal: Ring::new(60 * SECOND), rates: Vec::new(), turn: 0 }
+    }
+}
+
+impl Pace {
+    pub fn settle(&mut self, now: Nanos) {
+        let (sum, count) = self.rates.iter().flatten().fold((0.0, 0), |(sum, n), rate| (sum + rate, n + 1));
+        self.normal.add(now, sum / f64::from(count.max(1)));
+    }
+
+    pub fn rate(&mut self, node: Node, rate: Option<f64>) {
+        self.rates.resize(self.rates.len().max(node + 1), None);
+        self.rates[node] = rate;
+    }
+}
+
+/// Lists that are kept for their memory.
+#[derive(Clone, Debug, Default)]
+pub struct Scratch {
+    pub set: Vec<Node>,
+    pub ranked: Vec<(u64, Node)>,
+    pub not: Vec<Node>,
+}
+
 /// What a node reported in flight, and this proxy's own part at that time.
 #[derive(Clone, Copy, Debug)]
 pub struct Report {
@@ -153,9 +192,9 @@
 }
 
 impl Cache {
-    /// Listed as ready; the origin as well as caches.
+    /// Listed as ready and not taken out of service; the origin as well as caches.
     pub fn ready(&self) -> bool {
-        self.listed.standing == Standing::Ready
+        self.listed.standing == Standing::Ready && !self.banned
     }
 
     /// A ready cache that is not set aside.
@@ -212,6 +251,11 @@
         listed && now >= self.live + last
     }
 
+    /// What was held against it is over.
+    pub fn pardon(&mut self) {
+        (self.aside, self.failures, self.refuses_until) = (None, 0, 0);
+    }
+
     /// How long ago its process started.
     pub fn age(&self, now: Nanos) -> Nanos {
         now.saturating_sub(self.listed.started)
@@ -227,6 +271,8 @@
 #[derive(Clone, Debug)]
 pub struct Cx {
     pub ask: Ask,
+    /// Its route as it was when the exchange arrived, whatever became of the settings since.
+    pub route: Route,
     pub arrived: Nanos,
     pub tries: SmallVec<[Try; 2]>,
     /// Has its final answer.
@@ -251,9 +297,10 @@
 }
 
 impl Cx {
-    pub fn new(ask: Ask, now: Nanos, worth: u64) -> Self {
+    pub fn new(ask: Ask, route: Route, now: Nanos, worth: u64) -> Self {
         Cx {
             ask,
+            route,
             arrived: now,
             tries: SmallVec::new(),
             over: false,
@@ -282,6 +329,14 @@
         self.tries.iter().any(|t| t.node == node)
     }
 
+    /// The nodes that were tried, by number, each once.
+    pub fn nodes(&self, into: &mut Vec<Node>) {
+        into.clear();
+        into.extend(self.tries.iter().map(|t| t.node));
+        into.sort_unstable();
+        into.dedup();
+    }
+
     pub fn may_have_run(&self) -> bool {
         self.tries.iter().any(|t| t.may_have_run)
     }
@@ -311,7 +366,6 @@
     pub cold: Nanos,
     pub fall: Nanos,
     pub start_capacity: f64,
-    pub most_tries: usize,
     /// The shortest of all routes.
     pub objective: Nanos,
     /// The origin stops for a while when it is asked for too much; so it may where nothing is said of it.
@@ -329,7 +383,6 @@
             cold: settings.time("cold", 0),
             fall: settings.time("fall", SECOND),
             start_capacity: settings.number("start_capacity", 1.0),
-            most_tries: settings.number("most_tries", 1.0) as usize,
             objective: routes.iter().map(|route| route.objective).min().unwrap_or(SECOND),
             origin_falls: settings.number("origin_fall_multiple", 1.0) > 0.0,
             surplus_payoff: settings.number("surplus_payoff", 1.0),
@@ -340,12 +393,13 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Route {
     pub objective: Nanos,
     pub repeat: Repeat,
     pub window: Nanos,
     pub payoff: f64,
+    pub most_tries: usize,
 }
 
 impl Route {
@@ -374,6 +428,7 @@
             },
             window: settings.time(&name("window"), 0),
             payoff: settings.number(&name("payoff"), 1.0),
+            most_tries: settings.number("most_tries", 1.0) as usize,
         }
     }
 }
--- a/crates/core/tests/balance/main.rs
+++ b/crates/core/tests/balance/main.rs
@@ -1,4 +1,5 @@
 mod failures;
+mod operations;
 mod path;
 mod plain;
 mod rig;
--- /dev/null
+++ b/crates/proxy/src/bans.rs
@@ -0,0 +1,155 @@
+//! Nodes that operators have taken out of service, by `uid`. Each is a file in the proxy's private folder, so that a
+//! process that serves beside this one, or comes after it, keeps the same bans: whoever is called writes, both look.
+
+use crate::module::{Desk, Whose};
+use std::collections::BTreeSet;
+use std::io::ErrorKind;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval};
+
+/// A file's name is this, which has the version, and the `uid` in hex.
+const NAME: &str = "pumicebay-ban-1-";
+/// How often the folder is looked through; a ban from another process acts so much later.
+const LOOK: Duration = Duration::from_millis(100);
+const MAILBOX: usize = 64;
+/// No `uid` is longer: file names end at 255 bytes.
+const LONGEST_UID: usize = 110;
+
+/// What became of a call.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Asked {
+    Done,
+    Unknown,
+    Origin,
+    Failed(String),
+}
+
+type Call = (String, bool, oneshot::Sender<Asked>);
+
+/// The way to the actor.
+#[derive(Clone)]
+pub struct Maintenance(mpsc::Sender<Call>);
+
+impl Maintenance {
+    /// Takes a node out of service or puts it back; answers once that holds.
+    pub async fn ask(&self, uid: String, out: bool) -> Asked {
+        let (done, answer) = oneshot::channel();
+        let gone = || Asked::Failed("the proxy ends".into());
+        if self.0.send((uid, out, done)).await.is_err() {
+            return gone();
+        }
+        answer.await.unwrap_or_else(|_| gone())
+    }
+}
+
+pub fn maintenance() -> (Maintenance, mpsc::Receiver<(String, bool, oneshot::Sender<Asked>)>) {
+    let (calls, mailbox) = mpsc::channel(MAILBOX);
+    (Maintenance(calls), mailbox)
+}
+
+/// The actor that keeps the bans; calls and what other processes wrote take their turns here.
+pub struct Bans {
+    pub desk: Desk,
+    /// Without a folder, bans hold for this process alone.
+    pub folder: Option<PathBuf>,
+    /// Those that the module has been told of.
+    pub out: BTreeSet<String>,
+}
+
+impl Bans {
+    pub async fn run(mut self, mut calls: mpsc::Receiver<Call>) {
+        let mut look = interval(LOOK);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                call = calls.recv() => match call {
+                    Some((uid, out, done)) => {
+                        let _ = done.send(self.called(uid, out).await);
+                    }
+                    None => return,
+                },
+                _ = look.tick() => self.look().await,
+            }
+        }
+    }
+
+    async fn called(&mut self, uid: String, out: bool) -> Asked {
+        match self.desk.whose(uid.clone()).await {
+            Whose::Cache => {}
+            // One that discovery has dropped since can be put back all the same.
+            Whose::Nobody if self.out.contains(&uid) => {}
+            Whose::Nobody => return Asked::Unknown,
+            Whose::Origin => return Asked::Origin,
+        }
+        // Kept before it acts: a successor that starts now must find it.
+        if let Err(error) = self.keep(&uid, out) {
+            tracing::error!("maintenance: {uid}: {error}");
+            return Asked::Failed(error.to_string());
+        }
+        self.tell(uid, out).await;
+        Asked::Done
+    }
+
+    async fn tell(&mut self, uid: String, out: bool) {
+        if out {
+            self.out.insert(uid.clone());
+        } else {
+            self.out.remove(&uid);
+        }
+        self.desk.maintained(uid, out).await;
+    }
+
+    fn keep(&self, uid: &str, out: bool) -> std::io::Result<()> {
+        let Some(folder) = &self.folder else { return Ok(()) };
+        if uid.len() > LONGEST_UID {
+            return Err(std::io::Error::new(ErrorKind::InvalidInput, "id too long"));
+        }
+        let file = folder.join(format!("{NAME}{}", hex(uid)));
+        if out {
+            // All there is to it is the name: there at once and whole.
+            return std::fs::File::create(file).map(|_| ());
+        }
+        std::fs::remove_file(file).or_else(|e| if e.kind() == ErrorKind::NotFound { Ok(()) } else { Err(e) })
+    }
+
+    /// Takes over what another process wrote.
+    async fn look(&mut self) {
+        let Some(there) = self.folder.as_deref().map(read) else { return };
+        let there = match there {
+            Ok(there) => there,
+            Err(error) => return tracing::debug!("maintenance: {error}"),
+        };
+        let changed: Vec<String> = there.symmetric_difference(&self.out).cloned().collect();
+        for uid in changed {
+            let out = there.contains(&uid);
+            self.tell(uid, out).await;
+        }
+    }
+}
+
+/// The bans in a folder. Files that are none of ours are passed over.
+pub fn read(folder: &Path) -> std::io::Result<BTreeSet<String>> {
+    let mut bans = BTreeSet::new();
+    for entry in std::fs::read_dir(folder)? {
+        let name = entry?.file_name();
+        let Some(uid) = name.to_str().and_then(|name| name.strip_prefix(NAME)) else { continue };
+        match unhex(uid) {
+            Some(uid) => _ = bans.insert(uid),
+            None => tracing::warn!("maintenance: {uid:?} is no file of ours"),
+        }
+    }
+    Ok(bans)
+}
+
+fn hex(uid: &str) -> String {
+    uid.bytes().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Option<String> {
+    let pair = |at: usize| u8::from_str_radix(text.get(at..at + 2)?, 16).ok();
+    let bytes: Option<Vec<u8>> = (0..text.len()).step_by(2).map(pair).collect();
+    String::from_utf8(bytes?).ok().filter(|uid| !uid.is_empty())
+}
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -27,8 +27,8 @@
   version            print the version
   help               print this
 
-FILE is by default what $PROXY_CONFIG names; $PROXY_NAME, $PROXY_LISTEN and $PROXY_DISCOVERY
-go before what it says; read again, FILE alone says where discovery is. ADDRESS is by default where
+FILE is by default what $PROXY_CONFIG names; $PROXY_NAME, $PROXY_LISTEN, $PROXY_DISCOVERY and
+$PROXY_OPERATOR go before what it says; read again, FILE alone says where discovery is. ADDRESS is by default where
 that configuration listens.
 
 migrate --config FILE --output NEW [--dry-run] [--force]
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names the key.
 
+use crate::operator::CALLERS;
 use crate::resp::LONGEST_BULK;
 use anyhow::{Context, Result, bail, ensure};
 use pumicebay_core::host::Repeat;
@@ -8,6 +9,7 @@
 use pumicebay_names as names;
 use serde_json::Value as Json;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// What a proxy holds at most if its limits do not say.
@@ -23,15 +25,28 @@
 /// Descriptors for all that is not a connection: the runtime, the listener, discovery, logs.
 const RESERVED: usize = 32;
 const FEWEST_SOCKETS: u64 = 2 * RESERVED as u64;
+/// What the platform says goes before what the file says.
+const VARIABLES: &[(&str, &str)] = &[
+    ("PROXY_NAME", "name"),
+    ("PROXY_LISTEN", "listen"),
+    ("PROXY_DISCOVERY", "discovery"),
+    ("PROXY_OPERATOR", "operator"),
+];
 const IDLE: Duration = Duration::from_secs(15);
 const CONNECT: Duration = Duration::from_millis(200);
-const KEYS: &[&str] = &["name", "listen", "discovery", "seed", "limits", "known", "settings"];
+const KEYS: &[&str] = &["name", "listen", "discovery", "operator", "seed", "limits", "known", "settings"];
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The operators' door, where there is one.
+    pub operator: Option<SocketAddr>,
+    /// Standard input is the clients' listening socket, which other processes hold too.
+    pub inherited: bool,
+    /// The proxy's private folder, in which a process leaves what the one beside it or after it must know.
+    pub folder: Option<PathBuf>,
     pub seed: u64,
     /// How many connections clients may hold here, and this proxy to nodes.
     pub clients: usize,
@@ -72,13 +87,14 @@
 pub fn read(path: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
     let text = std::fs::read_to_string(path).with_context(|| format!("configuration {path}"))?;
     let mut json: Json = serde_json::from_str(&text).with_context(|| format!("configuration {path}"))?;
-    for (name, key) in [("PROXY_NAME", "name"), ("PROXY_LISTEN", "listen"), ("PROXY_DISCOVERY", "discovery")]
-    {
+    for (name, key) in VARIABLES {
         if let (Some(value), Some(object)) = (variable(name), json.as_object_mut()) {
-            object.insert(key.into(), Json::String(value));
+            object.insert((*key).into(), Json::String(value));
         }
     }
-    parse(&json).with_context(|| format!("configuration {path}"))
+    let config = parse(&json).with_context(|| format!("configuration {path}"))?;
+    let (inherited, folder) = (variable("PROXY_FD").is_some(), variable("TMPDIR").map(PathBuf::from));
+    Ok(Config { inherited, folder, ..config })
 }
 
 pub fn parse(json: &Json) -> Result<Config> {
@@ -92,15 +108,17 @@
     let settings = checked(json, wire)?;
     let sockets = number(json, "/limits/sockets")?.unwrap_or(SOCKETS);
     ensure!(sockets >= FEWEST_SOCKETS, "limits.sockets: expected {FEWEST_SOCKETS} or more, found {sockets}");
-    let sockets = usize::try_from(sockets).unwrap_or(usize::MAX) - RESERVED;
+    let operator = address(json, "operator")?;
+    let reserved = RESERVED + operator.map_or(0, |_| CALLERS);
+    let sockets = usize::try_from(sockets).unwrap_or(usize::MAX) - reserved;
     let memory = number(json, "/limits/memory_mb")?.unwrap_or(MEMORY_MB);
     let least = FEWEST_MEMORY_MB;
     ensure!(memory >= least, "limits.memory_mb: expected {least} or more, found {memory}");
     let memory = usize::try_from(memory).unwrap_or(usize::MAX).saturating_mul(1 << 20);
     // Clients hold a third of all descriptors for requests.
-    let used = (sockets + RESERVED) / 3 * 3 / 4;
+    let used = (sockets + reserved) / 3 * 3 / 4;
     let clients = clients_part(sockets).min(memory / 2 / CLIENT_BYTES);
-    let listen = address(json, "listen")?;
+    let listen = address(json, "listen")?.context("listen: missing")?;
     let kinds = names::list(wire, "/skus", "");
     let origin = wire.pointer("/domain/origin-kind").and_then(Json::as_i64).filter(|&kind| kind >= 0);
     let origin_kind = origin.map(|kind| {
@@ -117,7 +135,10 @@
     Ok(Config {
         name: text(json, "name")?.unwrap_or("pumicebay").to_string(),
         listen,
-        discovery: address(json, "discovery")?,
+        discovery: address(json, "discovery")?.context("discovery: missing")?,
+        operator,
+        inherited: false,
+        folder: None,
         seed: seed(json)?,
         clients,
         used: used.min(clients),
@@ -212,9 +233,9 @@
     }
 }
 
-fn address(json: &Json, key: &str) -> Result<SocketAddr> {
-    let text = text(json, key)?.with_context(|| format!("{key}: missing"))?;
-    text.parse().with_context(|| format!("{key}: expected ADDRESS:PORT, found {text:?}"))
+fn address(json: &Json, key: &str) -> Result<Option<SocketAddr>> {
+    let Some(text) = text(json, key)? else { return Ok(None) };
+    text.parse().map(Some).with_context(|| format!("{key}: expected ADDRESS:PORT, found {text:?}"))
 }
 
 fn text<'a>(json: &'a Json, key: &str) -> Result<Option<&'a str>> {
@@ -260,8 +281,9 @@
         let routes = Route::all(&self.settings);
         let routes: Vec<String> = self.route_names.iter().zip(&routes).map(named).collect();
         let known = self.known.get("targets").and_then(Json::as_array).map_or(0, Vec::len);
+        let door = self.operator.map_or(String::new(), |door| format!(", operators at {door}"));
         format!(
-            "{name} listens on {listen}, discovery at {discovery}, {known} nodes known\n\
+            "{name} listens on {listen}, discovery at {discovery}{door}, {known} nodes known\n\
              at most {clients} client connections and {upstream} to nodes\n\
              routes: {}",
             routes.join(", ")
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -1,4 +1,5 @@
-//! HTTP/1.1 as the origin and discovery speak it: requests out, answers in.
+//! HTTP/1.1: as the origin and discovery speak it, requests out and answers in; and as operators do, calls in and
+//! words out.
 
 use crate::large::Large;
 use crate::resp::bad;
@@ -121,6 +122,93 @@
     }
 }
 
+/// A call at the operators' door.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    pub method: String,
+    pub path: String,
+    pub body: Bytes,
+}
+
+/// The answer to a call: a status and one line of text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Word(pub u16, pub String);
+
+/// Reads one call. What can't be read is an error whose text begins with the status that is owed.
+#[derive(Debug, Default)]
+pub struct Calls {
+    head: Option<(Call, usize)>,
+}
+
+const LONGEST_CALL_HEAD: usize = 8 * 1024;
+const LONGEST_CALL_BODY: usize = 4 * 1024;
+
+impl Decoder for Calls {
+    type Item = Call;
+    type Error = Error;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Call>, Error> {
+        if self.head.is_none() {
+            self.head = call(buffer)?;
+        }
+        let Some((_, length)) = self.head.as_ref().filter(|(_, length)| buffer.len() >= *length) else {
+            return Ok(None);
+        };
+        let body = buffer.split_to(*length).freeze();
+        Ok(self.head.take().map(|(call, _)| Call { body, ..call }))
+    }
+}
+
+/// Takes a call's head off the buffer, with the length of its body.
+fn call(buffer: &mut BytesMut) -> Result<Option<(Call, usize)>, Error> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let head = match parsed.parse(buffer) {
+        Ok(httparse::Status::Complete(head)) if head <= LONGEST_CALL_HEAD => head,
+        Ok(httparse::Status::Partial) if buffer.len() <= LONGEST_CALL_HEAD => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(bad("431 head too long")),
+        Err(_) => return Err(bad("400 malformed call")),
+    };
+    let (method, path) = (parsed.method.unwrap_or_default(), parsed.path.unwrap_or_default());
+    let path = path.split('?').next().unwrap_or_default();
+    let call = Call { method: method.into(), path: path.into(), body: Bytes::new() };
+    let mut length = None;
+    for header in parsed.headers.iter() {
+        if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(bad("411 a body needs its Content-Length"));
+        }
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let text = std::str::from_utf8(header.value).unwrap_or_default().trim();
+            let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+            if !digits || length.is_some() {
+                return Err(bad("400 invalid Content-Length"));
+            }
+            length = Some(text.parse().unwrap_or(usize::MAX));
+        }
+    }
+    let length = length.unwrap_or(0);
+    if length > LONGEST_CALL_BODY {
+        return Err(bad("413 body too long"));
+    }
+    let _ = buffer.split_to(head);
+    Ok(Some((call, length)))
+}
+
+impl Encoder<Word> for Calls {
+    type Error = Error;
+
+    fn encode(&mut self, Word(status, text): Word, buffer: &mut BytesMut) -> Result<(), Error> {
+        let reason = if status < 300 { "OK" } else { "No" };
+        let length = text.len() + 1;
+        let head = format!(
+            "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {length}\r\n\
+             Connection: close\r\n\r\n{text}\n"
+        );
+        buffer.put(head.as_bytes());
+        Ok(())
+    }
+}
+
 fn head(
     buffer: &mut BytesMut,
     longest: usize,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,5 +1,6 @@
 //! The proxy on sockets: actors round the decisions of `pumicebay-core`. Start reading at [`serve`].
 
+pub mod bans;
 pub mod cli;
 pub mod clients;
 pub mod clock;
@@ -11,6 +12,7 @@
 pub mod migrate;
 pub mod module;
 pub mod node;
+pub mod operator;
 pub mod phases;
 pub mod resp;
 pub mod room;
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -47,6 +47,17 @@
         List { shared, discovery, follow, version, connection: None, due }
     }
 
+    /// The whole list as it is now, for a process that takes over from one that may have been told more than the
+    /// configuration knows.
+    pub async fn first(&mut self) -> Result<Vec<Named>> {
+        self.version = None;
+        let (version, whole, named) = entries(&self.call().await?, &self.shared.config)?;
+        ensure!(whole, "asked for the whole list, got changes");
+        self.version = Some(version);
+        self.shared.counters.list_answers.add();
+        Ok(named)
+    }
+
     /// Follows discovery where it is now: a new address is asked for the whole list at once.
     pub async fn run(mut self, mut discovery: watch::Receiver<SocketAddr>) {
         loop {
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hashbrown::{HashMap, HashSet};
 use pumicebay_core::{Ask, Balance, Held, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
+use pumicebay_names::identity;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 use tokio::time::{Instant, sleep_until};
 
 const MAILBOX: usize = 4096;
+const ORDERS: usize = 64;
 /// As long as it takes to notice that no timer is set.
 const FAR: Nanos = 1_000_000_000;
 
@@ -113,12 +115,47 @@
     }
 }
 
-/// The module's mailbox.
-pub struct Mailbox(mpsc::Receiver<Event>);
+/// Who has an id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Whose {
+    Cache,
+    Origin,
+    Nobody,
+}
+
+enum Order {
+    Whose(String, oneshot::Sender<Whose>),
+    Maintained(String, bool, oneshot::Sender<()>),
+}
+
+/// The operators' way to the module: it goes before all that waits in the mailbox.
+#[derive(Clone)]
+pub struct Desk(mpsc::Sender<Order>);
+
+impl Desk {
+    pub async fn whose(&self, uid: String) -> Whose {
+        self.ask(|answer| Order::Whose(uid, answer)).await.unwrap_or(Whose::Nobody)
+    }
+
+    /// Returns once no decision sends the node anything more, or does so again.
+    pub async fn maintained(&self, uid: String, out: bool) {
+        self.ask(|done| Order::Maintained(uid, out, done)).await;
+    }
+
+    /// None only when the process ends.
+    async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
+        let (answer, answered) = oneshot::channel();
+        self.0.send(order(answer)).await.ok()?;
+        answered.await.ok()
+    }
+}
+
+/// The module's mailboxes.
+pub struct Mailbox(mpsc::Receiver<Event>, mpsc::Receiver<Order>);
 
-pub fn door() -> (Door, Mailbox) {
-    let (mailbox, events) = mpsc::channel(MAILBOX);
-    (Door { mailbox, last: Arc::default() }, Mailbox(events))
+pub fn door() -> (Door, Desk, Mailbox) {
+    let ((mailbox, events), (orders, ordered)) = (mpsc::channel(MAILBOX), mpsc::channel(ORDERS));
+    (Door { mailbox, last: Arc::default() }, Desk(orders), Mailbox(events, ordered))
 }
 
 pub struct Module {
@@ -145,6 +182,7 @@
 struct Known {
     uid: String,
     address: SocketAddr,
+    origin: bool,
     actor: node::Mailbox,
 }
 
@@ -180,11 +218,13 @@
             let due = acts.timers.peek().map_or(now + FAR, |Reverse((at, _))| *at);
             let wake = acts.shared.clock.instant(due);
             tokio::select! {
+                biased;
+                Some(order) = self.mailbox.1.recv() => self.obey(order),
+                () = sleep_until(wake) => self.wake(),
                 event = self.mailbox.0.recv() => match event {
                     Some(event) => self.handle(event),
                     None => return,
                 },
-                () = sleep_until(wake) => self.wake(),
             }
             self.report_unsent();
         }
@@ -197,6 +237,28 @@
         }
     }
 
+    fn obey(&mut self, order: Order) {
+        let now = self.balance.host.shared.clock.now();
+        match order {
+            Order::Whose(uid, answer) => {
+                let acts = &self.balance.host;
+                let known = acts.uids.get(&uid).and_then(|&node| acts.nodes[node].as_ref());
+                let whose = |known: &Known| if known.origin { Whose::Origin } else { Whose::Cache };
+                let _ = answer.send(known.map_or(Whose::Nobody, whose));
+            }
+            Order::Maintained(uid, out, done) => {
+                self.maintained(now, &uid, out);
+                let _ = done.send(());
+            }
+        }
+    }
+
+    /// Takes a node out of service or puts it back, known or not.
+    pub fn maintained(&mut self, now: Nanos, uid: &str, out: bool) {
+        tracing::info!("maintenance: {uid} {}", if out { "out" } else { "back" });
+        self.balance.maintained(now, identity(uid), out);
+    }
+
     fn handle(&mut self, event: Event) {
         let now = self.balance.host.shared.clock.now();
         match event {
@@ -316,7 +378,7 @@
         self.shared.counters.nodes_known.add();
         self.uids.insert(uid.clone(), node);
         let actor = node::start(&self.shared, node, listed.origin);
-        let known = Known { uid: uid.clone(), address: *address, actor };
+        let known = Known { uid: uid.clone(), address: *address, origin: listed.origin, actor };
         self.nodes.resize_with(self.nodes.len().max(node + 1), || None);
         self.nodes[node] = Some(known);
         Some(node)
--- /dev/null
+++ b/crates/proxy/src/operator.rs
@@ -0,0 +1,127 @@
+//! The operators' door: HTTP/1.1, one call a connection, on an address of its own. It answers in time whatever the
+//! load: a few connections of its own, of which the one that is silent longest gives way, and a desk of its own at
+//! the module.
+
+use crate::bans::{Asked, Maintenance};
+use crate::http::{Call, Calls, Word};
+use crate::phases::{Phase, Watch};
+use crate::room::{Room, Spare};
+use futures_util::{SinkExt, StreamExt};
+use serde_json::Value as Json;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+/// Calls at a time; their descriptors are set apart.
+pub const CALLERS: usize = 16;
+/// How long a caller may take for its call, and to read its answer.
+const CALLING: Duration = Duration::from_secs(5);
+const READING: Duration = Duration::from_secs(1);
+/// What is still read of a call that was refused, and for how long: closing on it could lose the answer.
+const LINGER: Duration = Duration::from_millis(200);
+const LINGER_BYTES: u64 = 64 * 1024;
+/// How long a call waits for a proxy that is about to serve.
+const STARTING: Duration = Duration::from_millis(700);
+/// The pause after a connection could not be accepted.
+const NO_ROOM: Duration = Duration::from_millis(20);
+
+/// What calls are about.
+#[derive(Clone)]
+pub struct Operator {
+    pub watch: Watch,
+    pub maintenance: Maintenance,
+}
+
+/// Accepts as long as the process lives.
+pub async fn accept(operator: Operator, listener: TcpListener) {
+    let room = Room::new(CALLERS);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!("operators' door: {error}");
+                sleep(NO_ROOM).await;
+                continue;
+            }
+        };
+        let (operator, room, place) = (operator.clone(), room.clone(), room.take().await);
+        tokio::spawn(async move {
+            if let Err(error) = serve(operator, &room, stream).await {
+                tracing::debug!("operators' door: {error}");
+            }
+            drop(place);
+        });
+    }
+}
+
+async fn serve(operator: Operator, room: &Room, stream: TcpStream) -> std::io::Result<()> {
+    let mut framed = Framed::new(stream, Calls::default());
+    let call = tokio::select! {
+        call = timeout(CALLING, framed.next()) => match call {
+            Ok(Some(call)) => call,
+            Ok(None) | Err(_) => return Ok(()),
+        },
+        () = room.asked(Spare::Unused) => return Ok(()),
+    };
+    let word = match call {
+        Ok(call) => operator.answer(call).await,
+        Err(error) => refusal(&error).ok_or(error)?,
+    };
+    if word.0 >= 300 {
+        tracing::info!("operators' door: {} {}", word.0, word.1);
+    }
+    timeout(READING, framed.send(word)).await??;
+    let stream = framed.get_mut();
+    stream.shutdown().await?;
+    let _ = timeout(LINGER, copy(&mut stream.take(LINGER_BYTES), &mut sink())).await;
+    Ok(())
+}
+
+/// The codec says what is wrong in words that begin with the status.
+fn refusal(error: &std::io::Error) -> Option<Word> {
+    let text = error.to_string();
+    let (status, why) = text.split_once(' ')?;
+    Some(Word(status.parse().ok()?, why.into()))
+}
+
+impl Operator {
+    /// The answer to a call: 2xx is yes, all else no with a line that says why.
+    pub async fn answer(&self, call: Call) -> Word {
+        let method = match call.path.as_str() {
+            "/status" => "GET",
+            "/maintenance/enter" | "/maintenance/exit" => "POST",
+            path => return Word(404, format!("no such call: {path:?}")),
+        };
+        if call.method != method {
+            return Word(405, format!("{} wants {method}, found {:?}", call.path, call.method));
+        }
+        if method == "GET" {
+            return match self.watch.now() {
+                Phase::Serving | Phase::Draining => Word(200, "serving".into()),
+                phase => Word(503, format!("takes no clients: {phase:?}")),
+            };
+        }
+        let who = match serde_json::from_slice::<Json>(&call.body) {
+            Ok(Json::Object(mut body)) => body.remove("who"),
+            Ok(other) => return Word(400, format!("expected {{\"who\":\"ID\"}}, found {other}")),
+            Err(error) => return Word(400, format!("the body is no JSON: {error}")),
+        };
+        let who = match who {
+            Some(Json::String(who)) => who,
+            Some(other) => return Word(400, format!("who: expected a text, found {other}")),
+            None => return Word(400, "who: missing".into()),
+        };
+        // A process that has yet to hear of its nodes would take each id for unknown.
+        let _ = timeout(STARTING, self.watch.clone().reached(Phase::Serving)).await;
+        let out = call.path == "/maintenance/enter";
+        match self.maintenance.ask(who.clone(), out).await {
+            Asked::Done if out => Word(200, format!("{who} gets nothing more")),
+            Asked::Done => Word(200, format!("{who} is back")),
+            Asked::Unknown => Word(404, format!("no cache node {who:?} is known")),
+            Asked::Origin => Word(409, format!("{who} is the origin, not a cache node")),
+            Asked::Failed(error) => Word(500, format!("{who}: could not be kept: {error}")),
+        }
+    }
+}
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -1,23 +1,31 @@
 //! Puts the actors together and runs them through the phases.
 
+use crate::bans::{self, Bans};
 use crate::clients::{self, Front};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::list::{self, List};
 use crate::module::{self, Door, Module};
+use crate::operator::{self, Operator};
 use crate::phases::{Phase, Phases, Watch};
 use crate::room::Room;
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, bail, ensure};
+use socket2::Socket;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::sync::Arc;
-use tokio::net::TcpSocket;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
 const BACKLOG: u32 = 1024;
+/// How long a process that takes over waits for the list: operators wait some seconds for its yes.
+const FIRST_LIST: Duration = Duration::from_millis(1500);
 
 /// What all actors share.
 #[derive(Clone)]
@@ -37,6 +45,8 @@
 pub struct Proxy {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where operators call.
+    pub operator: Option<SocketAddr>,
     phases: Phases,
     config: Arc<Config>,
     counters: Arc<Counters>,
@@ -52,7 +62,7 @@
     pub async fn start(config: Config, counters: Arc<Counters>) -> Result<Proxy> {
         let (phases, config) = (Phases::default(), Arc::new(config));
         tracing::info!("{}", config.summary().replace('\n', "; "));
-        let (door, mailbox) = module::door();
+        let (door, desk, mailbox) = module::door();
         let (follow, followed) = mpsc::channel(1);
         let (clock, watch, upstream) = (Clock::start(), phases.watch(), Room::new(config.upstream));
         let large = Arc::new(Semaphore::new(config.large));
@@ -63,10 +73,29 @@
             Ok((_, whole, named)) => module.listed(whole, named),
             Err(error) => tracing::warn!("known: no list to start from: {error:#}"),
         }
-        let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(config.listen).with_context(|| format!("listen: {}", config.listen))?;
-        let listener = socket.listen(BACKLOG).with_context(|| format!("listen: {}", config.listen))?;
+        let mut actors = JoinSet::new();
+        let operator = config.operator.map(|at| listen("operator", at)).transpose()?;
+        let door_at = operator.as_ref().map(TcpListener::local_addr).transpose()?;
+        if let Some(listener) = operator {
+            let (maintenance, calls) = bans::maintenance();
+            let (watch, folder) = (shared.watch.clone(), config.folder.clone());
+            let out = folder.as_deref().map(bans::read).transpose().unwrap_or_else(|error| {
+                tracing::warn!("maintenance: no bans taken over: {error}");
+                None
+            });
+            let out = out.unwrap_or_default();
+            out.iter().for_each(|uid| module.maintained(clock.now(), uid, true));
+            actors.spawn(Bans { desk, folder, out }.run(calls));
+            actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
+        }
+        let mut list = List::new(shared.clone(), followed);
+        if config.inherited {
+            match timeout(FIRST_LIST, list.first()).await.context("silent").flatten() {
+                Ok(named) => module.listed(true, named),
+                Err(error) => tracing::warn!("discovery: starts from the list it was given: {error:#}"),
+            }
+        }
+        let listener = if config.inherited { inherited()? } else { listen("listen", config.listen)? };
         let address = listener.local_addr()?;
         let connections = TaskTracker::new();
         let front = Front {
@@ -78,13 +107,12 @@
         };
         let (config, counters) = (config.clone(), shared.counters.clone());
         let discovery = watch::Sender::new(config.discovery);
-        let mut actors = JoinSet::new();
         actors.spawn(module.run());
-        actors.spawn(List::new(shared, followed).run(discovery.subscribe()));
+        actors.spawn(list.run(discovery.subscribe()));
         actors.spawn(clients::accept(front, listener));
         phases.enter(Phase::Serving);
         tracing::info!("listens on {address}");
-        Ok(Proxy { address, phases, config, counters, connections, discovery, actors })
+        Ok(Proxy { address, operator: door_at, phases, config, counters, connections, discovery, actors })
     }
 
     /// Takes from a new configuration what can change while it serves; one that can't be read changes nothing.
@@ -132,6 +160,24 @@
     }
 }
 
+/// Listens on an address that the configuration gives under this key.
+fn listen(key: &str, at: SocketAddr) -> Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at).with_context(|| format!("{key}: {at}"))?;
+    socket.listen(BACKLOG).with_context(|| format!("{key}: {at}"))
+}
+
+/// The clients' listening socket from the platform. Deploy files pass it on as standard input, the one descriptor
+/// that can be taken over safely.
+fn inherited() -> Result<TcpListener> {
+    let why = "PROXY_FD: standard input is no listening socket; start with 0<&$PROXY_FD";
+    let socket = Socket::from(std::io::stdin().as_fd().try_clone_to_owned()?);
+    ensure!(socket.is_listener().context(why)?, why);
+    socket.set_nonblocking(true)?;
+    Ok(TcpListener::from_std(socket.into())?)
+}
+
 /// Reads the configuration again each time the platform says so.
 pub fn reread(read: impl Fn() -> Result<Config> + Send + 'static) -> Result<mpsc::Receiver<Result<Config>>> {
     let mut hangup = signal(SignalKind::hangup())?;
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -7,6 +7,7 @@
 mod list;
 mod migrate;
 mod nodes;
+mod operations;
 mod phases;
 mod wire;
 
@@ -90,6 +91,7 @@
 
 pub struct World {
     pub address: SocketAddr,
+    pub operator: Option<SocketAddr>,
     pub watch: Watch,
     pub cache: Trace,
     pub origin: Trace,
@@ -126,7 +128,7 @@
         change(&mut config);
         let counters = Arc::new(Counters::default());
         let proxy = Proxy::start(config, counters.clone()).await.expect("a proxy");
-        let (address, watch) = (proxy.address, proxy.watch());
+        let (address, operator, watch) = (proxy.address, proxy.operator, proxy.watch());
         let (stop, stopped) = oneshot::channel();
         let (configs, fresh) = mpsc::channel(1);
         let running = tokio::spawn(async move {
@@ -136,6 +138,7 @@
         let stop = Some(stop);
         World {
             address,
+            operator,
             watch,
             cache,
             origin,
