New settings on SIGHUP: routes come and go, effects and tries change, broken files change nothing

Cause: reload (serve.rs) took discovery's address alone; a class that the file added was unknown to the clients' front (clients.rs, read), and a dropped or changed one went on under the old rules.

Change: tuning.rs gives each route's name a number for good; the module is told through the desk before the front learns new names; a file must have every key that the one in force has (config.rs, keeps), and what needs a restart is named in the log. Checked more: names twice, payoff, window.

Tests: routes that come and go under an open exchange, eighteen broken files.

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -379,11 +379,12 @@
 
 impl Rules {
     pub fn new(settings: &Settings, routes: &[Route]) -> Rules {
+        let objectives = routes.iter().filter(|route| !route.dropped).map(|route| route.objective);
         Rules {
             cold: settings.time("cold", 0),
             fall: settings.time("fall", SECOND),
             start_capacity: settings.number("start_capacity", 1.0),
-            objective: routes.iter().map(|route| route.objective).min().unwrap_or(SECOND),
+            objective: objectives.min().unwrap_or(SECOND),
             origin_falls: settings.number("origin_fall_multiple", 1.0) > 0.0,
             surplus_payoff: settings.number("surplus_payoff", 1.0),
             pauses: settings.flag("pauses"),
@@ -400,6 +401,8 @@
     pub window: Nanos,
     pub payoff: f64,
     pub most_tries: usize,
+    /// No longer in the settings: kept for clients that still name it.
+    pub dropped: bool,
 }
 
 impl Route {
@@ -429,6 +432,7 @@
             window: settings.time(&name("window"), 0),
             payoff: settings.number(&name("payoff"), 1.0),
             most_tries: settings.number("most_tries", 1.0) as usize,
+            dropped: settings.flag(&name("dropped")),
         }
     }
 }
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -37,6 +37,7 @@
 
 const ROUTE: &[(&str, &str)] = &[
     ("/dedup-scope", "scope"),
+    ("/dropped", "dropped"),
     ("/latency-objective-us", "objective"),
     ("/late-payoff", "late_payoff"),
     ("/overall-timeout-us", "overall_timeout"),
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -7,6 +7,7 @@
 use crate::resp::{Frame, Resp, bad, begun};
 use crate::room::{Room, Spare};
 use crate::serve::Shared;
+use crate::tuning::Routes;
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use pumicebay_core::{Ask, Xchg};
@@ -230,7 +231,8 @@
 
     async fn command(&mut self, frame: Frame) -> Reply {
         let at = self.front.shared.clock.now();
-        match read(frame, &self.front.shared.config) {
+        let routes = self.front.shared.routes.borrow().clone();
+        match read(frame, &self.front.shared.config, &routes) {
             Ok(Command::Exchange(ask, cargo)) => {
                 let (xchg, answered) = self.front.shared.door.arrive(at, ask, cargo).await;
                 Reply::Waiting(xchg, answered)
@@ -294,7 +296,7 @@
 }
 
 /// Reads a client's command, or says in plain words what is wrong with it.
-fn read(frame: Frame, config: &Config) -> Result<Command, String> {
+fn read(frame: Frame, config: &Config, routes: &Routes) -> Result<Command, String> {
     let Frame::Array(words) = frame else { return Err("expected a command".into()) };
     let word = |word: Frame| if let Frame::Bulk(word) = word { Some(word) } else { None };
     let words: Option<Vec<Bytes>> = words.into_iter().map(word).collect();
@@ -303,8 +305,8 @@
     let arity = || format!("wrong number of arguments for '{}'", String::from_utf8_lossy(name));
     let is = |word: &[u8]| name.eq_ignore_ascii_case(word);
     match rest {
-        [key, id, labels] if is(b"C.GET") => exchange(config, key, id, labels, None),
-        [key, id, labels, value] if is(b"C.SET") => exchange(config, key, id, labels, Some(value)),
+        [key, id, labels] if is(b"C.GET") => exchange(config, routes, key, id, labels, None),
+        [key, id, labels, value] if is(b"C.SET") => exchange(config, routes, key, id, labels, Some(value)),
         [] if is(b"PING") => Ok(Command::Reply(Frame::simple("PONG"))),
         [text] if is(b"PING") => Ok(Command::Reply(Frame::Bulk(text.clone()))),
         _ if is(b"CLIENT") || is(b"SELECT") => Ok(Command::Reply(Frame::simple("OK"))),
@@ -316,6 +318,7 @@
 
 fn exchange(
     config: &Config,
+    routes: &Routes,
     key: &Bytes,
     id: &Bytes,
     labels: &Bytes,
@@ -335,7 +338,7 @@
         let (name, value) = label.split_once('=').ok_or_else(|| format!("label '{label}' without value"))?;
         let number = || value.parse::<u64>().map_err(|_| format!("label '{name}': expected a number"));
         match name {
-            "c" => route = config.route_names.iter().position(|known| known == value),
+            "c" => route = routes.find(value),
             "t" => ask.tenant = config.tenants.iter().position(|known| known == value),
             "d" => grace = Some(number()?),
             "r" => ask.retry = value == "1",
@@ -343,8 +346,8 @@
             _ => {}
         }
     }
-    ask.route = route.ok_or("label 'c': unknown or missing class")?;
-    let overall = config.overall[ask.route];
+    let overall;
+    (ask.route, overall) = route.ok_or("label 'c': unknown or missing class")?;
     ask.grace = grace.map_or(overall, |grace| grace.saturating_mul(MILLIS).min(overall));
     ask.key = Some(identity(&String::from_utf8_lossy(key)));
     let value = value.cloned().unwrap_or_default();
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -3,11 +3,12 @@
 use crate::operator::CALLERS;
 use crate::resp::LONGEST_BULK;
 use anyhow::{Context, Result, bail, ensure};
+use pumicebay_core::Settings;
 use pumicebay_core::host::Repeat;
 use pumicebay_core::state::Route;
-use pumicebay_core::{Nanos, Settings};
 use pumicebay_names as names;
 use serde_json::Value as Json;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -60,10 +61,9 @@
     /// The list of nodes as this proxy last had it, in discovery's form.
     pub known: Json,
     pub settings: Settings,
-    /// How long a client of each route waits at most.
-    pub overall: Vec<Nanos>,
+    /// All of it, as it was read.
+    pub json: Json,
     /// What the indices of the decisions stand for.
-    pub route_names: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     /// The kinds of machines, by name.
@@ -72,8 +72,6 @@
     /// How long a node lets a connection stand idle, and how long one may take to come up.
     pub idle: Duration,
     pub connect: Duration,
-    /// The longest overall timeout of any route.
-    pub longest: Duration,
     pub draining: Duration,
 }
 
@@ -127,10 +125,6 @@
             .cloned()
             .with_context(|| format!("settings.domain.origin-kind: no kind {kind}"))
     });
-    let route_names = names::list(wire, "/routes", "/name");
-    let overall = |at| settings.time(&format!("route.{at}.overall_timeout"), 0);
-    let overall: Vec<Nanos> = (0..route_names.len()).map(overall).collect();
-    let longest = overall.iter().copied().max().unwrap_or(0);
     let micros = |key, default| number(json, key).map(|time| time.map_or(default, Duration::from_micros));
     Ok(Config {
         name: text(json, "name")?.unwrap_or("pumicebay").to_string(),
@@ -146,17 +140,15 @@
         ahead: memory / 8 / LONGEST_BULK,
         large: memory / 8 / LONGEST_BULK,
         known: known(json)?,
-        route_names,
+        json: json.clone(),
         tenants: names::list(wire, "/orgs", "/name"),
         zones: names::list(wire, "/failure-domains", ""),
         origin_kind: origin_kind.transpose()?,
         kinds,
         idle: micros("/settings/permissions/conn-idle-us", IDLE)?,
         connect: micros("/settings/permissions/connect-timeout-us", CONNECT)?,
-        longest: Duration::from_nanos(longest),
         draining: DRAINING,
         settings,
-        overall,
     })
 }
 
@@ -208,6 +200,17 @@
             let found = || format!("settings.routes[{at}].{key}: expected microseconds, found {time}");
             ensure!(time.as_u64().is_some_and(|time| time > 0), found());
         }
+        let name = names::text(route, "/name");
+        let again = routes[..at].iter().any(|other| names::text(other, "/name") == name);
+        ensure!(!again, "settings.routes[{at}].name: {name:?} is there twice");
+        for (key, wanted) in [("window-us", "microseconds"), ("payoff", "0 or more")] {
+            let value = route.get(key).unwrap_or(&Json::Null);
+            let whole = value.is_u64() || key == "payoff" && value.as_f64().is_some_and(|value| value >= 0.0);
+            ensure!(
+                value.is_null() || whole,
+                "settings.routes[{at}].{key}: expected {wanted}, found {value}"
+            );
+        }
         let effect = names::text(route, "/effect");
         let known = ["repeatable", "by_key", "once"].contains(&effect);
         ensure!(known, "settings.routes[{at}].effect: expected repeatable, by_key or once, found {effect:?}");
@@ -215,6 +218,60 @@
     Ok(names::translate(wire))
 }
 
+/// What a file must not lack once the one in force has it: a part that was cut off would else be taken as a wish.
+pub fn keeps(old: &Json, new: &Json) -> Result<()> {
+    lacks_nothing(old, new, "")?;
+    let keys = |route: &Json| -> Vec<String> {
+        route.as_object().into_iter().flat_map(|route| route.keys().cloned()).collect()
+    };
+    let routes =
+        |json: &Json| json.pointer("/settings/routes").and_then(Json::as_array).cloned().unwrap_or_default();
+    // Keys that every route had.
+    let mut common = routes(old).first().map(keys).unwrap_or_default();
+    routes(old).iter().for_each(|route| common.retain(|key| route.get(key).is_some()));
+    for (at, route) in routes(new).iter().enumerate() {
+        let missing = common.iter().find(|key| route.get(key.as_str()).is_none());
+        ensure!(missing.is_none(), "settings.routes[{at}].{}: missing", missing.map_or("", |key| key));
+    }
+    Ok(())
+}
+
+fn lacks_nothing(old: &Json, new: &Json, place: &str) -> Result<()> {
+    let Some(object) = old.as_object() else { return Ok(()) };
+    ensure!(new.is_object(), "{}: expected an object, found {new}", key(place));
+    for (name, old) in object.iter().filter(|(name, old)| !name.starts_with('#') && !old.is_null()) {
+        let place = format!("{place}/{name}");
+        let Some(new) = new.get(name).filter(|new| !new.is_null()) else {
+            bail!("{}: missing, and was there before", key(&place))
+        };
+        lacks_nothing(old, new, &place)?;
+    }
+    Ok(())
+}
+
+/// What is new and can't be taken while the proxy serves; the list and the seed are for a start anyhow.
+pub fn needs_restart(old: &Json, new: &Json) -> Vec<String> {
+    let taken = ["seed", "discovery", "settings.routes", "settings.permissions.most-upstream-tries"];
+    let taken = |place: &String| taken.contains(&place.as_str()) || place.starts_with("known");
+    let mut places = Vec::new();
+    differences(old, new, "", &mut places);
+    places.into_iter().map(|place| key(&place)).filter(|place| !taken(place)).collect()
+}
+
+fn differences(old: &Json, new: &Json, place: &str, into: &mut Vec<String>) {
+    match (old, new) {
+        (Json::Object(old), Json::Object(new)) => {
+            let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+            for name in names.into_iter().filter(|name| !name.starts_with('#')) {
+                let of = |json: &serde_json::Map<String, Json>| json.get(name).cloned().unwrap_or_default();
+                differences(&of(old), &of(new), &format!("{place}/{name}"), into);
+            }
+        }
+        _ if old != new => into.push(place.to_string()),
+        _ => {}
+    }
+}
+
 fn known(json: &Json) -> Result<Json> {
     let known = json.get("known").cloned().unwrap_or_default();
     ensure!(known.is_null() || known.is_object(), "known: expected an object, found {known}");
@@ -279,7 +336,8 @@
         };
         let named = |(name, route): (&String, &Route)| format!("{name} ({})", repeat(route));
         let routes = Route::all(&self.settings);
-        let routes: Vec<String> = self.route_names.iter().zip(&routes).map(named).collect();
+        let routes: Vec<String> =
+            names::list(&self.json, "/settings/routes", "/name").iter().zip(&routes).map(named).collect();
         let known = self.known.get("targets").and_then(Json::as_array).map_or(0, Vec::len);
         let door = self.operator.map_or(String::new(), |door| format!(", operators at {door}"));
         format!(
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod resp;
 pub mod room;
 pub mod serve;
+pub mod tuning;
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -6,7 +6,7 @@
 use crate::serve::Shared;
 use bytes::Bytes;
 use hashbrown::{HashMap, HashSet};
-use pumicebay_core::{Ask, Balance, Held, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
+use pumicebay_core::{Ask, Balance, Held, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
 use pumicebay_names::identity;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -126,6 +126,7 @@
 enum Order {
     Whose(String, oneshot::Sender<Whose>),
     Maintained(String, bool, oneshot::Sender<()>),
+    Retuned(Settings, oneshot::Sender<()>),
 }
 
 /// The operators' way to the module: it goes before all that waits in the mailbox.
@@ -142,6 +143,11 @@
         self.ask(|done| Order::Maintained(uid, out, done)).await;
     }
 
+    /// Returns once these settings hold for what arrives.
+    pub async fn retuned(&self, settings: Settings) {
+        self.ask(|done| Order::Retuned(settings, done)).await;
+    }
+
     /// None only when the process ends.
     async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
         let (answer, answered) = oneshot::channel();
@@ -194,7 +200,7 @@
 }
 
 impl Module {
-    pub fn new(shared: Shared, follow: mpsc::Sender<()>, mailbox: Mailbox) -> Module {
+    pub fn new(shared: Shared, settings: Settings, follow: mpsc::Sender<()>, mailbox: Mailbox) -> Module {
         let (clock, config) = (shared.clock, shared.config.clone());
         let acts = Acts {
             shared,
@@ -207,7 +213,7 @@
             unsent: Vec::new(),
             unprobed: Vec::new(),
         };
-        let balance = Balance::new(acts, config.settings.clone(), config.seed, clock.now());
+        let balance = Balance::new(acts, settings, config.seed, clock.now());
         Module { balance, mailbox }
     }
 
@@ -250,6 +256,10 @@
                 self.maintained(now, &uid, out);
                 let _ = done.send(());
             }
+            Order::Retuned(settings, done) => {
+                self.balance.retuned(now, &settings);
+                let _ = done.send(());
+            }
         }
     }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -3,14 +3,16 @@
 use crate::bans::{self, Bans};
 use crate::clients::{self, Front};
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::counters::Counters;
 use crate::list::{self, List};
-use crate::module::{self, Door, Module};
+use crate::module::{self, Desk, Door, Module};
 use crate::operator::{self, Operator};
 use crate::phases::{Phase, Phases, Watch};
 use crate::room::Room;
+use crate::tuning::{Routes, Tuning};
 use anyhow::{Context, Result, bail, ensure};
+use serde_json::Value as Json;
 use socket2::Socket;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
@@ -35,6 +37,8 @@
     pub counters: Arc<Counters>,
     pub door: Door,
     pub watch: Watch,
+    /// As of the last settings that were taken.
+    pub routes: watch::Receiver<Arc<Routes>>,
     /// For connections to nodes.
     pub upstream: Room,
     /// For long answers of nodes, by pieces of the usual length.
@@ -53,6 +57,12 @@
     connections: TaskTracker,
     /// Where discovery is now.
     discovery: watch::Sender<SocketAddr>,
+    /// The routes and their numbers, who must know of them, and the way to the module.
+    tuning: Tuning,
+    routes: watch::Sender<Arc<Routes>>,
+    desk: Desk,
+    /// The last configuration that was taken.
+    json: Json,
     /// Those without which it can't go on.
     actors: JoinSet<()>,
 }
@@ -66,9 +76,12 @@
         let (follow, followed) = mpsc::channel(1);
         let (clock, watch, upstream) = (Clock::start(), phases.watch(), Room::new(config.upstream));
         let large = Arc::new(Semaphore::new(config.large));
-        let shared = Shared { clock, config, counters, door, watch, upstream, large };
+        let mut tuning = Tuning::default();
+        let (settings, routes) = tuning.take(&config.json["settings"]);
+        let (tell_routes, routes) = watch::channel(Arc::new(routes));
+        let shared = Shared { clock, config, counters, door, watch, routes, upstream, large };
         let config = &shared.config;
-        let mut module = Module::new(shared.clone(), follow, mailbox);
+        let mut module = Module::new(shared.clone(), settings, follow, mailbox);
         match list::entries(&config.known, config) {
             Ok((_, whole, named)) => module.listed(whole, named),
             Err(error) => tracing::warn!("known: no list to start from: {error:#}"),
@@ -85,7 +98,7 @@
             });
             let out = out.unwrap_or_default();
             out.iter().for_each(|uid| module.maintained(clock.now(), uid, true));
-            actors.spawn(Bans { desk, folder, out }.run(calls));
+            actors.spawn(Bans { desk: desk.clone(), folder, out }.run(calls));
             actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
         }
         let mut list = List::new(shared.clone(), followed);
@@ -112,23 +125,41 @@
         actors.spawn(clients::accept(front, listener));
         phases.enter(Phase::Serving);
         tracing::info!("listens on {address}");
-        Ok(Proxy { address, operator: door_at, phases, config, counters, connections, discovery, actors })
+        let (json, routes, operator) = (config.json.clone(), tell_routes, door_at);
+        Ok(Proxy {
+            address,
+            operator,
+            phases,
+            config,
+            counters,
+            connections,
+            discovery,
+            tuning,
+            routes,
+            desk,
+            json,
+            actors,
+        })
     }
 
-    /// Takes from a new configuration what can change while it serves; one that can't be read changes nothing.
-    fn reload(&self, config: Result<Config>) {
-        match config {
+    /// Takes from a new configuration what can change while it serves; one that can't be read, or lacks what the
+    /// last one had, changes nothing.
+    async fn reload(&mut self, config: Result<Config>) {
+        match config.and_then(|config| config::keeps(&self.json, &config.json).map(|()| config)) {
             Ok(config) => {
+                let summary = config.summary();
+                let Config { discovery, json, .. } = config;
                 self.counters.reloads.add();
-                tracing::info!("configuration read again: discovery at {}", config.discovery);
-                let Config { discovery, .. } = config;
+                let (settings, routes) = self.tuning.take(&json["settings"]);
+                self.desk.retuned(settings).await;
+                self.routes.send_replace(Arc::new(routes));
                 self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
-                // The list and the seed are for a start.
-                let Config { discovery, seed, .. } = *self.config;
-                let known = self.config.known.clone();
-                if *self.config != (Config { discovery, known, seed, ..config }) {
-                    tracing::warn!("configuration: what else is new in it needs a restart");
+                tracing::info!("configuration read again: {}", summary.replace('\n', "; "));
+                let restart = config::needs_restart(&self.config.json, &json);
+                if !restart.is_empty() {
+                    tracing::warn!("configuration: needs a restart: {}", restart.join(", "));
                 }
+                self.json = json;
             }
             Err(error) => {
                 self.counters.reloads_failed.add();
@@ -152,10 +183,11 @@
             tokio::select! {
                 () = &mut stop => break,
                 ended = self.actors.join_next() => bail!("an actor ended: {ended:?}"),
-                Some(config) = configs.recv() => self.reload(config),
+                Some(config) = configs.recv() => self.reload(config).await,
             }
         }
-        self.phases.stop(self.config.draining, self.config.longest, &self.connections).await;
+        let longest = self.routes.borrow().longest();
+        self.phases.stop(self.config.draining, longest, &self.connections).await;
         Ok(())
     }
 }
--- a/crates/proxy/tests/proxy/cli.rs
+++ b/crates/proxy/tests/proxy/cli.rs
@@ -166,7 +166,7 @@
     expect![[r#"
         ERROR the old configuration stays: configuration FILE: discovery: expected ADDRESS:PORT, found "nowhere": invalid socket address syntax
         ERROR the old configuration stays: configuration FILE: EOF while parsing an object at line 1 column 1
-        INFO configuration read again: discovery at 127.0.0.1:9
+        INFO configuration read again: n0 listens on 127.0.0.1:0, discovery at 127.0.0.1:9, 0 nodes known; at most 595 client connections and 397 to nodes; routes: read (retriable), put (non-retriable), quick (retriable)
     "#]].assert_eq(&told);
     assert_eq!(running.stop().0, Some(0));
 }
--- a/crates/proxy/tests/proxy/config.rs
+++ b/crates/proxy/tests/proxy/config.rs
@@ -3,6 +3,7 @@
 use crate::configuration;
 use expect_test::expect;
 use pumicebay::config;
+use pumicebay::tuning::Tuning;
 use serde_json::json;
 
 #[test]
@@ -90,7 +91,7 @@
         config.origin_kind,
         config.idle,
         config.connect,
-        config.longest,
+        Tuning::default().take(&json["settings"]).1.longest(),
         config.ahead
     );
     expect![[r#"
--- a/crates/proxy/tests/proxy/operations.rs
+++ b/crates/proxy/tests/proxy/operations.rs
@@ -2,7 +2,8 @@
 
 use crate::{Trace, World, target};
 use expect_test::expect;
-use serde_json::json;
+use pumicebay::config::{keeps, parse};
+use serde_json::{Value as Json, json};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -181,3 +182,123 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// What a route of the test's configuration looks like, under another name.
+fn route(world: &World, name: &str) -> Json {
+    let mut route = world.json["settings"]["routes"][0].clone();
+    route["name"] = json!(name);
+    route
+}
+
+#[tokio::test]
+async fn routes_come_and_go_while_exchanges_are_open() {
+    let mut world = World::start(&[]).await;
+    let (mut open, mut client) = (world.client().await, world.client().await);
+    open.send(&["C.GET", "slow", "id-open", "c=read,d=3000"]).await;
+    world.cache.until("slow").await;
+    let mut trace = client.ask(&["C.GET", "hit", "id-1", "c=map,d=3000"]).await;
+    // The first route goes, another comes to its place in the list, and all get fewer tries.
+    let map = route(&world, "map");
+    world.json["settings"]["routes"][0] = map;
+    world.json["settings"]["permissions"]["most-upstream-tries"] = json!(1);
+    world.configs.send(parse(&world.json)).await.unwrap();
+    world.until_counted("reloads 1").await;
+    for (id, labels) in [("2", "c=map,d=3000"), ("3", "c=read,d=3000"), ("4", "c=put,d=3000")] {
+        trace += &client.ask(&["C.GET", "hit", id, labels]).await;
+    }
+    trace += &client.ask(&["C.GET", "fail", "5", "c=map,d=3000"]).await;
+    trace += &open.reply().await;
+    expect![[r#"
+        hit: -ERR label 'c': unknown or missing class
+        hit: value of 2
+        hit: value of 3
+        hit: value of 4
+        fail: -BUSY 250
+        value of id-open
+    "#]].assert_eq(&trace);
+}
+
+#[tokio::test]
+async fn a_file_that_is_broken_anywhere_changes_nothing() {
+    let mut world = World::start(&[]).await;
+    let good = world.json.clone();
+    let mut client = world.client().await;
+    let mut trace = String::new();
+    let map = route(&world, "map");
+    for (at, (place, value)) in [
+        ("/settings/permissions/most-upstream-tries", json!(0)),
+        ("/settings/permissions/most-upstream-tries", json!(-2)),
+        ("/settings/permissions/most-upstream-tries", json!("3")),
+        ("/settings/permissions/most-upstream-tries", json!(2.5)),
+        ("/settings/permissions/most-upstream-tries", json!(null)),
+        ("/settings/routes/0/overall-timeout-us", json!(0)),
+        ("/settings/routes/0/overall-timeout-us", json!(-1)),
+        ("/settings/routes/0/effect", json!("sometimes")),
+        ("/settings/routes/0/name", json!("put")),
+        ("/settings/routes/0/payoff", json!("much")),
+        ("/settings/routes/0/window-us", json!(1.5)),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut json = good.clone();
+        json["settings"]["routes"].as_array_mut().unwrap().push(map.clone());
+        *json.pointer_mut(place).unwrap() = value;
+        trace += &broken(&world, &json, at as u64 + 1).await;
+    }
+    for (at, place) in [
+        "/discovery",
+        "/limits",
+        "/settings",
+        "/settings/routes",
+        "/settings/rules/fall-us",
+        "/settings/permissions/retry-after",
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut json = good.clone();
+        let (parent, key) = place.rsplit_once('/').unwrap();
+        json.pointer_mut(parent).unwrap().as_object_mut().unwrap().remove(key);
+        trace += &broken(&world, &json, at as u64 + 12).await;
+    }
+    let mut json = good.clone();
+    json["settings"]["routes"].as_array_mut().unwrap().push(map);
+    json["settings"]["routes"][3].as_object_mut().unwrap().remove("payoff");
+    trace += &broken(&world, &json, 18).await;
+    trace += &client.ask(&["C.GET", "hit", "1", "c=map,d=3000"]).await;
+    trace += &client.get("hit").await;
+    world.json = good;
+    expect![[r#"
+        settings.permissions.most-upstream-tries: expected 1 or more, found 0
+        settings.permissions.most-upstream-tries: expected a whole number, found -2
+        settings.permissions.most-upstream-tries: expected a whole number, found "3"
+        settings.permissions.most-upstream-tries: expected a whole number, found 2.5
+        settings.permissions.most-upstream-tries: missing, and was there before
+        settings.routes[0].overall-timeout-us: expected microseconds, found 0
+        settings.routes[0].overall-timeout-us: expected microseconds, found -1
+        settings.routes[0].effect: expected repeatable, by_key or once, found "sometimes"
+        settings.routes[1].name: "put" is there twice
+        settings.routes[0].payoff: expected 0 or more, found "much"
+        settings.routes[0].window-us: expected microseconds, found 1.5
+        discovery: missing
+        limits: missing, and was there before
+        settings: missing
+        settings.routes: expected a list
+        settings.rules.fall-us: missing, and was there before
+        settings.permissions.retry-after: missing, and was there before
+        settings.routes[3].payoff: missing
+        hit: -ERR label 'c': unknown or missing class
+        hit: value of id-hit
+    "#]].assert_eq(&trace);
+}
+
+/// Why a file is turned down, and that it is.
+async fn broken(world: &World, json: &Json, failures: u64) -> String {
+    let fresh = parse(json);
+    let kept = fresh.as_ref().map_err(|error| format!("{error:#}"));
+    let why = kept.and_then(|fresh| keeps(&world.json, &fresh.json).map_err(|error| format!("{error:#}")));
+    world.configs.send(fresh).await.unwrap();
+    world.until_counted(&format!("reloads_failed {failures}")).await;
+    format!("{}\n", why.expect_err("a reason"))
+}
