--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::MILLIS;
 use crate::config::Config;
+use crate::long::{Long, Value};
 use crate::module::{Answer, Cargo};
 use crate::phases::Phase;
 use crate::resp::{Frame, Resp, bad, begun};
@@ -121,6 +122,12 @@
     Waiting(Xchg, oneshot::Receiver<Answer>),
 }
 
+/// A reply as it is to be sent.
+enum Due {
+    Frame(Frame),
+    Long(Long),
+}
+
 impl Client {
     async fn run(mut self) {
         if let Err(error) = self.serve().await {
@@ -218,9 +225,12 @@
     }
 
     /// Sends the reply that is due, within the time that a client has to read it.
-    async fn answer(&mut self, reply: Frame) -> std::io::Result<()> {
+    async fn answer(&mut self, reply: Due) -> std::io::Result<()> {
         self.pending.pop_front();
-        timeout(READING, self.framed.send(&reply)).await??;
+        match reply {
+            Due::Frame(reply) => timeout(READING, self.framed.send(&reply)).await??,
+            Due::Long(value) => self.pass_on(value).await?,
+        }
         // A large value leaves no large buffer behind.
         let sent = self.framed.write_buffer_mut();
         if sent.capacity() > KEPT {
@@ -229,6 +239,17 @@
         Ok(())
     }
 
+    /// Passes a long value on as it comes. One that breaks off ends the connection, so that the client can tell.
+    async fn pass_on(&mut self, mut value: Long) -> std::io::Result<()> {
+        let stream = self.framed.get_mut();
+        let head = format!("${}\r\n", value.length);
+        timeout(READING, stream.write_all(head.as_bytes())).await??;
+        while let Some(piece) = value.next().await? {
+            timeout(READING, stream.write_all(&piece)).await??;
+        }
+        timeout(READING, stream.write_all(b"\r\n")).await?
+    }
+
     async fn command(&mut self, frame: Frame) -> Reply {
         let at = self.front.shared.clock.now();
         let routes = self.front.shared.routes.borrow().clone();
@@ -274,11 +295,12 @@
 }
 
 /// The reply that is due next; who gets it takes it off. Losing the race to something else loses nothing.
-async fn next(pending: &mut VecDeque<Pending>) -> Frame {
-    match pending.front_mut().map(|pending| &mut pending.reply) {
+async fn next(pending: &mut VecDeque<Pending>) -> Due {
+    let reply = match pending.front_mut().map(|pending| &mut pending.reply) {
         Some(Reply::Ready(reply)) => reply.clone(),
         Some(Reply::Waiting(_, answered)) => match answered.await {
-            Ok(Answer::Completed(value)) => Frame::Bulk(value),
+            Ok(Answer::Completed(Value::Whole(value))) => Frame::Bulk(value),
+            Ok(Answer::Completed(Value::Long(value))) => return Due::Long(value),
             Ok(Answer::Shed(0)) => Frame::error("BUSY"),
             Ok(Answer::Shed(pause)) => Frame::error(format!("BUSY {}", pause.div_ceil(MILLIS))),
             Ok(Answer::Errored) => Frame::error("ERR failed"),
@@ -286,7 +308,8 @@
             Err(_) => Frame::error("ERR no answer"),
         },
         None => std::future::pending().await,
-    }
+    };
+    Due::Frame(reply)
 }
 
 enum Command {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names the key.
 
+use crate::long;
 use crate::operator::CALLERS;
 use crate::resp::LONGEST_BULK;
 use anyhow::{Context, Result, bail, ensure};
@@ -56,8 +57,8 @@
     pub used: usize,
     /// How many commands clients may send ahead of their answers, over all connections.
     pub ahead: usize,
-    /// How many pieces of the usual longest value answers of nodes may take that are longer.
-    pub large: usize,
+    /// How many long values may be on their way at a time.
+    pub long: usize,
     /// The list of nodes as this proxy last had it, in discovery's form.
     pub known: Json,
     pub settings: Settings,
@@ -138,7 +139,7 @@
         used: used.min(clients),
         upstream: (sockets - clients_part(sockets)).min(memory / 4 / NODE_BYTES),
         ahead: memory / 8 / LONGEST_BULK,
-        large: memory / 8 / LONGEST_BULK,
+        long: memory / 8 / long::HELD,
         known: known(json)?,
         json: json.clone(),
         tenants: names::list(wire, "/orgs", "/name"),
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -37,6 +37,7 @@
     connections_opened connections_failed connections_reused connections_closed_for_room
     probes_sent probes_failed
     nodes_known nodes_dismissed
+    values_broken
     list_answers list_failures reloads reloads_failed
 }
 
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -1,8 +1,7 @@
 //! HTTP/1.1: as the origin and discovery speak it, requests out and answers in; and as operators do, calls in and
 //! words out.
 
-use crate::large::Large;
-use crate::resp::bad;
+use crate::resp::{LONGEST_VALUE, bad, piece};
 use bytes::{BufMut, Bytes, BytesMut};
 use std::io::{Error, ErrorKind};
 use tokio_util::codec::{Decoder, Encoder};
@@ -46,21 +45,16 @@
 
 #[derive(Debug)]
 pub struct Http {
-    /// The longest body that is read, and the memory for longer ones where these may come.
+    /// The longest body that is held whole, and the longest that may be announced.
     longest: usize,
-    pub large: Option<Large>,
+    most: usize,
     /// The answer whose body is still coming.
     head: Option<(Response, Body)>,
 }
 
 impl Http {
     pub fn new(longest: usize) -> Http {
-        Http { longest, large: None, head: None }
-    }
-
-    /// Reads bodies that are longer too, where there is memory for them.
-    pub fn with(self, large: Large) -> Http {
-        Http { large: Some(large), ..self }
+        Http { longest, most: longest, head: None }
     }
 }
 
@@ -71,6 +65,75 @@
     UntilEnd,
 }
 
+/// An answer of the origin: whole, or in pieces where its body is long.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Part {
+    Whole(Response),
+    /// With the length of the body that follows.
+    Begin(Response, usize),
+    Piece(Bytes),
+    End,
+}
+
+/// The origin's answers.
+#[derive(Debug)]
+pub struct Parts {
+    http: Http,
+    /// What is still to come of a long body.
+    left: Option<usize>,
+}
+
+impl Parts {
+    /// Holds bodies up to this length whole.
+    pub fn new(longest: usize) -> Parts {
+        Parts { http: Http { longest, most: LONGEST_VALUE, head: None }, left: None }
+    }
+}
+
+impl Decoder for Parts {
+    type Item = Part;
+    type Error = Error;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Part>, Error> {
+        if let Some(left) = &mut self.left {
+            if *left > 0 {
+                return Ok(piece(buffer, left).map(Part::Piece));
+            }
+            self.left = None;
+            return Ok(Some(Part::End));
+        }
+        if self.http.head.is_none() {
+            self.http.head = head(buffer, self.http.most)?;
+        }
+        match self.http.head.take() {
+            Some((response, Body::Length(length))) if length > self.http.longest => {
+                self.left = Some(length);
+                Ok(Some(Part::Begin(response, length)))
+            }
+            head => {
+                self.http.head = head;
+                Ok(self.http.decode(buffer)?.map(Part::Whole))
+            }
+        }
+    }
+
+    fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<Part>, Error> {
+        match self.decode(buffer)? {
+            None if self.left.is_some() => Err(ErrorKind::UnexpectedEof.into()),
+            None => Ok(self.http.decode_eof(buffer)?.map(Part::Whole)),
+            part => Ok(part),
+        }
+    }
+}
+
+impl Encoder<Request<'_>> for Parts {
+    type Error = Error;
+
+    fn encode(&mut self, request: Request<'_>, buffer: &mut BytesMut) -> Result<(), Error> {
+        self.http.encode(request, buffer)
+    }
+}
+
 impl Encoder<Request<'_>> for Http {
     type Error = Error;
 
@@ -95,7 +158,7 @@
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Response>, Error> {
         if self.head.is_none() {
-            self.head = head(buffer, self.longest, &mut self.large)?;
+            self.head = head(buffer, self.most)?;
         }
         let Some((_, body)) = &self.head else { return Ok(None) };
         let body = match body {
@@ -209,11 +272,7 @@
     }
 }
 
-fn head(
-    buffer: &mut BytesMut,
-    longest: usize,
-    large: &mut Option<Large>,
-) -> Result<Option<(Response, Body)>, Error> {
+fn head(buffer: &mut BytesMut, most: usize) -> Result<Option<(Response, Body)>, Error> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     let length = match parsed.parse(buffer).map_err(|_| bad("malformed answer"))? {
@@ -233,10 +292,8 @@
                 if matches!(body, Body::Length(other) if other != length) {
                     return Err(bad("two values of Content-Length"));
                 }
-                match large {
-                    Some(large) => large.admit(length)?,
-                    None if length > longest => return Err(bad("body too long")),
-                    None => {}
+                if length > most {
+                    return Err(bad("body too long"));
                 }
                 if !matches!(body, Body::Chunks) {
                     body = Body::Length(length);
--- a/crates/proxy/src/long.rs
+++ b/crates/proxy/src/long.rs
@@ -1,58 +1,71 @@
-//! Memory for answers of nodes that are longer than most: all connections share it, and what does not fit is
-//! turned down by its length, before it comes.
+//! Values that are longer than most, passed on as they come: a few pieces are on their way at a time, and whoever
+//! brings them waits for whoever takes them. So what one holds is bounded, and so is their number.
 
-use crate::resp::{LONGEST_BULK, bad};
+use crate::resp::bad;
 use bytes::Bytes;
 use std::io::Error;
-use std::sync::Arc;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::time::timeout;
 
-/// What one connection reads, and what it holds of the memory for that.
+/// How much is taken at a time, and how many pieces are on their way.
+pub const PIECE: usize = 16 * 1024;
+const ON_THE_WAY: usize = 2;
+/// What one value holds here at most: what is on its way, one piece read and one being written.
+pub const HELD: usize = (ON_THE_WAY + 2) * PIECE;
+/// How long nobody may bring or take a piece before the value is given up.
+pub const SILENT: Duration = Duration::from_secs(10);
+
+/// A value, whole or on its way.
 #[derive(Debug)]
-pub struct Large {
-    /// In pieces of the usual length.
-    room: Arc<Semaphore>,
-    held: Option<(usize, OwnedSemaphorePermit)>,
+pub enum Value {
+    Whole(Bytes),
+    Long(Long),
 }
 
-/// Gives the memory back once nobody needs the value any more.
-struct Kept {
-    value: Bytes,
-    _memory: OwnedSemaphorePermit,
+impl From<Bytes> for Value {
+    fn from(value: Bytes) -> Value {
+        Value::Whole(value)
+    }
 }
 
-impl AsRef<[u8]> for Kept {
-    fn as_ref(&self) -> &[u8] {
-        &self.value
-    }
+/// The taking end.
+#[derive(Debug)]
+pub struct Long {
+    pub length: usize,
+    came: usize,
+    pieces: mpsc::Receiver<Bytes>,
+    _room: Option<OwnedSemaphorePermit>,
 }
 
-impl Large {
-    pub fn new(room: Arc<Semaphore>) -> Large {
-        Large { room, held: None }
-    }
+/// The bringing end; dropped before all has come, it breaks the value off.
+pub struct Source(mpsc::Sender<Bytes>);
 
-    /// Takes memory for an answer of this length, once: to read it and to write it to a client.
-    pub fn admit(&mut self, length: usize) -> Result<(), Error> {
-        if length <= LONGEST_BULK.max(self.admitted()) {
-            return Ok(());
-        }
-        let pieces = u32::try_from(2 * length.div_ceil(LONGEST_BULK)).ok();
-        let permit = pieces.and_then(|pieces| self.room.clone().try_acquire_many_owned(pieces).ok());
-        self.held = Some((length, permit.ok_or_else(|| bad("no memory for so long an answer"))?));
-        Ok(())
-    }
+/// With the place that it takes among all long values, if their number is bounded there.
+pub fn long(length: usize, room: Option<OwnedSemaphorePermit>) -> (Source, Long) {
+    let (source, pieces) = mpsc::channel(ON_THE_WAY);
+    (Source(source), Long { length, came: 0, pieces, _room: room })
+}
 
-    /// The longest that has been admitted.
-    pub fn admitted(&self) -> usize {
-        self.held.as_ref().map_or(0, |(length, _)| *length)
+impl Source {
+    /// Waits until there is room for the piece; an error when nobody takes it.
+    pub async fn send(&self, piece: Bytes) -> Result<(), Error> {
+        match timeout(SILENT, self.0.send(piece)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(bad("a long value that nobody wants any more")),
+            Err(_) => Err(bad("a long value that nobody reads")),
+        }
     }
+}
 
-    /// The value that was read, with the memory that was taken for it.
-    pub fn keep(&mut self, value: Bytes) -> Bytes {
-        match self.held.take() {
-            Some((_, memory)) => Bytes::from_owner(Kept { value, _memory: memory }),
-            None => value,
+impl Long {
+    /// The next piece, none after the last; an error when the value breaks off.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        if self.came == self.length {
+            return Ok(None);
         }
+        let piece = self.pieces.recv().await.ok_or_else(|| bad("a long value broke off"))?;
+        self.came += piece.len();
+        if self.came > self.length { Err(bad("a long value that does not end")) } else { Ok(Some(piece)) }
     }
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -1,6 +1,7 @@
 //! The module actor: the decisions, their mailbox, and the host that carries out what they ask for.
 //! Nothing here waits for anyone: a mailbox that is full makes a try unsent.
 
+use crate::long::Value;
 use crate::node::{self, Errand};
 use crate::phases::Phase;
 use crate::serve::Shared;
@@ -33,9 +34,9 @@
 }
 
 /// The final answer to an exchange.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Answer {
-    Completed(Bytes),
+    Completed(Value),
     Shed(Nanos),
     Errored,
     /// The client's own fault, in words for it.
@@ -51,16 +52,16 @@
 }
 
 /// What came back for a try or a probe.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Back {
     pub outcome: Outcome,
-    pub value: Bytes,
+    pub value: Value,
     pub held: Option<Held>,
 }
 
 impl From<Outcome> for Back {
     fn from(outcome: Outcome) -> Back {
-        Back { outcome, value: Bytes::new(), held: None }
+        Back { outcome, value: Bytes::new().into(), held: None }
     }
 }
 
@@ -309,9 +310,11 @@
         let counters = acts.shared.counters.clone();
         counters.tried(back.outcome);
         // What the node says to the client itself is passed on.
-        let answer = match back.outcome {
-            Outcome::Completed => Some((&counters.exchanges_completed, Answer::Completed(back.value))),
-            Outcome::Rejected => Some((&counters.exchanges_rejected, Answer::Rejected(back.value))),
+        let answer = match (back.outcome, back.value) {
+            (Outcome::Completed, value) => Some((&counters.exchanges_completed, Answer::Completed(value))),
+            (Outcome::Rejected, Value::Whole(why)) => {
+                Some((&counters.exchanges_rejected, Answer::Rejected(why)))
+            }
             _ => None,
         };
         if let Some((counter, answer)) = answer
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -2,11 +2,11 @@
 //! A connection carries one try at a time, since giving up a try means closing its connection.
 
 use crate::config::Config;
-use crate::http::{self, Http, Request, Response};
-use crate::large::Large;
+use crate::http::{self, Request, Response};
+use crate::long::{self, PIECE, SILENT, Value};
 use crate::module::{Back, Cargo};
 use crate::phases::Phase;
-use crate::resp::{Frame, LONGEST_BULK, Replies, begun};
+use crate::resp::{self, Frame, LONGEST_BULK, begun};
 use crate::room::Spare;
 use crate::serve::Shared;
 use anyhow::{Context, Result, bail};
@@ -70,12 +70,19 @@
 }
 
 enum Wire {
-    Cache(Framed<TcpStream, Replies>),
-    Origin(Framed<TcpStream, Http>),
+    Cache(Framed<TcpStream, resp::Parts>),
+    Origin(Framed<TcpStream, http::Parts>),
 }
 
-/// What a try or probe came to, and its connection if that can carry another.
-type Done = (Errand, Back, Option<Connection>);
+/// What a try or probe came to unless the module has been told already, and its connection if that can carry
+/// another.
+type Done = (Errand, Option<Back>, Option<Connection>);
+
+/// What comes back: all of it, or the beginning of a long value. And whether it is the last on this connection.
+enum Came {
+    Whole(Back, bool),
+    Long(usize, Option<Held>, bool),
+}
 
 impl Actor {
     async fn run(mut self, mut errands: mpsc::Receiver<(SocketAddr, Errand)>) {
@@ -103,6 +110,7 @@
         if let Some(connection) = connection {
             self.idle.push_back((Instant::now(), connection));
         }
+        let Some(back) = back else { return };
         match errand {
             Errand::Try { xchg, try_no, .. } => self.shared.door.ended(xchg, try_no, self.node, back).await,
             Errand::Probe { .. } => self.shared.door.probed(self.node, back).await,
@@ -130,10 +138,10 @@
         async move {
             let mut leaving = shared.watch.clone();
             let (back, connection) = tokio::select! {
-                done = carry(&shared, &errand, connection, address, origin) => done,
-                () = leaving.reached(Phase::Leaving) => (Outcome::Withdrawn.into(), None),
+                done = carry(&shared, node, &errand, connection, (address, origin)) => done,
+                () = leaving.reached(Phase::Leaving) => (Some(Outcome::Withdrawn.into()), None),
             };
-            if back.outcome == Outcome::Unsent {
+            if back.as_ref().is_some_and(|back| back.outcome == Outcome::Unsent) {
                 tracing::warn!("node {node}: no connection to spare");
             }
             (errand, back, connection)
@@ -144,11 +152,11 @@
 /// Carries out one try or probe, over an idle connection or a new one.
 async fn carry(
     shared: &Shared,
+    node: Node,
     errand: &Errand,
     idle: Option<Connection>,
-    address: SocketAddr,
-    origin: bool,
-) -> (Back, Option<Connection>) {
+    (address, origin): (SocketAddr, bool),
+) -> (Option<Back>, Option<Connection>) {
     let (Errand::Try { until, .. } | Errand::Probe { until }) = errand;
     let begun = timeout_at(*until, async {
         let mut connection = match idle {
@@ -164,20 +172,46 @@
     });
     let mut connection = match begun.await {
         Ok(Ok(connection)) => connection,
-        Ok(Err(outcome)) => return (outcome.into(), None),
-        Err(_) => return (Outcome::Unreachable.into(), None),
+        Ok(Err(outcome)) => return (Some(outcome.into()), None),
+        Err(_) => return (Some(Outcome::Unreachable.into()), None),
+    };
+    let within = shared.config.connect / 2;
+    let failed = |error: &anyhow::Error| {
+        let garbage =
+            error.downcast_ref::<std::io::Error>().is_none_or(|e| e.kind() == ErrorKind::InvalidData);
+        if garbage {
+            tracing::warn!("{address}: {error:#}");
+        }
+        if garbage { Outcome::Errored } else { Outcome::Severed }
     };
-    match timeout_at(*until, connection.read(errand, shared.config.connect / 2)).await {
-        Ok(Ok((back, last))) => (back, (!last).then_some(connection)),
-        Ok(Err(error)) => {
-            let garbage =
-                error.downcast_ref::<std::io::Error>().is_none_or(|e| e.kind() == ErrorKind::InvalidData);
-            if garbage {
-                tracing::warn!("{address}: {error:#}");
+    match timeout_at(*until, connection.read(errand, within)).await {
+        Ok(Ok(Came::Whole(back, last))) => (Some(back), (!last).then_some(connection)),
+        Ok(Ok(Came::Long(length, held, last))) => {
+            // The first of it tells whether there is a value at all: until then another try is possible.
+            let room = shared.long.clone().acquire_owned();
+            let begun =
+                timeout_at(*until, async { Ok((room.await?, connection.first(length, within).await?)) });
+            let (room, first) = match begun.await {
+                Ok(Ok(begun)) => begun,
+                Ok(Err(error)) => return (Some(failed(&error).into()), None),
+                Err(_) => return (Some(Outcome::Overdue.into()), None),
+            };
+            let (source, value) = long::long(length, Some(room));
+            let back = Back { outcome: Outcome::Completed, value: Value::Long(value), held };
+            if let Errand::Try { xchg, try_no, .. } = errand {
+                shared.door.ended(*xchg, *try_no, node, back).await;
+            }
+            match connection.pass_on(first, source).await {
+                Ok(()) => (None, (!last).then_some(connection)),
+                Err(error) => {
+                    tracing::info!("{address}: {error:#}");
+                    shared.counters.values_broken.add();
+                    (None, None)
+                }
             }
-            (if garbage { Outcome::Errored } else { Outcome::Severed }.into(), None)
         }
-        Err(_) => (Outcome::Overdue.into(), None),
+        Ok(Err(error)) => (Some(failed(&error).into()), None),
+        Err(_) => (Some(Outcome::Overdue.into()), None),
     }
 }
 
@@ -194,10 +228,9 @@
     };
     shared.counters.connections_opened.add();
     let _ = stream.set_nodelay(true);
-    let large = Large::new(shared.large.clone());
     let wire = match origin {
-        true => Wire::Origin(Framed::new(stream, Http::new(LONGEST_BULK).with(large))),
-        false => Wire::Cache(Framed::new(stream, Replies(large))),
+        true => Wire::Origin(Framed::new(stream, http::Parts::new(LONGEST_BULK))),
+        false => Wire::Cache(Framed::new(stream, resp::Parts::default())),
     };
     Ok(Connection { wire, address, _permit: permit })
 }
@@ -233,43 +266,103 @@
         }
     }
 
-    /// What came back, and whether it was the last on this connection. Severed where nothing whole came.
-    async fn read(&mut self, errand: &Errand, within: Duration) -> Result<(Back, bool)> {
-        let closed = || std::io::Error::from(ErrorKind::UnexpectedEof);
+    /// What came back. Severed where nothing whole came.
+    async fn read(&mut self, errand: &Errand, within: Duration) -> Result<Came> {
         let probe = matches!(errand, Errand::Probe { .. });
         match &mut self.wire {
-            Wire::Cache(framed) => {
-                let frame = whole(framed, within).await?.ok_or_else(closed)?;
-                let mut back = if probe { probed(frame) } else { replied(frame) }.context("cache node")?;
-                back.value = framed.codec_mut().0.keep(back.value);
-                Ok((back, false))
-            }
+            Wire::Cache(framed) => match part(framed, within).await? {
+                resp::Part::Frame(frame) => {
+                    let back = if probe { probed(frame) } else { replied(frame) }.context("cache node")?;
+                    Ok(Came::Whole(back, false))
+                }
+                resp::Part::Begin(before, length) if before.is_empty() && !probe => {
+                    Ok(Came::Long(length, None, false))
+                }
+                other => bail!("cache node: unexpected {other:?}"),
+            },
             Wire::Origin(framed) => {
                 for _ in 0..=MOST_INTERIM {
-                    let response = whole(framed, within).await?.ok_or_else(closed)?;
-                    if !response.interim() {
-                        let (last, mut back) = (response.last, answered(response));
-                        if let Some(large) = &mut framed.codec_mut().large {
-                            back.value = large.keep(back.value);
+                    match part(framed, within).await? {
+                        http::Part::Whole(response) if response.interim() => {}
+                        http::Part::Whole(response) => {
+                            let last = response.last;
+                            return Ok(Came::Whole(answered(response), last));
+                        }
+                        http::Part::Begin(response, length) if response.status == 200 && !probe => {
+                            let last = response.last;
+                            return Ok(Came::Long(length, answered(response).held, last));
                         }
-                        return Ok((back, last));
+                        other => bail!("origin: unexpected {other:?}"),
                     }
                 }
                 bail!("origin: no answer behind those with 1xx")
             }
         }
     }
+
+    /// The next piece of a long value; none when it is over and so is all that belongs to it.
+    async fn piece(&mut self, silent: Duration) -> Result<Option<Bytes>> {
+        match &mut self.wire {
+            Wire::Cache(framed) => match timeout(silent, some(framed)).await?? {
+                resp::Part::Piece(piece) => Ok(Some(piece)),
+                resp::Part::End(_) => Ok(None),
+                other => bail!("cache node: unexpected {other:?}"),
+            },
+            Wire::Origin(framed) => match timeout(silent, some(framed)).await?? {
+                http::Part::Piece(piece) => Ok(Some(piece)),
+                http::Part::End => Ok(None),
+                other => bail!("origin: unexpected {other:?}"),
+            },
+        }
+    }
+
+    /// The first pieces of a long value of this length.
+    async fn first(&mut self, length: usize, within: Duration) -> Result<Vec<Bytes>> {
+        let (mut pieces, mut came) = (Vec::new(), 0);
+        while came < length.min(PIECE) {
+            let piece = self.piece(within).await?.context("a long value without an end")?;
+            came += piece.len();
+            pieces.push(piece);
+        }
+        Ok(pieces)
+    }
+
+    /// Brings a long value to whoever takes it.
+    async fn pass_on(&mut self, first: Vec<Bytes>, source: long::Source) -> Result<()> {
+        for piece in first {
+            source.send(piece).await?;
+        }
+        while let Some(piece) = self.piece(SILENT).await? {
+            source.send(piece).await?;
+        }
+        Ok(())
+    }
+}
+
+async fn some<C: Decoder>(framed: &mut Framed<TcpStream, C>) -> Result<C::Item>
+where
+    C::Error: Into<anyhow::Error>,
+{
+    let part = framed.next().await.ok_or_else(|| std::io::Error::from(ErrorKind::UnexpectedEof))?;
+    part.map_err(Into::into)
 }
 
-/// What comes next, which must be whole soon after its first byte: one that stops amid its answer gives none.
-/// Soon is half of what a connection may take to come up.
-async fn whole<C: Decoder>(framed: &mut Framed<TcpStream, C>, within: Duration) -> Result<Option<C::Item>>
+/// What comes next. Once it has begun to come, more of it must follow within this time: what stops amid an answer
+/// gives none.
+async fn part<C: Decoder>(framed: &mut Framed<TcpStream, C>, within: Duration) -> Result<C::Item>
 where
     C::Error: Into<anyhow::Error>,
 {
     begun(framed).await?;
-    let next = timeout(within, framed.next()).await.context("answer stopped short")?;
-    next.transpose().map_err(Into::into)
+    let mut came = 0;
+    loop {
+        match timeout(within, some(framed)).await {
+            Ok(part) => return part,
+            // Slowly, but it comes.
+            Err(_) if framed.read_buffer().len() > came => came = framed.read_buffer().len(),
+            Err(_) => bail!("answer stopped short"),
+        }
+    }
 }
 
 /// Open, and without a byte that nobody asked for. Asks the socket itself: the runtime hears of what came
@@ -333,12 +426,12 @@
                 other => bail!("unexpected value {other:?}"),
             };
             let held = if let Frame::Bulk(report) = report { held(&report) } else { None };
-            Ok(Back { outcome, value, held })
+            Ok(Back { outcome, value: value.into(), held })
         }
         Frame::Error(text) if text.starts_with(b"BUSY") => Ok(Outcome::Saturated.into()),
         Frame::Error(text) if text.starts_with(b"ERR failed") => Ok(Outcome::Errored.into()),
         Frame::Error(text) if text.starts_with(b"ERR ") => {
-            Ok(Back { value: text, ..Outcome::Rejected.into() })
+            Ok(Back { value: text.into(), ..Outcome::Rejected.into() })
         }
         other => bail!("unexpected reply {other:?}"),
     }
@@ -361,7 +454,7 @@
         503 | 504 if turned_away => Outcome::Saturated,
         500 => Outcome::Errored,
         400..500 => {
-            let value = format!("ERR origin: status {}", response.status).into();
+            let value = Bytes::from(format!("ERR origin: status {}", response.status)).into();
             return Back { value, ..Outcome::Rejected.into() };
         }
         status => {
@@ -370,7 +463,7 @@
         }
     };
     let held = response.header("x-pressure").and_then(held);
-    Back { outcome, value: response.body, held }
+    Back { outcome, value: response.body.into(), held }
 }
 
 /// How much a node says it holds, in a report of names and values; one that can't be is none.
--- a/crates/proxy/src/resp.rs
+++ b/crates/proxy/src/resp.rs
@@ -1,15 +1,17 @@
 //! RESP2 on the wire: commands from clients and to cache nodes, and the replies to both.
 
-use crate::large::Large;
-use bytes::{BufMut, Bytes, BytesMut};
+use crate::long::PIECE;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use smallvec::SmallVec;
 use std::fmt::Write;
 use std::io::{Error, ErrorKind};
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
-/// The longest bulk string that a client may send and a node usually does; the longest line and array.
+/// The longest bulk string that is held whole, and the longest that is passed on as it comes; the longest line and
+/// array.
 pub const LONGEST_BULK: usize = 64 * 1024;
+pub const LONGEST_VALUE: usize = 4 * 1024 * 1024;
 /// A frame that is not whole by then is no command or reply of ours: guards the memory.
 const LONGEST_FRAME: usize = LONGEST_BULK + 16 * 1024;
 const LONGEST_LINE: usize = 1024;
@@ -48,28 +50,88 @@
     type Error = Error;
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
-        let admit =
-            &mut |length| if length > LONGEST_BULK { Err(bad("bulk string too long")) } else { Ok(()) };
-        let frame = decode(buffer, admit)?;
-        bounded(frame, buffer, LONGEST_FRAME)
+        match decode(buffer)? {
+            Decoded::Whole(frame) => Ok(Some(frame)),
+            Decoded::Partial => Ok(None),
+            Decoded::Long(..) => Err(bad("bulk string too long")),
+        }
     }
 }
 
-/// The replies of nodes, whose values may be longer where there is memory for them.
-#[derive(Debug)]
-pub struct Replies(pub Large);
+/// What comes where one member of an array may be long: a frame as ever, or such an array in parts.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Part {
+    Frame(Frame),
+    /// The members before the long one, and its length.
+    Begin(Vec<Frame>, usize),
+    Piece(Bytes),
+    /// The members after it.
+    End(Vec<Frame>),
+}
 
-impl Decoder for Replies {
-    type Item = Frame;
+/// Commands and replies in which one member may be long.
+#[derive(Debug, Default)]
+pub struct Parts(State);
+
+#[derive(Debug, Default)]
+enum State {
+    #[default]
+    Between,
+    /// Bytes of the long member that are still to come, and members after it.
+    Value(usize, usize),
+    Rest(usize, Vec<Frame>),
+}
+
+impl Parts {
+    /// Whether nothing of an array has come that has not ended.
+    pub fn between(&self) -> bool {
+        matches!(self.0, State::Between)
+    }
+}
+
+impl Decoder for Parts {
+    type Item = Part;
     type Error = Error;
 
-    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
-        let frame = decode(buffer, &mut |length| self.0.admit(length))?;
-        bounded(frame, buffer, LONGEST_FRAME + self.0.admitted())
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Part>, Error> {
+        loop {
+            match &mut self.0 {
+                State::Between => match decode(buffer)? {
+                    Decoded::Whole(frame) => return Ok(Some(Part::Frame(frame))),
+                    Decoded::Partial => return Ok(None),
+                    Decoded::Long(before, length, after) => {
+                        self.0 = State::Value(length, after);
+                        return Ok(Some(Part::Begin(before, length)));
+                    }
+                },
+                State::Value(0, after) => {
+                    match buffer.get(..2) {
+                        Some(b"\r\n") => buffer.advance(2),
+                        Some(_) => return Err(bad("bulk string without end")),
+                        None => return Ok(None),
+                    }
+                    self.0 = State::Rest(*after, Vec::new());
+                }
+                State::Value(left, _) => return Ok(piece(buffer, left).map(Part::Piece)),
+                State::Rest(0, frames) => {
+                    let frames = std::mem::take(frames);
+                    self.0 = State::Between;
+                    return Ok(Some(Part::End(frames)));
+                }
+                State::Rest(left, frames) => match decode(buffer)? {
+                    Decoded::Whole(frame) => {
+                        frames.push(frame);
+                        *left -= 1;
+                    }
+                    Decoded::Partial => return Ok(None),
+                    Decoded::Long(..) => return Err(bad("two long members")),
+                },
+            }
+        }
     }
 }
 
-impl Encoder<&Frame> for Replies {
+impl Encoder<&Frame> for Parts {
     type Error = Error;
 
     fn encode(&mut self, frame: &Frame, buffer: &mut BytesMut) -> Result<(), Error> {
@@ -77,16 +139,48 @@
     }
 }
 
-type Admit<'a> = &'a mut dyn FnMut(usize) -> Result<(), Error>;
+/// Takes what has come of a long value off the buffer, up to a piece.
+pub fn piece(buffer: &mut BytesMut, left: &mut usize) -> Option<Bytes> {
+    let length = buffer.len().min(*left).min(PIECE);
+    *left -= length;
+    (length > 0).then(|| buffer.split_to(length).freeze())
+}
+
+enum Decoded {
+    Whole(Frame),
+    Partial,
+    /// The members of an array before a long one, its length, and how many come after it.
+    Long(Vec<Frame>, usize, usize),
+}
 
-fn decode(buffer: &mut BytesMut, admit: Admit) -> Result<Option<Frame>, Error> {
+/// Takes a frame off the buffer, or an array up to the bytes of its long member.
+fn decode(buffer: &mut BytesMut) -> Result<Decoded, Error> {
     let (mut at, mut shapes) = (0, Shapes::new());
-    let whole = measure(buffer, &mut at, DEEPEST, admit, &mut shapes)?;
-    Ok(whole.then(|| cut(&buffer.split_to(at).freeze(), &mut shapes.iter())))
+    match measure(buffer, &mut at, DEEPEST, &mut shapes)? {
+        Measured::Whole => {
+            let frame = cut(&buffer.split_to(at).freeze(), &mut shapes.iter());
+            Ok(Decoded::Whole(frame))
+        }
+        Measured::Partial if buffer.len() > LONGEST_FRAME => Err(bad("frame too long")),
+        Measured::Partial => Ok(Decoded::Partial),
+        Measured::Long(length) => {
+            let (whole, mut members) = (buffer.split_to(at).freeze(), shapes.iter());
+            let Some(&Shape::Array(count)) = members.next() else { return Err(bad("bulk string too long")) };
+            let mut before = Vec::with_capacity(count);
+            while members.len() > 0 {
+                before.push(cut(&whole, &mut members));
+            }
+            let after = count - before.len() - 1;
+            Ok(Decoded::Long(before, length, after))
+        }
+    }
 }
 
-fn bounded(frame: Option<Frame>, rest: &[u8], longest: usize) -> Result<Option<Frame>, Error> {
-    if frame.is_none() && rest.len() > longest { Err(bad("frame too long")) } else { Ok(frame) }
+enum Measured {
+    Whole,
+    Partial,
+    /// The bytes of a long member of the outermost array come next.
+    Long(usize),
 }
 
 /// A part of a frame, by where it stands in the buffer. The parts of an array follow it.
@@ -102,22 +196,16 @@
 /// As many as a command or reply of ours has, without memory of their own.
 type Shapes = SmallVec<[Shape; 8]>;
 
-/// Finds the end of the frame that begins at `at`, and its parts; false while it is not whole.
-fn measure(
-    buffer: &[u8],
-    at: &mut usize,
-    depth: usize,
-    admit: Admit,
-    shapes: &mut Shapes,
-) -> Result<bool, Error> {
-    let Some(&kind) = buffer.get(*at) else { return Ok(false) };
+/// Finds the end of the frame that begins at `at`, and its parts.
+fn measure(buffer: &[u8], at: &mut usize, depth: usize, shapes: &mut Shapes) -> Result<Measured, Error> {
+    let Some(&kind) = buffer.get(*at) else { return Ok(Measured::Partial) };
     if !b"+-:$*".contains(&kind) {
         return Err(bad("expected a RESP type"));
     }
     let from = *at + 1;
     let line = &buffer[from..buffer.len().min(from + LONGEST_LINE)];
     let Some(length) = line.iter().position(|&byte| byte == b'\n') else {
-        return if line.len() == LONGEST_LINE { Err(bad("line too long")) } else { Ok(false) };
+        return if line.len() == LONGEST_LINE { Err(bad("line too long")) } else { Ok(Measured::Partial) };
     };
     let text = line[..length].strip_suffix(b"\r").ok_or_else(|| bad("line without CR"))?;
     *at = from + length + 1;
@@ -130,10 +218,13 @@
         b'$' | b'*' if number()? == -1 => Shape::Null,
         b'$' => {
             let length = usize::try_from(number()?).map_err(|_| bad("invalid bulk length"))?;
-            admit(length)?;
+            if length > LONGEST_BULK {
+                let fits = depth == DEEPEST - 1 && length <= LONGEST_VALUE;
+                return if fits { Ok(Measured::Long(length)) } else { Err(bad("bulk string too long")) };
+            }
             let (begin, end) = (*at, *at + length);
             if buffer.len() < end + 2 {
-                return Ok(false);
+                return Ok(Measured::Partial);
             }
             if &buffer[end..end + 2] != b"\r\n" {
                 return Err(bad("bulk string without end"));
@@ -148,16 +239,17 @@
             }
             shapes.push(Shape::Array(length));
             for _ in 0..length {
-                if !measure(buffer, at, depth - 1, admit, shapes)? {
-                    return Ok(false);
+                match measure(buffer, at, depth - 1, shapes)? {
+                    Measured::Whole => {}
+                    short => return Ok(short),
                 }
             }
-            return Ok(true);
+            return Ok(Measured::Whole);
         }
         _ => Shape::Line(kind, from, from + text.len()),
     };
     shapes.push(shape);
-    Ok(true)
+    Ok(Measured::Whole)
 }
 
 /// The next frame of these shapes; each was measured, so none is missing.
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -41,8 +41,8 @@
     pub routes: watch::Receiver<Arc<Routes>>,
     /// For connections to nodes.
     pub upstream: Room,
-    /// For long answers of nodes, by pieces of the usual length.
-    pub large: Arc<Semaphore>,
+    /// For long answers of nodes that are on their way.
+    pub long: Arc<Semaphore>,
 }
 
 /// A proxy that serves.
@@ -75,11 +75,11 @@
         let (door, desk, mailbox) = module::door();
         let (follow, followed) = mpsc::channel(1);
         let (clock, watch, upstream) = (Clock::start(), phases.watch(), Room::new(config.upstream));
-        let large = Arc::new(Semaphore::new(config.large));
+        let long = Arc::new(Semaphore::new(config.long));
         let mut tuning = Tuning::default();
         let (settings, routes) = tuning.take(&config.json["settings"]);
         let (tell_routes, routes) = watch::channel(Arc::new(routes));
-        let shared = Shared { clock, config, counters, door, watch, routes, upstream, large };
+        let shared = Shared { clock, config, counters, door, watch, routes, upstream, long };
         let config = &shared.config;
         let mut module = Module::new(shared.clone(), settings, follow, mailbox);
         match list::entries(&config.known, config) {
