--- a/crates/lab/tests/lab/stand_ins.rs
+++ b/crates/lab/tests/lab/stand_ins.rs
@@ -53,7 +53,8 @@
     let mut node = connect(&fleet, 0).await;
     let wish = take(&fleet, 77, 3);
     let back = replied(ask(&mut node, &wish, 77).await).expect("a reply that can be read");
-    assert_eq!((back.outcome, made_for(&back.value), back.value.len()), (Outcome::Completed, Some(77), 900));
+    let value = back.value.whole().expect("a whole value");
+    assert_eq!((back.outcome, made_for(value), value.len()), (Outcome::Completed, Some(77), 900));
     let wish = take(&fleet, 78, 1_000_000);
     let back = replied(ask(&mut node, &wish, 78).await).expect("a reply that can be read");
     assert_eq!(back.outcome, Outcome::Missed);
@@ -122,7 +123,8 @@
     origin.send(Request { method: "GET", path, headers, body: None }).await.expect("a request sent");
     let response = origin.next().await.expect("an answer").expect("that can be read");
     let back = answered(response);
-    assert_eq!((back.outcome, made_for(&back.value)), (Outcome::Completed, Some(5)));
+    let value = back.value.whole().expect("a whole value");
+    assert_eq!((back.outcome, made_for(value)), (Outcome::Completed, Some(5)));
 }
 
 #[tokio::test]
--- a/crates/proxy/src/long.rs
+++ b/crates/proxy/src/long.rs
@@ -23,6 +23,13 @@
     Long(Long),
 }
 
+impl Value {
+    /// Its bytes, if they are all here.
+    pub fn whole(&self) -> Option<&Bytes> {
+        if let Value::Whole(value) = self { Some(value) } else { None }
+    }
+}
+
 impl From<Bytes> for Value {
     fn from(value: Bytes) -> Value {
         Value::Whole(value)
--- a/crates/proxy/tests/proxy/clients.rs
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -401,7 +401,8 @@
         breaks: broken: Other
         hit: value of id-hit
         huge: 400000 bytes
-    "#]].assert_eq(&replies);
+    "#]]
+    .assert_eq(&replies);
     assert_eq!(world.counted("values_broken"), "values_broken 1\n");
 }
 
