Connections, list and cold nodes go to the process that takes over; long writes stream

Cause: on SIGTERM the old process went on accepting for half a second and then closed idle connections, where a command may be on its way; a successor knew neither what the old one had been told while discovery is silent nor which nodes had just been put back; both could hold their full parts of descriptors and memory. Long writes were turned down past 64 KiB (resp.rs).

Long writes: Parts in front of the clients, the body goes to the origin as it comes and once; a second try is reported as not sent.

--- a/crates/proxy/src/bans.rs
+++ b/crates/proxy/src/bans.rs
@@ -11,6 +11,8 @@
 
 /// A file's name is this, which has the version, and the `uid` in hex.
 const NAME: &str = "pumicebay-ban-1-";
+/// One that was put back leaves a file of this name: a successor takes the node for as cold as this process does.
+const BACK: &str = "pumicebay-back-1-";
 /// How often the folder is looked through; a ban from another process acts so much later.
 const LOOK: Duration = Duration::from_millis(100);
 const MAILBOX: usize = 64;
@@ -107,17 +109,17 @@
         if uid.len() > LONGEST_UID {
             return Err(std::io::Error::new(ErrorKind::InvalidInput, "id too long"));
         }
-        let file = folder.join(format!("{NAME}{}", hex(uid)));
-        if out {
-            // All there is to it is the name: there at once and whole.
-            return std::fs::File::create(file).map(|_| ());
-        }
-        std::fs::remove_file(file).or_else(|e| if e.kind() == ErrorKind::NotFound { Ok(()) } else { Err(e) })
+        let (ban, back) =
+            (folder.join(format!("{NAME}{}", hex(uid))), folder.join(format!("{BACK}{}", hex(uid))));
+        let (new, old) = if out { (ban, back) } else { (back, ban) };
+        // All there is to each is the name and its time: there at once and whole.
+        std::fs::File::create(new)?;
+        std::fs::remove_file(old).or_else(|e| if e.kind() == ErrorKind::NotFound { Ok(()) } else { Err(e) })
     }
 
     /// Takes over what another process wrote.
     async fn look(&mut self) {
-        let Some(there) = self.folder.as_deref().map(read) else { return };
+        let Some(there) = self.folder.as_deref().map(|folder| read(folder, NAME)) else { return };
         let there = match there {
             Ok(there) => there,
             Err(error) => return tracing::debug!("maintenance: {error}"),
@@ -130,18 +132,29 @@
     }
 }
 
-/// The bans in a folder. Files that are none of ours are passed over.
-pub fn read(folder: &Path) -> std::io::Result<BTreeSet<String>> {
-    let mut bans = BTreeSet::new();
+/// What a process finds when it starts: the nodes that are out, and those put back for less than this time.
+pub fn found(folder: &Path, cold: Duration) -> std::io::Result<(BTreeSet<String>, BTreeSet<String>)> {
+    let fresh = |uid: &String| {
+        let file = std::fs::metadata(folder.join(format!("{BACK}{}", hex(uid))));
+        let since = file.and_then(|file| file.modified()).ok().and_then(|time| time.elapsed().ok());
+        since.is_some_and(|since| since < cold)
+    };
+    let back = read(folder, BACK)?;
+    Ok((read(folder, NAME)?, back.into_iter().filter(fresh).collect()))
+}
+
+/// The ids that files of this kind name. Files that are none of ours are passed over.
+fn read(folder: &Path, kind: &str) -> std::io::Result<BTreeSet<String>> {
+    let mut uids = BTreeSet::new();
     for entry in std::fs::read_dir(folder)? {
         let name = entry?.file_name();
-        let Some(uid) = name.to_str().and_then(|name| name.strip_prefix(NAME)) else { continue };
+        let Some(uid) = name.to_str().and_then(|name| name.strip_prefix(kind)) else { continue };
         match unhex(uid) {
-            Some(uid) => _ = bans.insert(uid),
-            None => tracing::warn!("maintenance: {uid:?} is no file of ours"),
+            Some(uid) => _ = uids.insert(uid),
+            None => tracing::debug!("maintenance: {uid:?} is no file of ours"),
         }
     }
-    Ok(bans)
+    Ok(uids)
 }
 
 fn hex(uid: &str) -> String {
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -2,10 +2,11 @@
 
 use crate::clock::MILLIS;
 use crate::config::Config;
-use crate::long::{Long, Value};
+use crate::heir::{Passed, Seat};
+use crate::long::{self, Long, Upload, Value};
 use crate::module::{Answer, Cargo};
 use crate::phases::Phase;
-use crate::resp::{Frame, Resp, bad, begun};
+use crate::resp::{Frame, Part, Parts, bad, begun};
 use crate::room::{Room, Spare};
 use crate::serve::Shared;
 use crate::tuning::Routes;
@@ -26,7 +27,7 @@
 
 /// Commands on one connection that await their answers; more are left unread.
 const PIPELINE: usize = 32;
-/// A connection may be without a whole command for so long after it comes up.
+/// A connection may be without a whole command for so long after it comes up, and without more of a long value.
 const SILENT: Duration = Duration::from_millis(2700);
 /// What stands idle for less is closed for want of room last, as a request might be on its way.
 const IDLE: Duration = Duration::from_millis(2200);
@@ -57,14 +58,41 @@
     pub ahead: Arc<Semaphore>,
 }
 
+/// Takes the connections that the process before passes on, as long as this one lives.
+pub async fn take_over(front: Front, seat: Arc<Seat>) {
+    loop {
+        match seat.next().await {
+            Ok(Passed { stream, unread, used }) => {
+                let front = front.clone();
+                front.shared.counters.clients_taken_over.add();
+                front.connections.clone().spawn(async move {
+                    let _permit = front.room.take().await;
+                    let mut framed = Framed::new(stream, Parts::default());
+                    framed.read_buffer_mut().extend_from_slice(&unread);
+                    let (begun, pending) = (None, VecDeque::new());
+                    let mut client = Client { front, framed, pending, begun, used: false };
+                    if used {
+                        client.crowd();
+                    }
+                    client.run().await;
+                });
+            }
+            Err(error) => {
+                tracing::warn!("connections passed on: {error}");
+                sleep(NO_ROOM).await;
+            }
+        }
+    }
+}
+
 /// Accepts until the phase says no more.
 pub async fn accept(front: Front, listener: TcpListener) {
     let (mut closing, lobby) = (front.shared.watch.clone(), Arc::new(Semaphore::new(LOBBY)));
     loop {
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
             () = closing.reached(Phase::Closing) => return,
+            accepted = listener.accept() => accepted,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
@@ -95,7 +123,7 @@
                 None => front.room.take().await,
             };
             drop(place);
-            let (framed, pending) = (Framed::new(stream, Resp), VecDeque::new());
+            let (framed, pending) = (Framed::new(stream, Parts::default()), VecDeque::new());
             Client { front, framed, pending, begun: None, used: false }.run().await;
         });
     }
@@ -103,7 +131,7 @@
 
 struct Client {
     front: Front,
-    framed: Framed<TcpStream, Resp>,
+    framed: Framed<TcpStream, Parts>,
     /// In the order of the commands.
     pending: VecDeque<Pending>,
     /// When the command began that has come in part.
@@ -147,7 +175,7 @@
     async fn serve(&mut self) -> std::io::Result<()> {
         let (mut closing, mut close_at) = (self.front.shared.watch.clone(), Phase::Closing);
         let room = self.front.room.clone();
-        let (mut spoke, mut since) = (false, Instant::now());
+        let (mut spoke, mut since) = (self.used, Instant::now());
         loop {
             let idle = self.pending.is_empty();
             let more = idle || self.pending.len() < PIPELINE && self.front.ahead.available_permits() > 0;
@@ -160,8 +188,18 @@
                     since = Instant::now();
                 }
                 frame = whole(&mut self.framed, &mut self.begun), if more => match frame {
-                    Some(Ok(frame)) => {
-                        let reply = self.command(frame).await;
+                    // Nothing but the value of a write may be long.
+                    Some(Ok(Part::Begin(words, _))) if !writes(&words) => {
+                        return self.refuse(bad("bulk string too long")).await;
+                    }
+                    Some(Ok(Part::Begin(words, length))) => {
+                        spoke = true;
+                        self.upload(words, length).await?;
+                        since = Instant::now();
+                    }
+                    Some(Ok(part)) => {
+                        let Part::Frame(frame) = part else { return self.refuse(bad("out of step")).await };
+                        let reply = self.command(frame, None).await;
                         spoke = true;
                         if !self.used && matches!(reply, Reply::Waiting(..)) {
                             self.crowd();
@@ -174,6 +212,17 @@
                     None => return Ok(()),
                 },
                 () = closing.reached(close_at), if idle => {
+                    // Closed here, a command that is on its way would meet nobody.
+                    if let Some(heir) = self.front.shared.heir.get() {
+                        let unread = self.framed.read_buffer();
+                        match heir.pass(self.framed.get_ref(), unread, self.used).await {
+                            Ok(()) => {
+                                self.front.shared.counters.clients_passed_on.add();
+                                return Ok(());
+                            }
+                            Err(error) => tracing::warn!("a connection stays: {error}"),
+                        }
+                    }
                     // What has come in part may still come whole.
                     if close_at == Phase::Leaving || self.framed.read_buffer().is_empty() {
                         return Ok(());
@@ -239,6 +288,51 @@
         Ok(())
     }
 
+    /// A command whose last word is long: passed on as it comes, or left out where it is answered before. What was
+    /// asked before it is answered first.
+    async fn upload(&mut self, mut words: Vec<Frame>, length: usize) -> std::io::Result<()> {
+        while !self.pending.is_empty() {
+            let reply = next(&mut self.pending).await;
+            self.answer(reply).await?;
+        }
+        words.push(Frame::Bulk(Bytes::new()));
+        let (reply, mut source) = match self.front.shared.long.clone().try_acquire_owned() {
+            Ok(room) => {
+                let (source, value) = long::long(length, Some(room));
+                let reply = self.command(Frame::Array(words), Some(Box::new(Upload::new(value)))).await;
+                (reply, Some(source))
+            }
+            Err(_) => (Reply::Ready(Frame::error("BUSY")), None),
+        };
+        if !self.used && matches!(reply, Reply::Waiting(..)) {
+            self.crowd();
+        }
+        self.pending.push_back(Pending { reply, _ahead: None });
+        let mut piece = None;
+        loop {
+            let (awaits, wanted) = (!self.pending.is_empty(), source.is_some() && piece.is_some());
+            tokio::select! {
+                biased;
+                reply = next(&mut self.pending), if awaits => {
+                    self.answer(reply).await?;
+                    source = None;
+                }
+                sent = bring(&source, &piece), if wanted => {
+                    piece = None;
+                    source = source.filter(|_| sent.is_ok());
+                }
+                part = timeout(SILENT, self.framed.next()), if !wanted => match part {
+                    Ok(Some(Ok(Part::Piece(some)))) => piece = Some(some),
+                    Ok(Some(Ok(Part::End(after)))) if after.is_empty() => return Ok(()),
+                    Ok(Some(Ok(_))) => return self.refuse(bad("words behind a value")).await,
+                    Ok(Some(Err(error))) => return self.refuse(error).await,
+                    Ok(None) => return Ok(()),
+                    Err(_) => return self.refuse(bad("command without end")).await,
+                },
+            }
+        }
+    }
+
     /// Passes a long value on as it comes. One that breaks off ends the connection, so that the client can tell.
     async fn pass_on(&mut self, mut value: Long) -> std::io::Result<()> {
         let stream = self.framed.get_mut();
@@ -250,11 +344,12 @@
         timeout(READING, stream.write_all(b"\r\n")).await?
     }
 
-    async fn command(&mut self, frame: Frame) -> Reply {
+    async fn command(&mut self, frame: Frame, upload: Option<Box<Upload>>) -> Reply {
         let at = self.front.shared.clock.now();
         let routes = self.front.shared.routes.borrow().clone();
         match read(frame, &self.front.shared.config, &routes) {
             Ok(Command::Exchange(ask, cargo)) => {
+                let cargo = Cargo { upload, ..cargo };
                 let (xchg, answered) = self.front.shared.door.arrive(at, ask, cargo).await;
                 Reply::Waiting(xchg, answered)
             }
@@ -269,6 +364,14 @@
     }
 }
 
+/// Brings a piece to whoever takes the value; losing the race to something else loses nothing.
+async fn bring(source: &Option<long::Source>, piece: &Option<Bytes>) -> std::io::Result<()> {
+    match (source, piece) {
+        (Some(source), Some(piece)) => source.send(piece.clone()).await,
+        _ => Ok(()),
+    }
+}
+
 /// Returns when a connection that has been idle since then is to make room.
 async fn spared(room: &Room, used: bool, since: Instant) {
     if !used {
@@ -282,9 +385,9 @@
 
 /// The next command, which must be whole some time after its first byte.
 async fn whole(
-    framed: &mut Framed<TcpStream, Resp>,
+    framed: &mut Framed<TcpStream, Parts>,
     since: &mut Option<Instant>,
-) -> Option<std::io::Result<Frame>> {
+) -> Option<std::io::Result<Part>> {
     if let Err(error) = begun(framed).await {
         return Some(Err(error));
     }
@@ -318,6 +421,11 @@
     Counters,
 }
 
+/// Whether these words want but the value of a write.
+fn writes(words: &[Frame]) -> bool {
+    matches!(words, [Frame::Bulk(name), _, _, _] if name.eq_ignore_ascii_case(b"C.SET"))
+}
+
 /// Reads a client's command, or says in plain words what is wrong with it.
 fn read(frame: Frame, config: &Config, routes: &Routes) -> Result<Command, String> {
     let Frame::Array(words) = frame else { return Err("expected a command".into()) };
@@ -374,6 +482,7 @@
     ask.grace = grace.map_or(overall, |grace| grace.saturating_mul(MILLIS).min(overall));
     ask.key = Some(identity(&String::from_utf8_lossy(key)));
     let value = value.cloned().unwrap_or_default();
-    let cargo = Cargo { write: ask.write, key: key.clone(), id: id.clone(), labels: labels.clone(), value };
+    let (key, id, labels) = (key.clone(), id.clone(), labels.clone());
+    let cargo = Cargo { write: ask.write, key, id, labels, value, upload: None };
     Ok(Command::Exchange(ask, cargo))
 }
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -28,7 +28,7 @@
 }
 
 counters! {
-    clients_accepted clients_closed_for_room clients_silent accept_failures
+    clients_accepted clients_taken_over clients_passed_on clients_closed_for_room clients_silent accept_failures
     exchanges_taken exchanges_completed exchanges_shed exchanges_errored exchanges_rejected
     exchanges_dropped
     bad_commands
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -14,11 +14,13 @@
     pub path: String,
     pub headers: Vec<(&'static str, &'a [u8])>,
     pub body: Option<&'a [u8]>,
+    /// How long a body is that is sent behind the request.
+    pub follows: Option<usize>,
 }
 
 impl Request<'_> {
     pub fn get(path: String) -> Self {
-        Request { method: "GET", path, headers: Vec::new(), body: None }
+        Request { method: "GET", path, headers: Vec::new(), body: None, follows: None }
     }
 }
 
@@ -143,11 +145,10 @@
         for (name, value) in &request.headers {
             put(&[name.as_bytes(), b": ", value, b"\r\n"]);
         }
-        if let Some(body) = request.body {
-            put(&[b"Content-Length: ", body.len().to_string().as_bytes(), b"\r\n\r\n", body]);
-        } else {
-            put(&[b"\r\n"]);
+        if let Some(length) = request.follows.or(request.body.map(<[u8]>::len)) {
+            put(&[b"Content-Length: ", length.to_string().as_bytes(), b"\r\n"]);
         }
+        put(&[b"\r\n", request.body.unwrap_or_default()]);
         Ok(())
     }
 }
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -9,8 +9,10 @@
 use futures_util::{SinkExt, StreamExt};
 use pumicebay_core::{Listed, Standing};
 use pumicebay_names::identity;
-use serde_json::Value as Json;
+use serde_json::{Value as Json, json};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -26,6 +28,8 @@
 const AGAIN: Duration = Duration::from_millis(100);
 /// A list of many thousand nodes.
 const LONGEST: usize = 16 * 1024 * 1024;
+/// The file that a process leaves for the next one; its name has the version of its form.
+const LEFT: &str = "pumicebay-list-1";
 /// Beyond reason for what the list says of a node's size.
 const MOST_RATED: f64 = 1e6;
 
@@ -38,24 +42,58 @@
     connection: Option<Framed<TcpStream, Http>>,
     /// To be called without being asked to.
     due: bool,
+    /// All entries as they were told last, by `uid`; kept for the process after this one.
+    told: BTreeMap<String, Json>,
 }
 
 impl List {
     pub fn new(shared: Shared, follow: mpsc::Receiver<()>) -> Self {
         let version = shared.config.known.get("rev").and_then(Json::as_u64);
         let (discovery, due) = (shared.config.discovery, false);
-        List { shared, discovery, follow, version, connection: None, due }
+        List { shared, discovery, follow, version, connection: None, due, told: BTreeMap::new() }
     }
 
     /// The whole list as it is now, for a process that takes over from one that may have been told more than the
     /// configuration knows.
     pub async fn first(&mut self) -> Result<Vec<Named>> {
         self.version = None;
-        let (version, whole, named) = entries(&self.call().await?, &self.shared.config)?;
+        let body = self.call().await?;
+        let (whole, named) = self.take(&body)?;
         ensure!(whole, "asked for the whole list, got changes");
+        Ok(named)
+    }
+
+    /// What a process before this one was told last. Its version is not followed: discovery is asked anew.
+    pub fn left(&mut self, folder: Option<&Path>) -> Result<Vec<Named>> {
+        let file = folder.context("no folder")?.join(LEFT);
+        let json: Json = serde_json::from_slice(&std::fs::read(file)?)?;
+        let (_, whole, named) = entries(&json, &self.shared.config)?;
+        ensure!(whole, "not a whole list");
+        Ok(named)
+    }
+
+    /// Takes in an answer: whether it is whole, and its entries.
+    fn take(&mut self, body: &Json) -> Result<(bool, Vec<Named>)> {
+        let (version, whole, named) = entries(body, &self.shared.config)?;
         self.version = Some(version);
         self.shared.counters.list_answers.add();
-        Ok(named)
+        if whole {
+            self.told.clear();
+        }
+        for target in body.get("targets").and_then(Json::as_array).into_iter().flatten() {
+            if let Some(uid) = target.get("uid").and_then(Json::as_str) {
+                self.told.insert(uid.into(), target.clone());
+            }
+        }
+        self.told.retain(|_, target| target.get("state").and_then(Json::as_str) != Some("left"));
+        if self.shared.config.inherited
+            && !named.is_empty()
+            && let Some(folder) = &self.shared.config.folder
+            && let Err(error) = leave(folder, version, &self.told)
+        {
+            tracing::warn!("the list is not kept for a process after this one: {error}");
+        }
+        Ok((whole, named))
     }
 
     /// Follows discovery where it is now: a new address is asked for the whole list at once.
@@ -95,9 +133,7 @@
     async fn watch(&mut self) -> Result<()> {
         loop {
             let body = self.call().await?;
-            let (version, whole, named) = entries(&body, &self.shared.config)?;
-            self.version = Some(version);
-            self.shared.counters.list_answers.add();
+            let (whole, named) = self.take(&body)?;
             self.shared.door.listed(whole, named).await;
         }
     }
@@ -135,6 +171,15 @@
     }
 }
 
+/// Writes the list for a process after this one: beside the old file, then in its place.
+fn leave(folder: &Path, version: u64, told: &BTreeMap<String, Json>) -> std::io::Result<()> {
+    let targets: Vec<&Json> = told.values().collect();
+    let list = json!({"rev": version, "all": true, "targets": targets});
+    let new = folder.join(format!("{LEFT}.{}", std::process::id()));
+    std::fs::write(&new, list.to_string())?;
+    std::fs::rename(new, folder.join(LEFT))
+}
+
 /// Reads a list or its changes: its version, whether it is whole, and its entries. One that can't be read
 /// is left out with a line in the log.
 pub fn entries(json: &Json, config: &Config) -> Result<(u64, bool, Vec<Named>)> {
--- a/crates/proxy/src/long.rs
+++ b/crates/proxy/src/long.rs
@@ -4,6 +4,7 @@
 use crate::resp::bad;
 use bytes::Bytes;
 use std::io::Error;
+use std::sync::Mutex;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::time::timeout;
@@ -45,6 +46,23 @@
     _room: Option<OwnedSemaphorePermit>,
 }
 
+/// A value that a client is still sending. It can be taken once: another try would find it gone.
+#[derive(Debug)]
+pub struct Upload {
+    pub length: usize,
+    value: Mutex<Option<Long>>,
+}
+
+impl Upload {
+    pub fn new(value: Long) -> Upload {
+        Upload { length: value.length, value: Mutex::new(Some(value)) }
+    }
+
+    pub fn take(&self) -> Option<Long> {
+        self.value.lock().ok()?.take()
+    }
+}
+
 /// The bringing end; dropped before all has come, it breaks the value off.
 pub struct Source(mpsc::Sender<Bytes>);
 
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -1,7 +1,7 @@
 //! The module actor: the decisions, their mailbox, and the host that carries out what they ask for.
 //! Nothing here waits for anyone: a mailbox that is full makes a try unsent.
 
-use crate::long::Value;
+use crate::long::{Upload, Value};
 use crate::node::{self, Errand};
 use crate::phases::Phase;
 use crate::serve::Shared;
@@ -31,6 +31,8 @@
     /// The list of names and values as it came.
     pub labels: Bytes,
     pub value: Bytes,
+    /// The value instead, where it is long: as it comes.
+    pub upload: Option<Box<Upload>>,
 }
 
 /// The final answer to an exchange.
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -3,7 +3,7 @@
 
 use crate::config::Config;
 use crate::http::{self, Request, Response};
-use crate::long::{self, PIECE, SILENT, Value};
+use crate::long::{self, Long, PIECE, SILENT, Upload, Value};
 use crate::module::{Back, Cargo};
 use crate::phases::Phase;
 use crate::resp::{self, Frame, LONGEST_BULK, begun};
@@ -22,6 +22,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
@@ -74,6 +75,14 @@
     Origin(Framed<TcpStream, http::Parts>),
 }
 
+/// Writes some of a long value. Until the last byte is written nothing can have run.
+async fn send(stream: &mut TcpStream, bytes: &[u8]) -> Result<(), Outcome> {
+    match timeout(SILENT, stream.write_all(bytes)).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) | Err(_) => Err(Outcome::Unreachable),
+    }
+}
+
 /// What a try or probe came to unless the module has been told already, and its connection if that can carry
 /// another.
 type Done = (Errand, Option<Back>, Option<Connection>);
@@ -89,6 +98,7 @@
         let mut out = FuturesUnordered::new();
         let mut sweep = interval(SWEEP);
         sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let (mut closing, mut closed) = (self.shared.watch.clone(), false);
         let room = self.shared.upstream.clone();
         loop {
             tokio::select! {
@@ -102,12 +112,19 @@
                     self.idle.pop_front();
                 }
                 _ = sweep.tick() => self.sweep(),
+                () = closing.reached(Phase::Closing), if !closed => {
+                    closed = true;
+                    // The process that takes over needs the descriptors.
+                    if self.shared.heir.get().is_some() {
+                        self.idle.clear();
+                    }
+                }
             }
         }
     }
 
     async fn done(&mut self, (errand, back, connection): Done) {
-        if let Some(connection) = connection {
+        if let Some(connection) = connection.filter(|_| self.shared.heir.get().is_none()) {
             self.idle.push_back((Instant::now(), connection));
         }
         let Some(back) = back else { return };
@@ -141,9 +158,6 @@
                 done = carry(&shared, node, &errand, connection, (address, origin)) => done,
                 () = leaving.reached(Phase::Leaving) => (Some(Outcome::Withdrawn.into()), None),
             };
-            if back.as_ref().is_some_and(|back| back.outcome == Outcome::Unsent) {
-                tracing::warn!("node {node}: no connection to spare");
-            }
             (errand, back, connection)
         }
     }
@@ -158,7 +172,18 @@
     (address, origin): (SocketAddr, bool),
 ) -> (Option<Back>, Option<Connection>) {
     let (Errand::Try { until, .. } | Errand::Probe { until }) = errand;
-    let begun = timeout_at(*until, async {
+    let mut until = *until;
+    let patience = until.saturating_duration_since(Instant::now());
+    let upload = match errand {
+        Errand::Try { cargo, .. } => cargo.upload.as_deref(),
+        Errand::Probe { .. } => None,
+    };
+    let value = upload.and_then(Upload::take);
+    if upload.is_some() && value.is_none() {
+        // An earlier try has sent it on already.
+        return (Some(Outcome::Unsent.into()), idle);
+    }
+    let begun = timeout_at(until, async {
         let mut connection = match idle {
             Some(connection) => {
                 shared.counters.connections_reused.add();
@@ -175,6 +200,13 @@
         Ok(Err(outcome)) => return (Some(outcome.into()), None),
         Err(_) => return (Some(Outcome::Unreachable.into()), None),
     };
+    if let Some(value) = value {
+        if let Err(outcome) = connection.upload(value).await {
+            return (Some(outcome.into()), None);
+        }
+        // The time of a request counts from its last byte.
+        until = Instant::now() + patience;
+    }
     let within = shared.config.connect / 2;
     let failed = |error: &anyhow::Error| {
         let garbage =
@@ -184,13 +216,13 @@
         }
         if garbage { Outcome::Errored } else { Outcome::Severed }
     };
-    match timeout_at(*until, connection.read(errand, within)).await {
+    match timeout_at(until, connection.read(errand, within)).await {
         Ok(Ok(Came::Whole(back, last))) => (Some(back), (!last).then_some(connection)),
         Ok(Ok(Came::Long(length, held, last))) => {
             // The first of it tells whether there is a value at all: until then another try is possible.
             let room = shared.long.clone().acquire_owned();
             let begun =
-                timeout_at(*until, async { Ok((room.await?, connection.first(length, within).await?)) });
+                timeout_at(until, async { Ok((room.await?, connection.first(length, within).await?)) });
             let (room, first) = match begun.await {
                 Ok(Ok(begun)) => begun,
                 Ok(Err(error)) => return (Some(failed(&error).into()), None),
@@ -216,7 +248,11 @@
 }
 
 async fn connect(shared: &Shared, address: SocketAddr, origin: bool) -> Result<Connection, Outcome> {
-    let permit = timeout(shared.config.connect, shared.upstream.take()).await.map_err(|_| Outcome::Unsent)?;
+    let unsent = |_| {
+        tracing::warn!("{address}: no connection to spare");
+        Outcome::Unsent
+    };
+    let permit = timeout(shared.config.connect, shared.upstream.take()).await.map_err(unsent)?;
     let stream = match timeout(shared.config.connect, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         // This proxy's own want of descriptors says nothing about the node.
@@ -257,7 +293,14 @@
             }
             (Wire::Cache(framed), Errand::Try { cargo, until, .. }) => {
                 let left = until.saturating_duration_since(Instant::now());
-                framed.send(&command(cargo, left)).await
+                let words = command(cargo, left);
+                match &cargo.upload {
+                    Some(upload) => {
+                        resp::encode_beginning(&words, upload.length, framed.write_buffer_mut())?;
+                        SinkExt::<&Frame>::flush(framed).await
+                    }
+                    None => framed.send(&Frame::Array(words)).await,
+                }
             }
             (Wire::Origin(framed), Errand::Probe { .. }) => {
                 framed.send(Request::get("/health/live".into())).await
@@ -266,6 +309,19 @@
         }
     }
 
+    /// Sends a long value as it comes, up to its last byte, with what ends it.
+    async fn upload(&mut self, mut value: Long) -> Result<(), Outcome> {
+        let (stream, end) = match &mut self.wire {
+            Wire::Cache(framed) => (framed.get_mut(), &b"\r\n"[..]),
+            Wire::Origin(framed) => (framed.get_mut(), &b""[..]),
+        };
+        // A client that stops amid its value is no fault of the node's.
+        while let Some(piece) = value.next().await.map_err(|_| Outcome::Unsent)? {
+            send(stream, &piece).await?;
+        }
+        send(stream, end).await
+    }
+
     /// What came back. Severed where nothing whole came.
     async fn read(&mut self, errand: &Errand, within: Duration) -> Result<Came> {
         let probe = matches!(errand, Errand::Probe { .. });
@@ -372,16 +428,17 @@
     read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
 }
 
-/// A try as a cache node reads it: all as it came, but for how long this proxy waits.
-pub fn command(cargo: &Cargo, left: Duration) -> Frame {
+/// A try as a cache node reads it: all as it came, but for how long this proxy waits. Without a value that is
+/// still to come.
+pub fn command(cargo: &Cargo, left: Duration) -> Vec<Frame> {
     let word: &'static [u8] = if cargo.write { b"C.SET" } else { b"C.GET" };
     let mut words = Vec::with_capacity(5);
     words.extend([Bytes::from_static(word), cargo.key.clone(), cargo.id.clone()].map(Frame::Bulk));
     words.push(Frame::Bulk(labels(&cargo.labels, left)));
-    if cargo.write {
+    if cargo.write && cargo.upload.is_none() {
         words.push(Frame::Bulk(cargo.value.clone()));
     }
-    Frame::Array(words)
+    words
 }
 
 /// The labels as they came, with `d` as what is left, in milliseconds: put at its place, or at the end.
@@ -411,7 +468,8 @@
         method: if cargo.write { "PUT" } else { "GET" },
         path: http::path(&cargo.key),
         headers: vec![("X-Txn", &cargo.id), ("X-Labels", &cargo.labels)],
-        body: cargo.write.then_some(&cargo.value[..]),
+        body: (cargo.write && cargo.upload.is_none()).then_some(&cargo.value[..]),
+        follows: cargo.upload.as_ref().map(|upload| upload.length),
     }
 }
 
--- a/crates/proxy/src/resp.rs
+++ b/crates/proxy/src/resp.rs
@@ -290,6 +290,14 @@
     }
 }
 
+/// The beginning of an array of these and one more, of so many bytes, which is sent behind it.
+pub fn encode_beginning(members: &[Frame], length: usize, buffer: &mut BytesMut) -> Result<(), Error> {
+    number_line(buffer, b'*', members.len() as i64 + 1);
+    members.iter().try_for_each(|member| Resp.encode(member, buffer))?;
+    number_line(buffer, b'$', length as i64);
+    Ok(())
+}
+
 /// Without a text of its own, which would have to be allocated.
 fn number_line(buffer: &mut BytesMut, kind: u8, number: i64) {
     buffer.put_u8(kind);
--- a/crates/proxy/src/room.rs
+++ b/crates/proxy/src/room.rs
@@ -45,6 +45,11 @@
         Room { free: Arc::new(Semaphore::new(connections)), spare: Arc::default() }
     }
 
+    /// More connections from now on.
+    pub fn grow(&self, connections: usize) {
+        self.free.add_permits(connections);
+    }
+
     /// A place for one more, if there is one now.
     pub fn try_take(&self) -> Option<OwnedSemaphorePermit> {
         self.free.clone().try_acquire_owned().ok()
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::counters::Counters;
+use crate::heir::{Heir, Seat};
 use crate::list::{self, List};
 use crate::module::{self, Desk, Door, Module};
 use crate::operator::{self, Operator};
@@ -16,16 +17,18 @@
 use socket2::Socket;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::task::TaskTracker;
 
 const BACKLOG: u32 = 1024;
+/// How long the process before may go on after this one serves.
+const OVERLAP: Duration = Duration::from_secs(4);
 /// How long a process that takes over waits for the list: operators wait some seconds for its yes.
 const FIRST_LIST: Duration = Duration::from_millis(1500);
 
@@ -43,6 +46,8 @@
     pub upstream: Room,
     /// For long answers of nodes that are on their way.
     pub long: Arc<Semaphore>,
+    /// The process that takes over from this one, once it has.
+    pub heir: Arc<OnceLock<Heir>>,
 }
 
 /// A proxy that serves.
@@ -61,6 +66,9 @@
     tuning: Tuning,
     routes: watch::Sender<Arc<Routes>>,
     desk: Desk,
+    /// Where the next process finds this one.
+    seat: Option<Arc<Seat>>,
+    heir: Arc<OnceLock<Heir>>,
     /// The last configuration that was taken.
     json: Json,
     /// Those without which it can't go on.
@@ -74,40 +82,59 @@
         tracing::info!("{}", config.summary().replace('\n', "; "));
         let (door, desk, mailbox) = module::door();
         let (follow, followed) = mpsc::channel(1);
-        let (clock, watch, upstream) = (Clock::start(), phases.watch(), Room::new(config.upstream));
-        let long = Arc::new(Semaphore::new(config.long));
+        let (clock, watch, heir) = (Clock::start(), phases.watch(), Arc::new(OnceLock::new()));
+        // Both processes together hold no more than one may: this one begins with half.
+        let takes_over = config.inherited && config.folder.as_deref().is_some_and(Seat::taken);
+        let part = |whole: usize| if takes_over { whole.div_ceil(2) } else { whole };
+        let upstream = Room::new(part(config.upstream));
+        let long = Arc::new(Semaphore::new(part(config.long)));
+        let ahead = Arc::new(Semaphore::new(part(config.ahead)));
         let mut tuning = Tuning::default();
         let (settings, routes) = tuning.take(&config.json["settings"]);
         let (tell_routes, routes) = watch::channel(Arc::new(routes));
-        let shared = Shared { clock, config, counters, door, watch, routes, upstream, long };
+        let shared = Shared { clock, config, counters, door, watch, routes, upstream, long, heir };
         let config = &shared.config;
         let mut module = Module::new(shared.clone(), settings, follow, mailbox);
         match list::entries(&config.known, config) {
             Ok((_, whole, named)) => module.listed(whole, named),
             Err(error) => tracing::warn!("known: no list to start from: {error:#}"),
         }
+        let mut list = List::new(shared.clone(), followed);
+        if config.inherited {
+            // What the process before knew, and what discovery knows by now.
+            match list.left(config.folder.as_deref()) {
+                Ok(named) => module.listed(true, named),
+                Err(error) => tracing::info!("no list from a process before: {error:#}"),
+            }
+            match timeout(FIRST_LIST, list.first()).await.context("silent").flatten() {
+                Ok(named) => module.listed(true, named),
+                Err(error) => tracing::warn!("discovery: starts from the list it was given: {error:#}"),
+            }
+        }
         let mut actors = JoinSet::new();
         let operator = config.operator.map(|at| listen("operator", at)).transpose()?;
         let door_at = operator.as_ref().map(TcpListener::local_addr).transpose()?;
         if let Some(listener) = operator {
             let (maintenance, calls) = bans::maintenance();
             let (watch, folder) = (shared.watch.clone(), config.folder.clone());
-            let out = folder.as_deref().map(bans::read).transpose().unwrap_or_else(|error| {
-                tracing::warn!("maintenance: no bans taken over: {error}");
-                None
-            });
-            let out = out.unwrap_or_default();
-            out.iter().for_each(|uid| module.maintained(clock.now(), uid, true));
+            let cold = Duration::from_nanos(config.settings.time("cold", 0));
+            let found = folder.as_deref().map(|folder| bans::found(folder, cold)).transpose();
+            let (out, back) = found
+                .unwrap_or_else(|error| {
+                    tracing::warn!("maintenance: no bans taken over: {error}");
+                    None
+                })
+                .unwrap_or_default();
+            for (uid, out) in out
+                .iter()
+                .map(|uid| (uid, true))
+                .chain(back.iter().flat_map(|uid| [(uid, true), (uid, false)]))
+            {
+                module.maintained(clock.now(), uid, out);
+            }
             actors.spawn(Bans { desk: desk.clone(), folder, out }.run(calls));
             actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
         }
-        let mut list = List::new(shared.clone(), followed);
-        if config.inherited {
-            match timeout(FIRST_LIST, list.first()).await.context("silent").flatten() {
-                Ok(named) => module.listed(true, named),
-                Err(error) => tracing::warn!("discovery: starts from the list it was given: {error:#}"),
-            }
-        }
         let listener = if config.inherited { inherited()? } else { listen("listen", config.listen)? };
         let address = listener.local_addr()?;
         let connections = TaskTracker::new();
@@ -116,16 +143,35 @@
             connections: connections.clone(),
             room: Room::new(config.clients),
             used: Arc::default(),
-            ahead: Arc::new(Semaphore::new(config.ahead)),
+            ahead: ahead.clone(),
         };
         let (config, counters) = (config.clone(), shared.counters.clone());
         let discovery = watch::Sender::new(config.discovery);
         actors.spawn(module.run());
         actors.spawn(list.run(discovery.subscribe()));
+        let seat = config.folder.as_deref().filter(|_| config.inherited).map(Seat::take);
+        let seat = seat.transpose().unwrap_or_else(|error| {
+            tracing::warn!("connections can't be passed on here: {error}");
+            None
+        });
+        let seat = seat.map(Arc::new);
+        if let Some(seat) = seat.clone() {
+            actors.spawn(clients::take_over(front.clone(), seat));
+        }
+        if takes_over {
+            let (upstream, long, whole) = (shared.upstream.clone(), shared.long.clone(), config.clone());
+            tokio::spawn(async move {
+                sleep(OVERLAP).await;
+                upstream.grow(whole.upstream / 2);
+                long.add_permits(whole.long / 2);
+                ahead.add_permits(whole.ahead / 2);
+            });
+        }
         actors.spawn(clients::accept(front, listener));
         phases.enter(Phase::Serving);
         tracing::info!("listens on {address}");
         let (json, routes, operator) = (config.json.clone(), tell_routes, door_at);
+        let heir = shared.heir.clone();
         Ok(Proxy {
             address,
             operator,
@@ -137,6 +183,8 @@
             tuning,
             routes,
             desk,
+            seat,
+            heir,
             json,
             actors,
         })
@@ -187,7 +235,14 @@
             }
         }
         let longest = self.routes.borrow().longest();
-        self.phases.stop(self.config.draining, longest, &self.connections).await;
+        let mut draining = self.config.draining;
+        if let Some(heir) = self.seat.and_then(|seat| seat.heir()) {
+            tracing::info!("another process takes over: {} client connections", self.connections.len());
+            // Whoever still connects meets the other one.
+            draining = Duration::ZERO;
+            let _ = self.heir.set(heir);
+        }
+        self.phases.stop(draining, longest, &self.connections).await;
         Ok(())
     }
 }
--- a/crates/proxy/tests/proxy/clients.rs
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -303,6 +303,8 @@
         PING: +PONG
         --
         clients_accepted 22
+        clients_taken_over 0
+        clients_passed_on 0
         clients_closed_for_room 0
         clients_silent 2
     "#]]
@@ -440,3 +442,87 @@
         assert_eq!(client.reply().await, format!("{} bytes\n", 4 << 20));
     }
 }
+
+/// Sends a long write in pieces; returns before its last byte.
+async fn begin_write(client: &mut Client, key: &str, labels: &str, value: &[u8], cut: usize) {
+    let words = ["C.SET", key, key, labels].map(|word| format!("${}\r\n{word}\r\n", word.len()));
+    let head = format!("*5\r\n{}${}\r\n", words.concat(), value.len());
+    let stream = client.0.get_mut();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for some in value[..value.len() - 1].chunks(cut) {
+        stream.write_all(some).await.unwrap();
+    }
+}
+
+async fn end_write(client: &mut Client, value: &[u8]) {
+    let end = [&value[value.len() - 1..], b"\r\n"].concat();
+    client.0.get_mut().write_all(&end).await.unwrap();
+}
+
+#[tokio::test]
+async fn long_writes_go_to_the_origin_as_they_come_and_once() {
+    let world = World::start(&[]).await;
+    let mut client = world.client().await;
+    let value = long(4 << 20);
+    let mut replies = String::new();
+    // An origin that errs or turns away the first try: the value is gone, and no other try is made.
+    for (key, route) in
+        [("w-good", "put"), ("w-error", "put"), ("w-error-2", "read"), ("w-away", "put"), ("w-no", "none")]
+    {
+        begin_write(&mut client, key, &format!("c={route},d=3000"), &value, 100_000).await;
+        end_write(&mut client, &value).await;
+        replies += &format!("{key}: {}", client.reply().await);
+    }
+    replies += &client.get("hit").await;
+    expect![[r#"
+        w-good: origin's w-good
+        w-error: -ERR failed
+        w-error-2: -BUSY 250
+        w-away: -BUSY 250
+        w-no: -ERR label 'c': unknown or missing class
+        hit: value of id-hit
+        1: PUT /w-good w-good c=put,d=3000 4194304 bytes
+        1: PUT /w-error w-error c=put,d=3000 4194304 bytes
+        1: PUT /w-error-2 w-error-2 c=read,d=3000 4194304 bytes
+        1: PUT /w-away w-away c=put,d=3000 4194304 bytes
+    "#]]
+    .assert_eq(&format!("{replies}{}", world.origin.text()));
+}
+
+#[tokio::test]
+async fn a_long_write_that_stops_ends_for_the_origin_too_and_slow_ones_are_awaited() {
+    let world = World::start(&[("/settings/routes/1/overall-timeout-us", json!(300_000))]).await;
+    let (mut stops, mut slow) = (world.client().await, world.client().await);
+    let value = long(200_000);
+    begin_write(&mut stops, "stops", "c=put,d=300", &value, 50_000).await;
+    drop(stops);
+    begin_write(&mut slow, "w-slow", "c=put,d=300", &value, 50_000).await;
+    // Longer than its route waits: the time counts from the last byte.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    end_write(&mut slow, &value).await;
+    let reply = slow.reply().await;
+    world.origin.until("closed").await;
+    assert_eq!(reply, "origin's w-slow\n");
+    assert!(!world.origin.text().contains("PUT /stops"), "{}", world.origin.text());
+}
+
+#[tokio::test]
+async fn a_long_write_without_a_place_is_answered_by_its_length_alone() {
+    let world = World::start_with(&[], |config| config.long = 1).await;
+    let (mut one, mut other) = (world.client().await, world.client().await);
+    let value = long(100_000);
+    begin_write(&mut one, "w-one", "c=put,d=3000", &value, 50_000).await;
+    world.until_counted("exchanges_taken 1").await;
+    begin_write(&mut other, "w-other", "c=put,d=3000", &value, 50_000).await;
+    let mut replies = other.reply().await;
+    end_write(&mut other, &value).await;
+    end_write(&mut one, &value).await;
+    replies += &one.reply().await;
+    replies += &other.get("hit").await;
+    expect![[r#"
+        -BUSY
+        origin's w-one
+        hit: value of id-hit
+    "#]]
+    .assert_eq(&replies);
+}
