Exchanges of routes that keep order stand in a line a key, with a rest after lost tries

Change: turns.rs keeps the lines and the rests; place asks whether it is an exchange's turn; what can't be first within half its objective (place in the line times what the origin's answers take) is given up at once. keep-order, turn-gap-us and the nines go through crates/names to both hosts and are checked there. The property test found a line kept after its rest when somebody had stood in it then (turns.rs, tidy); mended.

Tests: the case as a trace, a long line, and 256 random courses of events that check each try.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -13,6 +13,7 @@
 use crate::settings::Settings;
 use crate::state::{Cache, Cx, Flow, Kinds, Pace, Route, Rules, Scratch, Tenant, Tenants, Try};
 use crate::table::Table;
+use crate::turns::Turns;
 use hashbrown::HashMap;
 use oorandom::Rand32;
 
@@ -76,6 +77,7 @@
     xchgs: HashMap<Xchg, Cx>,
     fetches: Fetches,
     queue: Vec<Xchg>,
+    pub turns: Turns,
     tenants: Tenants,
     pace: Pace,
     kinds: Kinds,
@@ -108,6 +110,7 @@
             xchgs: HashMap::new(),
             fetches: Fetches::default(),
             queue: Vec::new(),
+            turns: Turns::default(),
             tenants: Tenants::new(&settings),
             pace: Pace::default(),
             kinds: Kinds::default(),
@@ -130,7 +133,9 @@
         self.at(now);
         self.pace.asked.add(now, ask.work());
         let route = self.route(ask.route);
-        self.xchgs.insert(xchg, Cx::new(ask, route, now, self.worth(&ask, &route)));
+        let cx = Cx::new(ask, route, now, self.worth(&ask, &route));
+        cx.ordered().into_iter().for_each(|key| self.turns.enter(key, xchg));
+        self.xchgs.insert(xchg, cx);
         self.place(xchg);
     }
 
@@ -139,7 +144,11 @@
         self.at(now);
         let Some(cx) = self.xchgs.get_mut(&xchg) else { return };
         let Some(this) = cx.end(try_no, outcome, over) else { return };
-        let (over, held, early) = (cx.over, cx.held(), now < cx.ends());
+        let (over, held, early, ordered) = (cx.over, cx.held(), now < cx.ends(), cx.ordered());
+        if outcome.may_still_run() {
+            let rests = now + self.rules.turn_gap;
+            ordered.into_iter().for_each(|key| self.turns.rest(key, rests));
+        }
         self.learn(this.node, this.sent, outcome, early);
         if over {
             self.settle(xchg);
@@ -166,8 +175,12 @@
         self.at(now);
         if token == TICK_TOKEN {
             self.tick();
-        } else if self.xchgs.get(&token).is_some_and(|cx| cx.held() && now >= cx.until) {
-            self.conclude(token);
+        } else if let Some(cx) = self.xchgs.get(&token).filter(|cx| cx.held()) {
+            match (now >= cx.until, cx.waits) {
+                (true, _) => self.conclude(token),
+                (false, true) => self.place(token),
+                (false, false) => {}
+            }
         }
     }
 
@@ -219,6 +232,7 @@
             route.repeat = route.repeat.max(before.repeat);
             route.window = route.window.min(before.window);
             route.most_tries = route.most_tries.min(before.most_tries);
+            route.ordered |= before.ordered;
         }
         route
     }
@@ -250,6 +264,9 @@
     // ---- The ordinary path --------------------------------------------------------------------
 
     fn place(&mut self, xchg: Xchg) {
+        if self.waits_for_turn(xchg) {
+            return;
+        }
         let ask = self.xchgs[&xchg].ask;
         match self.pick(xchg, ask.key) {
             _ if ask.write && self.origin.is_some() => self.ask_origin(xchg),
@@ -261,6 +278,32 @@
         }
     }
 
+    /// Whether those of its key that came first, or the key's rest, keep the exchange from going now: guards the
+    /// order of effects on a key. Where half the objective is too short to be first, it is given up at once.
+    fn waits_for_turn(&mut self, xchg: Xchg) -> bool {
+        let cx = &self.xchgs[&xchg];
+        let Some(key) = cx.ordered().filter(|_| cx.tries.is_empty()) else { return false };
+        let (before, rests) = (self.turns.before(key, xchg), self.turns.rests_until(key));
+        let waits = before > 0 || self.now < rests;
+        let last = cx.arrived + cx.route.objective / ORIGIN_PATIENCE;
+        let turns = (before as f64 * self.turn_takes() * SECOND as f64) as Nanos;
+        self.xchgs.get_mut(&xchg).expect("placed exchanges are known").waits = waits;
+        if waits && self.now.max(rests) + turns > last {
+            self.conclude(xchg);
+        } else if waits {
+            self.hold(xchg, ORIGIN_PATIENCE);
+            // Behind others it is placed again when those are over.
+            (before == 0).then(|| self.host.wake(rests, xchg));
+        }
+        waits
+    }
+
+    /// What an exchange that is first in its line takes, in seconds: writes go to the origin.
+    fn turn_takes(&self) -> f64 {
+        let origin = self.origin.map(|node| &self.nodes.caches[node].flow.answers);
+        origin.and_then(|answers| answers.mean(self.now)).unwrap_or(self.kinds.usual)
+    }
+
     /// The set's least loaded member; past T, the least loaded cache overall joins it.
     fn pick(&mut self, xchg: Xchg, key: Option<u64>) -> Option<Node> {
         let (cx, mean) = (&self.xchgs[&xchg], self.nodes.mean_load());
@@ -527,8 +570,11 @@
         self.fetches.leave_line(cx.ask.key, xchg, cx.worth);
         let key = cx.ask.key.filter(|_| std::mem::take(&mut cx.fetching));
         if cx.out() == 0 {
+            let ordered = cx.ordered();
             self.xchgs.remove(&xchg);
             self.host.forget(xchg);
+            let next = ordered.and_then(|key| self.turns.leave(self.now, key, xchg));
+            self.place_all(next.into_iter().collect());
         }
         if let Some(fetch) = key.and_then(|key| self.fetches.end(key)) {
             self.place_all(fetch.waiting);
@@ -740,6 +786,7 @@
         }
         self.scratch.set = due;
         self.serve_line();
+        self.turns.sweep(self.now);
         if self.follow_at <= self.now && self.rules.asks_list {
             self.follow_at = Nanos::MAX;
             self.host.follow();
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -80,6 +80,11 @@
 }
 
 impl Outcome {
+    /// Whether the try may run yet, though nobody waits for it.
+    pub fn may_still_run(self) -> bool {
+        matches!(self, Outcome::Overdue | Outcome::Severed | Outcome::Withdrawn)
+    }
+
     /// Whether this outcome proves that the try had no effect.
     pub fn never_ran(self) -> bool {
         use Outcome::{Missed, Rejected, Saturated, Unreachable, Unsent};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod settings;
 pub mod state;
 pub mod table;
+pub mod turns;
 
 pub use balance::Balance;
 pub use host::{Ask, Held, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -285,6 +285,8 @@
     pub worth: u64,
     /// How long it is held at most.
     pub until: Nanos,
+    /// Waits until those of its key that were taken before it are over.
+    pub waits: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -307,6 +309,7 @@
             under_way: false,
             fetching: false,
             until: 0,
+            waits: false,
             worth,
         }
     }
@@ -345,6 +348,11 @@
         self.tries.iter().filter(|t| t.out).count()
     }
 
+    /// The key whose order it keeps.
+    pub fn ordered(&self) -> Option<u64> {
+        self.ask.key.filter(|_| self.route.ordered)
+    }
+
     /// Awaits a decision: no answer yet and nothing out.
     pub fn held(&self) -> bool {
         !self.over && self.out() == 0
@@ -375,6 +383,8 @@
     pub probes: bool,
     /// The list must be asked for.
     pub asks_list: bool,
+    /// How long a key rests after a try that may still run.
+    pub turn_gap: Nanos,
 }
 
 impl Rules {
@@ -390,6 +400,7 @@
             pauses: settings.flag("pauses"),
             probes: settings.flag("probes"),
             asks_list: settings.text("discovery") == "ask",
+            turn_gap: settings.time("turn_gap", 0),
         }
     }
 }
@@ -401,6 +412,8 @@
     pub window: Nanos,
     pub payoff: f64,
     pub most_tries: usize,
+    /// Its exchanges of one key run one at a time, in the order in which they were taken.
+    pub ordered: bool,
     /// No longer in the settings: kept for clients that still name it.
     pub dropped: bool,
 }
@@ -432,6 +445,7 @@
             window: settings.time(&name("window"), 0),
             payoff: settings.number(&name("payoff"), 1.0),
             most_tries: settings.number("most_tries", 1.0) as usize,
+            ordered: settings.flag(&name("ordered")),
             dropped: settings.flag(&name("dropped")),
         }
     }
--- a/crates/core/tests/balance/main.rs
+++ b/crates/core/tests/balance/main.rs
@@ -1,5 +1,6 @@
 mod failures;
 mod operations;
+mod order;
 mod path;
 mod plain;
 mod rig;
--- a/crates/names/src/lib.rs
+++ b/crates/names/src/lib.rs
@@ -31,6 +31,9 @@
     ("/rules/fall-multiple", "fall_multiple"),
     ("/rules/fall-us", "fall"),
     ("/rules/start-capacity", "start_capacity"),
+    ("/objective-mix/nines-part", "nines_part"),
+    ("/objective-mix/nines-wanted", "nines_wanted"),
+    ("/rules/turn-gap-us", "turn_gap"),
     ("/surplus-payoff", "surplus_payoff"),
     ("/telemetry/via", "reports"),
 ];
@@ -38,6 +41,7 @@
 const ROUTE: &[(&str, &str)] = &[
     ("/dedup-scope", "scope"),
     ("/dropped", "dropped"),
+    ("/keep-order", "ordered"),
     ("/latency-objective-us", "objective"),
     ("/late-payoff", "late_payoff"),
     ("/overall-timeout-us", "overall_timeout"),
@@ -48,6 +52,27 @@
 
 const TENANT: &[(&str, &str)] = &[("/quota-per-s", "quota"), ("/share", "share")];
 
+/// What of the rules that only some deployments have is of the wrong type: its key, and what was expected.
+pub fn unsound(wire: &Json) -> Option<String> {
+    let wrong = |key: String, wanted: &str, value: &Json, sound: bool| {
+        (!value.is_null() && !sound).then(|| format!("{key}: expected {wanted}, found {value}"))
+    };
+    let at = |place: &str| wire.pointer(place).unwrap_or(&Json::Null);
+    let gap = at("/rules/turn-gap-us");
+    let gap = wrong("rules.turn-gap-us".into(), "microseconds", gap, gap.is_u64());
+    let mut nines = ["nines-part", "nines-wanted"].into_iter().filter_map(|name| {
+        let value = at(&format!("/objective-mix/{name}"));
+        let sound = value.as_f64().is_some_and(|value| value >= 0.0);
+        wrong(format!("objective-mix.{name}"), "0 or more", value, sound)
+    });
+    let routes = wire.get("routes").and_then(Json::as_array);
+    let mut routes = routes.into_iter().flatten().enumerate().filter_map(|(at, route)| {
+        let value = route.get("keep-order").unwrap_or(&Json::Null);
+        wrong(format!("routes[{at}].keep-order"), "true or false", value, value.is_boolean())
+    });
+    gap.or_else(|| nines.next()).or_else(|| routes.next())
+}
+
 pub fn translate(wire: &Json) -> Settings {
     let mut settings = Settings::default();
     copy(&mut settings, wire, SETTINGS, "");
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -195,6 +195,9 @@
     for place in ["/settings/rules/cold-us", "/settings/rules/fall-us", "/settings/rules/drain-grace-us"] {
         number(json, place)?;
     }
+    if let Some(why) = names::unsound(wire) {
+        bail!("settings.{why}");
+    }
     let routes = wire.get("routes").and_then(Json::as_array).context("settings.routes: expected a list")?;
     ensure!(!routes.is_empty(), "settings.routes: expected one or more");
     for (at, route) in routes.iter().enumerate() {
@@ -338,7 +341,9 @@
             Repeat::Deduped(_) => "deduped",
             Repeat::NonRetriable => "non-retriable",
         };
-        let named = |(name, route): (&String, &Route)| format!("{name} ({})", repeat(route));
+        let ordered = |route: &Route| if route.ordered { ", in order" } else { "" };
+        let named =
+            |(name, route): (&String, &Route)| format!("{name} ({}{})", repeat(route), ordered(route));
         let routes = Route::all(&self.settings);
         let routes: Vec<String> =
             names::list(&self.json, "/settings/routes", "/name").iter().zip(&routes).map(named).collect();
--- a/crates/proxy/tests/proxy/config.rs
+++ b/crates/proxy/tests/proxy/config.rs
@@ -38,6 +38,9 @@
         ("/settings/skus", json!("node")),
         ("/settings/discovery", json!("pull")),
         ("/settings/orgs", json!([{"name": "acme", "quota-per-s": 0}])),
+        ("/settings/rules/turn-gap-us", json!("300 ms")),
+        ("/settings/routes/0/keep-order", json!(1)),
+        ("/settings/objective-mix", json!({"nines-wanted": "two"})),
     ] {
         let error = config::parse(&configuration(&[(place, value)])).expect_err(place);
         trace += &format!("{error:#}\n");
@@ -71,6 +74,9 @@
         settings.skus: expected a list of texts, found "node"
         settings.discovery: expected push or ask, found "pull"
         settings.orgs[0].quota-per-s: expected more than 0, found 0
+        settings.rules.turn-gap-us: expected microseconds, found "300 ms"
+        settings.routes[0].keep-order: expected true or false, found 1
+        settings.objective-mix.nines-wanted: expected 0 or more, found "two"
     "#]]
     .assert_eq(&trace);
 }
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -1,7 +1,7 @@
 //! One proxy: its decisions, and the names that its indices stand for.
 
 use crate::wire::{Entry, Fields, Wire, outcome};
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, bail, ensure};
 use hashbrown::HashMap;
 use pumicebay_core::{Ask, Balance, Listed, Nanos, Node, Standing, Xchg};
 use pumicebay_names::{self as names, NANOS, identity};
@@ -24,6 +24,10 @@
 impl Instance {
     pub fn attach(now: Nanos, fields: &Fields) -> Result<Instance> {
         let settings: Json = fields.get(2)?;
+        ensure!(settings.is_object(), "settings: expected an object");
+        if let Some(why) = names::unsound(&settings) {
+            bail!("settings.{why}");
+        }
         let kinds = names::list(&settings, "/skus", "");
         let origin = settings.pointer("/domain/origin-kind").and_then(Json::as_u64);
         let columns = names::list(&settings, "/telemetry/columns", "");
