Errors count against a node once another served the exchange; two errors end an exchange

Change: an error is held against its node only when another node then serves the same exchange or can tell that it lacks the key; two errors at two nodes end the exchange. It also guards from errors that one client's exchanges bring; it does harm where an exchange may be tried only once, since a node that errs alone is then not found.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -16,6 +16,7 @@
 use crate::turns::Turns;
 use hashbrown::HashMap;
 use oorandom::Rand32;
+use smallvec::SmallVec;
 
 const SECOND: Nanos = 1_000_000_000;
 const TICK: Nanos = SECOND / 10;
@@ -33,6 +34,8 @@
 /// Failures beyond the answers since, of the whole fleet, that set a node aside; probes that bring it back.
 const FAILURES: f64 = 9.0;
 const PROBES: usize = 2;
+/// Nodes at which an exchange ends in errors before it is given up: it would fail at any.
+const MOST_ERRORS: usize = 2;
 /// In flight is bounded by what was when answers came best (so many enough to tell), times this room to
 /// find out that more goes; unmeasured by a few for the whole fleet, at the origin (then measured) a cache.
 const ROOM: f64 = 1.5;
@@ -149,7 +152,10 @@
             let rests = now + self.rules.turn_gap;
             ordered.into_iter().for_each(|key| self.turns.rest(key, rests));
         }
+        // Served here, it was no fault of its own that it failed elsewhere.
+        let blamed = if outcome.serves() { cx.blamed() } else { SmallVec::new() };
         self.learn(this.node, this.sent, outcome, early);
+        blamed.into_iter().for_each(|node| self.blame(node, Outcome::Errored));
         if over {
             self.settle(xchg);
         } else if held {
@@ -176,10 +182,10 @@
         if token == TICK_TOKEN {
             self.tick();
         } else if let Some(cx) = self.xchgs.get(&token).filter(|cx| cx.held()) {
-            match (now >= cx.until, cx.waits) {
-                (true, _) => self.conclude(token),
-                (false, true) => self.place(token),
-                (false, false) => {}
+            match cx.waits {
+                _ if now >= cx.until => self.conclude(token),
+                true => self.place(token),
+                false => {}
             }
         }
     }
@@ -278,15 +284,17 @@
         }
     }
 
-    /// Whether those of its key that came first, or the key's rest, keep the exchange from going now: guards the
-    /// order of effects on a key. Where half the objective is too short to be first, it is given up at once.
+    /// Whether those of its key that came first, or the key's rest, keep the exchange from going: guards the
+    /// order of effects on a key. What can't be first within half its objective is given up at once.
     fn waits_for_turn(&mut self, xchg: Xchg) -> bool {
         let cx = &self.xchgs[&xchg];
         let Some(key) = cx.ordered().filter(|_| cx.tries.is_empty()) else { return false };
         let (before, rests) = (self.turns.before(key, xchg), self.turns.rests_until(key));
         let waits = before > 0 || self.now < rests;
         let last = cx.arrived + cx.route.objective / ORIGIN_PATIENCE;
-        let turns = (before as f64 * self.turn_takes() * SECOND as f64) as Nanos;
+        // Writes go to the origin.
+        let took = self.origin.and_then(|node| self.nodes.caches[node].flow.answers.mean(self.now));
+        let turns = (before as f64 * took.unwrap_or(self.kinds.usual) * SECOND as f64) as Nanos;
         self.xchgs.get_mut(&xchg).expect("placed exchanges are known").waits = waits;
         if waits && self.now.max(rests) + turns > last {
             self.conclude(xchg);
@@ -298,12 +306,6 @@
         waits
     }
 
-    /// What an exchange that is first in its line takes, in seconds: writes go to the origin.
-    fn turn_takes(&self) -> f64 {
-        let origin = self.origin.map(|node| &self.nodes.caches[node].flow.answers);
-        origin.and_then(|answers| answers.mean(self.now)).unwrap_or(self.kinds.usual)
-    }
-
     /// The set's least loaded member; past T, the least loaded cache overall joins it.
     fn pick(&mut self, xchg: Xchg, key: Option<u64>) -> Option<Node> {
         let (cx, mean) = (&self.xchgs[&xchg], self.nodes.mean_load());
@@ -537,7 +539,7 @@
 
     fn may_try_again(&self, cx: &Cx) -> bool {
         let never = cx.route.repeat == Repeat::NonRetriable && cx.may_have_run();
-        cx.tries.len() < cx.route.most_tries && !never
+        cx.tries.len() < cx.route.most_tries && !never && cx.errors() < MOST_ERRORS
     }
 
     /// Rule 2: no effect twice.
@@ -686,39 +688,52 @@
     }
 
     fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome, early: bool) {
-        let (now, probes) = (self.now, self.rules.probes);
-        let enough = (FAILURES / self.fleet).max(1.0);
-        let asks = FEW * self.serving() / self.all.answers.rate(now);
-        let slow = now + SLOW_LAST.min((asks * SECOND as f64) as Nanos);
-        let failures = self.nodes.change(node, |cache| {
+        let (now, slow) = (self.now, self.slow_until());
+        let fails = self.nodes.change(node, |cache| {
             cache.end(now, sent, outcome);
             match outcome {
-                Outcome::Completed | Outcome::Missed => cache.failures = cache.failures.saturating_sub(1),
+                _ if outcome.serves() => cache.failures = cache.failures.saturating_sub(1),
                 Outcome::Saturated => cache.refuses_until = now + TICK,
-                Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
+                // An error may be the exchange's own: others must show that it is not.
+                Outcome::Errored | Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
                 // Slow while its exchange has time left; else a failure, unless it gave signs of life since.
                 Outcome::Overdue if early => cache.refuses_until = slow,
                 Outcome::Overdue if cache.owes_since > sent => {}
-                _ => cache.failures += 1,
+                _ => return true,
             }
-            // Guards against nodes that fail quickly: their empty queues would attract load. Where no probe
-            // may bring them back, they count as refusing for a while, and then the next exchange finds out.
-            let fails = cache.failures as f64 >= enough && cache.serves();
-            cache.aside = if fails && probes { Some(0) } else { cache.aside };
-            cache.refuses_until = if fails && !probes { slow } else { cache.refuses_until };
-            (fails && probes).then_some(cache.failures)
+            false
         });
+        fails.then(|| self.blame(node, outcome));
         if Some(node) != self.origin {
             self.all.end(now, sent, outcome);
             if outcome == Outcome::Completed {
                 self.kinds.add(now, self.nodes.caches[node].listed.kind, now.saturating_sub(sent));
             }
         }
+    }
+
+    /// Guards against nodes that fail quickly: their empty queues would attract load. Where no probe may
+    /// bring them back, they count as refusing for a while. Without a second try errors show nothing.
+    fn blame(&mut self, node: Node, outcome: Outcome) {
+        let (probes, enough) = (self.rules.probes, (FAILURES / self.fleet).max(1.0));
+        let slow = self.slow_until();
+        let failures = self.nodes.change(node, |cache| {
+            cache.failures += 1;
+            let fails = cache.failures as f64 >= enough && cache.serves();
+            cache.aside = if fails && probes { Some(0) } else { cache.aside };
+            cache.refuses_until = if fails && !probes { slow } else { cache.refuses_until };
+            (fails && probes).then_some(cache.failures)
+        });
         if let Some(failures) = failures {
             self.host.log(&format!("node {node} aside: {failures} failures, last {outcome:?}"));
         }
     }
 
+    fn slow_until(&self) -> Nanos {
+        let asks = FEW * self.serving() / self.all.answers.rate(self.now);
+        self.now + SLOW_LAST.min((asks * SECOND as f64) as Nanos)
+    }
+
     fn measure_all(&mut self) {
         self.pace.settle(self.now);
         self.kinds.settle(self.now, &self.all);
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -80,6 +80,11 @@
 }
 
 impl Outcome {
+    /// The node did what it was asked: it had the value or could tell that it lacks it.
+    pub fn serves(self) -> bool {
+        matches!(self, Outcome::Completed | Outcome::Missed)
+    }
+
     /// Whether the try may run yet, though nobody waits for it.
     pub fn may_still_run(self) -> bool {
         matches!(self, Outcome::Overdue | Outcome::Severed | Outcome::Withdrawn)
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -295,6 +295,8 @@
     pub sent: Nanos,
     pub out: bool,
     pub missed: bool,
+    /// Ended in an error that nobody has been blamed for.
+    pub errored: bool,
     pub may_have_run: bool,
 }
 
@@ -315,7 +317,14 @@
     }
 
     pub fn start(&mut self, now: Nanos, node: Node) {
-        self.tries.push(Try { node, sent: now, out: true, missed: false, may_have_run: true });
+        self.tries.push(Try {
+            node,
+            sent: now,
+            out: true,
+            missed: false,
+            errored: false,
+            may_have_run: true,
+        });
     }
 
     /// Notes how a try ended; nothing for one that is not out.
@@ -324,6 +333,7 @@
         self.over |= over;
         this.out = false;
         this.missed = outcome == Outcome::Missed;
+        this.errored = outcome == Outcome::Errored;
         this.may_have_run = !outcome.never_ran();
         Some(*this)
     }
@@ -340,6 +350,16 @@
         into.dedup();
     }
 
+    /// The nodes of tries that ended in errors; each is named once.
+    pub fn blamed(&mut self) -> SmallVec<[Node; 2]> {
+        let errored = |t: &mut Try| std::mem::take(&mut t.errored).then_some(t.node);
+        self.tries.iter_mut().filter_map(errored).collect()
+    }
+
+    pub fn errors(&self) -> usize {
+        self.tries.iter().filter(|t| t.errored).count()
+    }
+
     pub fn may_have_run(&self) -> bool {
         self.tries.iter().any(|t| t.may_have_run)
     }
