A refusal counts for as long as this proxy takes to ask a node once

Ruled out: the origin (a refusal there ends the exchange, and 98% were served), cold nodes (none before 4 s).

Change: until the time in which this proxy asks a node once on average, at least 100 ms, ten seconds at most. It also spares nodes that drain late; it does harm where all are full, as refusing nodes are then asked for want of others anyway.

The test fails without the change.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -688,12 +688,12 @@
     }
 
     fn learn(&mut self, node: Node, sent: Nanos, outcome: Outcome, early: bool) {
-        let (now, slow) = (self.now, self.slow_until());
+        let (now, slow, full) = (self.now, self.for_asks(FEW), self.for_asks(1.0).max(self.now + TICK));
         let fails = self.nodes.change(node, |cache| {
             cache.end(now, sent, outcome);
             match outcome {
                 _ if outcome.serves() => cache.failures = cache.failures.saturating_sub(1),
-                Outcome::Saturated => cache.refuses_until = now + TICK,
+                Outcome::Saturated => cache.refuses_until = full,
                 // An error may be the exchange's own: others must show that it is not.
                 Outcome::Errored | Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
                 // Slow while its exchange has time left; else a failure, unless it gave signs of life since.
@@ -716,7 +716,7 @@
     /// bring them back, they count as refusing for a while. Without a second try errors show nothing.
     fn blame(&mut self, node: Node, outcome: Outcome) {
         let (probes, enough) = (self.rules.probes, (FAILURES / self.fleet).max(1.0));
-        let slow = self.slow_until();
+        let slow = self.for_asks(FEW);
         let failures = self.nodes.change(node, |cache| {
             cache.failures += 1;
             let fails = cache.failures as f64 >= enough && cache.serves();
@@ -729,9 +729,10 @@
         }
     }
 
-    fn slow_until(&self) -> Nanos {
-        let asks = FEW * self.serving() / self.all.answers.rate(self.now);
-        self.now + SLOW_LAST.min((asks * SECOND as f64) as Nanos)
+    /// Until when this proxy asks a node so many times on average.
+    fn for_asks(&self, asks: f64) -> Nanos {
+        let last = asks * self.serving() / self.all.answers.rate(self.now);
+        self.now + SLOW_LAST.min((last * SECOND as f64) as Nanos)
     }
 
     fn measure_all(&mut self) {
--- a/crates/core/tests/balance/failures.rs
+++ b/crates/core/tests/balance/failures.rs
@@ -394,3 +394,34 @@
     }
     assert_eq!(given, [500, 2000]);
 }
+
+/// At gdansk-port a third of all tries were turned away as full: a refusal counted for 100 ms, while one of fifty
+/// proxies asks a node every few seconds, and so found the same node full each time.
+#[test]
+fn a_refusal_counts_until_this_proxy_would_ask_the_node_again() {
+    let mut rig = rig(4, "retriable", &[]);
+    // One answer a second, from one of four nodes: each is asked every four seconds.
+    for xchg in 1..=8 {
+        rig.arrive_for(xchg, xchg);
+        rig.end(xchg, 0, Outcome::Completed);
+        rig.pass(SECOND);
+    }
+    let key = |rig: &mut crate::rig::Rig, xchg: u64| rig.arrive_for(xchg, 1);
+    rig.note("its node is full");
+    key(&mut rig, 9);
+    rig.end(9, 0, Outcome::Saturated);
+    rig.end(9, 1, Outcome::Completed);
+    rig.note("one second later, and five");
+    rig.pass(SECOND);
+    key(&mut rig, 10);
+    rig.end(10, 0, Outcome::Completed);
+    rig.pass(4 * SECOND);
+    key(&mut rig, 11);
+    rig.check(expect![[r#"
+        1 to node 1, 2 to node 3, 3 to node 4, 4 to node 3, 5 to node 2, 6 to node 1, 7 to node 4, 8 to node 1
+        -- its node is full
+        9 to node 1, 9 to node 4
+        -- one second later, and five
+        10 to node 4, 11 to node 4
+    "#]]);
+}
