--- a/crates/proxy/tests/proxy/operations.rs
+++ b/crates/proxy/tests/proxy/operations.rs
@@ -431,3 +431,31 @@
     assert_eq!((&*reply, &*world.cache.text()), ("hit: origin's id-hit\n", ""));
     tokio::task::spawn_blocking(move || new.stop()).await.unwrap();
 }
+
+/// Of a route that keeps order, a key's next exchange goes to a node only when the one before it is over; other keys,
+/// and a client that leaves its place in the line, hold nobody up.
+#[tokio::test]
+async fn exchanges_that_keep_order_go_one_by_one() {
+    let patient = [
+        ("/settings/routes/0/keep-order", json!(true)),
+        ("/settings/routes/0/latency-objective-us", json!(9_000_000)),
+        ("/settings/routes/0/overall-timeout-us", json!(18_000_000)),
+        ("/settings/rules/turn-gap-us", json!(100_000)),
+    ];
+    let world = World::start(&patient).await;
+    let mut clients = Vec::new();
+    for id in ["1", "2", "3"] {
+        let mut client = world.client().await;
+        client.send(&["C.GET", "slow", id, "c=read,d=9000"]).await;
+        world.until_counted(&format!("exchanges_taken {id}")).await;
+        clients.push(client);
+    }
+    let mut trace = world.client().await.get("hit").await;
+    trace += &world.cache.text();
+    let (mut first, leaves, mut third) = (clients.remove(0), clients.remove(0), clients.remove(0));
+    drop(leaves);
+    trace += &first.reply().await;
+    trace += &third.reply().await;
+    trace += &world.cache.text();
+    expect![[r#""#]].assert_eq(&trace);
+}
