--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -123,19 +123,18 @@
             let (maintenance, calls) = bans::maintenance();
             let (watch, folder) = (shared.watch.clone(), config.folder.clone());
             let cold = Duration::from_nanos(config.settings.time("cold", 0));
-            let found = folder.as_deref().map(|folder| bans::found(folder, cold)).transpose();
-            let (out, back) = found
-                .unwrap_or_else(|error| {
+            let (out, back) = match folder.as_deref().map(|folder| bans::found(folder, cold)) {
+                Some(Ok(found)) => found,
+                Some(Err(error)) => {
                     tracing::warn!("maintenance: no bans taken over: {error}");
-                    None
-                })
-                .unwrap_or_default();
-            for (uid, out) in out
-                .iter()
-                .map(|uid| (uid, true))
-                .chain(back.iter().flat_map(|uid| [(uid, true), (uid, false)]))
-            {
-                module.maintained(clock.now(), uid, out);
+                    Default::default()
+                }
+                None => Default::default(),
+            };
+            out.iter().for_each(|uid| module.maintained(clock.now(), uid, true));
+            for uid in &back {
+                module.maintained(clock.now(), uid, true);
+                module.maintained(clock.now(), uid, false);
             }
             actors.spawn(Bans { desk: desk.clone(), folder, out }.run(calls));
             actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
