Read once more: one way to make a client, one to answer what is pending, a dead method out

The connection that comes over at an upgrade and the accepted one built the same client twice; refuse and upload each had the loop that answers what is pending; Parts::between was never called; the maintenance call's type was spelled out beside its name. Behaviour as before, the tests unchanged and green.

--- a/crates/proxy/src/bans.rs
+++ b/crates/proxy/src/bans.rs
@@ -28,7 +28,8 @@
     Failed(String),
 }
 
-type Call = (String, bool, oneshot::Sender<Asked>);
+/// An id, whether it goes out, and where the answer is awaited.
+pub type Call = (String, bool, oneshot::Sender<Asked>);
 
 /// The way to the actor.
 #[derive(Clone)]
@@ -46,7 +47,7 @@
     }
 }
 
-pub fn maintenance() -> (Maintenance, mpsc::Receiver<(String, bool, oneshot::Sender<Asked>)>) {
+pub fn maintenance() -> (Maintenance, mpsc::Receiver<Call>) {
     let (calls, mailbox) = mpsc::channel(MAILBOX);
     (Maintenance(calls), mailbox)
 }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -67,10 +67,8 @@
                 front.shared.counters.clients_taken_over.add();
                 front.connections.clone().spawn(async move {
                     let _permit = front.room.take().await;
-                    let mut framed = Framed::new(stream, Parts::default());
-                    framed.read_buffer_mut().extend_from_slice(&unread);
-                    let (begun, pending) = (None, VecDeque::new());
-                    let mut client = Client { front, framed, pending, begun, used: false };
+                    let mut client = Client::new(front, stream);
+                    client.framed.read_buffer_mut().extend_from_slice(&unread);
                     if used {
                         client.crowd();
                     }
@@ -123,8 +121,7 @@
                 None => front.room.take().await,
             };
             drop(place);
-            let (framed, pending) = (Framed::new(stream, Parts::default()), VecDeque::new());
-            Client { front, framed, pending, begun: None, used: false }.run().await;
+            Client::new(front, stream).run().await;
         });
     }
 }
@@ -157,6 +154,11 @@
 }
 
 impl Client {
+    fn new(front: Front, stream: TcpStream) -> Client {
+        let framed = Framed::new(stream, Parts::default());
+        Client { front, framed, pending: VecDeque::new(), begun: None, used: false }
+    }
+
     async fn run(mut self) {
         if let Err(error) = self.serve().await {
             tracing::debug!("client: {error}");
@@ -258,10 +260,7 @@
         self.front.shared.counters.bad_commands.add();
         let reply = Reply::Ready(Frame::error(format!("ERR Protocol error: {error}")));
         self.pending.push_back(Pending { reply, _ahead: None });
-        while !self.pending.is_empty() {
-            let reply = next(&mut self.pending).await;
-            self.answer(reply).await?;
-        }
+        self.answer_all().await?;
         // Closing before all is read would reset the connection, and the client might lose the reply.
         let stream = self.framed.get_mut();
         stream.shutdown().await?;
@@ -273,6 +272,15 @@
         Ok(())
     }
 
+    /// Answers what is pending, in its order.
+    async fn answer_all(&mut self) -> std::io::Result<()> {
+        while !self.pending.is_empty() {
+            let reply = next(&mut self.pending).await;
+            self.answer(reply).await?;
+        }
+        Ok(())
+    }
+
     /// Sends the reply that is due, within the time that a client has to read it.
     async fn answer(&mut self, reply: Due) -> std::io::Result<()> {
         self.pending.pop_front();
@@ -291,10 +299,7 @@
     /// A command whose last word is long: passed on as it comes, or left out where it is answered before. What was
     /// asked before it is answered first.
     async fn upload(&mut self, mut words: Vec<Frame>, length: usize) -> std::io::Result<()> {
-        while !self.pending.is_empty() {
-            let reply = next(&mut self.pending).await;
-            self.answer(reply).await?;
-        }
+        self.answer_all().await?;
         words.push(Frame::Bulk(Bytes::new()));
         let (reply, mut source) = match self.front.shared.long.clone().try_acquire_owned() {
             Ok(room) => {
--- a/crates/proxy/src/resp.rs
+++ b/crates/proxy/src/resp.rs
@@ -82,13 +82,6 @@
     Rest(usize, Vec<Frame>),
 }
 
-impl Parts {
-    /// Whether nothing of an array has come that has not ended.
-    pub fn between(&self) -> bool {
-        matches!(self.0, State::Between)
-    }
-}
-
 impl Decoder for Parts {
     type Item = Part;
     type Error = Error;
