Answered probes end what a node was waited for in vain before

Seen on rereading: a node that two probes brought back kept the time that tries had waited for it, so one short wait of a hasty client would have set it aside again (probed, which reset only aside and failures). The test fails without the change.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -255,7 +255,7 @@
         let Some(answered) = &mut cache.aside else { return };
         *answered = if outcome == Outcome::Completed { *answered + 1 } else { 0 };
         if *answered >= PROBES {
-            self.nodes.change(node, |cache| (cache.aside, cache.failures) = (None, 0));
+            self.nodes.change(node, |cache| (cache.aside, cache.failures, cache.waited) = (None, 0, 0));
             self.host.log(&format!("node {node} back: {PROBES} probes answered"));
         }
     }
--- a/crates/core/tests/balance/fleet.rs
+++ b/crates/core/tests/balance/fleet.rs
@@ -50,6 +50,25 @@
     "#]]);
 }
 
+/// Probes that it answered are signs of life: what was waited for before counts no more.
+#[test]
+fn a_node_that_is_back_is_not_set_aside_again_for_one_short_wait() {
+    let mut rig = of_300(1);
+    rig.arrive(1);
+    rig.pass(2 * SECOND);
+    rig.end(1, 0, Outcome::Overdue);
+    (0..2).for_each(|_| rig.balance.probed(1, Outcome::Completed));
+    rig.ask.grace = 100 * MS;
+    in_vain(&mut rig, 2);
+    rig.check(expect![[r#"
+        1 to node 1
+        log: node 1 aside: 1 failures, last Overdue
+        1 shed
+        log: node 1 back: 2 probes answered
+        2 to node 1, 2 shed
+    "#]]);
+}
+
 /// On `join+mass` half of what the origin did for hasty clients came too late for them, was thrown away, and was asked
 /// for again by their next try.
 #[test]
