accord: one record agreed by ballots, leases; explored whole; links, voter and fleet commands

Nothing of it runs without a section fleet.

The search found two faults of the scheme itself while it was written: an older copy of a disk that nobody vouches against (now asked of one more voter where cautious is set), and a proposer whose own yes the others had not heard of.

--- /dev/null
+++ b/crates/accord/src/record.rs
@@ -0,0 +1,104 @@
+//! What is agreed on: named values, leases and who votes.
+
+use crate::Nanos;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The most that a record may take, as it goes over the links, in bytes.
+pub const LARGEST: usize = 64 * 1024;
+
+/// A disk of a voter: a number drawn when its folder was empty. Never two disks, and never zero.
+pub type Store = u64;
+/// Grows with each grant of a lease, and is never given twice.
+pub type Token = u64;
+pub type Name = String;
+
+/// A process that votes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Member {
+    pub name: Name,
+    pub store: Store,
+}
+
+/// Who holds or asks: a name and which life of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    pub name: Name,
+    pub incarnation: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Lease {
+    pub holder: Option<Holder>,
+    /// The number that the holder gave the ask which got or renewed it. It only grows within an incarnation, so no two
+    /// states of a lease look alike: a voter that judges age by sight must not take a new renewal for an old one.
+    pub ask: u64,
+    /// How long it lasts, by the holder's clock, from before it asked.
+    pub time: Nanos,
+    pub token: Token,
+    /// An operator has taken it away: it is renewed no more, and goes on to another when its time has ended.
+    pub taken: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Entry {
+    pub text: String,
+    /// The record's version when it was written last: never the same for two texts.
+    pub version: u64,
+    /// Who wrote it last, and that ask's number.
+    pub by: (Holder, u64),
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Record {
+    /// When the fleet was founded, in milliseconds of Unix time; voters of another founding are strangers. Tokens begin
+    /// above it, so that they grow over a loss of all disks too.
+    pub founded: u64,
+    /// Changes since then.
+    pub version: u64,
+    pub voters: Vec<Member>,
+    /// The voters of the record that this one was made from. Both sets have to accept it.
+    pub before: Vec<Member>,
+    pub leases: BTreeMap<Name, Lease>,
+    pub values: BTreeMap<Name, Entry>,
+}
+
+impl Record {
+    /// The first record of a fleet.
+    pub fn found(founded: u64, voters: Vec<Member>) -> Record {
+        Record { founded, before: voters.clone(), voters, ..Record::default() }
+    }
+
+    /// All stores that this record concerns.
+    pub fn stores(&self) -> BTreeSet<Store> {
+        self.voters.iter().chain(&self.before).map(|member| member.store).collect()
+    }
+
+    /// Whether those that said yes are a majority of the voters, and of those before where they differ.
+    pub fn settled_by(&self, yes: &BTreeSet<Store>) -> bool {
+        majority(&self.voters, yes) && majority(&self.before, yes)
+    }
+
+    /// Who votes under this name.
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.voters.iter().find(|member| member.name == name)
+    }
+
+    pub fn votes(&self, store: Store) -> bool {
+        self.voters.iter().any(|member| member.store == store)
+    }
+
+    /// In bytes, as it goes over the links.
+    pub fn size(&self) -> usize {
+        postcard::experimental::serialized_size(self).unwrap_or(usize::MAX)
+    }
+}
+
+fn majority(voters: &[Member], yes: &BTreeSet<Store>) -> bool {
+    let count = voters.iter().filter(|member| yes.contains(&member.store)).count();
+    // A minority settles: the split that a majority is there to prevent.
+    if crate::planted(crate::Fault::MinoritySettles) {
+        return count >= 1;
+    }
+    count > voters.len() / 2
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,10 +3,14 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    // The lab is also the proxy that it plays with, where no other is named.
-    if std::env::args().nth(1).as_deref() == Some("serve") {
-        return match pumicebay::cli::main() {
-            Ok(()) => ExitCode::SUCCESS,
+    // The lab is also the proxy that it plays with, where no other is named; `as-proxy` goes before its commands that
+    // the lab has too.
+    let mut args = std::env::args_os().peekable();
+    let program = args.next().unwrap_or_default();
+    let as_proxy = args.next_if(|word| word == "as-proxy").is_some();
+    if as_proxy || args.peek().is_some_and(|word| word == "serve") {
+        return match pumicebay::cli::main(lexopt::Parser::from_iter(std::iter::once(program).chain(args))) {
+            Ok(code) => code,
             Err(error) => {
                 eprintln!("pumicebay: {error:#}");
                 ExitCode::FAILURE
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{self, Config};
 use crate::counters::Counters;
+use crate::fleet;
 use crate::migrate::{self, Answers, OWN};
 use crate::resp::{Frame, Resp};
 use crate::serve::{self, Proxy};
@@ -9,6 +10,7 @@
 use futures_util::{SinkExt, StreamExt};
 use lexopt::prelude::*;
 use serde_json::Value as Json;
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -23,6 +25,7 @@
   serve              run the proxy until SIGTERM; SIGHUP reads FILE again
   check              read and check the configuration, and print what it says
   migrate            write FILE's counterpart for a proxy beside each client, all in one location
+  fleet              what the proxies of a fleet agree on: pumicebay fleet help
   counters [ADDRESS] print the counters of the proxy that listens there
   version            print the version
   help               print this
@@ -43,8 +46,9 @@
 const LOG_LINES: usize = 4096;
 const ANSWERS: Duration = Duration::from_secs(2);
 
-pub fn main() -> Result<()> {
-    let mut args = lexopt::Parser::from_env();
+/// Carries out what these arguments ask for.
+pub fn main(args: lexopt::Parser) -> Result<ExitCode> {
+    let mut args = args;
     let (mut command, mut file, mut address) = (None, None, None);
     let (mut output, mut dry, mut over, mut answers) = (None, false, false, Answers::default());
     while let Some(arg) = args.next()? {
@@ -52,7 +56,12 @@
             Long("config") => file = Some(args.value()?.string()?),
             Short('h') | Long("help") => command = Some("help".to_string()),
             Short('V') | Long("version") => command = Some("version".to_string()),
-            Value(word) if command.is_none() => command = Some(word.string()?),
+            Value(word) if command.is_none() => {
+                command = Some(word.string()?);
+                if command.as_deref() == Some("fleet") {
+                    return fleet::command::main(args, &runtime()?);
+                }
+            }
             Value(word) if command.as_deref() == Some("counters") && address.is_none() => {
                 address = Some(word.string()?);
             }
@@ -91,7 +100,7 @@
         file.context("no configuration: neither --config nor $PROXY_CONFIG is given")
     };
     let config = || config::read(&file()?, variable);
-    match command.as_deref() {
+    let done = match command.as_deref() {
         Some("serve") => run(config()?, file()?),
         Some("check") => {
             println!("{}", config()?.summary());
@@ -119,7 +128,8 @@
         }
         Some(other) => bail!("unknown command {other:?}; see pumicebay help"),
         None => bail!("no command; see pumicebay help"),
-    }
+    };
+    done.map(|()| ExitCode::SUCCESS)
 }
 
 fn variable(name: &str) -> Option<String> {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names the key.
 
+use crate::fleet::config::FleetConfig;
 use crate::long;
 use crate::operator::CALLERS;
 use crate::resp::LONGEST_BULK;
@@ -12,6 +13,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What a proxy holds at most if its limits do not say.
@@ -36,7 +38,8 @@
 ];
 const IDLE: Duration = Duration::from_secs(15);
 const CONNECT: Duration = Duration::from_millis(200);
-const KEYS: &[&str] = &["name", "listen", "discovery", "operator", "seed", "limits", "known", "settings"];
+const KEYS: &[&str] =
+    &["name", "listen", "discovery", "operator", "seed", "limits", "known", "settings", "fleet"];
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -74,6 +77,8 @@
     pub idle: Duration,
     pub connect: Duration,
     pub draining: Duration,
+    /// The fleet that it is one of, if it is in any.
+    pub fleet: Option<Arc<FleetConfig>>,
 }
 
 /// Reads the file at `path` anew: where discovery is it says itself, as what the platform said at the start
@@ -130,8 +135,10 @@
             .with_context(|| format!("settings.domain.origin-kind: no kind {kind}"))
     });
     let micros = |key, default| number(json, key).map(|time| time.map_or(default, Duration::from_micros));
+    let name = text(json, "name")?.unwrap_or("pumicebay").to_string();
     Ok(Config {
-        name: text(json, "name")?.unwrap_or("pumicebay").to_string(),
+        fleet: FleetConfig::parse(json, &name)?.map(Arc::new),
+        name,
         listen,
         discovery: address(json, "discovery")?.context("discovery: missing")?,
         operator,
@@ -349,10 +356,11 @@
             names::list(&self.json, "/settings/routes", "/name").iter().zip(&routes).map(named).collect();
         let known = self.known.get("targets").and_then(Json::as_array).map_or(0, Vec::len);
         let door = self.operator.map_or(String::new(), |door| format!(", operators at {door}"));
+        let fleet = self.fleet.as_ref().map_or(String::new(), |fleet| format!("\n{}", fleet.summary(name)));
         format!(
             "{name} listens on {listen}, discovery at {discovery}{door}, {known} nodes known\n\
              at most {clients} client connections and {upstream} to nodes\n\
-             routes: {}",
+             routes: {}{fleet}",
             routes.join(", ")
         )
     }
--- /dev/null
+++ b/crates/proxy/src/fleet/config.rs
@@ -0,0 +1,131 @@
+//! The section `fleet` of the configuration. Every message names the key.
+
+use crate::config::sound;
+use anyhow::{Context, Result, ensure};
+use serde_json::Value as Json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+const KEYS: &[&str] =
+    &["name", "listen", "voters", "spares", "folder", "drift-ppm", "cautious", "asks", "links", "clock-ppm"];
+/// A quartz clock is good to some 100 millionths; a stepped or virtual one is worse.
+const DRIFT_PPM: u64 = 10_000;
+const MOST_DRIFT_PPM: u64 = 500_000;
+const ASKS: u64 = 1024;
+const LINKS: u64 = 1024;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetConfig {
+    /// The fleet's name: processes of two fleets do not talk.
+    pub name: String,
+    /// Where this process takes links, if it is not where the others call it.
+    pub listen: Option<SocketAddr>,
+    /// Who votes from the founding on, and where each is called.
+    pub voters: BTreeMap<String, SocketAddr>,
+    /// Who may be given a voter's place.
+    pub spares: BTreeMap<String, SocketAddr>,
+    /// Where a voter keeps its file; it has to outlive the process.
+    pub folder: Option<PathBuf>,
+    /// How much faster or slower than real time any clock of the fleet may run, in millionths; the same everywhere.
+    pub drift_ppm: u64,
+    /// Whether a voter that comes back hears one more of the others before it votes.
+    pub cautious: bool,
+    /// Asks that wait at a voter, and links to it, at the most.
+    pub asks: usize,
+    pub links: usize,
+    /// For rigs: how much faster this process's fleet clock runs, in millionths.
+    pub clock_ppm: i64,
+}
+
+impl FleetConfig {
+    /// `None` where the configuration has no such section.
+    pub fn parse(json: &Json, name: &str) -> Result<Option<FleetConfig>> {
+        let fleet = json.get("fleet").unwrap_or(&Json::Null);
+        if fleet.is_null() {
+            return Ok(None);
+        }
+        let object =
+            fleet.as_object().with_context(|| format!("fleet: expected an object, found {fleet}"))?;
+        for key in object.keys().filter(|key| !KEYS.contains(&key.as_str()) && !key.starts_with('#')) {
+            tracing::warn!("configuration: fleet.{key} is not known and not used");
+        }
+        for key in ["name", "listen", "folder"] {
+            sound(json, &format!("/fleet/{key}"), "a text", Json::is_string)?;
+        }
+        sound(json, "/fleet/cautious", "true or false", Json::is_boolean)?;
+        sound(json, "/fleet/clock-ppm", "millionths", Json::is_i64)?;
+        let text = |key: &str| fleet.get(key).and_then(Json::as_str);
+        let number = |key: &str, default: u64, most: u64| -> Result<u64> {
+            let fits = |value: &Json| value.as_u64().is_some_and(|value| value >= 1 && value <= most);
+            sound(json, &format!("/fleet/{key}"), &format!("a number from 1 to {most}"), fits)?;
+            Ok(fleet.get(key).and_then(Json::as_u64).unwrap_or(default))
+        };
+        let fleet_name = text("name").context("fleet.name: missing")?;
+        ensure!((1..=100).contains(&fleet_name.len()), "fleet.name: expected 1 to 100 bytes");
+        let voters = addresses(fleet, "voters")?;
+        ensure!(
+            voters.len() == 3 || voters.len() == 5,
+            "fleet.voters: expected three or five, found {}",
+            voters.len()
+        );
+        let spares = addresses(fleet, "spares")?;
+        let twice = spares.keys().find(|spare| voters.contains_key(*spare));
+        ensure!(twice.is_none(), "fleet.spares: {twice:?} is among the voters");
+        let folder = text("folder").map(PathBuf::from);
+        let may_vote = voters.contains_key(name) || spares.contains_key(name);
+        ensure!(
+            folder.is_some() || !may_vote,
+            "fleet.folder: missing, and {name} is among the voters or spares"
+        );
+        let listen = text("listen").map(|at| {
+            at.parse().with_context(|| format!("fleet.listen: expected ADDRESS:PORT, found {at:?}"))
+        });
+        Ok(Some(FleetConfig {
+            name: fleet_name.into(),
+            listen: listen.transpose()?,
+            voters,
+            spares,
+            folder,
+            drift_ppm: number("drift-ppm", DRIFT_PPM, MOST_DRIFT_PPM)?,
+            cautious: fleet.get("cautious").and_then(Json::as_bool).unwrap_or(false),
+            asks: number("asks", ASKS, 1 << 20)? as usize,
+            links: number("links", LINKS, 1 << 16)? as usize,
+            clock_ppm: fleet.get("clock-ppm").and_then(Json::as_i64).unwrap_or(0),
+        }))
+    }
+
+    /// Where a process of this name takes links; only who may vote does.
+    pub fn listens(&self, name: &str) -> Option<SocketAddr> {
+        let called = self.voters.get(name).or_else(|| self.spares.get(name))?;
+        Some(self.listen.unwrap_or(*called))
+    }
+
+    /// All that may vote, and where each is called.
+    pub fn callable(&self) -> impl Iterator<Item = (&String, SocketAddr)> {
+        self.voters.iter().chain(&self.spares).map(|(name, at)| (name, *at))
+    }
+
+    pub fn summary(&self, name: &str) -> String {
+        let role = if self.listens(name).is_some() { "may vote" } else { "asks" };
+        format!("fleet {}: {role}, {} voters, drift {} ppm", self.name, self.voters.len(), self.drift_ppm)
+    }
+}
+
+fn addresses(fleet: &Json, key: &str) -> Result<BTreeMap<String, SocketAddr>> {
+    let all = fleet.get(key).unwrap_or(&Json::Null);
+    if all.is_null() {
+        return Ok(BTreeMap::new());
+    }
+    let object = all.as_object().with_context(|| format!("fleet.{key}: expected names with addresses"))?;
+    object
+        .iter()
+        .filter(|(name, _)| !name.starts_with('#'))
+        .map(|(name, at)| {
+            let parsed = at.as_str().and_then(|at| at.parse().ok());
+            let at =
+                parsed.with_context(|| format!("fleet.{key}.{name}: expected ADDRESS:PORT, found {at}"))?;
+            Ok((name.clone(), at))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/proxy/src/fleet/inbound.rs
@@ -0,0 +1,94 @@
+//! Who calls a voter: other voters, proxies, commands. Each link is a task; one that does not read, or says nothing, ends.
+
+use crate::fleet::Me;
+use crate::fleet::seat::{Door, Event};
+use crate::fleet::wire::{BEAT, Frame, Hello, Link, Role};
+use anyhow::{Context, Result};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+/// Answers that wait on a link.
+const ANSWERS: usize = 64;
+const BACKLOG: u32 = 1024;
+const NO_ROOM: Duration = Duration::from_millis(20);
+const AGAIN: Duration = Duration::from_millis(200);
+
+fn listen(at: SocketAddr) -> Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at).with_context(|| format!("fleet.listen: {at}"))?;
+    socket.listen(BACKLOG).with_context(|| format!("fleet.listen: {at}"))
+}
+
+/// Accepts as long as the process lives; an address that another process still has is tried again.
+pub async fn accept(me: Me, door: Door, at: SocketAddr) {
+    let mut warned = false;
+    let listener = loop {
+        match listen(at) {
+            Ok(listener) => break listener,
+            Err(error) if !std::mem::replace(&mut warned, true) => tracing::warn!("fleet: {error:#}"),
+            Err(_) => {}
+        }
+        sleep(AGAIN).await;
+    };
+    tracing::info!("fleet: voters and askers call at {at}");
+    let room = std::sync::Arc::new(Semaphore::new(me.config.links));
+    loop {
+        let place = room.clone().acquire_owned().await;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!("fleet: {error}");
+                sleep(NO_ROOM).await;
+                continue;
+            }
+        };
+        let (me, door) = (me.clone(), door.clone());
+        tokio::spawn(async move {
+            if let Err(error) = serve(&me, &door, stream).await {
+                tracing::debug!("fleet: a link ends: {error:#}");
+            }
+            drop(place);
+        });
+    }
+}
+
+async fn serve(me: &Me, door: &Door, stream: TcpStream) -> Result<()> {
+    let own = async || Hello::new(&me.config.name, &me.who, Role::Proxy, door.disk());
+    let (mut link, hello) = Link::take(stream, own).await?;
+    let who = hello.who.clone();
+    door.post(Event::Heard(hello.who, hello.role, hello.voter));
+    let ended = talk(door, &mut link, &who, hello.role).await;
+    door.post(Event::Lost(who, ended.is_ok()));
+    ended
+}
+
+async fn talk(door: &Door, link: &mut Link, who: &pumicebay_accord::Holder, role: Role) -> Result<()> {
+    let (answers, mut answered) = mpsc::channel(ANSWERS);
+    let mut beat = interval(BEAT);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            frame = link.next() => match frame? {
+                Frame::Beat(disk) => door.post(Event::Heard(who.clone(), role, disk)),
+                Frame::Vote(to, from, message) => door.post(Event::Vote(to, from, message)),
+                Frame::Ask(ask) => door.post(Event::Ask(ask, answers.clone())),
+                Frame::Found(record) => {
+                    let done = door.ask(|done| Event::Found(record, done)).await.unwrap_or(false);
+                    link.send(&Frame::Founded(done)).await?;
+                }
+                Frame::Status => {
+                    let status = door.ask(Event::Status).await.context("the voter has ended")?;
+                    link.send(&Frame::StatusIs(Box::new(status))).await?;
+                }
+                Frame::Bye => return Ok(()),
+                Frame::Answer(_) | Frame::Founded(_) | Frame::StatusIs(_) => {}
+            },
+            Some(answer) = answered.recv() => link.send(&answer).await?,
+            _ = beat.tick() => link.send(&Frame::Beat(door.disk())).await?,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/fleet/lease.rs
@@ -0,0 +1,72 @@
+//! One lease, asked for and renewed for as long as somebody wants it.
+
+use crate::fleet::asker::Asker;
+use pumicebay_accord::{Held, Holding, Reply};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+
+/// What is held now, as of the last change; whoever acts looks at the clock too.
+pub struct Lease {
+    pub held: watch::Receiver<Option<Held>>,
+    give_back: Option<oneshot::Sender<oneshot::Sender<()>>>,
+}
+
+impl Lease {
+    /// Wants the lease `name`, for `time` at each grant.
+    pub fn want(asker: Asker, name: &str, time: Duration) -> Lease {
+        let (tell, held) = watch::channel(None);
+        let (give_back, given) = oneshot::channel();
+        let me = &asker.me;
+        let nanos = u64::try_from(time.as_nanos()).unwrap_or(u64::MAX);
+        let holding = Holding::new(me.clock.now(), me.who.clone(), name, nanos, me.config.drift_ppm);
+        tokio::spawn(run(asker, holding, time, tell, given));
+        Lease { held, give_back: Some(give_back) }
+    }
+
+    /// Stops holding it at once; returns when the others know, or a little later.
+    pub async fn give_back(&mut self) {
+        let (done, over) = oneshot::channel();
+        if self.give_back.take().is_some_and(|give| give.send(done).is_ok()) {
+            let _ = over.await;
+        }
+    }
+}
+
+async fn run(
+    asker: Asker,
+    mut holding: Holding,
+    time: Duration,
+    tell: watch::Sender<Option<Held>>,
+    mut given: oneshot::Receiver<oneshot::Sender<()>>,
+) {
+    let clock = asker.me.clock;
+    let (answers, mut answered) = mpsc::channel::<(u64, Reply)>(8);
+    loop {
+        let now = clock.now();
+        if let Some(ask) = holding.ask(now, asker.number()) {
+            let (asker, answers) = (asker.clone(), answers.clone());
+            tokio::spawn(async move {
+                let number = ask.id.number;
+                let reply = asker.ask(ask, time / 2).await;
+                let _ = answers.send((number, reply)).await;
+            });
+        }
+        tell.send_if_modified(|held| std::mem::replace(held, holding.held()) != holding.held());
+        tokio::select! {
+            Some((number, reply)) = answered.recv() => holding.answered(clock.now(), number, &reply),
+            () = sleep_until(Instant::now() + clock.until(holding.due())) => {}
+            done = &mut given => {
+                let ask = holding.give_back(clock.now(), asker.number());
+                tell.send_replace(None);
+                if let Some(ask) = ask {
+                    asker.ask(ask, time / 2).await;
+                }
+                if let Ok(done) = done {
+                    let _ = done.send(());
+                }
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/fleet/wire.rs
@@ -0,0 +1,188 @@
+//! What goes over a link: frames of bounded length, a hello first each way. Who dials sends calls, who was dialled
+//! answers them; voters dial each other.
+
+use anyhow::{Context, Result, bail, ensure};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use pumicebay_accord::{Answer, Ask, Holder, LARGEST, Message, Nanos, Record, Seen, Shared, Standing, Store};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// The versions of these frames that this program speaks. A later program that adds frames raises the newest, and sends
+/// them only on links whose other end speaks them too.
+pub const OLDEST: u16 = 1;
+pub const NEWEST: u16 = 1;
+/// A record and what goes with it.
+const LONGEST: usize = LARGEST + 16 * 1024;
+/// How long a hello may take, and a frame to leave.
+const HELLO: Duration = Duration::from_secs(2);
+const SEND: Duration = Duration::from_secs(2);
+/// How often something is said on a link, and how long until silence ends it.
+pub const BEAT: Duration = Duration::from_millis(500);
+pub const SILENT: Duration = Duration::from_millis(2000);
+/// First bytes of a hello: what else may call is told apart by them.
+const MAGIC: u32 = 0x7075_6d62;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// Serves, and is shown among those that are there.
+    Proxy,
+    /// A command of an operator.
+    Command,
+}
+
+/// Later versions may add fields at the end: an older program passes over them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    magic: u32,
+    oldest: u16,
+    newest: u16,
+    pub fleet: String,
+    pub who: Holder,
+    pub role: Role,
+    /// Of a voter.
+    pub voter: Option<Disk>,
+}
+
+/// What a voter says of its disk, and what it knows of others'.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Disk {
+    pub store: Store,
+    pub empty: bool,
+    pub written: u64,
+    pub founded: u64,
+    pub known: Vec<(Store, u64)>,
+}
+
+/// What a voter shows of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    pub name: String,
+    pub disk: Disk,
+    pub standing: Standing,
+    /// Whether the newest record that it knows counts its store.
+    pub seated: bool,
+    /// Why it can't write, if so.
+    pub trouble: Option<String>,
+    /// As its disk has it; what is agreed a read tells.
+    pub record: Shared,
+    /// How much longer each lease may be held, in nanoseconds.
+    pub left: Vec<(String, Nanos)>,
+    /// Who is there as it sees it: name, incarnation, how, and nanoseconds since it was heard.
+    pub present: Vec<(String, u64, Seen, Nanos)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// The link is up; of a voter, what it says of its disk now.
+    Beat(Option<Disk>),
+    /// To the voter with this store, from the one with that.
+    Vote(Store, Store, Message),
+    Ask(Ask),
+    Answer(Answer),
+    Found(Record),
+    Founded(bool),
+    Status,
+    StatusIs(Box<Status>),
+    /// Ends in order.
+    Bye,
+}
+
+impl Hello {
+    pub fn new(fleet: &str, who: &Holder, role: Role, voter: Option<Disk>) -> Hello {
+        let (fleet, who) = (fleet.into(), who.clone());
+        Hello { magic: MAGIC, oldest: OLDEST, newest: NEWEST, fleet, who, role, voter }
+    }
+
+    /// Why these two can't talk, in words for both.
+    fn matches(&self, other: &Hello) -> Result<()> {
+        ensure!(other.magic == MAGIC, "no process of a fleet");
+        ensure!(other.fleet == self.fleet, "of fleet {:?}, not {:?}", other.fleet, self.fleet);
+        ensure!(
+            other.newest >= self.oldest && other.oldest <= self.newest,
+            "speaks links {} to {}, not {} to {}",
+            other.oldest,
+            other.newest,
+            self.oldest,
+            self.newest
+        );
+        let founded = |hello: &Hello| hello.voter.as_ref().map_or(0, |disk| disk.founded);
+        let (ours, theirs) = (founded(self), founded(other));
+        ensure!(
+            ours == theirs || ours == 0 || theirs == 0,
+            "of a founding at {theirs}, not {ours}: its folder is another fleet's, or from before"
+        );
+        Ok(())
+    }
+}
+
+/// The answer to a hello: one's own, or why not.
+#[derive(Serialize, Deserialize)]
+enum Welcome {
+    Hello(Hello),
+    Refused(String),
+}
+
+/// A link that is up.
+pub struct Link(Framed<TcpStream, LengthDelimitedCodec>);
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_framed(stream)
+}
+
+impl Link {
+    /// Says hello first; the other end's hello, or why there is none.
+    pub async fn dial(stream: TcpStream, hello: &Hello) -> Result<(Link, Hello)> {
+        stream.set_nodelay(true)?;
+        let mut framed = framed(stream);
+        let talk = async {
+            framed.send(Bytes::from(postcard::to_stdvec(hello)?)).await?;
+            let answer = framed.next().await.context("closed at the hello")??;
+            match postcard::take_from_bytes::<Welcome>(&answer).context("an answer that is no hello")?.0 {
+                Welcome::Hello(other) => {
+                    hello.matches(&other).with_context(|| format!("{} is", other.who))?;
+                    Ok(other)
+                }
+                Welcome::Refused(why) => bail!("refused: {why}"),
+            }
+        };
+        let other = timeout(HELLO, talk).await.context("no hello in time")??;
+        Ok((Link(framed), other))
+    }
+
+    /// Hears the other end's hello and answers it with one's own.
+    pub async fn take(stream: TcpStream, own: impl AsyncFnOnce() -> Hello) -> Result<(Link, Hello)> {
+        stream.set_nodelay(true)?;
+        let mut framed = framed(stream);
+        let talk = async {
+            let first = framed.next().await.context("closed before a hello")??;
+            let other = postcard::take_from_bytes::<Hello>(&first).context("no hello")?.0;
+            let hello = own().await;
+            let refused = hello.matches(&other).with_context(|| format!("{} is", other.who));
+            let welcome = match &refused {
+                Ok(()) => Welcome::Hello(hello),
+                Err(why) => Welcome::Refused(format!("{why:#}")),
+            };
+            framed.send(Bytes::from(postcard::to_stdvec(&welcome)?)).await?;
+            refused.map(|()| other)
+        };
+        let other = timeout(HELLO, talk).await.context("no hello in time")??;
+        Ok((Link(framed), other))
+    }
+
+    /// A peer that does not read loses its link; nobody waits for it any longer.
+    pub async fn send(&mut self, frame: &Frame) -> Result<()> {
+        let bytes = Bytes::from(postcard::to_stdvec(frame)?);
+        timeout(SEND, self.0.send(bytes)).await.context("does not read")??;
+        Ok(())
+    }
+
+    /// The next frame; an error also after silence.
+    pub async fn next(&mut self) -> Result<Frame> {
+        let bytes = timeout(SILENT, self.0.next()).await.context("silent")?.context("closed")??;
+        postcard::from_bytes(&bytes).context("a frame that can't be read")
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod config;
 pub mod counters;
+pub mod fleet;
 pub mod heir;
 pub mod http;
 pub mod list;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,6 +1,6 @@
 fn main() -> std::process::ExitCode {
-    match pumicebay::cli::main() {
-        Ok(()) => std::process::ExitCode::SUCCESS,
+    match pumicebay::cli::main(lexopt::Parser::from_env()) {
+        Ok(code) => code,
         Err(error) => {
             eprintln!("pumicebay: {error:#}");
             std::process::ExitCode::FAILURE
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::counters::Counters;
+use crate::fleet::{self, asker::Asker};
 use crate::heir::{Heir, Seat};
 use crate::list::{self, List};
 use crate::module::{self, Desk, Door, Module};
@@ -56,6 +57,8 @@
     pub address: SocketAddr,
     /// Where operators call.
     pub operator: Option<SocketAddr>,
+    /// The way to ask the fleet, where it is in one.
+    pub fleet: Option<Asker>,
     phases: Phases,
     config: Arc<Config>,
     counters: Arc<Counters>,
@@ -139,6 +142,10 @@
             actors.spawn(Bans { desk: desk.clone(), folder, out }.run(calls));
             actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
         }
+        let fleet = config
+            .fleet
+            .as_ref()
+            .map(|section| fleet::start(&fleet::Me::new(&config.name, section.clone()), &mut actors));
         let listener = if config.inherited { inherited()? } else { listen("listen", config.listen)? };
         let address = listener.local_addr()?;
         let connections = TaskTracker::new();
@@ -179,6 +186,7 @@
         Ok(Proxy {
             address,
             operator,
+            fleet,
             phases,
             config,
             counters,
