Rig: a fleet of processes with faults between them; a lease given twice in one batch mended

Cause: two asks for one lease in one batch were both granted, since a lease that the voter had not yet seen counted as ended (judge.rs, Sights::left).

--- a/crates/accord/src/explore.rs
+++ b/crates/accord/src/explore.rs
@@ -658,6 +658,8 @@
     let times = |name, budget, voters, askers| setting(name, false, 1, budget, voters, askers);
     vec![
         rounds("collide", Budget { timeouts: 2 + deeper, ..none }),
+        // Both in one batch: the rig found what the worlds with a voter for each could not.
+        Setting { turns_to: [&[0], &[0]], ..rounds("one voter", Budget { timeouts: 1 + deeper, ..none }) },
         rounds("crash", Budget { crashes: 1, timeouts: 1 + deeper, ..none }),
         rounds("set back", Budget { set_back: 1, timeouts: deeper, ..none }),
         rounds("wipe", Budget { wipes: 1, timeouts: 1 + deeper, ..none }),
--- a/crates/accord/src/judge.rs
+++ b/crates/accord/src/judge.rs
@@ -16,29 +16,33 @@
     pub fn saw(&mut self, now: Nanos, record: &Record) {
         self.0.retain(|name, _| record.leases.contains_key(name));
         for (name, lease) in &record.leases {
-            let same = |seen: &Lease| {
-                if planted(Fault::OldSight) {
-                    return seen.token == lease.token && seen.holder == lease.holder;
-                }
-                seen == lease
-            };
             match self.0.get_mut(name) {
-                Some((seen, _)) if same(seen) => {}
+                Some((seen, _)) if same(seen, lease) => {}
                 Some(seen) => *seen = (lease.clone(), now),
                 None => _ = self.0.insert(name.clone(), (lease.clone(), now)),
             }
         }
     }
 
-    /// How much longer its holder may believe that it holds it, at the most.
-    pub fn left(&self, now: Nanos, name: &str, drift_ppm: u64) -> Nanos {
-        let Some((lease, since)) = self.0.get(name).filter(|(lease, _)| lease.holder.is_some()) else {
+    /// How much longer its holder may believe that it holds it, at the most. One that was not seen as it stands, such as
+    /// one given a moment ago in the same batch, counts from now: two who ask together must not both get it.
+    pub fn left(&self, now: Nanos, name: &str, lease: &Lease, drift_ppm: u64) -> Nanos {
+        if lease.holder.is_none() {
             return 0;
-        };
+        }
+        let since = self.0.get(name).filter(|(seen, _)| same(seen, lease)).map_or(now, |(_, since)| *since);
         (since + longer(lease.time, drift_ppm)).saturating_sub(now)
     }
 }
 
+/// Whether these are one state of a lease.
+fn same(seen: &Lease, lease: &Lease) -> bool {
+    if planted(Fault::OldSight) {
+        return seen.token == lease.token && seen.holder == lease.holder;
+    }
+    seen == lease
+}
+
 /// A time by a clock that may be fast, when the other's may be slow.
 pub fn longer(time: Nanos, drift_ppm: u64) -> Nanos {
     if planted(Fault::NoDrift) {
@@ -110,7 +114,7 @@
                     std::cmp::Ordering::Greater => {}
                 }
             } else if lease.holder.is_some() {
-                let left = self.sights.left(self.now, name, self.drift_ppm);
+                let left = self.left(name, lease);
                 if left > 0 {
                     return Reply::Denied(lease.holder.clone(), left);
                 }
@@ -129,9 +133,13 @@
         Reply::Granted(token)
     }
 
+    fn left(&self, name: &str, lease: &Lease) -> Nanos {
+        self.sights.left(self.now, name, lease, self.drift_ppm)
+    }
+
     fn renew(&self, record: &mut Record, ask: &Ask, name: &str, time: Nanos, token: Token) -> Reply {
-        let left = self.sights.left(self.now, name, self.drift_ppm);
         let Some(lease) = record.leases.get_mut(name) else { return Reply::Denied(None, 0) };
+        let left = self.left(name, lease);
         let revived = planted(Fault::RenewalRevives);
         if !revived && (!lease.held_by(&ask.id.who) || lease.token != token) {
             return Reply::Denied(lease.holder.clone(), left);
--- a/crates/accord/src/voter.rs
+++ b/crates/accord/src/voter.rs
@@ -173,7 +173,8 @@
 
     /// How much longer the holder of a lease may believe that it holds it.
     pub fn left(&self, now: Nanos, lease: &str) -> Nanos {
-        self.sights.left(now, lease, self.terms.drift_ppm)
+        let stands = self.kept.record.0.leases.get(lease);
+        stands.map_or(0, |stands| self.sights.left(now, lease, stands, self.terms.drift_ppm))
     }
 
     /// The fleet's first record, by an operator's word. Whether it was taken.
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -2,6 +2,7 @@
 
 use crate::progress::Progress;
 use crate::results::Results;
+use crate::rig::{self, Programs, plan::Plan};
 use crate::scenario::{self, Text};
 use crate::{compare, hunt, policy, real, report, sweep, virt};
 use anyhow::{Context, Result, bail, ensure};
@@ -30,6 +31,9 @@
   hunt SCENARIO [--runs N] [--json FILE]
                        looks for the day that loses most, cuts it down, and writes it
                        to found/
+  fleet PLAN [--seed N] [--seeds N] [--proxy PATH] [--json FILE] [--report FILE.html]
+                       starts the processes of a fleet on loopback, injects PLAN's faults between
+                       them, and judges leases and the record by a witness
   help                 print this
 
 Every command takes --threads N. A broken rule makes the exit code 1, a wrong call 2, a run
@@ -66,6 +70,7 @@
         Some("compare") => compare(&call),
         Some("sweep") => sweep(&call),
         Some("hunt") => hunt(&call),
+        Some("fleet") => fleet(&call),
         Some("help") => {
             say(&format!("{HELP}\n"));
             Ok(ExitCode::SUCCESS)
@@ -250,3 +255,27 @@
     }
     Ok(code(&[found.results]))
 }
+
+/// Plays a fleet's plan under one seed or several; exit code 1 where anything went wrong.
+fn fleet(call: &Call) -> Result<ExitCode> {
+    let plan = Plan::read(call.path()?)?;
+    let (first, count) = (call.seed.unwrap_or(1), call.seeds.unwrap_or(1));
+    let lab = std::env::current_exe().context("this program's own path")?;
+    let programs = Programs { proxy: call.proxy.as_ref().map_or(lab.clone(), PathBuf::from), lab };
+    let mut wrong = 0;
+    for seed in first..first.saturating_add(count) {
+        let outcome = rig::play(&plan.drawn(seed), seed, &programs)?;
+        say(&outcome.summary());
+        // Of several seeds, the first that went wrong is kept, or the last.
+        if wrong == 0 {
+            if let Some(file) = &call.json {
+                std::fs::write(file, serde_json::to_string_pretty(&outcome)?).context("--json")?;
+            }
+            if let Some(file) = &call.report {
+                std::fs::write(file, rig::report::page(&outcome)).context("--report")?;
+            }
+        }
+        wrong += usize::from(!outcome.wrong.is_empty());
+    }
+    Ok(if wrong > 0 { ExitCode::from(1) } else { ExitCode::SUCCESS })
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod real;
 pub mod report;
 pub mod results;
+pub mod rig;
 pub mod scenario;
 pub mod seat;
 pub mod stats;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -17,6 +17,18 @@
             }
         };
     }
+    // What the rig's commands run under a lease.
+    if args.next_if(|word| word == "act").is_some() {
+        let words: Vec<String> = args.map(|word| word.to_string_lossy().into_owned()).collect();
+        return match pumicebay_lab::rig::act(&words) {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::from(1),
+            Err(error) => {
+                eprintln!("act: {error:#}");
+                ExitCode::from(2)
+            }
+        };
+    }
     match pumicebay_lab::cli::main() {
         Ok(code) => code,
         Err(error) => {
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -53,6 +53,8 @@
     let (mut output, mut dry, mut over, mut answers) = (None, false, false, Answers::default());
     while let Some(arg) = args.next()? {
         match arg {
+            // So the lab is told, which has commands of its own; here it changes nothing.
+            Value(word) if command.is_none() && word == "as-proxy" => {}
             Long("config") => file = Some(args.value()?.string()?),
             Short('h') | Long("help") => command = Some("help".to_string()),
             Short('V') | Long("version") => command = Some("version".to_string()),
--- a/crates/proxy/src/fleet/command.rs
+++ b/crates/proxy/src/fleet/command.rs
@@ -65,7 +65,7 @@
             Value(word) => {
                 call.words.push(word.string()?);
                 // What follows the first word of a command to run belongs to that command.
-                if call.command.as_deref() == Some("run") {
+                if matches!(call.command.as_deref(), Some("run" | "guard")) {
                     let rest = args.raw_args()?.map(|word| word.into_string());
                     call.words
                         .extend(rest.collect::<Result<Vec<_>, _>>().map_err(|w| anyhow::anyhow!("{w:?}"))?);
@@ -79,6 +79,10 @@
         println!("{HELP}");
         return Ok(ExitCode::SUCCESS);
     }
+    if command == "guard" {
+        let (program, arguments) = call.words.split_first().context("guard: no command")?;
+        return runtime.block_on(run::guard(program, arguments));
+    }
     let file = call.file.clone().or_else(|| std::env::var("PROXY_CONFIG").ok());
     let file = file.context("no configuration: neither --config nor $PROXY_CONFIG is given")?;
     let text = std::fs::read_to_string(&file).with_context(|| format!("configuration {file}"))?;
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -37,7 +37,7 @@
 /// act on a lease that has ended. A rig may have it run fast or slow.
 #[derive(Clone, Copy, Debug)]
 pub struct FleetClock {
-    ppm: i64,
+    pub ppm: i64,
 }
 
 impl FleetClock {
