Fleet: one process probes a dead node for its zone; silent links end; guard waits for nobody

A zone's holder of a lease probes for all and tells them by way of the voters; the others go on alone, rarely and by chance, after 3 s of silence (accord/watch.rs, fleet/probes.rs). Nothing of it without a section fleet: the module then probes as before. Mended on the way: silence never ended a link, since each beat of its own began the wait anew (wire.rs, Link::next); one impatient asker got several tokens at once and ended its own first act (holding.rs, ask); a guard's runtime waited for a thread that reads orders.

--- a/crates/accord/src/holding.rs
+++ b/crates/accord/src/holding.rs
@@ -50,12 +50,13 @@
         if now < self.due {
             return None;
         }
-        self.due = now + self.time / 12;
         let (time, name) = (self.time, self.name.clone());
-        let want = match self.held {
-            Some(Held { token, .. }) => Want::Renew(name, time, token),
-            None => Want::Acquire(name, time),
+        // Each grant has a token of its own: two that came of one impatient asker would end its first act.
+        let (want, again) = match self.held {
+            Some(Held { token, .. }) => (Want::Renew(name, time, token), time / 12),
+            None => (Want::Acquire(name, time), time / 2),
         };
+        self.due = now + again;
         Some(self.numbered(now, number, want))
     }
 
@@ -87,7 +88,7 @@
                 self.due = now + (*left).max(self.time / 12);
             }
             Reply::Denied(_, left) => self.due = now + (*left).clamp(self.time / 12, self.time),
-            Reply::Busy | Reply::Unknown => self.due = self.due.max(now + self.time / 12),
+            Reply::Busy | Reply::Unknown => self.due = self.due.min(now + self.time / 12),
             _ => {}
         }
     }
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -13,6 +13,7 @@
 mod record;
 mod round;
 mod voter;
+mod watch;
 
 #[cfg(test)]
 mod explore;
@@ -23,6 +24,7 @@
 pub use presence::{Presence, Seen};
 pub use record::{Entry, Holder, LARGEST, Lease, Member, Name, Record, Store, Token};
 pub use voter::{Host, Kept, Standing, Terms, Voter};
+pub use watch::{Watch, WatchHost};
 
 /// Whole nanoseconds.
 pub type Nanos = u64;
--- a/crates/proxy/src/fleet/config.rs
+++ b/crates/proxy/src/fleet/config.rs
@@ -7,8 +7,19 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-const KEYS: &[&str] =
-    &["name", "listen", "voters", "spares", "folder", "drift-ppm", "cautious", "asks", "links", "clock-ppm"];
+const KEYS: &[&str] = &[
+    "name",
+    "zone",
+    "listen",
+    "voters",
+    "spares",
+    "folder",
+    "drift-ppm",
+    "cautious",
+    "asks",
+    "links",
+    "clock-ppm",
+];
 /// A quartz clock is good to some 100 millionths; a stepped or virtual one is worse.
 const DRIFT_PPM: u64 = 10_000;
 const MOST_DRIFT_PPM: u64 = 500_000;
@@ -19,6 +30,8 @@
 pub struct FleetConfig {
     /// The fleet's name: processes of two fleets do not talk.
     pub name: String,
+    /// Processes of one zone share the probes of nodes that are down.
+    pub zone: String,
     /// Where this process takes links, if it is not where the others call it.
     pub listen: Option<SocketAddr>,
     /// Who votes from the founding on, and where each is called.
@@ -50,7 +63,7 @@
         for key in object.keys().filter(|key| !KEYS.contains(&key.as_str()) && !key.starts_with('#')) {
             tracing::warn!("configuration: fleet.{key} is not known and not used");
         }
-        for key in ["name", "listen", "folder"] {
+        for key in ["name", "zone", "listen", "folder"] {
             sound(json, &format!("/fleet/{key}"), "a text", Json::is_string)?;
         }
         sound(json, "/fleet/cautious", "true or false", Json::is_boolean)?;
@@ -84,6 +97,7 @@
         });
         Ok(Some(FleetConfig {
             name: fleet_name.into(),
+            zone: text("zone").unwrap_or_default().into(),
             listen: listen.transpose()?,
             voters,
             spares,
--- a/crates/proxy/src/fleet/inbound.rs
+++ b/crates/proxy/src/fleet/inbound.rs
@@ -68,6 +68,7 @@
 
 async fn talk(door: &Door, link: &mut Link, who: &pumicebay_accord::Holder, role: Role) -> Result<()> {
     let (answers, mut answered) = mpsc::channel(ANSWERS);
+    let mut passed = door.passed();
     let mut beat = interval(BEAT);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -88,10 +89,14 @@
                     let status = door.ask(Event::Status).await.context("the voter has ended")?;
                     link.send(&Frame::StatusIs(Box::new(status))).await?;
                 }
+                frame @ (Frame::News(_) | Frame::Wanted(..)) => door.pass_on(frame),
                 Frame::Bye => return Ok(()),
                 Frame::Answer(_) | Frame::Taken(_) | Frame::StatusIs(_) => {}
             },
             Some(answer) = answered.recv() => link.send(&answer).await?,
+            frame = passed.recv(), if role == Role::Proxy => if let Ok(frame) = frame {
+                link.send(&frame).await?;
+            },
             _ = beat.tick() => link.send(&Frame::Beat(door.disk())).await?,
         }
     }
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 //! | `inbound.rs` | who calls a voter |
 //! | `outbound.rs` | the links that a process keeps to the voters; beats, reconnects |
 //! | `asker.rs` | asks voters until one answers |
+//! | `probes.rs` | one process probes a node that is down for all of its zone |
 //! | `lease.rs` | one lease held for as long as it is wanted |
 //! | `command.rs`, `run.rs` | `pumicebay fleet ...` |
 
@@ -20,6 +21,7 @@
 pub mod inbound;
 pub mod lease;
 pub mod outbound;
+pub mod probes;
 pub mod run;
 pub mod seat;
 pub mod store;
@@ -27,6 +29,7 @@
 
 use crate::fleet::asker::Asker;
 use crate::fleet::config::FleetConfig;
+use crate::module::Desk;
 use pumicebay_accord::{Holder, Nanos};
 use rustix::time::{ClockId, clock_gettime};
 use std::sync::Arc;
@@ -85,20 +88,22 @@
 
 /// Takes its part in the fleet: votes if it is to, and keeps links to the voters. Gives the way to ask them. Nothing that
 /// fails here keeps a proxy from serving: what can't be opened is tried again.
-pub fn start(me: &Me, actors: &mut JoinSet<()>) -> Asker {
+pub fn start(me: &Me, desk: Desk, probes: probes::Mailbox, actors: &mut JoinSet<()>) -> Asker {
     let (door, mailbox) = seat::door();
     let listens = me.config.listens(&me.who.name);
     let own = listens.map(|_| door);
-    let (links, answered) = outbound::start(me, wire::Role::Proxy, own.as_ref(), actors);
+    let (links, answered, news) = outbound::start(me, wire::Role::Proxy, own.as_ref(), actors);
     if let (Some(at), Some(door)) = (listens, own.clone()) {
         actors.spawn(inbound::accept(me.clone(), door, at));
         actors.spawn(seat::run(me.clone(), links.clone(), mailbox));
     }
-    asker::start(me, links, answered, own, actors)
+    let asker = asker::start(me, links.clone(), answered, own.clone(), actors);
+    actors.spawn(probes::run(asker.clone(), links, own, desk, probes, news));
+    asker
 }
 
 /// Links for a command, which votes nowhere.
 pub fn start_command(me: &Me, actors: &mut JoinSet<()>) -> Asker {
-    let (links, answered) = outbound::start(me, wire::Role::Command, None, actors);
+    let (links, answered, _) = outbound::start(me, wire::Role::Command, None, actors);
     asker::start(me, links, answered, None, actors)
 }
--- a/crates/proxy/src/fleet/outbound.rs
+++ b/crates/proxy/src/fleet/outbound.rs
@@ -53,24 +53,19 @@
     role: Role,
     own: Option<&Door>,
     actors: &mut JoinSet<()>,
-) -> (Links, mpsc::Receiver<Answer>) {
-    let (answers, answered) = mpsc::channel(ANSWERS);
+) -> (Links, mpsc::Receiver<Answer>, mpsc::Receiver<Frame>) {
+    let ((answers, answered), (news, heard)) = (mpsc::channel(ANSWERS), mpsc::channel(ANSWERS));
     let mut links = BTreeMap::new();
     for (name, at) in me.config.callable().filter(|(name, _)| **name != me.who.name) {
         let (frames, mailbox) = mpsc::channel(MAILBOX);
         let (tell, up) = watch::channel(false);
         links.insert(name.clone(), One { frames, up });
-        let dialler = Dialler {
-            me: me.clone(),
-            role,
-            at,
-            name: name.clone(),
-            own: own.cloned(),
-            answers: answers.clone(),
-        };
+        let (answers, news) = (answers.clone(), news.clone());
+        let dialler =
+            Dialler { me: me.clone(), role, at, name: name.clone(), own: own.cloned(), answers, news };
         actors.spawn(dialler.run(mailbox, tell));
     }
-    (Links(links.into()), answered)
+    (Links(links.into()), answered, heard)
 }
 
 struct Dialler {
@@ -80,6 +75,7 @@
     at: SocketAddr,
     own: Option<Door>,
     answers: mpsc::Sender<Answer>,
+    news: mpsc::Sender<Frame>,
 }
 
 impl Dialler {
@@ -131,6 +127,7 @@
                 frame = link.next() => match frame? {
                     Frame::Beat(disk) => self.heard(&who, disk),
                     Frame::Answer(answer) => _ = self.answers.try_send(answer),
+                    news @ (Frame::News(_) | Frame::Wanted(..)) => _ = self.news.try_send(news),
                     _ => {}
                 },
                 _ = beat.tick() => link.send(&Frame::Beat(self.disk())).await?,
--- /dev/null
+++ b/crates/proxy/src/fleet/probes.rs
@@ -0,0 +1,182 @@
+//! Probes of nodes that are down, for the whole of a zone: the actor between the module, which wants their outcomes, and the
+//! fleet, in which one process probes for all. The choices are `pumicebay_accord::Watch`'s.
+
+use crate::fleet::asker::Asker;
+use crate::fleet::lease::Lease;
+use crate::fleet::outbound::Links;
+use crate::fleet::seat::Door;
+use crate::fleet::wire::{Frame, News};
+use crate::module::Desk;
+use pumicebay_accord::{Name, Token, Watch, WatchHost};
+use std::collections::VecDeque;
+use std::time::Duration;
+use tokio::sync::{broadcast, mpsc};
+use tokio::time::{MissedTickBehavior, interval};
+
+const MAILBOX: usize = 256;
+const TICK: Duration = Duration::from_millis(100);
+/// The lease on a zone's probes.
+const LEASE: Duration = Duration::from_secs(6);
+/// How many voters are told: they pass it on to all, and one of them may be cut off.
+const VOTERS: usize = 2;
+/// Numbers of news that were heard lately.
+const LATELY: usize = 64;
+
+enum Event {
+    Wanted(Name),
+    Probed(Name, bool),
+}
+
+/// The module's way to the actor.
+#[derive(Clone)]
+pub struct Prober(mpsc::Sender<Event>);
+
+impl Prober {
+    /// The decisions want the outcome of a probe; it comes by `Desk::told`. False where there is no room to ask.
+    pub fn wanted(&self, uid: &str) -> bool {
+        self.0.try_send(Event::Wanted(uid.into())).is_ok()
+    }
+
+    /// A probe that `Desk::probe` asked for has come to this.
+    pub fn probed(&self, uid: &str, answered: bool) {
+        let _ = self.0.try_send(Event::Probed(uid.into(), answered));
+    }
+}
+
+pub struct Mailbox(mpsc::Receiver<Event>);
+
+pub fn door() -> (Prober, Mailbox) {
+    let (events, mailbox) = mpsc::channel(MAILBOX);
+    (Prober(events), Mailbox(mailbox))
+}
+
+/// What the choices ask for.
+struct Acts {
+    asker: Asker,
+    links: Links,
+    own: Option<Door>,
+    random: oorandom::Rand64,
+    probe: Vec<Name>,
+    answer: Vec<(Name, bool)>,
+}
+
+impl WatchHost for Acts {
+    fn probe(&mut self, node: &str) {
+        self.probe.push(node.into());
+    }
+    fn answer(&mut self, node: &str, answered: bool) {
+        self.answer.push((node.into(), answered));
+    }
+    fn tell(&mut self, token: Token, node: &str, answered: bool) {
+        let (zone, number) = (self.asker.me.config.zone.clone(), self.asker.number());
+        self.spread(&Frame::News(News { zone, token, number, node: node.into(), answered }));
+    }
+    fn ask_for(&mut self, node: &str) {
+        self.spread(&Frame::Wanted(self.asker.me.config.zone.clone(), node.into()));
+    }
+    fn chance(&mut self) -> f64 {
+        self.random.rand_float()
+    }
+}
+
+impl Acts {
+    fn spread(&self, frame: &Frame) {
+        let mut told = 0;
+        if let Some(own) = &self.own {
+            own.pass_on(frame.clone());
+            told += 1;
+        }
+        for voter in self.links.up() {
+            if told == VOTERS {
+                return;
+            }
+            told += usize::from(self.links.send(voter, frame.clone()));
+        }
+    }
+}
+
+/// Runs as long as the process lives.
+pub async fn run(
+    asker: Asker,
+    links: Links,
+    own: Option<Door>,
+    desk: Desk,
+    Mailbox(mut mailbox): Mailbox,
+    mut news: mpsc::Receiver<Frame>,
+) {
+    let zone = asker.me.config.zone.clone();
+    let name = format!("probes/{zone}");
+    let clock = asker.me.clock;
+    // What this process's own voter is given to pass on.
+    let mut passed = own.as_ref().map(Door::passed);
+    let random = oorandom::Rand64::new(u128::from(crate::fleet::draw()));
+    let mut acts = Acts { asker, links, own, random, probe: Vec::new(), answer: Vec::new() };
+    let (mut watch, mut lease, mut lately) = (Watch::default(), None::<Lease>, VecDeque::new());
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let frame = tokio::select! {
+            event = mailbox.recv() => match event {
+                Some(Event::Wanted(uid)) => {
+                    watch.wanted(clock.now(), &uid, &mut acts);
+                    None
+                }
+                Some(Event::Probed(uid, answered)) => {
+                    watch.probed(clock.now(), &uid, answered, &mut acts);
+                    None
+                }
+                None => return,
+            },
+            Some(frame) = news.recv() => Some(frame),
+            Some(frame) = next(&mut passed) => Some(frame),
+            _ = tick.tick() => {
+                let held = lease.as_ref().and_then(|lease| *lease.held.borrow());
+                // A lease that can't outlast a probe is none: the next holder may probe already.
+                let held = held.filter(|held| clock.now() + crate::node::PROBE.as_nanos() as u64 <= held.until);
+                watch.held(held.map(|held| held.token));
+                watch.tick(clock.now(), &mut acts);
+                // Nobody probes while nothing is down, and nobody keeps a lease for it.
+                match (&mut lease, watch.needed()) {
+                    (None, true) => lease = Some(Lease::want(acts.asker.clone(), &name, LEASE)),
+                    (Some(held), false) => {
+                        held.give_back().await;
+                        lease = None;
+                    }
+                    _ => {}
+                }
+                None
+            }
+        };
+        match frame {
+            Some(Frame::News(news)) if news.zone == zone && !lately.contains(&(news.token, news.number)) => {
+                lately.push_back((news.token, news.number));
+                while lately.len() > LATELY {
+                    lately.pop_front();
+                }
+                watch.told(clock.now(), news.token, &news.node, news.answered, &mut acts);
+            }
+            Some(Frame::Wanted(of, node)) if of == zone => watch.asked_for(clock.now(), &node),
+            _ => {}
+        }
+        for uid in acts.probe.drain(..) {
+            desk.probe(uid).await;
+        }
+        for (uid, answered) in acts.answer.drain(..) {
+            desk.told(uid, answered).await;
+        }
+    }
+}
+
+async fn next(passed: &mut Option<broadcast::Receiver<Frame>>) -> Option<Frame> {
+    match passed {
+        Some(passed) => loop {
+            match passed.recv().await {
+                Ok(frame) => return Some(frame),
+                // Some are lost where there are too many; the next come.
+                Err(broadcast::error::RecvError::Lagged(_)) => {}
+                Err(broadcast::error::RecvError::Closed) => return std::future::pending().await,
+            }
+        },
+        None => std::future::pending().await,
+    }
+}
--- a/crates/proxy/src/fleet/run.rs
+++ b/crates/proxy/src/fleet/run.rs
@@ -12,9 +12,10 @@
 use rustix::process::{Pid, Signal, kill_process_group};
 use std::process::{ExitCode, ExitStatus, Stdio};
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::io::AsyncWriteExt;
 use tokio::process::{Child, ChildStdin, Command};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Exit codes of its own, out of the way of most commands'.
@@ -106,9 +107,8 @@
     let told = std::env::var("PUMICEBAY_GUARD").context("guard: only fleet run starts it")?;
     let (ppm, time) = told.split_once(' ').context("PUMICEBAY_GUARD")?;
     let (clock, time) = (FleetClock::new(ppm.parse()?), Duration::from_nanos(time.parse()?));
-    let mut orders = BufReader::new(tokio::io::stdin()).lines();
-    let first = orders.next_line().await?.context("no order")?;
-    let mut until: Nanos = first.parse()?;
+    let mut orders = orders();
+    let mut until = orders.recv().await.context("no order")?;
     let mut command = Command::new(program);
     command.args(arguments).env_remove("PUMICEBAY_GUARD").stdin(Stdio::null()).kill_on_drop(true);
     // Signals to the group are for the command: the guard reports how it ended.
@@ -130,10 +130,10 @@
         tokio::select! {
             biased;
             status = child.wait() => return Ok(code(status?, asked)),
-            line = orders.next_line(), if listening => match line {
-                Ok(Some(line)) => until = until.max(line.parse()?),
+            order = orders.recv(), if listening => match order {
+                Some(order) => until = until.max(order),
                 // Whoever held the lease is dead: it ends by itself.
-                _ => listening = false,
+                None => listening = false,
             },
             () = sleep_until(Instant::now() + next) => {}
             _ = terminate.recv() => {}
@@ -142,6 +142,20 @@
     }
 }
 
+/// What standard input says, read on a thread that nobody waits for at the end.
+fn orders() -> mpsc::Receiver<Nanos> {
+    let (tell, told) = mpsc::channel(8);
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lines() {
+            let Some(order) = line.ok().and_then(|line| line.parse().ok()) else { return };
+            if tell.blocking_send(order).is_err() {
+                return;
+            }
+        }
+    });
+    told
+}
+
 fn code(status: ExitStatus, asked: bool) -> ExitCode {
     let code = status.code().and_then(|code| u8::try_from(code).ok()).filter(|_| !asked);
     ExitCode::from(code.unwrap_or(ENDED))
--- a/crates/proxy/src/fleet/seat.rs
+++ b/crates/proxy/src/fleet/seat.rs
@@ -13,11 +13,13 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{broadcast, mpsc, oneshot, watch};
 use tokio::task::spawn_blocking;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
 const MAILBOX: usize = 1024;
+/// What is to be passed on and waits on a link; the oldest is lost where there is more.
+const PASSED: usize = 128;
 /// Events taken together before the disk is synced once for all.
 const BATCH: usize = 64;
 /// How long one round of the voters may take, and how long an ask waits for one.
@@ -45,6 +47,8 @@
 #[derive(Clone)]
 pub struct Door {
     events: mpsc::Sender<Event>,
+    /// What one process has for all.
+    pass: broadcast::Sender<Frame>,
     disk: watch::Receiver<Option<wire::Disk>>,
 }
 
@@ -60,6 +64,15 @@
         answered.await.ok()
     }
 
+    /// Passes a frame on to all whose links end here, and to this process itself.
+    pub fn pass_on(&self, frame: Frame) {
+        let _ = self.pass.send(frame);
+    }
+
+    pub fn passed(&self) -> broadcast::Receiver<Frame> {
+        self.pass.subscribe()
+    }
+
     pub fn disk(&self) -> Option<wire::Disk> {
         self.disk.borrow().clone()
     }
@@ -70,7 +83,8 @@
 pub fn door() -> (Door, Mailbox) {
     let (events, mailbox) = mpsc::channel(MAILBOX);
     let (tell, disk) = watch::channel(None);
-    (Door { events, disk }, Mailbox(mailbox, tell))
+    let (pass, _) = broadcast::channel(PASSED);
+    (Door { events, pass, disk }, Mailbox(mailbox, tell))
 }
 
 /// What the decisions asked for since the disk was synced last.
--- a/crates/proxy/src/fleet/wire.rs
+++ b/crates/proxy/src/fleet/wire.rs
@@ -4,11 +4,13 @@
 use anyhow::{Context, Result, bail, ensure};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use pumicebay_accord::{Answer, Ask, Holder, LARGEST, Message, Nanos, Record, Seen, Shared, Standing, Store};
+use pumicebay_accord::{
+    Answer, Ask, Holder, LARGEST, Message, Name, Nanos, Record, Seen, Shared, Standing, Store, Token,
+};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// The versions of these frames that this program speaks. A later program that adds frames raises the newest, and sends
@@ -75,6 +77,16 @@
     pub present: Vec<(String, u64, Seen, Nanos)>,
 }
 
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    pub zone: Name,
+    pub token: Token,
+    /// The holder's own number: voters may pass on one twice.
+    pub number: u64,
+    pub node: Name,
+    pub answered: bool,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
     /// The link is up; of a voter, what it says of its disk now.
@@ -90,6 +102,10 @@
     Taken(bool),
     Status,
     StatusIs(Box<Status>),
+    /// What a zone's holder of the lease on probes found of a node; and that somebody of the zone wants one probed. Voters
+    /// pass both on to all.
+    News(News),
+    Wanted(Name, Name),
     /// Ends in order.
     Bye,
 }
@@ -135,8 +151,8 @@
     Refused(String),
 }
 
-/// A link that is up.
-pub struct Link(Framed<TcpStream, LengthDelimitedCodec>);
+/// A link that is up, and when it was heard last: who waits for a frame may be called away again and again.
+pub struct Link(Framed<TcpStream, LengthDelimitedCodec>, Instant);
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_framed(stream)
@@ -159,7 +175,7 @@
             }
         };
         let other = timeout(HELLO, talk).await.context("no hello in time")??;
-        Ok((Link(framed), other))
+        Ok((Link(framed, Instant::now()), other))
     }
 
     /// Hears the other end's hello and answers it with one's own.
@@ -179,7 +195,7 @@
             refused.map(|()| other)
         };
         let other = timeout(HELLO, talk).await.context("no hello in time")??;
-        Ok((Link(framed), other))
+        Ok((Link(framed, Instant::now()), other))
     }
 
     /// A peer that does not read loses its link; nobody waits for it any longer.
@@ -191,7 +207,9 @@
 
     /// The next frame; an error also after silence.
     pub async fn next(&mut self) -> Result<Frame> {
-        let bytes = timeout(SILENT, self.0.next()).await.context("silent")?.context("closed")??;
+        let bytes =
+            timeout_at(self.1 + SILENT, self.0.next()).await.context("silent")?.context("closed")??;
+        self.1 = Instant::now();
         postcard::from_bytes(&bytes).context("a frame that can't be read")
     }
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -1,6 +1,7 @@
 //! The module actor: the decisions, their mailbox, and the host that carries out what they ask for.
 //! Nothing here waits for anyone: a mailbox that is full makes a try unsent.
 
+use crate::fleet::probes::Prober;
 use crate::long::{Upload, Value};
 use crate::node::{self, Errand};
 use crate::phases::Phase;
@@ -130,6 +131,8 @@
     Whose(String, oneshot::Sender<Whose>),
     Maintained(String, bool, oneshot::Sender<()>),
     Retuned(Settings, oneshot::Sender<()>),
+    Probe(String),
+    Told(String, bool),
 }
 
 /// The operators' way to the module: it goes before all that waits in the mailbox.
@@ -151,6 +154,16 @@
         self.ask(|done| Order::Retuned(settings, done)).await;
     }
 
+    /// The fleet wants this node probed by this process; the outcome goes to the prober.
+    pub async fn probe(&self, uid: String) {
+        let _ = self.0.send(Order::Probe(uid)).await;
+    }
+
+    /// What became of a probe that the decisions asked for, whoever made it.
+    pub async fn told(&self, uid: String, answered: bool) {
+        let _ = self.0.send(Order::Told(uid, answered)).await;
+    }
+
     /// None only when the process ends.
     async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
         let (answer, answered) = oneshot::channel();
@@ -186,6 +199,8 @@
     /// Tries that could not be sent, and probes, to be reported once the decisions have returned.
     unsent: Vec<(Xchg, usize, Node)>,
     unprobed: Vec<Node>,
+    /// The fleet's way to probe, where there is one: then one process probes for many.
+    prober: Option<Prober>,
 }
 
 struct Known {
@@ -215,11 +230,17 @@
             timers: BinaryHeap::new(),
             unsent: Vec::new(),
             unprobed: Vec::new(),
+            prober: None,
         };
         let balance = Balance::new(acts, settings, config.seed, clock.now());
         Module { balance, mailbox }
     }
 
+    /// From here on the fleet decides who probes.
+    pub fn probes_by(&mut self, prober: Prober) {
+        self.balance.host.prober = Some(prober);
+    }
+
     pub async fn run(mut self) {
         loop {
             let acts = &self.balance.host;
@@ -259,6 +280,19 @@
                 self.maintained(now, &uid, out);
                 let _ = done.send(());
             }
+            Order::Probe(uid) => {
+                let acts = &mut self.balance.host;
+                let sent = acts.uids.get(&uid).copied().is_some_and(|node| acts.send_probe(node));
+                if let Some(prober) = acts.prober.as_ref().filter(|_| !sent) {
+                    prober.probed(&uid, false);
+                }
+            }
+            Order::Told(uid, answered) => {
+                if let Some(&node) = self.balance.host.uids.get(&uid) {
+                    let outcome = if answered { Outcome::Completed } else { Outcome::Unreachable };
+                    self.balance.probed(node, outcome);
+                }
+            }
             Order::Retuned(settings, done) => {
                 self.balance.retuned(now, &settings);
                 let _ = done.send(());
@@ -300,7 +334,14 @@
                     self.balance.host.shared.counters.probes_failed.add();
                 }
                 self.reported(now, node, back.held);
-                self.balance.probed(node, back.outcome);
+                let acts = &self.balance.host;
+                match (&acts.prober, acts.nodes[node].as_ref()) {
+                    // It tells this process too, where its decisions asked.
+                    (Some(prober), Some(known)) => {
+                        prober.probed(&known.uid, back.outcome == Outcome::Completed)
+                    }
+                    _ => self.balance.probed(node, back.outcome),
+                }
             }
             Event::Listed(whole, named) => self.listed(whole, named),
             Event::ListFailed => self.balance.list_failed(now),
@@ -399,6 +440,14 @@
         Some(node)
     }
 
+    fn send_probe(&self, node: Node) -> bool {
+        let sent = self.post(node, Errand::Probe { until: Instant::now() + node::PROBE });
+        if sent {
+            self.shared.counters.probes_sent.add();
+        }
+        sent
+    }
+
     /// Whether the node's actor took it: a full mailbox does not.
     fn post(&self, node: Node, errand: Errand) -> bool {
         let known = self.nodes[node].as_ref();
@@ -444,9 +493,11 @@
     }
 
     fn probe(&mut self, node: Node) {
-        if self.post(node, Errand::Probe { until: Instant::now() + node::PROBE }) {
-            self.shared.counters.probes_sent.add();
-        } else {
+        let asked = match (&self.prober, self.nodes[node].as_ref()) {
+            (Some(prober), Some(known)) => prober.wanted(&known.uid),
+            _ => self.send_probe(node),
+        };
+        if !asked {
             self.unprobed.push(node);
         }
     }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -142,10 +142,12 @@
             actors.spawn(Bans { desk: desk.clone(), folder, out }.run(calls));
             actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
         }
-        let fleet = config
-            .fleet
-            .as_ref()
-            .map(|section| fleet::start(&fleet::Me::new(&config.name, section.clone()), &mut actors));
+        let fleet = config.fleet.as_ref().map(|section| {
+            let (prober, probes) = fleet::probes::door();
+            module.probes_by(prober);
+            let me = fleet::Me::new(&config.name, section.clone());
+            fleet::start(&me, desk.clone(), probes, &mut actors)
+        });
         let listener = if config.inherited { inherited()? } else { listen("listen", config.listen)? };
         let address = listener.local_addr()?;
         let connections = TaskTracker::new();
