Fleet: a beaten voter comes back soon, a silent one is not asked first for ever

Two commands' asks had stuck to one voter: asker.rs began each ask with the first or the last good voter, and waited no longer in all than for one; and that voter lost each round to the one that the clients kept busy, with pauses that doubled up to 4 s (voter.rs, Refuse). Ruled out: the record (agreed, all three at one version), links (no loss logged), leases (no holder). Changed: who does not answer is not asked first again; pauses after a refusal stay within a quarter of a round. One way to say what a disk is.

--- a/crates/accord/src/voter.rs
+++ b/crates/accord/src/voter.rs
@@ -252,12 +252,12 @@
             return host.answer(Answer { id: ask.id, reply });
         }
         if self.asks.len() >= self.terms.asks {
-            // Of those that no round has taken up yet the least needed goes, which may be this one: renewals stay.
+            // Of those that no round has taken up yet the least needed goes, the newest first; it may be this one.
             let free = match &self.round {
                 Round::Accept { covered, .. } => *covered,
                 _ => 0,
             };
-            let waiting = self.asks.iter().enumerate().skip(free).rev();
+            let waiting = self.asks.iter().enumerate().skip(free);
             match waiting.max_by_key(|(_, (ask, _))| ask.want.spare()) {
                 Some((at, (other, _))) if other.want.spare() > ask.want.spare() => {
                     if let Some((other, _)) = self.asks.remove(at) {
@@ -348,7 +348,7 @@
                     _ => return,
                 };
                 if ours == ballot {
-                    self.give_up(now, host);
+                    self.give_way(now, host);
                 }
             }
             Message::Peeked(number, accepted, record, written) => {
@@ -521,12 +521,22 @@
         self.begin(now, host);
     }
 
-    /// Two that collide would do so for ever at equal pauses: these are by chance, and grow.
+    /// No majority answers: asking again soon would not help.
     fn give_up(&mut self, now: Nanos, host: &mut impl Host) {
-        self.round = Round::None;
         let longest = self.terms.round << self.vain.min(DOUBLINGS);
         self.vain += 1;
-        self.due = now + (longest as f64 * host.chance() / 2.0) as Nanos;
+        self.pause(now, longest / 2, host);
+    }
+
+    /// Another was quicker. Two that collide would do so for ever at equal pauses, so these are by chance; they stay short,
+    /// as one that runs round after round would else keep out the one that waits longer and longer.
+    fn give_way(&mut self, now: Nanos, host: &mut impl Host) {
+        self.pause(now, self.terms.round / 4, host);
+    }
+
+    fn pause(&mut self, now: Nanos, longest: Nanos, host: &mut impl Host) {
+        self.round = Round::None;
+        self.due = now + (longest as f64 * host.chance()) as Nanos;
         host.wake(self.due);
     }
 
--- a/crates/lab/src/rig/clients.rs
+++ b/crates/lab/src/rig/clients.rs
@@ -1,9 +1,8 @@
-//! Who reads and writes the record all the while: two askers of the rig's own, through relays that no fault hits, which
+//! Who reads and writes the record all the while: two askers of the rig's own, by links that no fault hits, which
 //! write down what they were answered.
 
 use super::history::Op;
 use super::procs::Procs;
-use super::relay::Relay;
 use super::witness::Witness;
 use anyhow::{Context, Result};
 use pumicebay::fleet::asker::Asker;
@@ -11,7 +10,6 @@
 use pumicebay::fleet::{Me, start_command};
 use pumicebay_accord::{Reply, Want};
 use serde_json::json;
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -33,7 +31,6 @@
     seen: Arc<Mutex<Seen>>,
     tasks: JoinSet<()>,
     _actors: JoinSet<()>,
-    _relays: Vec<BTreeMap<String, Relay>>,
 }
 
 pub fn start(procs: &Procs, witness: &Witness) -> Result<Clients> {
@@ -48,7 +45,7 @@
         let asker = start_command(&Me::new(&name, config.into()), &mut actors);
         tasks.spawn(work(asker, name, witness.clone(), seen.clone()));
     }
-    Ok(Clients { seen, tasks, _actors: actors, _relays: Vec::new() })
+    Ok(Clients { seen, tasks, _actors: actors })
 }
 
 impl Clients {
--- a/crates/lab/src/rig/history.rs
+++ b/crates/lab/src/rig/history.rs
@@ -50,8 +50,7 @@
     ends.sort_by(|one, two| one.0.total_cmp(&two.0));
     let (mut at, mut highest): (usize, Option<(u64, &Op)>) = (0, None);
     for (op, version) in &done {
-        while let Some((end, known, other)) = ends.get(at).filter(|(end, ..)| *end < op.begin) {
-            debug_assert!(*end < op.begin);
+        while let Some((_, known, other)) = ends.get(at).filter(|(end, ..)| *end < op.begin) {
             if highest.is_none_or(|(version, _)| version < *known) {
                 highest = Some((*known, other));
             }
--- a/crates/proxy/src/fleet/asker.rs
+++ b/crates/proxy/src/fleet/asker.rs
@@ -126,7 +126,9 @@
         let over = |open: &Open| open.order.until <= now || open.order.done.is_closed();
         let ended: Vec<AskId> =
             self.open.iter().filter(|(_, open)| over(open)).map(|(id, _)| id.clone()).collect();
-        for open in ended.iter().filter_map(|id| self.open.remove(id)) {
+        for id in &ended {
+            let Some(open) = self.open.remove(id) else { continue };
+            self.mistrust(open.asked);
             let _ = open.order.done.send(Reply::Unknown);
         }
         let due: Vec<AskId> =
@@ -134,8 +136,20 @@
         due.iter().for_each(|id| self.try_next(id));
     }
 
+    /// Who did not answer is not asked first again: with asks that wait no longer than one voter has for its answer, it
+    /// would be the only one ever asked.
+    fn mistrust(&mut self, asked: Option<Name>) {
+        if asked.is_some() && (self.good.is_none() || self.good == asked) {
+            let next = self.links.up().find(|name| Some(*name) > asked.as_ref()).cloned();
+            self.good = next.or_else(|| self.links.up().next().cloned());
+        }
+    }
+
     /// Asks who answered last, or the next after whom it was asked last.
     fn try_next(&mut self, id: &AskId) {
+        if let Some(asked) = self.open.get(id).and_then(|open| open.asked.clone()) {
+            self.mistrust(Some(asked));
+        }
         let Some(open) = self.open.get_mut(id) else { return };
         let mut all: Vec<&Name> = self.links.up().collect();
         if self.own.is_some() {
--- a/crates/proxy/src/fleet/seat.rs
+++ b/crates/proxy/src/fleet/seat.rs
@@ -297,14 +297,7 @@
             let disk = disk.clone();
             spawn_blocking(move || disk.write(&kept)).await.context("writing").flatten()?;
         }
-        let kept = voter.kept();
-        let said = wire::Disk {
-            store: own,
-            empty: kept.is_empty(),
-            written: kept.written,
-            founded: kept.record.0.founded,
-            known: kept.known.iter().map(|(store, written)| (*store, *written)).collect(),
-        };
+        let said = said(voter.kept());
         self.tell.send_if_modified(|now| now.replace(said.clone()).as_ref() != Some(&said));
         for (to, message) in self.acts.sent.drain(..) {
             if let Some(name) = self.stores.get(&to) {
@@ -337,13 +330,11 @@
         let Some((voter, _)) = &self.open else {
             return Status {
                 name: self.me.who.name.clone(),
-                disk: self.tell.borrow().clone().unwrap_or(wire::Disk {
-                    store: 0,
-                    empty: true,
-                    written: 0,
-                    founded: 0,
-                    known: Vec::new(),
-                }),
+                disk: self
+                    .tell
+                    .borrow()
+                    .clone()
+                    .unwrap_or_else(|| said(&Kept::empty(&self.me.config.name, 0))),
                 standing: Standing::Empty,
                 seated: false,
                 trouble: Some(self.trouble.clone().unwrap_or_else(|| "its disk is being opened".into())),
@@ -355,13 +346,7 @@
         let kept = voter.kept();
         Status {
             name: self.me.who.name.clone(),
-            disk: wire::Disk {
-                store: kept.store,
-                empty: kept.is_empty(),
-                written: kept.written,
-                founded: kept.record.0.founded,
-                known: kept.known.iter().map(|(store, written)| (*store, *written)).collect(),
-            },
+            disk: said(kept),
             standing: voter.standing(),
             seated: voter.seated(),
             trouble: self.trouble.clone(),
@@ -376,6 +361,17 @@
     }
 }
 
+/// What a voter tells others of its disk.
+fn said(kept: &Kept) -> wire::Disk {
+    wire::Disk {
+        store: kept.store,
+        empty: kept.is_empty(),
+        written: kept.written,
+        founded: kept.record.0.founded,
+        known: kept.known.iter().map(|(store, written)| (*store, *written)).collect(),
+    }
+}
+
 /// Opens a voter's folder: what it has, or a new store where that is nothing or can't be trusted.
 fn open(folder: &std::path::Path, fleet: &str) -> Result<Option<(Disk, Kept)>> {
     let Some(disk) = Disk::open(folder)? else { return Ok(None) };
--- a/crates/proxy/tests/proxy/fleet.rs
+++ b/crates/proxy/tests/proxy/fleet.rs
@@ -4,13 +4,18 @@
 use crate::operations::Folder;
 use expect_test::expect;
 use pumicebay::config::parse;
+use pumicebay::fleet::config::FleetConfig;
 use pumicebay::fleet::store::{Disk, Found};
 use pumicebay::fleet::wire::{Frame, Hello, Link, Role};
-use pumicebay_accord::{Ballot, Holder, Kept, Member, Record, Shared};
+use pumicebay::fleet::{Me, start_command};
+use pumicebay_accord::{Answer, Ballot, Holder, Kept, Member, Record, Reply, Shared, Want};
 use serde_json::{Value as Json, json};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 fn kept() -> Kept {
     let voters = ["a", "b", "c"].iter().zip(1..).map(|(name, store)| Member { name: (*name).into(), store });
@@ -144,3 +149,55 @@
         fleet x: may vote, 3 voters, drift 10000 ppm"#]]
     .assert_eq(&text.join("\n"));
 }
+
+/// A voter that takes links and beats and says nothing to asks: it is not asked first for ever, even by who waits no longer
+/// than one voter may take.
+#[tokio::test]
+async fn who_does_not_answer_is_not_asked_first_again() {
+    let mut called = serde_json::Map::new();
+    for (name, answers) in [("a", false), ("b", true), ("c", false)] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        called.insert(name.into(), json!(listener.local_addr().unwrap().to_string()));
+        tokio::spawn(async move {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut link = Link::take(stream, async || hello("harbour", name)).await.unwrap().0;
+            while let Ok(frame) = link.next().await {
+                let said = match frame {
+                    Frame::Ask(ask) if answers => Frame::Answer(Answer { id: ask.id, reply: Reply::Done }),
+                    _ => Frame::Beat(None),
+                };
+                link.send(&said).await.unwrap();
+            }
+        });
+    }
+    let config =
+        FleetConfig::parse(&json!({"fleet": {"name": "harbour", "voters": called}}), "").unwrap().unwrap();
+    let mut actors = JoinSet::new();
+    let asker = start_command(&Me::new("h", config.into()), &mut actors);
+    let patience = Duration::from_millis(500);
+    let mut replies = Vec::new();
+    for _ in 0..4 {
+        replies.push(asker.want(Want::TakeAway("l".into()), patience).await);
+    }
+    assert!(replies[1..].contains(&Reply::Done), "{replies:?}");
+    assert_eq!(replies[3], Reply::Done, "and then who answers is");
+}
+
+/// Waiting is begun anew with each beat of one's own; what ends the link is how long ago the other end was heard.
+#[tokio::test]
+async fn a_silent_link_ends_whatever_is_said_on_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (taken, _) = listener.accept().await.unwrap();
+    let (dials, takes) = (hello("harbour", "a"), hello("harbour", "b"));
+    let (one, two) = tokio::join!(Link::dial(stream, &dials), Link::take(taken, async || takes));
+    let (mut one, _two) = (one.unwrap().0, two.unwrap().0);
+    for _ in 0..30 {
+        if let Ok(ended) = timeout(Duration::from_millis(200), one.next()).await {
+            assert_eq!(format!("{:#}", ended.unwrap_err()), "silent: deadline has elapsed");
+            return;
+        }
+        one.send(&Frame::Beat(None)).await.unwrap();
+    }
+    panic!("still up after six seconds of silence");
+}
