Fleet: files of its folder need neither module nor serve; no circle of files more

The way to the module (desk.rs), to the voter (fleet/door.rs) and of the module to the prober (fleet/prober.rs) stand in files of their own, as do who a process is (fleet/me.rs) and the checks of single places (sound.rs).

--- a/crates/proxy/src/bans.rs
+++ b/crates/proxy/src/bans.rs
@@ -1,7 +1,7 @@
 //! Nodes that operators have taken out of service, by `uid`. Each is a file in the proxy's private folder, so that a
 //! process that serves beside this one, or comes after it, keeps the same bans: whoever is called writes, both look.
 
-use crate::module::{Desk, Whose};
+use crate::desk::{Desk, Whose};
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -4,6 +4,7 @@
 use crate::long;
 use crate::operator::CALLERS;
 use crate::resp::LONGEST_BULK;
+use crate::sound::{key, sound};
 use anyhow::{Context, Result, bail, ensure};
 use pumicebay_core::Settings;
 use pumicebay_core::host::Repeat;
@@ -317,18 +318,6 @@
     }
 }
 
-/// What stands there, if anything does, has to pass this test.
-pub fn sound(json: &Json, place: &str, wanted: &str, test: impl Fn(&Json) -> bool) -> Result<()> {
-    let value = json.pointer(place).unwrap_or(&Json::Null);
-    ensure!(value.is_null() || test(value), "{}: expected {wanted}, found {value}", key(place));
-    Ok(())
-}
-
-/// A place in the configuration as its messages name it.
-pub fn key(place: &str) -> String {
-    place.trim_start_matches('/').replace('/', ".")
-}
-
 fn number(json: &Json, place: &str) -> Result<Option<u64>> {
     match json.pointer(place) {
         None | Some(Json::Null) => Ok(None),
--- a/crates/proxy/src/fleet/asker.rs
+++ b/crates/proxy/src/fleet/asker.rs
@@ -1,8 +1,8 @@
 //! Asks voters until one answers: the same ask, under the same number, at one after the other.
 
-use crate::fleet::Me;
+use crate::fleet::door::{Door, Event};
+use crate::fleet::me::Me;
 use crate::fleet::outbound::Links;
-use crate::fleet::seat::{Door, Event};
 use crate::fleet::wire::Frame;
 use pumicebay_accord::{Answer, Ask, AskId, Name, Reply, Want};
 use std::collections::HashMap;
--- a/crates/proxy/src/fleet/command.rs
+++ b/crates/proxy/src/fleet/command.rs
@@ -2,8 +2,9 @@
 
 use crate::fleet::asker::Asker;
 use crate::fleet::config::FleetConfig;
+use crate::fleet::me::{FleetClock, Me, draw, incarnation};
 use crate::fleet::wire::{Frame, Hello, Link, Role, Status};
-use crate::fleet::{FleetClock, Me, draw, incarnation, run, start_command};
+use crate::fleet::{run, start_command};
 use anyhow::{Context, Result, bail, ensure};
 use lexopt::prelude::*;
 use pumicebay_accord::{Holder, Lease, Member, Record, Reply, Seen, Shared, Want};
--- a/crates/proxy/src/fleet/config.rs
+++ b/crates/proxy/src/fleet/config.rs
@@ -1,6 +1,6 @@
 //! The section `fleet` of the configuration. Every message names the key.
 
-use crate::config::sound;
+use crate::sound::sound;
 use anyhow::{Context, Result, bail, ensure};
 use serde_json::Value as Json;
 use std::collections::BTreeMap;
--- a/crates/proxy/src/fleet/inbound.rs
+++ b/crates/proxy/src/fleet/inbound.rs
@@ -1,7 +1,7 @@
 //! Who calls a voter: other voters, proxies, commands. Each link is a task; one that does not read, or says nothing, ends.
 
-use crate::fleet::Me;
-use crate::fleet::seat::{Door, Event};
+use crate::fleet::door::{Door, Event};
+use crate::fleet::me::Me;
 use crate::fleet::wire::{BEAT, Frame, Hello, Link, Role};
 use anyhow::{Context, Result};
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/proxy/src/fleet/me.rs
@@ -0,0 +1,57 @@
+//! Who a process is to the others of its fleet, and its clock.
+
+use crate::fleet::config::FleetConfig;
+use pumicebay_accord::{Holder, Nanos};
+use rustix::time::{ClockId, clock_gettime};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// A clock that runs on while the machine is suspended, as leases need; a steady one that stops then would let a holder
+/// act on a lease that has ended. A rig may have it run fast or slow.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetClock {
+    pub ppm: i64,
+}
+
+impl FleetClock {
+    pub fn new(ppm: i64) -> FleetClock {
+        FleetClock { ppm }
+    }
+
+    pub fn now(self) -> Nanos {
+        let time = clock_gettime(ClockId::Boottime);
+        let nanos = i128::from(time.tv_sec) * 1_000_000_000 + i128::from(time.tv_nsec);
+        (nanos + nanos * i128::from(self.ppm) / 1_000_000) as Nanos
+    }
+
+    /// How long until then, at the least.
+    pub fn until(self, at: Nanos) -> Duration {
+        Duration::from_nanos(at.saturating_sub(self.now()))
+    }
+}
+
+/// A number that nobody else draws.
+pub fn draw() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::hash::RandomState::new().build_hasher().finish().max(1)
+}
+
+/// A number that is higher at each start, as long as the machine's clock does not go back.
+pub fn incarnation() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+/// Who this process is to the others.
+#[derive(Clone, Debug)]
+pub struct Me {
+    pub who: Holder,
+    pub config: Arc<FleetConfig>,
+    pub clock: FleetClock,
+}
+
+impl Me {
+    pub fn new(name: &str, config: Arc<FleetConfig>) -> Me {
+        let clock = FleetClock::new(config.clock_ppm);
+        Me { who: Holder { name: name.into(), incarnation: incarnation() }, config, clock }
+    }
+}
--- a/crates/proxy/src/fleet/probes.rs
+++ b/crates/proxy/src/fleet/probes.rs
@@ -1,19 +1,19 @@
 //! Probes of nodes that are down, for the whole of a zone: the actor between the module, which wants their outcomes, and the
 //! fleet, in which one process probes for all. The choices are `pumicebay_accord::Watch`'s.
 
+use crate::desk::Desk;
 use crate::fleet::asker::Asker;
+use crate::fleet::door::Door;
 use crate::fleet::lease::Lease;
 use crate::fleet::outbound::Links;
-use crate::fleet::seat::Door;
+use crate::fleet::prober::{Event, Mailbox};
 use crate::fleet::wire::{Frame, News};
-use crate::module::Desk;
 use pumicebay_accord::{Name, Token, Watch, WatchHost};
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::sync::{broadcast, mpsc};
 use tokio::time::{MissedTickBehavior, interval};
 
-const MAILBOX: usize = 256;
 const TICK: Duration = Duration::from_millis(100);
 /// The lease on a zone's probes.
 const LEASE: Duration = Duration::from_secs(6);
@@ -22,34 +22,6 @@
 /// Numbers of news that were heard lately.
 const LATELY: usize = 64;
 
-enum Event {
-    Wanted(Name),
-    Probed(Name, bool),
-}
-
-/// The module's way to the actor.
-#[derive(Clone)]
-pub struct Prober(mpsc::Sender<Event>);
-
-impl Prober {
-    /// The decisions want the outcome of a probe; it comes by `Desk::told`. False where there is no room to ask.
-    pub fn wanted(&self, uid: &str) -> bool {
-        self.0.try_send(Event::Wanted(uid.into())).is_ok()
-    }
-
-    /// A probe that `Desk::probe` asked for has come to this.
-    pub fn probed(&self, uid: &str, answered: bool) {
-        let _ = self.0.try_send(Event::Probed(uid.into(), answered));
-    }
-}
-
-pub struct Mailbox(mpsc::Receiver<Event>);
-
-pub fn door() -> (Prober, Mailbox) {
-    let (events, mailbox) = mpsc::channel(MAILBOX);
-    (Prober(events), Mailbox(mailbox))
-}
-
 /// What the choices ask for.
 struct Acts {
     asker: Asker,
@@ -109,7 +81,7 @@
     let clock = asker.me.clock;
     // What this process's own voter is given to pass on.
     let mut passed = own.as_ref().map(Door::passed);
-    let random = oorandom::Rand64::new(u128::from(crate::fleet::draw()));
+    let random = oorandom::Rand64::new(u128::from(crate::fleet::me::draw()));
     let mut acts = Acts { asker, links, own, random, probe: Vec::new(), answer: Vec::new() };
     let (mut watch, mut lease, mut lately) = (Watch::default(), None::<Lease>, VecDeque::new());
     let mut tick = interval(TICK);
@@ -132,7 +104,7 @@
             _ = tick.tick() => {
                 let held = lease.as_ref().and_then(|lease| *lease.held.borrow());
                 // A lease that can't outlast a probe is none: the next holder may probe already.
-                let held = held.filter(|held| clock.now() + crate::node::PROBE.as_nanos() as u64 <= held.until);
+                let held = held.filter(|held| clock.now() + crate::desk::PROBE.as_nanos() as u64 <= held.until);
                 watch.held(held.map(|held| held.token));
                 watch.tick(clock.now(), &mut acts);
                 // Nobody probes while nothing is down, and nobody keeps a lease for it.
--- a/crates/proxy/src/fleet/run.rs
+++ b/crates/proxy/src/fleet/run.rs
@@ -4,9 +4,9 @@
 //! command when the other is stopped or dead. What the command acts on has to refuse lower tokens all the same: a machine
 //! that stands still stops all three alike.
 
-use crate::fleet::FleetClock;
 use crate::fleet::asker::Asker;
 use crate::fleet::lease::Lease;
+use crate::fleet::me::FleetClock;
 use anyhow::{Context, Result};
 use pumicebay_accord::{Held, Nanos};
 use rustix::process::{Pid, Signal, kill_process_group};
--- a/crates/proxy/src/fleet/seat.rs
+++ b/crates/proxy/src/fleet/seat.rs
@@ -1,25 +1,22 @@
 //! The voter's actor: it owns the decisions and the disk. What they say goes out once the disk has what they keep; a disk
 //! that fails silences the voter until it can be read and written again.
 
+use crate::fleet::door::{Event, Mailbox};
+use crate::fleet::me::{Me, draw};
 use crate::fleet::outbound::Links;
 use crate::fleet::store::{Disk, Found};
 use crate::fleet::wire::{self, Frame, Role, Status};
-use crate::fleet::{Me, draw};
 use anyhow::{Context, Result};
 use pumicebay_accord::{
-    Answer, Ask, AskId, Holder, Host, Kept, Message, Name, Nanos, Record, Shared, Standing, Store, Terms,
-    Voter,
+    Answer, AskId, Host, Kept, Message, Name, Nanos, Shared, Standing, Store, Terms, Voter,
 };
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{broadcast, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_blocking;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
-const MAILBOX: usize = 1024;
-/// What is to be passed on and waits on a link; the oldest is lost where there is more.
-const PASSED: usize = 128;
 /// Events taken together before the disk is synced once for all.
 const BATCH: usize = 64;
 /// How long one round of the voters may take, and how long an ask waits for one.
@@ -28,65 +25,6 @@
 /// The pause before a disk that failed, or that another process has, is tried again.
 const AGAIN: Duration = Duration::from_millis(500);
 
-/// What can happen to a voter.
-pub enum Event {
-    /// A process said hello or gave a beat.
-    Heard(Holder, Role, Option<wire::Disk>),
-    /// Its link went down, in order or not.
-    Lost(Holder, bool),
-    /// To this store, from that.
-    Vote(Store, Store, Message),
-    /// The answer goes to this link.
-    Ask(Ask, mpsc::Sender<Frame>),
-    Found(Record, oneshot::Sender<bool>),
-    Trust(oneshot::Sender<bool>),
-    Status(oneshot::Sender<Status>),
-}
-
-/// The way to the voter: what it says of its disk is there without asking.
-#[derive(Clone)]
-pub struct Door {
-    events: mpsc::Sender<Event>,
-    /// What one process has for all.
-    pass: broadcast::Sender<Frame>,
-    disk: watch::Receiver<Option<wire::Disk>>,
-}
-
-impl Door {
-    /// Lost where the voter has too much to do: whoever spoke says it again.
-    pub fn post(&self, event: Event) {
-        let _ = self.events.try_send(event);
-    }
-
-    pub async fn ask<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> Event) -> Option<T> {
-        let (answer, answered) = oneshot::channel();
-        self.events.send(event(answer)).await.ok()?;
-        answered.await.ok()
-    }
-
-    /// Passes a frame on to all whose links end here, and to this process itself.
-    pub fn pass_on(&self, frame: Frame) {
-        let _ = self.pass.send(frame);
-    }
-
-    pub fn passed(&self) -> broadcast::Receiver<Frame> {
-        self.pass.subscribe()
-    }
-
-    pub fn disk(&self) -> Option<wire::Disk> {
-        self.disk.borrow().clone()
-    }
-}
-
-pub struct Mailbox(mpsc::Receiver<Event>, watch::Sender<Option<wire::Disk>>);
-
-pub fn door() -> (Door, Mailbox) {
-    let (events, mailbox) = mpsc::channel(MAILBOX);
-    let (tell, disk) = watch::channel(None);
-    let (pass, _) = broadcast::channel(PASSED);
-    (Door { events, pass, disk }, Mailbox(mailbox, tell))
-}
-
 /// What the decisions asked for since the disk was synced last.
 struct Acts {
     random: oorandom::Rand64,
--- a/crates/proxy/src/migrate.rs
+++ b/crates/proxy/src/migrate.rs
@@ -2,7 +2,8 @@
 //! of the new one: a proxy for each client process, all in one location. What the old file can't know comes as
 //! [`Answers`]; what is missing is asked for, and nothing is written until it is there.
 
-use crate::config::{self, key as name};
+use crate::config;
+use crate::sound::{key as name, sound};
 use anyhow::{Context, Result, bail, ensure};
 use serde_json::{Map, Value as Json, json};
 use std::fs::{self, OpenOptions};
@@ -43,7 +44,7 @@
 pub fn migrate(text: &str, answers: &Answers) -> Result<Option<Migrated>> {
     let old: Json = serde_json::from_str(text)?;
     config::parse(&old)?;
-    config::sound(&old, "/peers", "a list", Json::is_array)?;
+    sound(&old, "/peers", "a list", Json::is_array)?;
     if new_shape(&old) {
         return Ok(None);
     }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -1,7 +1,8 @@
 //! The module actor: the decisions, their mailbox, and the host that carries out what they ask for.
 //! Nothing here waits for anyone: a mailbox that is full makes a try unsent.
 
-use crate::fleet::probes::Prober;
+use crate::desk::{Desk, Order, PROBE, Whose};
+use crate::fleet::prober::Prober;
 use crate::long::{Upload, Value};
 use crate::node::{self, Errand};
 use crate::phases::Phase;
@@ -119,59 +120,6 @@
     }
 }
 
-/// Who has an id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Whose {
-    Cache,
-    Origin,
-    Nobody,
-}
-
-enum Order {
-    Whose(String, oneshot::Sender<Whose>),
-    Maintained(String, bool, oneshot::Sender<()>),
-    Retuned(Settings, oneshot::Sender<()>),
-    Probe(String),
-    Told(String, bool),
-}
-
-/// The operators' way to the module: it goes before all that waits in the mailbox.
-#[derive(Clone)]
-pub struct Desk(mpsc::Sender<Order>);
-
-impl Desk {
-    pub async fn whose(&self, uid: String) -> Whose {
-        self.ask(|answer| Order::Whose(uid, answer)).await.unwrap_or(Whose::Nobody)
-    }
-
-    /// Returns once no decision sends the node anything more, or does so again.
-    pub async fn maintained(&self, uid: String, out: bool) {
-        self.ask(|done| Order::Maintained(uid, out, done)).await;
-    }
-
-    /// Returns once these settings hold for what arrives.
-    pub async fn retuned(&self, settings: Settings) {
-        self.ask(|done| Order::Retuned(settings, done)).await;
-    }
-
-    /// The fleet wants this node probed by this process; the outcome goes to the prober.
-    pub async fn probe(&self, uid: String) {
-        let _ = self.0.send(Order::Probe(uid)).await;
-    }
-
-    /// What became of a probe that the decisions asked for, whoever made it.
-    pub async fn told(&self, uid: String, answered: bool) {
-        let _ = self.0.send(Order::Told(uid, answered)).await;
-    }
-
-    /// None only when the process ends.
-    async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
-        let (answer, answered) = oneshot::channel();
-        self.0.send(order(answer)).await.ok()?;
-        answered.await.ok()
-    }
-}
-
 /// The module's mailboxes.
 pub struct Mailbox(mpsc::Receiver<Event>, mpsc::Receiver<Order>);
 
@@ -441,7 +389,7 @@
     }
 
     fn send_probe(&self, node: Node) -> bool {
-        let sent = self.post(node, Errand::Probe { until: Instant::now() + node::PROBE });
+        let sent = self.post(node, Errand::Probe { until: Instant::now() + PROBE });
         if sent {
             self.shared.counters.probes_sent.add();
         }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -38,8 +38,6 @@
 const MOST_HELD: f64 = 1e9;
 /// What a label of its own takes at most.
 const LEFT: usize = 24;
-/// How long a probe may take in all.
-pub const PROBE: Duration = Duration::from_millis(250);
 
 /// What the module asks of a node; the node's address, which may change, comes with it.
 pub enum Errand {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -5,10 +5,11 @@
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::counters::Counters;
+use crate::desk::Desk;
 use crate::fleet::{self, asker::Asker};
 use crate::heir::{Heir, Seat};
 use crate::list::{self, List};
-use crate::module::{self, Desk, Door, Module};
+use crate::module::{self, Door, Module};
 use crate::operator::{self, Operator};
 use crate::phases::{Phase, Phases, Watch};
 use crate::room::Room;
@@ -143,9 +144,9 @@
             actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
         }
         let fleet = config.fleet.as_ref().map(|section| {
-            let (prober, probes) = fleet::probes::door();
+            let (prober, probes) = fleet::prober::door();
             module.probes_by(prober);
-            let me = fleet::Me::new(&config.name, section.clone());
+            let me = fleet::me::Me::new(&config.name, section.clone());
             fleet::start(&me, desk.clone(), probes, &mut actors)
         });
         let listener = if config.inherited { inherited()? } else { listen("listen", config.listen)? };
