--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,8 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
+    #[cfg(feature = "planted")]
+    plant();
     // The lab is also the proxy that it plays with, where no other is named; `as-proxy` goes before its commands that
     // the lab has too.
     let mut args = std::env::args_os().peekable();
@@ -37,3 +39,12 @@
         }
     }
 }
+
+/// Plants the fault whose number `$PUMICEBAY_PLANT` gives, in this process and in all that the rig starts.
+#[cfg(feature = "planted")]
+fn plant() {
+    let number = std::env::var("PUMICEBAY_PLANT").ok().and_then(|number| number.parse::<u8>().ok());
+    pumicebay_accord::plant(
+        pumicebay_accord::Fault::ALL.into_iter().find(|fault| Some(*fault as u8) == number),
+    );
+}
