Read once more: a parameter that nothing used, a name that said the opposite

The exploration's clock took an asker that it did not look at; own_asks_wait was true when none of its seat asks waits and is called no_seat_asked; the rig's section is its own affair.

--- a/crates/accord/src/explore.rs
+++ b/crates/accord/src/explore.rs
@@ -311,7 +311,7 @@
             }
         }
         for (at, asker) in world.askers.iter().enumerate() {
-            let now = self.now(world, at);
+            let now = self.now(world);
             let turns = self.turns_to[at];
             if world.asks_left[at] > 0 && now >= asker.due() {
                 steps.extend(turns.iter().map(|&to| Step::Ask(at, to)));
@@ -329,7 +329,7 @@
         steps
     }
 
-    fn now(&self, world: &World, _asker: usize) -> Nanos {
+    fn now(&self, world: &World) -> Nanos {
         world.tick * self.askers
     }
 
@@ -441,7 +441,7 @@
             }
             Step::Ask(at, to) => {
                 next.asks_left[at] -= 1;
-                let now = self.now(&next, at);
+                let now = self.now(&next);
                 next.numbers[at] += 1;
                 let number = next.numbers[at];
                 if let Some(ask) = next.askers[at].change(|asker| asker.ask(now, number)) {
@@ -450,7 +450,7 @@
             }
             Step::Give(at, to) => {
                 next.budget.gives -= 1;
-                let now = self.now(&next, at);
+                let now = self.now(&next);
                 next.numbers[at] += 1;
                 let number = next.numbers[at];
                 if let Some(ask) = next.askers[at].change(|asker| asker.give_back(now, number)) {
@@ -582,13 +582,13 @@
         {
             return Err(format!("a read found version {} after {newest} was settled", record.0.version));
         }
-        let now = self.now(next, at);
+        let now = self.now(next);
         next.askers[at].change(|asker| asker.answered(now, number, &answer.reply));
         Ok(())
     }
 
     fn check(&self, next: &mut World) -> Result<(), String> {
-        let may: Vec<Option<Token>> = (0..2).map(|at| next.askers[at].may(self.now(next, at), 0)).collect();
+        let may: Vec<Option<Token>> = (0..2).map(|at| next.askers[at].may(self.now(next), 0)).collect();
         if let [Some(one), Some(two)] = may[..] {
             return Err(format!("both hold the lease, under {one} and {two}"));
         }
--- a/crates/accord/src/voter.rs
+++ b/crates/accord/src/voter.rs
@@ -285,7 +285,7 @@
                 }
             }
         }
-        if self.standing == Standing::Votes && self.seated() && self.own_asks_wait() {
+        if self.standing == Standing::Votes && self.seated() && self.no_seat_asked() {
             // Who is back empty under a voter's name gets its seat again, by agreement.
             if let Some(want) = judge::to_seat(&self.kept.record.0, &self.present, now) {
                 self.own_asks += 1;
@@ -300,7 +300,7 @@
         }
     }
 
-    fn own_asks_wait(&self) -> bool {
+    fn no_seat_asked(&self) -> bool {
         !self.asks.iter().any(|(ask, _)| matches!(ask.want, Want::Seat { .. }))
     }
 
--- a/crates/lab/src/rig/procs.rs
+++ b/crates/lab/src/rig/procs.rs
@@ -118,7 +118,7 @@
     }
 
     /// A section `fleet` whose links go through relays of its own.
-    pub async fn section(&self, name: &str, clock_ppm: i64) -> Result<(Json, BTreeMap<String, Relay>)> {
+    async fn section(&self, name: &str, clock_ppm: i64) -> Result<(Json, BTreeMap<String, Relay>)> {
         let (mut called, mut relays) = (serde_json::Map::new(), BTreeMap::new());
         for (voter, at) in &self.voters {
             if voter == name {
