--- a/crates/accord/src/explore.rs
+++ b/crates/accord/src/explore.rs
@@ -3,8 +3,7 @@
 //! clocks at the ends of the stated drift. What may happen how often is bounded by a `Budget`; within it the search is
 //! complete. States are told apart by 64-bit hashes.
 //!
-//! Not covered: more than three voters, three who ask, exchanges of voters by command, more of each than the budgets
-//! have. The rig of `crates/lab` goes further without being complete.
+//! Not covered: more than three voters at a time, three who ask, more of each than the budgets have. The rig of `crates/lab` goes further without being complete.
 
 use crate::message::{Answer, Ask, Ballot, Message, Reply, Shared, Want};
 use crate::record::{Member, Record, Store, Token};
@@ -23,6 +22,14 @@
 /// A lease in units: two ticks by the slowest holder and by the fastest voter.
 const LEASE: Nanos = 16;
 
+/// Who may be given the last voter's seat.
+struct Spare {
+    name: &'static str,
+    store: Store,
+}
+
+const SPARE: Spare = Spare { name: "v3", store: 4 };
+
 /// How often each thing may happen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 struct Budget {
@@ -40,6 +47,8 @@
     gives: u8,
     puts: u8,
     reads: u8,
+    /// Exchanges of the last voter for the spare, which is there where there are any.
+    exchanges: u8,
 }
 
 /// One world to be explored whole.
@@ -55,6 +64,8 @@
     direct: bool,
     /// Voters that are down from the first.
     down: usize,
+    /// Begins where an exchange has reached its own voter and the spare alone, and is begun anew.
+    given_up: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -136,6 +147,7 @@
     Give(usize, usize),
     Put(usize, usize),
     Read(usize, usize),
+    Exchange(usize),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -230,7 +242,7 @@
             ask: Nanos::MAX / 4,
             asks: 8,
             cautious: self.budget.set_back > 0,
-            may_vote: (0..3).map(|number| format!("v{number}")).collect(),
+            may_vote: (0..4).map(|number| format!("v{number}")).collect(),
         };
         let voters = (0..3).map(|number| Member { name: format!("v{number}"), store: number + 1 }).collect();
         let record = Record::found(0, voters);
@@ -241,13 +253,20 @@
             let disk = voter.kept().clone();
             Part::new(Seat { voter: Some(voter), older: disk.clone(), disk })
         });
+        let spare = (self.budget.exchanges > 0).then(|| {
+            let (kept, mut acts) = (Kept::empty("fleet", SPARE.store), Acts::default());
+            let voter = Voter::start(0, SPARE.name, kept, terms.clone(), &mut acts);
+            let disk = voter.kept().clone();
+            Part::new(Seat { voter: Some(voter), older: disk.clone(), disk })
+        });
         let askers = (0..2).map(|number| {
             let who = Holder { name: format!("h{number}"), incarnation: 1 };
             Part::new(Holding::new(0, who, "lease", LEASE, DRIFT_PPM))
         });
         let mut seats: Vec<Part<Seat>> = seats.collect();
         seats[3 - self.down..].iter_mut().for_each(|seat| seat.change(|seat| seat.voter = None));
-        World {
+        seats.extend(spare);
+        let mut world = World {
             budget: self.budget,
             tick: 0,
             seats,
@@ -258,9 +277,30 @@
             acted: (0, 0),
             once: [0, 0],
             reads: BTreeMap::new(),
-            stores: 3,
+            stores: SPARE.store,
             numbers: [0, 0],
+        };
+        if self.given_up {
+            world = self.after(&world, Step::Exchange(1)).expect("nothing wrong so far");
+            let prepare = |message: &Message| matches!(message, Message::Prepare(..));
+            let promise = |message: &Message| matches!(message, Message::Promise(..));
+            let accept = |message: &Message| matches!(message, Message::Accept(..));
+            let letter = |world: &World, to: Store, what: &dyn Fn(&Message) -> bool| {
+                let is = |letter: &Letter| matches!(letter, Letter::Between(_, at, said) if *at == to && what(said));
+                world.net.iter().find(|(_, letter)| is(letter)).map_or(0, |(at, _)| *at)
+            };
+            for (to, what) in
+                [(3, &prepare as &dyn Fn(&Message) -> bool), (2, &promise), (SPARE.store, &accept)]
+            {
+                // The answer to the acceptance is lost.
+                world = self
+                    .after(&world, Step::Deliver(letter(&world, to, what), to == SPARE.store))
+                    .expect("a letter");
+            }
+            world.net.clear();
+            world = self.after(&world, Step::Wake(1)).expect("nothing wrong so far");
         }
+        world
     }
 
     fn steps(&self, world: &World) -> Vec<Step> {
@@ -306,7 +346,7 @@
                     let others = (0..3).filter(|&other| other != at && news(other));
                     steps.extend(others.map(|other| Step::Hello(at, other)));
                 }
-                None if at < 3 - self.down => steps.push(Step::Return(at)),
+                None if at < 3 - self.down || at == 3 => steps.push(Step::Return(at)),
                 None => {}
             }
         }
@@ -323,6 +363,9 @@
                 steps.push(Step::Put(at, turns[0]));
             }
         }
+        if left.exchanges > 0 {
+            steps.extend(self.turns_to[1].iter().map(|&to| Step::Exchange(to)));
+        }
         if left.reads > 0 {
             steps.extend(self.turns_to[1].iter().map(|&to| Step::Read(1, to)));
         }
@@ -469,6 +512,12 @@
                 let ask = self.own(&mut next, at, want);
                 self.posted(&mut next, to, ask)?;
             }
+            Step::Exchange(to) => {
+                next.budget.exchanges -= 1;
+                let voter = Member { name: SPARE.name.into(), store: SPARE.store };
+                let ask = self.own(&mut next, 1, Want::Seat { out: "v2".into(), voter });
+                self.posted(&mut next, to, ask)?;
+            }
             Step::Read(at, to) => {
                 next.budget.reads -= 1;
                 let ask = self.own(&mut next, at, Want::Read);
@@ -650,9 +699,15 @@
         turns_to: [&[0][..], &[1][..]],
         direct,
         down,
+        given_up: false,
     };
     // The rounds of voters, without time.
     let rounds = |name, budget| setting(name, true, 0, Budget { asks: [1, 1], ..budget }, TICK, TICK);
+    // An ask of the first voter while another carries out an exchange, or the same.
+    let exchange = |name, to, budget| Setting {
+        turns_to: [&[0], to],
+        ..setting(name, true, 0, Budget { exchanges: 1, asks: [1, 0], ..budget }, TICK, TICK)
+    };
     let (asks, none) = ([2, 1 + deeper], Budget::default());
     // The times of leases: two voters of three are there.
     let times = |name, budget, voters, askers| setting(name, false, 1, budget, voters, askers);
@@ -663,6 +718,13 @@
         rounds("crash", Budget { crashes: 1, timeouts: 1 + deeper, ..none }),
         rounds("set back", Budget { set_back: 1, timeouts: deeper, ..none }),
         rounds("wipe", Budget { wipes: 1, timeouts: 1 + deeper, ..none }),
+        exchange("exchange", &[1], Budget { timeouts: deeper, ..none }),
+        Setting {
+            given_up: true,
+            budget: Budget { timeouts: 1 + deeper, exchanges: 1, asks: [1, 1], ..none },
+            ..exchange("exchange given up", &[1], none)
+        },
+        exchange("exchange and crash", &[0], Budget { crashes: 1, timeouts: deeper, ..none }),
         rounds("reads", Budget { reads: 1, timeouts: deeper, ..none }),
         times("slow holders", Budget { ticks: 3, asks, ..none }, fast, slow),
         times("fast holders", Budget { ticks: 3, asks, ..none }, slow, fast),
@@ -692,8 +754,11 @@
     let most = std::env::var("ACCORD_DEEPER").ok().and_then(|most| most.parse().ok()).unwrap_or(2_000_000);
     let (start, mut settings) = (Instant::now(), settings());
     if std::env::var("ACCORD_DEEPER").is_err() {
-        // Some two million states more, for the planted renewal alone.
-        settings.retain(|setting| setting.name != "given back twice");
+        // Some two million states more each, for the faults planted there alone.
+        settings.retain(|setting| !["given back twice", "exchange given up"].contains(&setting.name));
+    }
+    if let Ok(only) = std::env::var("ACCORD_ONLY") {
+        settings.retain(|setting| setting.name.contains(&only));
     }
     let found = explore_all(&settings, None, most);
     for (setting, found) in settings.iter().zip(&found) {
@@ -716,6 +781,7 @@
         (Fault::IgnoresToken, "writes"),
         (Fault::MinoritySettles, "collide"),
         (Fault::OldSight, "slow holders"),
+        (Fault::ExchangeUnsettled, "exchange given up"),
     ];
     assert_eq!(expected.map(|(fault, _)| fault), Fault::ALL);
     std::thread::scope(|scope| {
--- a/crates/accord/src/planted.rs
+++ b/crates/accord/src/planted.rs
@@ -24,10 +24,12 @@
     MinoritySettles,
     /// A voter takes a renewal for one that it has seen before, and so judges a lease too old.
     OldSight,
+    /// What is asked next is built on an exchange of voters that is not settled yet.
+    ExchangeUnsettled,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 9] = [
+    pub const ALL: [Fault; 10] = [
         Fault::AnswerBeforeSync,
         Fault::CountsFromAnswer,
         Fault::TokenNotGrown,
@@ -37,6 +39,7 @@
         Fault::IgnoresToken,
         Fault::MinoritySettles,
         Fault::OldSight,
+        Fault::ExchangeUnsettled,
     ];
 }
 
--- a/crates/accord/src/record.rs
+++ b/crates/accord/src/record.rs
@@ -69,6 +69,29 @@
         Record { founded, before: voters.clone(), voters, ..Record::default() }
     }
 
+    /// The first record of a fleet whose majority was lost, from what a voter that survived has: its values, and its leases
+    /// with their tokens, which nobody holds any more. What was settled after it is lost. Tokens go on above the new
+    /// founding: those that the survivor had not heard of lie below it.
+    pub fn found_from(founded: u64, voters: Vec<Member>, survived: &Record) -> Record {
+        let mut record = Record::found(founded.max(survived.founded + 1), voters);
+        record.version = survived.version + 1;
+        record.values = survived.values.clone();
+        record.leases = survived.leases.clone();
+        for lease in record.leases.values_mut() {
+            (lease.holder, lease.taken) = (None, false);
+            lease.token = lease.token.max(record.founded);
+        }
+        record
+    }
+
+    /// How long until no lease of this record can be held any more, from when none is renewed, by a clock that drifts as
+    /// stated while a holder's does.
+    pub fn outlasted(&self, drift_ppm: u64) -> Nanos {
+        let longest = self.leases.values().map(|lease| u128::from(lease.time)).max().unwrap_or(0);
+        let allowed = (longest * u128::from(drift_ppm) * 2).div_ceil(1_000_000);
+        u64::try_from(longest + allowed).unwrap_or(u64::MAX)
+    }
+
     /// All stores that this record concerns.
     pub fn stores(&self) -> BTreeSet<Store> {
         self.voters.iter().chain(&self.before).map(|member| member.store).collect()
--- a/crates/accord/src/voter.rs
+++ b/crates/accord/src/voter.rs
@@ -120,6 +120,9 @@
     vain: u32,
     /// The highest round seen anywhere.
     highest: u64,
+    /// The last ballot under which it saw an exchange of voters settled. That alone tells it: with answers lost in turns,
+    /// what others say may leave it open each time, and it would settle the same exchange again and again.
+    exchanged: Ballot,
     peeks: u64,
     own_asks: u64,
 }
@@ -132,6 +135,7 @@
         let mut voter = Voter {
             me: me.into(),
             highest: kept.promised.round,
+            exchanged: Ballot::default(),
             terms,
             kept,
             standing,
@@ -474,11 +478,13 @@
         asked.extend(&more);
         let written = self.kept.written;
         more.iter().for_each(|&store| host.send(store, Message::Prepare(ballot, written)));
-        let Some((_, best, sure)) = found else { return };
+        let Some((newest, best, sure)) = found else { return };
+        let sure = sure || newest == self.exchanged;
         self.sights.saw(now, &best.0);
         // A change of voters has to be settled before anything is built on it: else who knows only the voters before
         // it could agree without those after it.
-        let as_it_is = !sure && best.0.before != best.0.voters;
+        let as_it_is =
+            !sure && best.0.before != best.0.voters && !crate::planted(crate::Fault::ExchangeUnsettled);
         let (mut record, mut answers) = ((*best.0).clone(), Vec::new());
         if !as_it_is {
             let judge = Judge {
@@ -505,10 +511,15 @@
     }
 
     fn settled(&mut self, now: Nanos, host: &mut impl Host) {
-        let Round::Accept { record, covered, answers, .. } = std::mem::replace(&mut self.round, Round::None)
+        let Round::Accept { ballot, record, covered, answers, .. } =
+            std::mem::replace(&mut self.round, Round::None)
         else {
             return;
         };
+        // Settled as it was found.
+        if covered == 0 {
+            self.exchanged = ballot;
+        }
         for ((ask, _), answer) in self.asks.drain(..covered).zip(answers) {
             host.answer(answer.unwrap_or_else(|| judge::told(&ask, &record)));
         }
--- a/crates/lab/src/rig/clients.rs
+++ b/crates/lab/src/rig/clients.rs
@@ -38,9 +38,8 @@
     let (mut tasks, mut actors) = (JoinSet::new(), JoinSet::new());
     let seen = Arc::new(Mutex::new(Seen::default()));
     for number in 1..=CLIENTS {
-        let called: serde_json::Map<_, _> =
-            procs.voters.iter().map(|(voter, at)| (voter.clone(), json!(at.to_string()))).collect();
-        let section = json!({"fleet": {"name": "rig", "voters": called}});
+        let (voters, spares) = procs.called();
+        let section = json!({"fleet": {"name": "rig", "voters": voters, "spares": spares}});
         let config = FleetConfig::parse(&section, "")?.context("a section")?;
         let name = format!("client{number}");
         let asker = start_command(&Me::new(&name, config.into()), &mut actors);
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -54,7 +54,11 @@
     pub settle_ms: (f64, f64),
     /// What passed over all links between processes, the clients' left out, a second.
     pub bytes_per_second: f64,
-    pub pieces_per_second: f64,
+    pub frames_per_second: f64,
+    /// The same while nobody wanted anything, where the plan has such a time.
+    pub idle: Option<(f64, f64)>,
+    /// Calls at an operators' door under a lease that were taken, and those under a lower token refused there.
+    pub doors: (usize, usize),
     /// How long the fleet took to come back after the last fault was undone, in seconds.
     pub back: Option<f64>,
     /// Broken rules, the shortest account of each.
@@ -77,11 +81,11 @@
     outcome
 }
 
-/// `act WITNESS WHO MILLIS`: acts under the lease that its surroundings name.
+/// `act WITNESS WHO MILLIS [DOOR]`: acts under the lease that its surroundings name.
 pub fn act(words: &[String]) -> Result<bool> {
-    let [address, who, millis] = words else { bail!("act WITNESS WHO MILLIS") };
+    let [address, who, millis, door @ ..] = words else { bail!("act WITNESS WHO MILLIS [DOOR]") };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(witness::act(address, who, millis.parse()?))
+    runtime.block_on(witness::act(address, who, millis.parse()?, door.first().map(String::as_str)))
 }
 
 async fn run(plan: &Plan, seed: u64, programs: Programs) -> Result<Outcome> {
@@ -117,13 +121,15 @@
         procs.look_after_until(Instant::now() + Duration::from_millis(50)).await?;
     }
     let operations = clients.stop().await;
-    let ((bytes, pieces), over) = (procs.carried(), start.elapsed().as_secs_f64());
+    let ((bytes, frames), over) = (procs.carried(), start.elapsed().as_secs_f64());
     let notes = procs.stop().await;
     sleep(Duration::from_millis(100)).await;
     let acts = witness.acts();
     let mut wrong = witness::judge(&acts);
     wrong.extend(history::judge(&operations));
     wrong.extend(notes);
+    let (doors, door_wrong) = witness.doors();
+    wrong.extend(door_wrong);
     if back.is_none() {
         wrong.push(format!("not back {} s after the last fault was undone", BACK.as_secs()));
     }
@@ -140,7 +146,9 @@
         acts,
         settle_ms: settle(&operations),
         bytes_per_second: bytes as f64 / over,
-        pieces_per_second: pieces as f64 / over,
+        frames_per_second: frames as f64 / over,
+        idle: procs.idle,
+        doors,
         back,
         wrong,
         logs,
@@ -151,9 +159,12 @@
     pub fn summary(&self) -> String {
         let faults: Vec<String> = self.plan.faults.iter().map(Fault::words).collect();
         let back = self.back.map_or("not back".into(), |back| format!("back after {back:.1} s"));
+        let idle = self.idle.map_or(String::new(), |(bytes, frames)| {
+            format!(" (idle {:.1} KB and {frames:.0})", bytes / 1e3)
+        });
         let mut lines = format!(
             "seed {}: {} processes, {} acts, {} turned away by token, {} reads, {} writes, {} unanswered, longest gap \
-             {:.1} s, settled in {:.1} ms, 99 in 100 in {:.1}, links {:.1} KB and {:.0} pieces a second, {back}\n  \
+             {:.1} s, settled in {:.1} ms, 99 in 100 in {:.1}, links {:.1} KB and {:.0} frames a second{idle}, doors took {} and refused {}, {back}\n  \
              faults: {}\n",
             self.seed,
             self.plan.processes,
@@ -166,7 +177,9 @@
             self.settle_ms.0,
             self.settle_ms.1,
             self.bytes_per_second / 1e3,
-            self.pieces_per_second,
+            self.frames_per_second,
+            self.doors.0,
+            self.doors.1,
             faults.join("; "),
         );
         for wrong in &self.wrong {
--- a/crates/lab/src/rig/plan.rs
+++ b/crates/lab/src/rig/plan.rs
@@ -31,8 +31,11 @@
     Spoil,
     /// Its folder takes no writes.
     Full,
+    /// A voter's seat goes to the spare that `to` names, by an operator's command; for good.
+    Replace,
 }
 
+/// What is drawn; an exchange of voters is asked for by name alone.
 pub const ALL: [Kind; 13] = [
     Kind::Drop,
     Kind::OneWay,
@@ -59,7 +62,7 @@
     pub seconds: f64,
     /// The process that is hit; for links, whose.
     pub who: String,
-    /// For links: only the one to this voter.
+    /// For links: only the one to this voter. For an exchange: who votes from then on.
     #[serde(default)]
     pub to: Option<String>,
 }
@@ -74,6 +77,10 @@
 pub struct Plan {
     pub processes: usize,
     pub voters: usize,
+    /// Those after the voters that may be given a voter's seat.
+    pub spares: usize,
+    /// How long nobody wants anything at first, for what links carry when idle.
+    pub idle_seconds: f64,
     pub seconds: f64,
     pub leases: usize,
     /// Commands that want each lease at once.
@@ -96,6 +103,8 @@
         Plan {
             processes: 5,
             voters: 3,
+            spares: 0,
+            idle_seconds: 0.0,
             seconds: 12.0,
             leases: 2,
             askers: 2,
@@ -119,7 +128,8 @@
             "voters: expected three or five, found {}",
             plan.voters
         );
-        ensure!(plan.processes >= plan.voters, "processes: expected {} or more", plan.voters);
+        let may_vote = plan.voters + plan.spares;
+        ensure!(plan.processes >= may_vote, "processes: expected {may_vote} or more");
         ensure!((1..=64).contains(&plan.leases), "leases: expected 1 to 64, found {}", plan.leases);
         ensure!(plan.lease_seconds >= 0.5, "lease_seconds: expected 0.5 or more");
         for fault in &plan.faults {
@@ -129,6 +139,15 @@
             let voter = plan.names()[..plan.voters].contains(&fault.who);
             let needs = of_disk(fault.kind) || fault.kind == Kind::Full;
             ensure!(voter || !needs, "fault at {}: {} has no voter's disk", fault.at, fault.who);
+            if fault.kind == Kind::Replace {
+                let spares = &plan.names()[plan.voters..may_vote];
+                let spare = fault.to.as_ref().is_some_and(|to| spares.contains(to));
+                ensure!(
+                    voter && spare,
+                    "fault at {}: an exchange wants a voter and, in to, a spare",
+                    fault.at
+                );
+            }
         }
         Ok(plan)
     }
--- a/crates/lab/src/rig/procs.rs
+++ b/crates/lab/src/rig/procs.rs
@@ -27,6 +27,11 @@
 /// Lines of a log that are shown.
 const LINES: usize = 25;
 const DELAY: Duration = Duration::from_millis(150);
+/// From the founding until all links are up.
+const SETTLED: Duration = Duration::from_secs(3);
+
+/// Names and addresses as the configuration has them.
+type Called = serde_json::Map<String, Json>;
 
 struct Proc {
     name: String,
@@ -48,8 +53,12 @@
     home: Home,
     witness: SocketAddr,
     procs: Vec<Proc>,
-    /// Where each voter really listens.
+    /// Where each that may vote really listens, the spares too.
     pub voters: BTreeMap<String, SocketAddr>,
+    /// The operators' door of the last proxy.
+    door: Option<SocketAddr>,
+    /// Bytes and frames a second while nobody wanted anything.
+    pub idle: Option<(f64, f64)>,
     notes: Vec<String>,
     random: SmallRng,
     folder: TempDir,
@@ -59,7 +68,7 @@
     pub async fn start(plan: &Plan, seed: u64, programs: Programs, witness: &Witness) -> Result<Procs> {
         let folder = tempfile::tempdir().context("a folder for the processes")?;
         let (mut voters, mut home) = (BTreeMap::new(), Home::new());
-        for number in 1..=plan.voters {
+        for number in 1..=plan.voters + plan.spares {
             voters.insert(format!("p{number}"), home.next());
         }
         let random = SmallRng::seed_from_u64(seed ^ 0x5eed);
@@ -71,6 +80,8 @@
             witness: address,
             procs: Vec::new(),
             voters,
+            door: None,
+            idle: None,
             notes,
             random,
             folder,
@@ -84,6 +95,13 @@
             all.spawn(at)?;
         }
         all.found().await?;
+        if all.plan.idle_seconds > 0.0 {
+            sleep(SETTLED).await;
+            let ((bytes, frames), since) = (all.carried(), Instant::now());
+            sleep(Duration::from_secs_f64(all.plan.idle_seconds)).await;
+            let (now, seconds) = (all.carried(), since.elapsed().as_secs_f64());
+            all.idle = Some(((now.0 - bytes) as f64 / seconds, (now.1 - frames) as f64 / seconds));
+        }
         witness.begin();
         for at in all.plan.processes..all.procs.len() {
             all.spawn(at)?;
@@ -108,6 +126,15 @@
                             "latency-objective-us": 150_000, "overall-timeout-us": 1_000_000}]
             }
         });
+        // A node that calls at the operators' door can be about; nobody is there.
+        let node = json!({"uid": "n1", "endpoint": "127.0.0.1:1", "az": "a", "model": "cache", "state": "active",
+                          "boot_ms": 0});
+        json["known"] = json!({"rev": 1, "all": true, "targets": [node]});
+        if lease.is_none() {
+            let door = self.home.next();
+            json["operator"] = json!(door.to_string());
+            self.door = Some(door);
+        }
         json["fleet"] = section;
         json["fleet"]["folder"] = json!(folder);
         std::fs::write(&config, json.to_string())?;
@@ -117,6 +144,15 @@
         Ok(())
     }
 
+    /// Where the voters and the spares are called without relays.
+    pub fn called(&self) -> (Called, Called) {
+        self.split(self.voters.iter().map(|(name, at)| (name.clone(), json!(at.to_string()))).collect())
+    }
+
+    fn split(&self, called: Called) -> (Called, Called) {
+        called.into_iter().partition(|(name, _)| self.plan.names()[..self.plan.voters].contains(name))
+    }
+
     /// A section `fleet` whose links go through relays of its own.
     async fn section(&self, name: &str, clock_ppm: i64) -> Result<(Json, BTreeMap<String, Relay>)> {
         let (mut called, mut relays) = (serde_json::Map::new(), BTreeMap::new());
@@ -130,8 +166,9 @@
             relays.insert(voter.clone(), relay);
         }
         let Plan { drift_ppm, cautious, .. } = self.plan;
+        let (voters, spares) = self.split(called);
         let section = json!({
-            "name": "rig", "voters": called, "drift-ppm": drift_ppm, "clock-ppm": clock_ppm, "cautious": cautious,
+            "name": "rig", "voters": voters, "spares": spares, "drift-ppm": drift_ppm, "clock-ppm": clock_ppm, "cautious": cautious,
         });
         Ok((section, relays))
     }
@@ -147,6 +184,7 @@
                 command.args(["as-proxy", "fleet", "run", "--config"]).arg(&proc.config);
                 command.args(["--lease", lease, "--time", &time, "--"]).arg(&self.programs.lab);
                 command.args(["act", &self.witness.to_string(), &proc.name, &self.plan.act_ms.to_string()]);
+                command.args(self.door.map(|door| door.to_string()));
             }
         }
         for name in
@@ -154,6 +192,8 @@
         {
             command.env_remove(name);
         }
+        // Its private folder, where what it has to know over a restart lies.
+        command.env("TMPDIR", self.folder.path());
         command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).kill_on_drop(true);
         proc.child = Some(command.spawn().with_context(|| self.programs.proxy.display().to_string())?);
         Ok(())
@@ -224,6 +264,7 @@
         }
         match fault.kind {
             Kind::Stop => self.signal(at, Signal::SIGSTOP),
+            Kind::Replace => self.replace(fault).await?,
             Kind::Full => {
                 // Whoever runs this may write anywhere: a folder where the file is to be made stops it all the same.
                 let new = self.procs[at].folder.join("voter.new");
@@ -248,10 +289,30 @@
         Ok(())
     }
 
+    /// As an operator would, who asks again until it is done.
+    async fn replace(&self, fault: &Fault) -> Result<()> {
+        let new = fault.to.as_deref().context("an exchange without a spare")?;
+        let until = Instant::now() + READY;
+        loop {
+            let mut command = Command::new(&self.programs.proxy);
+            command.args(["as-proxy", "fleet", "replace", &fault.who, new, "--config"]);
+            let output = command.arg(&self.procs[self.plan.processes - 1].config).output().await?;
+            if output.status.success() {
+                return Ok(());
+            }
+            let why = String::from_utf8_lossy(&output.stderr).into_owned();
+            if Instant::now() > until {
+                bail!("{} not exchanged for {new}: {why}", fault.who);
+            }
+            sleep(LOOK).await;
+        }
+    }
+
     pub async fn end(&mut self, fault: &Fault) -> Result<()> {
         let at = self.at(&fault.who)?;
         match fault.kind {
             Kind::Stop => self.signal(at, Signal::SIGCONT),
+            Kind::Replace => {}
             Kind::Full => _ = std::fs::remove_dir(self.procs[at].folder.join("voter.new")),
             Kind::Kill | Kind::Empty | Kind::SetBack | Kind::Spoil => {
                 self.procs[at].down = false;
@@ -325,10 +386,10 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// Bytes and pieces over all links.
+    /// Bytes and frames over all links.
     pub fn carried(&self) -> (u64, u64) {
         let all = self.procs.iter().flat_map(|proc| proc.relays.values()).map(Relay::carried);
-        all.fold((0, 0), |(bytes, pieces), one| (bytes + one.0, pieces + one.1))
+        all.fold((0, 0), |(bytes, frames), one| (bytes + one.0, frames + one.1))
     }
 
     pub fn logs(&self) -> Vec<String> {
--- a/crates/lab/src/rig/relay.rs
+++ b/crates/lab/src/rig/relay.rs
@@ -47,7 +47,44 @@
 #[derive(Debug, Default)]
 pub struct Carried {
     bytes: AtomicU64,
-    pieces: AtomicU64,
+    frames: AtomicU64,
+}
+
+/// Finds frames in a stream: four bytes of length, then so many.
+#[derive(Default)]
+struct Frames {
+    head: Vec<u8>,
+    left: usize,
+}
+
+impl Frames {
+    /// How many begin in these bytes.
+    fn begin_in(&mut self, mut bytes: &[u8]) -> u64 {
+        let mut count = 0;
+        while !bytes.is_empty() {
+            let body = self.left.min(bytes.len());
+            (self.left, bytes) = (self.left - body, &bytes[body..]);
+            let part = bytes.len().min(4 - self.head.len());
+            self.head.extend(&bytes[..part]);
+            bytes = &bytes[part..];
+            if let Some(length) = self.head.first_chunk() {
+                self.left = u32::from_be_bytes(*length) as usize;
+                self.head.clear();
+                count += 1;
+            }
+        }
+        count
+    }
+}
+
+#[test]
+fn frames_are_found_however_they_are_cut() {
+    let stream = [0, 0, 0, 2, 7, 7, 0, 0, 0, 0, 0, 0, 0, 1, 9, 0, 0];
+    for piece in 1..=stream.len() {
+        let mut frames = Frames::default();
+        let counts = stream.chunks(piece).map(|bytes| frames.begin_in(bytes));
+        assert_eq!(counts.sum::<u64>(), 3, "pieces of {piece}");
+    }
 }
 
 impl Relay {
@@ -65,9 +102,9 @@
         Ok(Relay { address, mode, carried })
     }
 
-    /// Bytes and pieces that have passed so far.
+    /// Bytes and frames that have passed so far.
     pub fn carried(&self) -> (u64, u64) {
-        (self.carried.bytes.load(Ordering::Relaxed), self.carried.pieces.load(Ordering::Relaxed))
+        (self.carried.bytes.load(Ordering::Relaxed), self.carried.frames.load(Ordering::Relaxed))
     }
 
     pub fn set(&self, mode: Mode) {
@@ -105,12 +142,12 @@
     cut: Arc<watch::Sender<bool>>,
     carried: &Carried,
 ) {
-    let mut bytes = [0; CHUNK];
+    let (mut bytes, mut frames) = ([0; CHUNK], Frames::default());
     loop {
         let Ok(read @ 1..) = from.read(&mut bytes).await else { return };
         let chunk = &bytes[..read];
         carried.bytes.fetch_add(read as u64, Ordering::Relaxed);
-        carried.pieces.fetch_add(1, Ordering::Relaxed);
+        carried.frames.fetch_add(frames.begin_in(chunk), Ordering::Relaxed);
         let now = *mode.borrow();
         let sent = match now {
             Mode::Pass | Mode::Reset => to.write_all(chunk).await,
--- a/crates/lab/src/rig/witness.rs
+++ b/crates/lab/src/rig/witness.rs
@@ -7,10 +7,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
+/// How long a call at a door may take: an act has to end within its lease.
+const CALL: Duration = Duration::from_millis(100);
+
 #[derive(Clone, Debug, Serialize)]
 pub struct Act {
     pub lease: String,
@@ -27,6 +31,10 @@
     acts: Vec<Act>,
     highest: BTreeMap<String, u64>,
     turned_away: usize,
+    /// Calls at an operators' door that were taken, and those under a lower token that were refused there.
+    doors: (usize, usize),
+    /// Calls that a door answered otherwise.
+    wrong: Vec<String>,
 }
 
 #[derive(Clone)]
@@ -38,7 +46,14 @@
 impl Witness {
     pub async fn listen() -> Result<Witness> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let seen = Seen { start: Instant::now(), acts: Vec::new(), highest: BTreeMap::new(), turned_away: 0 };
+        let seen = Seen {
+            start: Instant::now(),
+            acts: Vec::new(),
+            highest: BTreeMap::new(),
+            turned_away: 0,
+            doors: (0, 0),
+            wrong: Vec::new(),
+        };
         let witness = Witness { address: listener.local_addr()?, seen: Arc::new(Mutex::new(seen)) };
         let taker = witness.clone();
         tokio::spawn(async move {
@@ -79,6 +94,12 @@
         self.seen().turned_away
     }
 
+    /// Calls at the door taken and refused, and what was wrong with any.
+    pub fn doors(&self) -> ((usize, usize), Vec<String>) {
+        let seen = self.seen();
+        (seen.doors, seen.wrong.clone())
+    }
+
     async fn hear(&self, stream: TcpStream, open: &mut Option<usize>) -> Result<()> {
         stream.set_nodelay(true)?;
         let (read, mut write) = stream.into_split();
@@ -87,6 +108,10 @@
             let words: Vec<&str> = line.split(' ').collect();
             let taken = match words[..] {
                 ["begin", lease, token, who] => self.begins(lease, token.parse()?, who, open),
+                ["door", who, taken, refused] => {
+                    self.called(who, taken, refused);
+                    true
+                }
                 _ => {
                     self.ended(open);
                     true
@@ -112,6 +137,17 @@
         true
     }
 
+    /// What the door answered to the newest token, and to the one before it after that; 0 is no answer in time. That a
+    /// newest one is refused is no fault of the door: its lease may have ended meanwhile.
+    fn called(&self, who: &str, newest: &str, lower: &str) {
+        let mut seen = self.seen();
+        seen.doors.0 += usize::from(newest == "200");
+        seen.doors.1 += usize::from(lower == "409");
+        if newest == "200" && lower == "200" {
+            seen.wrong.push(format!("{who}: a door took a lower token after a higher one"));
+        }
+    }
+
     fn ended(&self, open: &mut Option<usize>) {
         let Some(at) = open.take() else { return };
         let mut seen = self.seen();
@@ -165,21 +201,44 @@
 }
 
 /// The command that acts under a lease: one act after the other, until it is ended or turned away.
-pub async fn act(address: &str, who: &str, millis: u64) -> Result<bool> {
+pub async fn act(address: &str, who: &str, millis: u64, door: Option<&str>) -> Result<bool> {
     let variable = |name| std::env::var(name).unwrap_or_default();
     let (lease, token) = (variable("PUMICEBAY_LEASE"), variable("PUMICEBAY_TOKEN"));
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let (read, mut write) = stream.into_split();
     let mut lines = BufReader::new(read).lines();
-    for _ in 0..25 {
+    for turn in 0..25 {
         write.write_all(format!("begin {lease} {token} {who}\n").as_bytes()).await?;
         if lines.next_line().await?.as_deref() != Some("yes") {
             return Ok(false);
         }
-        tokio::time::sleep(std::time::Duration::from_millis(millis)).await;
+        // Once a lease it also takes a node out of service, and tries so under the token before its own.
+        if let (Some(door), 0, Ok(own)) = (door, turn, token.parse::<u64>()) {
+            let mut answers = Vec::new();
+            for token in [own, own - 1] {
+                answers.push(call(door, &lease, token).await.unwrap_or(0));
+            }
+            write.write_all(format!("door {who} {} {}\n", answers[0], answers[1]).as_bytes()).await?;
+            lines.next_line().await?;
+        }
+        tokio::time::sleep(Duration::from_millis(millis)).await;
         write.write_all(b"end\n").await?;
         lines.next_line().await?;
     }
     Ok(true)
 }
+
+/// Takes a node out of service at an operators' door, under a lease and token; the status of the answer.
+async fn call(door: &str, lease: &str, token: u64) -> Result<u16> {
+    let talk = async {
+        let mut stream = TcpStream::connect(door).await?;
+        let body = format!("{{\"who\":\"n1\",\"lease\":\"{lease}\",\"token\":{token}}}");
+        let head = format!("POST /maintenance/enter HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all(format!("{head}{body}").as_bytes()).await?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await?;
+        Ok(answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0))
+    };
+    tokio::time::timeout(CALL, talk).await?
+}
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -103,6 +103,29 @@
     played(&plan, 16);
 }
 
+/// Two of three voters are exchanged for spares, with a slow link; then the old ones' processes are gone, and the new
+/// ones have to have it all.
+#[test]
+fn voters_exchanged_one_at_a_time() {
+    let exchange = |who: &str, to: &str, at| Fault {
+        kind: Kind::Replace,
+        at,
+        seconds: 0.1,
+        who: who.into(),
+        to: Some(to.into()),
+    };
+    let mut plan = plan(&[
+        (Kind::Delay, "p2", 0.3, 3.0),
+        (Kind::Kill, "p1", 4.0, 2.5),
+        (Kind::Kill, "p3", 4.0, 2.5),
+        (Kind::Drop, "p5", 4.5, 1.0),
+    ]);
+    plan.faults.extend([exchange("p1", "p4", 0.8), exchange("p3", "p5", 2.2)]);
+    let outcome = played(&Plan { processes: 6, spares: 2, ..plan }, 17);
+    // Calls at an operators' door under a lease, and the same under the token before: taken, and refused.
+    assert!(outcome.doors.0 >= 4 && outcome.doors.1 >= 4, "{:?}", outcome.doors);
+}
+
 #[test]
 fn faults_drawn_from_seeds() {
     for seed in [1, 7] {
--- /dev/null
+++ b/crates/lab/tests/fleet_lost.rs
@@ -0,0 +1,157 @@
+//! A majority of the voters is lost for good: what goes on, what status says, and the way out.
+
+use serde_json::{Value as Json, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const LAB: &str = env!("CARGO_BIN_EXE_pumicebay-lab");
+
+/// A process that ends with the test.
+struct Proxy(Child);
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+struct Fleet {
+    home: Ipv4Addr,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    fn at(&self, port: usize) -> String {
+        format!("{}:{}", self.home, 20_000 + port)
+    }
+
+    fn config(&self) -> PathBuf {
+        self.folder.join("p1.json")
+    }
+
+    fn start(&self, number: usize) -> Proxy {
+        let voters: serde_json::Map<_, _> =
+            (1..=3).map(|voter| (format!("p{voter}"), json!(self.at(500 + voter)))).collect();
+        let config = json!({
+            "name": format!("p{number}"), "listen": self.at(number), "discovery": self.at(999),
+            "settings": {
+                "fleet-size": 1, "me": 0, "skus": ["cache", "origin"], "failure-domains": ["a"],
+                "domain": {"mode": "aside", "origin-kind": 1},
+                "routes": [{"name": "read", "effect": "repeatable", "payoff": 1.0,
+                            "latency-objective-us": 150_000, "overall-timeout-us": 1_000_000}]
+            },
+            "fleet": {"name": "lost", "voters": voters, "folder": self.disk(number)}
+        });
+        let file = self.folder.join(format!("p{number}.json"));
+        std::fs::write(&file, config.to_string()).unwrap();
+        let mut child =
+            Command::new(LAB).args(["serve", "--config"]).arg(&file).stderr(Stdio::piped()).spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+        assert!(log.any(|line| line.unwrap().contains("INFO listens on")), "p{number} does not start");
+        std::thread::spawn(move || log.for_each(drop));
+        Proxy(child)
+    }
+
+    fn disk(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("d{number}"))
+    }
+
+    fn run(&self, words: &[&str]) -> Output {
+        let mut command = Command::new(LAB);
+        command.args(["as-proxy", "fleet"]).arg(words[0]).arg("--config").arg(self.config());
+        command.args(&words[1..]).output().unwrap()
+    }
+
+    /// The same until it does what is wanted.
+    fn until(&self, words: &[&str], wanted: impl Fn(&Output) -> bool) -> Output {
+        let until = Instant::now() + Duration::from_secs(15);
+        loop {
+            let output = self.run(words);
+            if wanted(&output) {
+                return output;
+            }
+            assert!(Instant::now() < until, "{words:?}: {output:?}");
+            sleep(Duration::from_millis(100));
+        }
+    }
+
+    fn token(&self) -> u64 {
+        let words = ["run", "--lease", "L", "--time", "1", "--", "sh", "-c", "echo $PUMICEBAY_TOKEN"];
+        let output = self.until(&words, |output| output.status.success());
+        text(&output).trim().parse().expect("a token")
+    }
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+/// Whether a proxy serves its clients.
+fn serves(at: &str) -> bool {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    let mut answer = [0; 5];
+    stream.read_exact(&mut answer).is_ok() && &answer == b"+PONG"
+}
+
+fn copied(from: &Path, to: &Path) {
+    std::fs::copy(from, to).unwrap();
+}
+
+#[test]
+fn a_lost_majority_and_the_way_out() {
+    let folder = tempfile::tempdir().unwrap();
+    let home = Ipv4Addr::new(127, 78, std::process::id() as u8, 1);
+    let fleet = Fleet { home, folder: folder.path().into() };
+    let ok = |output: &Output| output.status.success();
+    let mut proxies: Vec<Proxy> = (1..=3).map(|number| fleet.start(number)).collect();
+    fleet.until(&["found"], ok);
+    fleet.until(&["put", "drained", "n7"], ok);
+    let before = fleet.token();
+    // The last write has reached all: one that only a majority had might be lost with two disks, as the docs say.
+    fleet.until(&["status", "--json"], |output| {
+        let shown: Json = serde_json::from_slice(&output.stdout).unwrap_or_default();
+        let versions: Vec<_> =
+            shown["voters"].as_array().into_iter().flatten().map(|v| v["version"].clone()).collect();
+        versions.len() == 3 && versions.iter().all(|version| *version == versions[0])
+    });
+
+    // Two of three are gone with their disks.
+    proxies.drain(..2);
+    for number in [1, 2] {
+        std::fs::remove_dir_all(fleet.disk(number)).unwrap();
+    }
+    assert!(serves(&fleet.at(3)));
+    let shown = fleet.until(&["status"], |output| output.status.code() == Some(3));
+    assert!(text(&shown).contains("NOT AGREED"), "{}", text(&shown));
+    assert!(!ok(&fleet.run(&["get", "drained"])));
+
+    // They come back empty. The survivor alone takes nobody in.
+    proxies.extend([1, 2].map(|number| fleet.start(number)));
+    sleep(Duration::from_secs(1));
+    assert!(!ok(&fleet.run(&["get", "drained"])));
+    let refused = fleet.run(&["found"]);
+    assert!(String::from_utf8_lossy(&refused.stderr).contains("founded already"), "{refused:?}");
+
+    // The way out: the survivor's file is what the fleet is founded from.
+    let file = folder.path().join("survived");
+    copied(&fleet.disk(3).join("voter"), &file);
+    drop(proxies.remove(0));
+    std::fs::remove_dir_all(fleet.disk(3)).unwrap();
+    proxies.push(fleet.start(3));
+    let wrong = fleet.run(&["found", "--from", fleet.config().to_str().unwrap()]);
+    assert!(String::from_utf8_lossy(&wrong.stderr).contains("no voter's file"), "{wrong:?}");
+    let began = Instant::now();
+    fleet.until(&["found", "--from", file.to_str().unwrap()], ok);
+    assert!(began.elapsed() >= Duration::from_secs(1), "founded before a lease of a second has ended");
+    let value = fleet.until(&["get", "drained"], ok);
+    assert!(text(&value).ends_with(" n7\n"), "{}", text(&value));
+    let after = fleet.token();
+    assert!(after > before, "{after} after {before}");
+    assert!(serves(&fleet.at(3)));
+}
--- a/crates/proxy/src/bans.rs
+++ b/crates/proxy/src/bans.rs
@@ -2,6 +2,7 @@
 //! process that serves beside this one, or comes after it, keeps the same bans: whoever is called writes, both look.
 
 use crate::desk::{Desk, Whose};
+use pumicebay_accord::{Fences, Passage, Token};
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
@@ -13,11 +14,15 @@
 const NAME: &str = "pumicebay-ban-1-";
 /// One that was put back leaves a file of this name: a successor takes the node for as cold as this process does.
 const BACK: &str = "pumicebay-back-1-";
+/// The highest token seen of a lease: this, the lease in hex, `-` and the token.
+const FENCE: &str = "pumicebay-fence-1-";
 /// How often the folder is looked through; a ban from another process acts so much later.
 const LOOK: Duration = Duration::from_millis(100);
 const MAILBOX: usize = 64;
 /// No `uid` is longer: file names end at 255 bytes.
 const LONGEST_UID: usize = 110;
+/// No lease that a call names is longer, for the same reason.
+pub const LONGEST_LEASE: usize = 100;
 
 /// What became of a call.
 #[derive(Debug, PartialEq, Eq)]
@@ -25,11 +30,18 @@
     Done,
     Unknown,
     Origin,
+    /// It came under a lease that has gone on to this token.
+    Late(Token),
     Failed(String),
 }
 
-/// An id, whether it goes out, and where the answer is awaited.
-pub type Call = (String, bool, oneshot::Sender<Asked>);
+/// An id, whether it goes out, the lease and token that the caller acts under, and where the answer is awaited.
+pub struct Call {
+    uid: String,
+    out: bool,
+    under: Option<(String, Token)>,
+    done: oneshot::Sender<Asked>,
+}
 
 /// The way to the actor.
 #[derive(Clone)]
@@ -37,10 +49,10 @@
 
 impl Maintenance {
     /// Takes a node out of service or puts it back; answers once that holds.
-    pub async fn ask(&self, uid: String, out: bool) -> Asked {
+    pub async fn ask(&self, uid: String, out: bool, under: Option<(String, Token)>) -> Asked {
         let (done, answer) = oneshot::channel();
         let gone = || Asked::Failed("the proxy ends".into());
-        if self.0.send((uid, out, done)).await.is_err() {
+        if self.0.send(Call { uid, out, under, done }).await.is_err() {
             return gone();
         }
         answer.await.unwrap_or_else(|_| gone())
@@ -59,6 +71,8 @@
     pub folder: Option<PathBuf>,
     /// Those that the module has been told of.
     pub out: BTreeSet<String>,
+    /// What calls under leases brought.
+    pub fences: Fences,
 }
 
 impl Bans {
@@ -69,8 +83,8 @@
             tokio::select! {
                 biased;
                 call = calls.recv() => match call {
-                    Some((uid, out, done)) => {
-                        let _ = done.send(self.called(uid, out).await);
+                    Some(Call { uid, out, under, done }) => {
+                        let _ = done.send(self.called(uid, out, under).await);
                     }
                     None => return,
                 },
@@ -79,7 +93,7 @@
         }
     }
 
-    async fn called(&mut self, uid: String, out: bool) -> Asked {
+    async fn called(&mut self, uid: String, out: bool, under: Option<(String, Token)>) -> Asked {
         match self.desk.whose(uid.clone()).await {
             Whose::Cache => {}
             // One that discovery has dropped since can be put back all the same.
@@ -87,6 +101,15 @@
             Whose::Nobody => return Asked::Unknown,
             Whose::Origin => return Asked::Origin,
         }
+        // Who held the lease before, and was stopped in the middle of its work, must not undo the next one's.
+        if let Some((lease, token)) = under {
+            match self.fence(&lease, token) {
+                Ok(Passage::Passes) => {}
+                Ok(Passage::Late(highest)) => return Asked::Late(highest),
+                Ok(Passage::Full) => return Asked::Failed("too many leases are known".into()),
+                Err(error) => return Asked::Failed(error.to_string()),
+            }
+        }
         // Kept before it acts: a successor that starts now must find it.
         if let Err(error) = self.keep(&uid, out) {
             tracing::error!("maintenance: {uid}: {error}");
@@ -96,6 +119,26 @@
         Asked::Done
     }
 
+    /// Whether a call under this token may act; if so it is on disk before it does, as the lease goes on over a loss of
+    /// power too.
+    fn fence(&mut self, lease: &str, token: Token) -> std::io::Result<Passage> {
+        let folder = self.folder.as_deref();
+        let seen = folder.map(read_fences).transpose()?.unwrap_or_default();
+        seen.iter().for_each(|(lease, token)| self.fences.saw(lease, *token));
+        let passage = self.fences.passes(lease, token);
+        if passage == Passage::Passes {
+            if let Some(folder) = folder.filter(|_| !seen.contains(&(lease.into(), token))) {
+                let name = |token: Token| folder.join(format!("{FENCE}{}-{token}", hex(lease)));
+                std::fs::File::create(name(token))?;
+                std::fs::File::open(folder)?.sync_all()?;
+                let lower = seen.iter().filter(|(of, lower)| of == lease && *lower < token);
+                lower.for_each(|(_, lower)| _ = std::fs::remove_file(name(*lower)));
+            }
+            self.fences.saw(lease, token);
+        }
+        Ok(passage)
+    }
+
     async fn tell(&mut self, uid: String, out: bool) {
         if out {
             self.out.insert(uid.clone());
@@ -158,6 +201,21 @@
     Ok(uids)
 }
 
+/// Leases and tokens that files name; a lease may have several while one is taken away.
+fn read_fences(folder: &Path) -> std::io::Result<Vec<(String, Token)>> {
+    let mut seen = Vec::new();
+    for entry in std::fs::read_dir(folder)? {
+        let name = entry?.file_name();
+        let Some((lease, token)) =
+            name.to_str().and_then(|name| name.strip_prefix(FENCE)).and_then(|rest| rest.split_once('-'))
+        else {
+            continue;
+        };
+        seen.extend(unhex(lease).zip(token.parse().ok()));
+    }
+    Ok(seen)
+}
+
 fn hex(uid: &str) -> String {
     uid.bytes().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/proxy/src/fleet/command.rs
+++ b/crates/proxy/src/fleet/command.rs
@@ -4,25 +4,29 @@
 use crate::fleet::config::FleetConfig;
 use crate::fleet::me::{FleetClock, Me, draw, incarnation};
 use crate::fleet::wire::{Frame, Hello, Link, Role, Status};
-use crate::fleet::{run, start_command};
+use crate::fleet::{run, start_command, store};
 use anyhow::{Context, Result, bail, ensure};
 use lexopt::prelude::*;
 use pumicebay_accord::{Holder, Lease, Member, Record, Reply, Seen, Shared, Want};
 use serde_json::{Value as Json, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 pub const HELP: &str = "\
 usage: pumicebay fleet COMMAND [--config FILE]
 
   status [--json]             voters, proxies, leases and how old what is shown is
-  found                       makes the fleet's first record; all voters have to be there, with empty folders
+  found [--from FILE] [--wait SECONDS]
+                              makes the fleet's first record; all voters have to be there, with empty folders. FILE is a
+                              voter's that survived the loss of the others: its record goes on once no lease in it can be
+                              held any more, or SECONDS after all voters were found empty
   run --lease NAME [--time SECONDS] [--give-up SECONDS] -- COMMAND...
                               waits for the lease, runs COMMAND with $PUMICEBAY_LEASE and $PUMICEBAY_TOKEN, and ends it
                               when the lease is lost; the exit code is COMMAND's, 75 if it was not run, 76 if it was ended
@@ -50,6 +54,8 @@
     time: Option<f64>,
     give_up: Option<f64>,
     version: Option<u64>,
+    from: Option<PathBuf>,
+    wait: Option<f64>,
 }
 
 /// The arguments after `fleet`.
@@ -62,6 +68,8 @@
             Long("lease") => call.lease = Some(args.value()?.string()?),
             Long("time") => call.time = Some(args.value()?.parse().context("--time")?),
             Long("give-up") => call.give_up = Some(args.value()?.parse().context("--give-up")?),
+            Long("from") => call.from = Some(args.value()?.into()),
+            Long("wait") => call.wait = Some(args.value()?.parse().context("--wait")?),
             Long("version") => call.version = Some(args.value()?.parse().context("--version")?),
             Short('h') | Long("help") => call.command = Some("help".into()),
             Value(word) if call.command.is_none() => call.command = Some(word.string()?),
@@ -99,7 +107,7 @@
     async fn carry_out(&self, command: &str, config: Arc<FleetConfig>) -> Result<ExitCode> {
         match (command, &self.words[..]) {
             ("status", []) => return status(&config, self.json).await,
-            ("found", []) => return found(&config).await,
+            ("found", []) => return found(&config, self.from.as_deref(), self.wait).await,
             ("trust", [name]) => return trust(&config, name).await,
             _ => {}
         }
@@ -192,7 +200,10 @@
     }
 }
 
-async fn found(config: &FleetConfig) -> Result<ExitCode> {
+async fn found(config: &FleetConfig, from: Option<&Path>, wait: Option<f64>) -> Result<ExitCode> {
+    let survived = from.map(|file| survivor(file, &config.name)).transpose()?;
+    let wait = wait.map(|wait| seconds("--wait", wait)).transpose()?;
+    ensure!(wait.is_none() || survived.is_some(), "--wait: only with --from");
     let (mut called, mut voters) = (Vec::new(), Vec::new());
     for (name, at) in &config.voters {
         let one = call(config, *at).await.with_context(|| format!("voter {name} at {at}"))?;
@@ -207,7 +218,20 @@
         called.push(one);
     }
     let founded = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis() as u64;
-    let record = Record::found(founded, voters);
+    let record = match survived {
+        None => Record::found(founded, voters),
+        Some(survived) => {
+            // All voters are empty now: nobody renews a lease of the record before, whose holders stop in their time.
+            let wait = wait.unwrap_or_else(|| Duration::from_nanos(survived.outlasted(config.drift_ppm)));
+            eprintln!(
+                "pumicebay: version {} goes on in {:.1} s: what was agreed after it is lost",
+                survived.version,
+                wait.as_secs_f64()
+            );
+            sleep(wait).await;
+            Record::found_from(founded, voters, &survived)
+        }
+    };
     for one in &mut called {
         let taken =
             one.ask(Frame::Found(record.clone()), taken).await.with_context(|| one_name(&one.hello))?;
@@ -217,6 +241,15 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// The record of a voter that survived, from its file or one that was set aside.
+fn survivor(file: &Path, fleet: &str) -> Result<Record> {
+    let bytes = std::fs::read(file).with_context(|| format!("--from {}", file.display()))?;
+    let kept = store::decode(&bytes).with_context(|| format!("--from {}", file.display()))?;
+    ensure!(kept.fleet == fleet, "--from {}: of fleet {:?}, not {fleet:?}", file.display(), kept.fleet);
+    ensure!(!kept.is_empty(), "--from {}: has no record", file.display());
+    Ok((*kept.record.0).clone())
+}
+
 /// An operator's word for a voter that waits for others who are gone for good.
 async fn trust(config: &FleetConfig, name: &str) -> Result<ExitCode> {
     let at = config.callable().find(|(voter, _)| *voter == name).map(|(_, at)| at);
@@ -245,6 +278,10 @@
     let hello = call(config, at).await.with_context(|| format!("{new} at {at}"))?.hello;
     let disk = hello.voter.with_context(|| format!("{new} does not vote, or its disk is not open"))?;
     let record = read(asker).await?;
+    // Asked again after an answer that was lost.
+    if record.0.votes(disk.store) {
+        return Ok(ExitCode::SUCCESS);
+    }
     let old = record.0.member(out).with_context(|| format!("{out} is no voter"))?;
     ensure!(disk.empty || disk.store == old.store, "{new} has voted before: empty its folder first");
     let voter = Member { name: new.into(), store: disk.store };
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -38,20 +38,33 @@
 use crate::fleet::me::Me;
 use tokio::task::JoinSet;
 
-/// Takes its part in the fleet: votes if it is to, and keeps links to the voters. Gives the way to ask them. Nothing that
-/// fails here keeps a proxy from serving: what can't be opened is tried again.
-pub fn start(me: &Me, desk: Desk, probes: prober::Mailbox, actors: &mut JoinSet<()>) -> Asker {
+/// Takes its part in the fleet: votes if it is to, and keeps links to the voters. Gives the way to ask them, and what has
+/// to run as long as it does. Nothing that fails here keeps a proxy from serving: what can't be opened is tried again.
+pub fn start(me: &Me, desk: Desk, probes: prober::Mailbox) -> (Asker, impl Future<Output = ()> + use<>) {
+    let mut actors = JoinSet::new();
     let (door, mailbox) = door::door();
     let listens = me.config.listens(&me.who.name);
     let own = listens.map(|_| door);
-    let (links, answered, news) = outbound::start(me, wire::Role::Proxy, own.as_ref(), actors);
+    let (links, answered, news) = outbound::start(me, wire::Role::Proxy, own.as_ref(), &mut actors);
     if let (Some(at), Some(door)) = (listens, own.clone()) {
         actors.spawn(inbound::accept(me.clone(), door, at));
         actors.spawn(seat::run(me.clone(), links.clone(), mailbox));
     }
-    let asker = asker::start(me, links.clone(), answered, own.clone(), actors);
+    let asker = asker::start(me, links.clone(), answered, own.clone(), &mut actors);
     actors.spawn(probes::run(asker.clone(), links, own, desk, probes, news));
-    asker
+    (asker, watched(actors))
+}
+
+/// The fleet's actors are a set of their own: one that ends, or panics, is reported, and the proxy serves on, as it does
+/// where the whole fleet is gone. They end with this future.
+async fn watched(mut actors: JoinSet<()>) {
+    while let Some(ended) = actors.join_next().await {
+        match ended {
+            Ok(()) => tracing::error!("fleet: a part of it has ended; serving goes on"),
+            Err(error) => tracing::error!("fleet: a part of it has ended: {error}; serving goes on"),
+        }
+    }
+    std::future::pending().await
 }
 
 /// Links for a command, which votes nowhere.
--- a/crates/proxy/src/fleet/store.rs
+++ b/crates/proxy/src/fleet/store.rs
@@ -86,7 +86,8 @@
     Ok(bytes)
 }
 
-fn decode(bytes: &[u8]) -> Result<Kept> {
+/// What a voter's file says, or why it can't be trusted.
+pub fn decode(bytes: &[u8]) -> Result<Kept> {
     ensure!(bytes.len() >= HEAD && bytes.starts_with(MAGIC), "no voter's file");
     let number =
         |at: usize| bytes[MAGIC.len() + 4 * at..].first_chunk().map_or(0, |four| u32::from_le_bytes(*four));
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -2,7 +2,7 @@
 //! load: a few connections of its own, of which the one that is silent longest gives way, and a desk of its own at
 //! the module.
 
-use crate::bans::{Asked, Maintenance};
+use crate::bans::{Asked, LONGEST_LEASE, Maintenance};
 use crate::http::{Call, Calls, Word};
 use crate::phases::{Phase, Watch};
 use crate::room::{Room, Spare};
@@ -103,26 +103,45 @@
                 phase => Word(503, format!("takes no clients: {phase:?}")),
             };
         }
-        let who = match serde_json::from_slice::<Json>(&call.body) {
-            Ok(Json::Object(mut body)) => body.remove("who"),
+        let mut body = match serde_json::from_slice::<Json>(&call.body) {
+            Ok(Json::Object(body)) => body,
             Ok(other) => return Word(400, format!("expected {{\"who\":\"ID\"}}, found {other}")),
             Err(error) => return Word(400, format!("the body is no JSON: {error}")),
         };
-        let who = match who {
+        let who = match body.remove("who") {
             Some(Json::String(who)) => who,
             Some(other) => return Word(400, format!("who: expected a text, found {other}")),
             None => return Word(400, "who: missing".into()),
         };
+        let under = match (body.remove("lease"), body.remove("token")) {
+            (None, None) => None,
+            (Some(Json::String(lease)), Some(Json::Number(token)))
+                if (1..=LONGEST_LEASE).contains(&lease.len()) && token.is_u64() =>
+            {
+                token.as_u64().map(|token| (lease, token))
+            }
+            (lease, token) => {
+                let (lease, token) = (lease.unwrap_or(Json::Null), token.unwrap_or(Json::Null));
+                return Word(
+                    400,
+                    format!(
+                        "lease, token: expected a name of 1 to {LONGEST_LEASE} bytes and a number, found {lease} and {token}"
+                    ),
+                );
+            }
+        };
+        let lease = under.as_ref().map(|(lease, _)| lease.clone()).unwrap_or_default();
         // A process that has yet to hear of its nodes would take each id for unknown.
         if timeout(STARTING, self.watch.clone().reached(Phase::Serving)).await.is_err() {
             return Word(503, "has no list yet, call again".into());
         }
         let out = call.path == "/maintenance/enter";
-        match self.maintenance.ask(who.clone(), out).await {
+        match self.maintenance.ask(who.clone(), out, under).await {
             Asked::Done if out => Word(200, format!("{who} gets nothing more")),
             Asked::Done => Word(200, format!("{who} is back")),
             Asked::Unknown => Word(404, format!("no cache node {who:?} is known")),
             Asked::Origin => Word(409, format!("{who} is the origin, not a cache node")),
+            Asked::Late(token) => Word(409, format!("{lease} has gone on to token {token}")),
             Asked::Failed(error) => Word(500, format!("{who}: could not be kept: {error}")),
         }
     }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -15,6 +15,7 @@
 use crate::room::Room;
 use crate::tuning::{Routes, Tuning};
 use anyhow::{Context, Result, bail, ensure};
+use pumicebay_accord::Fences;
 use serde_json::Value as Json;
 use socket2::Socket;
 use std::net::SocketAddr;
@@ -140,14 +141,17 @@
                 module.maintained(clock.now(), uid, true);
                 module.maintained(clock.now(), uid, false);
             }
-            actors.spawn(Bans { desk: desk.clone(), folder, out }.run(calls));
+            let fences = Fences::default();
+            actors.spawn(Bans { desk: desk.clone(), folder, out, fences }.run(calls));
             actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
         }
         let fleet = config.fleet.as_ref().map(|section| {
             let (prober, probes) = fleet::prober::door();
             module.probes_by(prober);
             let me = fleet::me::Me::new(&config.name, section.clone());
-            fleet::start(&me, desk.clone(), probes, &mut actors)
+            let (asker, parts) = fleet::start(&me, desk.clone(), probes);
+            actors.spawn(parts);
+            asker
         });
         let listener = if config.inherited { inherited()? } else { listen("listen", config.listen)? };
         let address = listener.local_addr()?;
--- a/crates/proxy/tests/proxy/operations.rs
+++ b/crates/proxy/tests/proxy/operations.rs
@@ -174,6 +174,56 @@
     assert_eq!(left, ["pumicebay-back-1-732d6361636865"]);
 }
 
+/// Who held a lease, stood still and goes on must not undo what the next holder did; nor over a restart of the proxy.
+#[tokio::test]
+async fn a_ban_refuses_lower_tokens() {
+    let folder = Folder::new("fences");
+    let out = |config: &mut pumicebay::config::Config| config.folder = Some(folder.0.clone());
+    let door = [("/operator", json!("127.0.0.1:0"))];
+    let world = World::start_with(&door, out).await;
+    let mut trace = String::new();
+    let under = |what: &str, lease: Json, token: Json| {
+        let body = json!({"who": "s-cache", "lease": lease, "token": token}).to_string();
+        (format!("/maintenance/{what}"), body)
+    };
+    for (what, lease, token) in [
+        ("enter", json!("nodes"), json!(7)),
+        ("exit", json!("nodes"), json!(6)),
+        ("enter", json!("nodes"), json!(7)),
+        ("enter", json!("others"), json!(1)),
+        ("exit", json!("nodes"), json!("7")),
+        ("exit", json!("nodes"), Json::Null),
+        ("exit", json!("x".repeat(101)), json!(8)),
+        ("enter", json!("nodes"), json!(u64::MAX)),
+        ("exit", json!("nodes"), json!(8)),
+    ] {
+        let (path, body) = under(what, lease, token);
+        let answer = call(world.operator.unwrap(), "POST", &path, &body).await;
+        trace += &answer.replace(&"x".repeat(101), "x...");
+    }
+    // What is called under no lease is an operator's own word, as ever.
+    trace += &maintain(world.operator.unwrap(), "exit", "s-cache").await;
+    let next = World::start_with(&door, out).await;
+    for (token, lease) in [(9, "nodes"), (1, "others")] {
+        let (path, body) = under("enter", json!(lease), json!(token));
+        trace += &call(next.operator.unwrap(), "POST", &path, &body).await;
+    }
+    expect![[r#"
+        200 s-cache gets nothing more
+        409 nodes has gone on to token 7
+        200 s-cache gets nothing more
+        200 s-cache gets nothing more
+        400 lease, token: expected a name of 1 to 100 bytes and a number, found "nodes" and "7"
+        400 lease, token: expected a name of 1 to 100 bytes and a number, found "nodes" and null
+        400 lease, token: expected a name of 1 to 100 bytes and a number, found "x..." and 8
+        200 s-cache gets nothing more
+        409 nodes has gone on to token 18446744073709551615
+        200 s-cache is back
+        409 nodes has gone on to token 18446744073709551615
+        200 s-cache gets nothing more
+    "#]].assert_eq(&trace);
+}
+
 #[tokio::test]
 async fn a_ban_outlives_all_that_discovery_says() {
     let world = World::start(&[("/operator", json!("127.0.0.1:0"))]).await;
