--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -25,7 +25,8 @@
   compare SCENARIO --policy A,B,... [--seeds N]
                        paired by seed: mean difference with a 95% interval
   compare SCENARIO --clock real --proxy PATH,PATH,... [--seeds N]
-                       the same for builds, on sockets; `self` is the lab's own
+                       the same for builds, on sockets; `self` is the lab's own, PATH+fleet one
+                       whose proxies are a fleet
   sweep SCENARIO --set KEY=V1,V2,... [--seeds N] [--report FILE.html]
                        a table and a plot over a grid
   hunt SCENARIO [--runs N] [--json FILE]
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -4,7 +4,7 @@
 use crate::results::Results;
 use crate::stats::Mean;
 use crate::{real, virt};
-use anyhow::Result;
+use anyhow::{Result, ensure};
 use pumicebay_model::spec::Scenario;
 use rayon::prelude::*;
 use std::fmt::Write;
@@ -28,15 +28,23 @@
     Ok(policies.iter().map(|_| played.by_ref().take(seeds as usize).collect()).collect())
 }
 
-/// Plays the scenario on sockets with each build and seed, one day after another; `self` is the lab's own.
+/// Plays the scenario on sockets with each build and seed, one day after another; `self` is the lab's own. `+fleet` after
+/// one has its proxies be a fleet.
 pub fn builds(scenario: &Scenario, proxies: &[String], seeds: u64) -> Result<Vec<Vec<Results>>> {
     let progress = Progress::new(&scenario.name, proxies.len() * seeds as usize);
     let mut days: Vec<Vec<Results>> = proxies.iter().map(|_| Vec::new()).collect();
     // Seed by seed, so that what the machine does meanwhile meets all builds alike.
     for seed in 0..seeds {
         for (proxy, played) in proxies.iter().zip(&mut days) {
+            let (proxy, fleet) = match proxy.strip_suffix("+fleet") {
+                Some(proxy) => (proxy, true),
+                None => (proxy.as_str(), scenario.proxies.fleet),
+            };
             let path = (proxy != "self").then(|| PathBuf::from(proxy));
-            played.push(real::play(scenario, scenario.seed + seed, path.as_ref(), &|_| {})?);
+            let mut day = scenario.clone();
+            day.proxies.fleet = fleet;
+            ensure!(!fleet || day.proxies.count >= 3, "+fleet: expected three proxies or more");
+            played.push(real::play(&day, scenario.seed + seed, path.as_ref(), &|_| {})?);
             progress.step();
         }
     }
@@ -49,9 +57,9 @@
     let first = &policies[0];
     let _ = writeln!(
         text,
-        "| policy | payoff | worst 10 s | hit rate | origin/s | tries | {first} gains (95%) | rules broken |"
+        "| policy | payoff | worst 10 s | hit rate | origin/s | tries | p50, p99 ms | {first} gains (95%) | rules broken |"
     );
-    let _ = writeln!(text, "| --- | --- | --- | --- | --- | --- | --- | --- |");
+    let _ = writeln!(text, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for (name, played) in policies.iter().zip(days) {
         let mean =
             |figure: fn(&Results) -> f64| Mean::of(&played.iter().map(figure).collect::<Vec<_>>()).mean;
@@ -69,9 +77,19 @@
         } else {
             format!("{:+.4} ±{:.4}", gain.mean, gain.half)
         };
+        // Of the first route, and as a part of what the first policy takes: the median day of those with the same seeds.
+        let part = |figure: fn(&Results) -> f64| {
+            let mut parts: Vec<f64> =
+                played.iter().zip(&days[0]).map(|(day, first)| figure(day) / figure(first)).collect();
+            parts.sort_by(f64::total_cmp);
+            parts.get(parts.len() / 2).copied().unwrap_or(f64::NAN)
+        };
+        let (p50, p99): (fn(&Results) -> f64, fn(&Results) -> f64) =
+            (|day| day.latency[0].p50_ms, |day| day.latency[0].p99_ms);
+        let latency = format!("{:.2} (x{:.3}), {:.1} (x{:.3})", mean(p50), part(p50), mean(p99), part(p99));
         let _ = writeln!(
             text,
-            "| {name} | {:.3} | {:.3} | {:.3} | {:.1} | {:.3} | {gain} | {} |",
+            "| {name} | {:.3} | {:.3} | {:.3} | {:.1} | {:.3} | {latency} | {gain} | {} |",
             mean(|day| day.share),
             mean(|day| day.worst_ten_seconds),
             mean(|day| day.hit_rate),
--- a/crates/lab/src/real/process.rs
+++ b/crates/lab/src/real/process.rs
@@ -25,11 +25,15 @@
 /// Lines of a proxy's log that are kept, and the bytes of each.
 const LINES: usize = 40;
 const LINE: u64 = 400;
+/// Where the proxies are a fleet.
+const VOTERS: usize = 3;
 
 type Log = Arc<Mutex<VecDeque<String>>>;
 
 struct Proxy {
     address: SocketAddr,
+    /// Where it takes the fleet's links, if it votes.
+    votes: Option<SocketAddr>,
     config: PathBuf,
     child: Option<Child>,
     log: Log,
@@ -44,7 +48,7 @@
     program: PathBuf,
     proxies: Vec<Proxy>,
     notes: Vec<String>,
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 impl Proxies {
@@ -64,6 +68,7 @@
         for number in 0..day.proxies.count {
             proxies.push(Proxy {
                 address: free()?,
+                votes: (day.proxies.fleet && number < VOTERS).then(free).transpose()?,
                 config: folder.path().join(format!("p{}.json", number + 1)),
                 child: None,
                 log: Log::default(),
@@ -71,14 +76,16 @@
                 life: 0,
             });
         }
-        let mut all =
-            Proxies { day: day.clone(), seed, program, proxies, notes: Vec::new(), _folder: folder };
+        let mut all = Proxies { day: day.clone(), seed, program, proxies, notes: Vec::new(), folder };
         for number in 0..day.proxies.count {
             all.spawn(number, fleet)?;
         }
         for number in 0..day.proxies.count {
             all.ready(number).await?;
         }
+        if day.proxies.fleet {
+            all.found().await?;
+        }
         Ok(all)
     }
 
@@ -88,10 +95,14 @@
 
     fn spawn(&mut self, number: usize, fleet: &SharedFleet) -> Result<()> {
         fleet.restarted(number);
+        let voters: serde_json::Map<_, _> = (1..)
+            .zip(&self.proxies)
+            .filter_map(|(number, proxy)| Some((format!("p{number}"), json!(proxy.votes?.to_string()))))
+            .collect();
         let this = &mut self.proxies[number];
         this.life += 1;
         let seed = mix(self.seed ^ mix(number as u64 ^ this.life << 32));
-        let config = json!({
+        let mut config = json!({
             "name": format!("p{}", number + 1),
             "listen": this.address.to_string(),
             "discovery": fleet.discovery(number).context("discovery")?.to_string(),
@@ -100,6 +111,10 @@
             "known": fleet.list(number, None),
             "settings": platform::settings(&self.day, number),
         });
+        if self.day.proxies.fleet {
+            let folder = self.folder.path().join(format!("d{}", number + 1));
+            config["fleet"] = json!({"name": "lab", "voters": voters, "folder": folder});
+        }
         std::fs::write(&this.config, config.to_string())?;
         let mut child = Command::new(&self.program)
             .args(["serve", "--config"])
@@ -146,6 +161,23 @@
         bail!("{name} did not answer within {patience} s; it said:\n{log}");
     }
 
+    /// Has an operator make the fleet's first record.
+    async fn found(&self) -> Result<()> {
+        let until = Instant::now() + Duration::from_secs_f64(self.day.proxies.ready_seconds);
+        loop {
+            let mut command = Command::new(&self.program);
+            command.args(["as-proxy", "fleet", "found", "--config"]).arg(&self.proxies[0].config);
+            let output = command.kill_on_drop(true).output().await?;
+            if output.status.success() {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                bail!("the fleet was not founded: {}", String::from_utf8_lossy(&output.stderr));
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+
     /// Kills it outright; it starts again as the scenario has it.
     pub async fn kill(&mut self, number: usize, fleet: &SharedFleet) {
         let this = &mut self.proxies[number];
--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec.rs
@@ -58,6 +58,8 @@
         /// On sockets: how long one may take until it answers, and until it ends once it was asked to.
         ready_seconds: f64 = 10.0,
         ends_seconds: f64 = 8.0,
+        /// On sockets: whether they are a fleet, of which the first three vote.
+        fleet: bool = false,
     }
 }
 
@@ -240,6 +242,11 @@
             "proxies.ready_seconds",
             "expected more than 0, at most 600, as for ends_seconds",
         );
+        need(
+            !self.proxies.fleet || self.proxies.count >= 3,
+            "proxies.fleet",
+            "expected three proxies or more",
+        );
         need((1..=100_000).contains(&self.nodes.count), "nodes.count", "expected 1 to 100000");
         need(self.nodes.zones > 0, "nodes.zones", "expected 1 or more");
         need(self.nodes.cores > 0, "nodes.cores", "expected 1 or more");
--- a/crates/proxy/tests/proxy/operations.rs
+++ b/crates/proxy/tests/proxy/operations.rs
@@ -221,7 +221,8 @@
         200 s-cache is back
         409 nodes has gone on to token 18446744073709551615
         200 s-cache gets nothing more
-    "#]].assert_eq(&trace);
+    "#]]
+    .assert_eq(&trace);
 }
 
 #[tokio::test]
