--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -82,11 +82,9 @@
             let mut parts: Vec<f64> =
                 played.iter().zip(&days[0]).map(|(day, first)| figure(day) / figure(first)).collect();
             parts.sort_by(f64::total_cmp);
-            parts.get(parts.len() / 2).copied().unwrap_or(f64::NAN)
+            format!("{:.2} (x{:.3})", mean(figure), parts.get(parts.len() / 2).copied().unwrap_or(f64::NAN))
         };
-        let (p50, p99): (fn(&Results) -> f64, fn(&Results) -> f64) =
-            (|day| day.latency[0].p50_ms, |day| day.latency[0].p99_ms);
-        let latency = format!("{:.2} (x{:.3}), {:.1} (x{:.3})", mean(p50), part(p50), mean(p99), part(p99));
+        let latency = format!("{}, {}", part(|day| day.latency[0].p50_ms), part(|day| day.latency[0].p99_ms));
         let _ = writeln!(
             text,
             "| {name} | {:.3} | {:.3} | {:.3} | {:.1} | {:.3} | {latency} | {gain} | {} |",
