--- a/crates/core/tests/balance/failures.rs
+++ b/crates/core/tests/balance/failures.rs
@@ -142,7 +142,8 @@
             trace.push(std::mem::take(&mut most));
         }
     }
-    expect!["[8, 3, 3, 3, 3, 3] in flight at the most, by half minutes"].assert_eq(&format!("{trace:?} in flight at the most, by half minutes"));
+    expect!["[8, 3, 3, 3, 3, 3] in flight at the most, by half minutes"]
+        .assert_eq(&format!("{trace:?} in flight at the most, by half minutes"));
 }
 
 /// Small tenants were shed at the busier proxies, whose part of the traffic is above the average.
