--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -558,8 +558,10 @@
     fn conclude(&mut self, xchg: Xchg) {
         let cx = self.xchgs.get_mut(&xchg).expect("concluded exchanges are known");
         cx.over = true;
-        if cx.route.repeat.harmless(cx.may_have_run()) && !cx.under_way {
-            self.host.shed(xchg, u64::from(self.rules.pauses) * cx.route.objective / PATIENCE);
+        let harmless = cx.route.repeat.harmless(cx.may_have_run());
+        if harmless && !cx.under_way {
+            let pause = cx.route.objective / PATIENCE;
+            self.host.shed(xchg, if self.rules.pauses { pause } else { 0 });
         } else {
             self.host.error(xchg);
         }
@@ -742,15 +744,14 @@
         // Guards warm nodes from what cold ones can't take, and crowded ones from what they turn away.
         let able = self.pace.able * self.all.answered(self.now);
         let few = FEW * able / self.fleet * self.more(self.kinds.hits, QUICK);
-        measure(self.now, &mut self.all, (ROOM, few, f64::MAX, f64::MAX));
+        measure(self.now, &mut self.all, (ROOM, few, f64::INFINITY));
         self.origin.into_iter().for_each(|origin| self.measure_node(origin));
     }
 
     fn measure_node(&mut self, node: Node) {
         let few = (FEW / self.fleet).floor().max(1.0);
         let origin = self.nodes.caches[node].listed.origin.then(|| self.origin_few(node));
-        let longest = self.rules.objective as f64 / 1e9 / (2.0 * ORIGIN_ROOM);
-        let bounds = origin.map_or((ROOM, few, SLOW, f64::MAX), |few| (ORIGIN_ROOM, few, f64::MAX, longest));
+        let bounds = origin.map_or((ROOM, few, SLOW), |few| (ORIGIN_ROOM, few, f64::INFINITY));
         let cache = &mut self.nodes.caches[node];
         measure(self.now, &mut cache.flow, bounds);
         let part = cache.part(self.now, &self.rules);
@@ -810,11 +811,10 @@
     }
 }
 
-/// Room is what was in flight at best, so many times, or a few; it shrinks while answers take far longer. Best
-/// is no longer than `longest`: guards an origin never seen uncrowded, as after a loss of power, from more.
-fn measure(now: Nanos, flow: &mut Flow, (times, few, slow, longest): (f64, f64, f64, f64)) {
+/// Room is what was in flight at best, so many times, or a few; it shrinks while answers take far longer.
+fn measure(now: Nanos, flow: &mut Flow, (times, few, slow): (f64, f64, f64)) {
     let (least, lately) = (flow.minute.least_mean(now, ENOUGH), flow.answers.mean(now));
-    let best = flow.minute.peak_rate(now) * least.unwrap_or(0.0).min(longest);
+    let best = flow.minute.peak_rate(now) * least.unwrap_or(0.0);
     if let (Some(least), Some(lately)) = (least, lately) {
         flow.squeeze = (slow * least / lately).min(1.0);
     }
