Read once more: one collector of a voter's acts, one listener, one operator in the rigs

Three hosts noted down a voter's acts and its words to itself (seat, virtual time, exploration): accord's Acts now. The fleet's listener was serve.rs's: listen.rs. Founding and exchange were asked for in three loops: the lab's operator::fleet. Also: outlasted by the judge's own allowance for drift, one way to read the folder's names, a refusal that brings its lease, where a voter is called, one start of proxies in two tests, two guards for the cores. Behaviour stays: a voter's chance is drawn once an event, as virtual time did.

--- a/crates/accord/src/explore.rs
+++ b/crates/accord/src/explore.rs
@@ -8,8 +8,8 @@
 use crate::message::{Answer, Ask, Ballot, Message, Reply, Shared, Want};
 use crate::record::{Member, Record, Store, Token};
 use crate::round::Round;
-use crate::voter::{Host, Kept, Standing, Terms, Voter};
-use crate::{Fault, Holder, Holding, Nanos, plant, planted};
+use crate::voter::{Kept, Standing, Terms, Voter};
+use crate::{Acts, Fault, Holder, Holding, Nanos, plant, planted};
 use rustc_hash::{FxHashSet, FxHasher};
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
@@ -157,34 +157,6 @@
     LastWrite,
 }
 
-#[derive(Default)]
-struct Acts {
-    kept: Vec<Kept>,
-    sent: Vec<(Store, Message)>,
-    answers: Vec<Answer>,
-    settled: Vec<Shared>,
-}
-
-impl Host for Acts {
-    fn keep(&mut self, kept: &Kept) {
-        self.kept.push(kept.clone());
-    }
-    fn send(&mut self, to: Store, message: Message) {
-        self.sent.push((to, message));
-    }
-    fn answer(&mut self, answer: Answer) {
-        self.answers.push(answer);
-    }
-    fn settled(&mut self, record: &Shared) {
-        self.settled.push(record.clone());
-    }
-    fn wake(&mut self, _: Nanos) {}
-    fn chance(&mut self) -> f64 {
-        0.0
-    }
-    fn stands(&mut self, _: Standing) {}
-}
-
 fn digest(what: &impl Hash) -> u64 {
     let mut hasher = FxHasher::default();
     what.hash(&mut hasher);
@@ -559,10 +531,7 @@
         let own = voter.kept().store;
         let mut acts = Acts::default();
         what(voter, &mut acts);
-        while let Some(said) = acts.sent.iter().position(|(to, _)| *to == own) {
-            let (_, message) = acts.sent.remove(said);
-            voter.got(now, own, message, &mut acts);
-        }
+        acts.hear_itself(now, voter);
         for kept in acts.kept {
             let older = std::mem::replace(&mut seat.older, seat.disk.clone());
             // Answered before the disk has it: a crash finds what was there before.
--- a/crates/accord/src/judge.rs
+++ b/crates/accord/src/judge.rs
@@ -48,7 +48,7 @@
     if planted(Fault::NoDrift) {
         return time;
     }
-    time + part(time, drift_ppm)
+    time.saturating_add(part(time, drift_ppm))
 }
 
 /// The same by the clock of who holds.
@@ -61,7 +61,15 @@
 
 /// Rounded up: what is allowed for drift is never less than stated.
 fn part(time: Nanos, ppm: u64) -> Nanos {
-    (u128::from(time) * u128::from(ppm)).div_ceil(1_000_000) as Nanos
+    let part = (u128::from(time) * u128::from(ppm)).div_ceil(1_000_000);
+    Nanos::try_from(part).unwrap_or(Nanos::MAX)
+}
+
+/// How long until no lease of this record can be held any more, from when none is renewed: its holder's clock and that of
+/// who waits may both be off.
+pub fn outlasted(record: &Record, drift_ppm: u64) -> Nanos {
+    let longest = record.leases.values().map(|lease| lease.time).max().unwrap_or(0);
+    longer(longest, 2 * drift_ppm)
 }
 
 /// What asks are judged by.
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Host`]. Who wants a lease drives a [`Holding`] and sends the [`Ask`]s that it gives to any voter. Times are whole
 //! nanoseconds of the process's own clock, which must run on through suspension and stay within the stated drift.
 
+mod acts;
 mod fences;
 mod holding;
 mod judge;
@@ -19,8 +20,10 @@
 #[cfg(test)]
 mod explore;
 
+pub use acts::Acts;
 pub use fences::{Fences, Passage};
 pub use holding::{Held, Holding};
+pub use judge::outlasted;
 pub use message::{Answer, Ask, AskId, Ballot, Message, Reply, Shared, Want};
 pub use planted::{Fault, plant, planted};
 pub use presence::{Presence, Seen};
--- a/crates/accord/src/record.rs
+++ b/crates/accord/src/record.rs
@@ -84,14 +84,6 @@
         record
     }
 
-    /// How long until no lease of this record can be held any more, from when none is renewed, by a clock that drifts as
-    /// stated while a holder's does.
-    pub fn outlasted(&self, drift_ppm: u64) -> Nanos {
-        let longest = self.leases.values().map(|lease| u128::from(lease.time)).max().unwrap_or(0);
-        let allowed = (longest * u128::from(drift_ppm) * 2).div_ceil(1_000_000);
-        u64::try_from(longest + allowed).unwrap_or(u64::MAX)
-    }
-
     /// All stores that this record concerns.
     pub fn stores(&self) -> BTreeSet<Store> {
         self.voters.iter().chain(&self.before).map(|member| member.store).collect()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod compare;
 pub mod hunt;
+pub mod operator;
 pub mod platform;
 pub mod policy;
 pub mod progress;
--- a/crates/lab/src/real/process.rs
+++ b/crates/lab/src/real/process.rs
@@ -1,15 +1,15 @@
 //! Proxies as processes: started, watched, killed as the day has it, and ended whatever happens. One that
 //! prints without end is read without end, and all but its last lines are dropped.
 
-use crate::platform;
 use crate::real::SharedFleet;
+use crate::{operator, platform};
 use anyhow::{Context, Result, bail};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use pumicebay_model::Nanos;
 use pumicebay_model::seeds::mix;
 use pumicebay_model::spec::Scenario;
-use serde_json::json;
+use serde_json::{Value as Json, json};
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -84,7 +84,8 @@
             all.ready(number).await?;
         }
         if day.proxies.fleet {
-            all.found().await?;
+            let within = Duration::from_secs_f64(day.proxies.ready_seconds);
+            operator::fleet(&all.program, &["found"], &all.proxies[0].config, within).await?;
         }
         Ok(all)
     }
@@ -93,12 +94,19 @@
         self.proxies.iter().map(|proxy| proxy.address).collect()
     }
 
-    fn spawn(&mut self, number: usize, fleet: &SharedFleet) -> Result<()> {
-        fleet.restarted(number);
+    /// The section `fleet` of a proxy.
+    fn section(&self, number: usize) -> Json {
         let voters: serde_json::Map<_, _> = (1..)
             .zip(&self.proxies)
             .filter_map(|(number, proxy)| Some((format!("p{number}"), json!(proxy.votes?.to_string()))))
             .collect();
+        let folder = self.folder.path().join(format!("d{}", number + 1));
+        json!({"name": "lab", "voters": voters, "folder": folder})
+    }
+
+    fn spawn(&mut self, number: usize, fleet: &SharedFleet) -> Result<()> {
+        fleet.restarted(number);
+        let section = self.day.proxies.fleet.then(|| self.section(number));
         let this = &mut self.proxies[number];
         this.life += 1;
         let seed = mix(self.seed ^ mix(number as u64 ^ this.life << 32));
@@ -111,9 +119,8 @@
             "known": fleet.list(number, None),
             "settings": platform::settings(&self.day, number),
         });
-        if self.day.proxies.fleet {
-            let folder = self.folder.path().join(format!("d{}", number + 1));
-            config["fleet"] = json!({"name": "lab", "voters": voters, "folder": folder});
+        if let Some(section) = section {
+            config["fleet"] = section;
         }
         std::fs::write(&this.config, config.to_string())?;
         let mut child = Command::new(&self.program)
@@ -161,23 +168,6 @@
         bail!("{name} did not answer within {patience} s; it said:\n{log}");
     }
 
-    /// Has an operator make the fleet's first record.
-    async fn found(&self) -> Result<()> {
-        let until = Instant::now() + Duration::from_secs_f64(self.day.proxies.ready_seconds);
-        loop {
-            let mut command = Command::new(&self.program);
-            command.args(["as-proxy", "fleet", "found", "--config"]).arg(&self.proxies[0].config);
-            let output = command.kill_on_drop(true).output().await?;
-            if output.status.success() {
-                return Ok(());
-            }
-            if Instant::now() > until {
-                bail!("the fleet was not founded: {}", String::from_utf8_lossy(&output.stderr));
-            }
-            sleep(Duration::from_millis(100)).await;
-        }
-    }
-
     /// Kills it outright; it starts again as the scenario has it.
     pub async fn kill(&mut self, number: usize, fleet: &SharedFleet) {
         let this = &mut self.proxies[number];
--- a/crates/lab/src/rig/procs.rs
+++ b/crates/lab/src/rig/procs.rs
@@ -5,7 +5,8 @@
 use super::relay::{Mode, Relay};
 use super::witness::Witness;
 use super::{Programs, of_disk, pause};
-use anyhow::{Context, Result, bail};
+use crate::operator;
+use anyhow::{Context, Result};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use rand::rngs::SmallRng;
@@ -19,7 +20,7 @@
 use std::time::Duration;
 use tempfile::TempDir;
 use tokio::process::{Child, Command};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 const LOOK: Duration = Duration::from_millis(50);
 /// How long a process may take to be there, and the fleet to be founded.
@@ -94,7 +95,7 @@
         for at in 0..all.plan.processes {
             all.spawn(at)?;
         }
-        all.found().await?;
+        all.asked(&["found"]).await?;
         if all.plan.idle_seconds > 0.0 {
             sleep(SETTLED).await;
             let ((bytes, frames), since) = (all.carried(), Instant::now());
@@ -199,21 +200,10 @@
         Ok(())
     }
 
-    async fn found(&mut self) -> Result<()> {
-        let until = Instant::now() + READY;
-        loop {
-            let config = &self.procs[self.plan.processes - 1].config;
-            let mut command = Command::new(&self.programs.proxy);
-            let founding = command.args(["as-proxy", "fleet", "found", "--config"]).arg(config).output();
-            let output = timeout(READY, founding).await.context("found")??;
-            if output.status.success() {
-                return Ok(());
-            }
-            if Instant::now() > until {
-                bail!("not founded: {}", String::from_utf8_lossy(&output.stderr));
-            }
-            sleep(LOOK).await;
-        }
+    /// What an operator asks of the fleet, by the configuration of its last proxy.
+    async fn asked(&self, words: &[&str]) -> Result<()> {
+        let config = &self.procs[self.plan.processes - 1].config;
+        operator::fleet(&self.programs.proxy, words, config, READY).await
     }
 
     /// Starts commands that ended again, and notices proxies that did, until then.
@@ -264,7 +254,10 @@
         }
         match fault.kind {
             Kind::Stop => self.signal(at, Signal::SIGSTOP),
-            Kind::Replace => self.replace(fault).await?,
+            Kind::Replace => {
+                let new = fault.to.as_deref().context("an exchange without a spare")?;
+                self.asked(&["replace", &fault.who, new]).await?;
+            }
             Kind::Full => {
                 // Whoever runs this may write anywhere: a folder where the file is to be made stops it all the same.
                 let new = self.procs[at].folder.join("voter.new");
@@ -289,25 +282,6 @@
         Ok(())
     }
 
-    /// As an operator would, who asks again until it is done.
-    async fn replace(&self, fault: &Fault) -> Result<()> {
-        let new = fault.to.as_deref().context("an exchange without a spare")?;
-        let until = Instant::now() + READY;
-        loop {
-            let mut command = Command::new(&self.programs.proxy);
-            command.args(["as-proxy", "fleet", "replace", &fault.who, new, "--config"]);
-            let output = command.arg(&self.procs[self.plan.processes - 1].config).output().await?;
-            if output.status.success() {
-                return Ok(());
-            }
-            let why = String::from_utf8_lossy(&output.stderr).into_owned();
-            if Instant::now() > until {
-                bail!("{} not exchanged for {new}: {why}", fault.who);
-            }
-            sleep(LOOK).await;
-        }
-    }
-
     pub async fn end(&mut self, fault: &Fault) -> Result<()> {
         let at = self.at(&fault.who)?;
         match fault.kind {
--- a/crates/lab/src/rig/virt.rs
+++ b/crates/lab/src/rig/virt.rs
@@ -4,8 +4,8 @@
 
 use super::plan::Plan;
 use pumicebay_accord::{
-    Answer, Ask, Holder, Holding, Host, Kept, Member, Message, Nanos, Record, Reply, Shared, Standing, Store,
-    Terms, Voter,
+    Acts, Answer, Ask, Holder, Holding, Kept, Member, Message, Nanos, Record, Reply, Shared, Store, Terms,
+    Voter,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -100,38 +100,6 @@
     held: Option<u64>,
 }
 
-#[derive(Default)]
-struct Acts {
-    kept: Option<Kept>,
-    sent: Vec<(Store, Message)>,
-    answers: Vec<Answer>,
-    settled: Vec<Shared>,
-    wake: Option<Nanos>,
-    chance: f64,
-}
-
-impl Host for Acts {
-    fn keep(&mut self, kept: &Kept) {
-        self.kept = Some(kept.clone());
-    }
-    fn send(&mut self, to: Store, message: Message) {
-        self.sent.push((to, message));
-    }
-    fn answer(&mut self, answer: Answer) {
-        self.answers.push(answer);
-    }
-    fn settled(&mut self, record: &Shared) {
-        self.settled.push(record.clone());
-    }
-    fn wake(&mut self, at: Nanos) {
-        self.wake = Some(self.wake.map_or(at, |set| set.min(at)));
-    }
-    fn chance(&mut self) -> f64 {
-        self.chance
-    }
-    fn stands(&mut self, _: Standing) {}
-}
-
 struct World {
     plan: Plan,
     random: SmallRng,
@@ -331,12 +299,9 @@
         let own = voter.kept().store;
         let mut acts = Acts { chance, ..Acts::default() };
         what(voter, now, &mut acts);
-        while let Some(place) = acts.sent.iter().position(|(to, _)| *to == own) {
-            let (_, message) = acts.sent.remove(place);
-            voter.got(now, own, message, &mut acts);
-        }
-        let later = if acts.kept.is_some() { SYNC } else { 0 };
-        if let Some(kept) = acts.kept {
+        acts.hear_itself(now, voter);
+        let later = if acts.kept.is_empty() { 0 } else { SYNC };
+        if let Some(kept) = acts.kept.pop() {
             seat.disk = kept;
         }
         if let Some(wake) = acts.wake {
--- a/crates/lab/tests/fleet_lost.rs
+++ b/crates/lab/tests/fleet_lost.rs
@@ -1,25 +1,16 @@
 //! A majority of the voters is lost for good: what goes on, what status says, and the way out.
 
+mod common;
+
+use common::{LAB, Proxy};
 use serde_json::{Value as Json, json};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{Ipv4Addr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-const LAB: &str = env!("CARGO_BIN_EXE_pumicebay-lab");
-
-/// A process that ends with the test.
-struct Proxy(Child);
-
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 struct Fleet {
     home: Ipv4Addr,
     folder: PathBuf,
@@ -47,14 +38,7 @@
             },
             "fleet": {"name": "lost", "voters": voters, "folder": self.disk(number)}
         });
-        let file = self.folder.join(format!("p{number}.json"));
-        std::fs::write(&file, config.to_string()).unwrap();
-        let mut child =
-            Command::new(LAB).args(["serve", "--config"]).arg(&file).stderr(Stdio::piped()).spawn().unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
-        assert!(log.any(|line| line.unwrap().contains("INFO listens on")), "p{number} does not start");
-        std::thread::spawn(move || log.for_each(drop));
-        Proxy(child)
+        Proxy::start(&config, &self.folder.join(format!("p{number}.json")))
     }
 
     fn disk(&self, number: usize) -> PathBuf {
--- a/crates/lab/tests/fleet_probes.rs
+++ b/crates/lab/tests/fleet_probes.rs
@@ -1,29 +1,18 @@
 //! A node that is down, probed by a fleet of processes: by each for itself, or by one for all, which then dies.
 
+mod common;
+
+use common::{LAB, Proxy};
 use serde_json::{Value as Json, json};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-const LAB: &str = env!("CARGO_BIN_EXE_pumicebay-lab");
-
-/// Processes that end with the test.
-struct Fleet(Vec<Child>);
-
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for child in &mut self.0 {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
 /// A node that takes connections and says nothing; counts who asks whether it lives, by connection.
 fn dead_node() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -99,17 +88,11 @@
     let home = Ipv4Addr::new(127, 77, std::process::id() as u8, 1 + u8::from(fleet) + 2 * u8::from(kill));
     let (node, count) = dead_node();
     let folder = tempfile::tempdir().unwrap();
-    let (mut all, mut files, mut listens) = (Fleet(Vec::new()), Vec::new(), Vec::new());
+    let (mut all, mut files, mut listens) = (Vec::new(), Vec::new(), Vec::new());
     for number in 1..=processes {
         let json = configuration(number, home, node, fleet.then_some(folder.path()));
         let file = folder.path().join(format!("p{number}.json"));
-        std::fs::write(&file, json.to_string()).unwrap();
-        let mut child =
-            Command::new(LAB).args(["serve", "--config"]).arg(&file).stderr(Stdio::piped()).spawn().unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
-        assert!(log.any(|line| line.unwrap().contains("INFO listens on")), "p{number} does not start");
-        std::thread::spawn(move || log.for_each(drop));
-        all.0.push(child);
+        all.push(Proxy::start(&json, &file));
         files.push(file);
         listens.push(json["listen"].as_str().unwrap().parse::<SocketAddr>().unwrap());
     }
@@ -127,8 +110,8 @@
     let before = count.load(Ordering::Relaxed);
     if kill {
         // Whoever holds the lease is one of these; the last one never is the only voter left.
-        all.0[0].kill().unwrap();
-        all.0[processes - 1].kill().unwrap();
+        all.pop();
+        all.remove(0);
     }
     sleep(Duration::from_secs(8));
     let after = count.load(Ordering::Relaxed);
--- a/crates/lab/tests/lab/sockets.rs
+++ b/crates/lab/tests/lab/sockets.rs
@@ -1,6 +1,6 @@
 //! Real days cut short, and proxies that misbehave.
 
-use crate::{CORES, day};
+use crate::{alone, day};
 use pumicebay_lab::real;
 use pumicebay_lab::results::Results;
 use pumicebay_model::spec::Scenario;
@@ -11,7 +11,7 @@
 const LAB: &str = env!("CARGO_BIN_EXE_pumicebay-lab");
 
 fn play(day: &Scenario, proxy: &Path) -> anyhow::Result<Results> {
-    let _alone = CORES.write().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _alone = alone();
     real::play(day, day.seed, Some(&proxy.to_path_buf()), &|_| {})
 }
 
--- a/crates/lab/tests/lab/virtual_days.rs
+++ b/crates/lab/tests/lab/virtual_days.rs
@@ -1,7 +1,7 @@
 //! Days in virtual time: the same on any number of threads, with every wish ending once, and with careless
 //! policies caught.
 
-use crate::{CORES, day};
+use crate::{day, shared};
 use pumicebay_lab::results::Results;
 use pumicebay_lab::stats::Mean;
 use pumicebay_lab::sweep::grid;
@@ -15,7 +15,7 @@
 
 #[test]
 fn any_number_of_threads_gives_the_same_bytes() {
-    let _shared = CORES.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _shared = shared();
     let day = day(r#"
         seconds = 3
         warm_up_seconds = 1
@@ -89,7 +89,7 @@
 
 #[test]
 fn every_wish_ends_once() {
-    let _shared = CORES.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _shared = shared();
     let day = day(TROUBLE);
     for policy in ["pumicebay", "two", "bounded"] {
         let results = play(&day, policy);
@@ -104,7 +104,7 @@
 
 #[test]
 fn the_careless_one_is_caught() {
-    let _shared = CORES.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _shared = shared();
     let spoilt = day(r#"
         seconds = 6
         warm_up_seconds = 1
@@ -146,7 +146,7 @@
 
 #[test]
 fn a_policy_without_budgets_buries_cold_nodes() {
-    let _shared = CORES.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _shared = shared();
     let day = day(r#"
         seconds = 10
         [nodes]
@@ -169,7 +169,7 @@
 
 #[test]
 fn faults_are_seen_and_service_comes_back() {
-    let _shared = CORES.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _shared = shared();
     let day = day(r#"
         seconds = 20
         [clients]
@@ -193,7 +193,7 @@
 
 #[test]
 fn comparisons_pair_by_seed_and_noise_covers_zero() {
-    let _shared = CORES.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _shared = shared();
     let day = day("seconds = 6\n[nodes]\nmemory_mb = 8\n[origin]\nslots = 4\n[clients]\nrate = 800");
     let names = ["pumicebay".to_string(), "pumicebay#1".into(), "random".into()];
     let days = compare::days(&day, &names, 6).expect("days that play");
@@ -207,7 +207,7 @@
 
 #[test]
 fn grids_and_hunts() {
-    let _shared = CORES.read().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let _shared = shared();
     let set =
         [("a".to_string(), vec!["1".to_string(), "2".into()]), ("b".into(), vec!["3".into(), "4".into()])];
     let points: Vec<String> = grid(&set)
--- a/crates/proxy/src/bans.rs
+++ b/crates/proxy/src/bans.rs
@@ -30,8 +30,8 @@
     Done,
     Unknown,
     Origin,
-    /// It came under a lease that has gone on to this token.
-    Late(Token),
+    /// It came under this lease, which has gone on to this token.
+    Late(String, Token),
     Failed(String),
 }
 
@@ -105,7 +105,7 @@
         if let Some((lease, token)) = under {
             match self.fence(&lease, token) {
                 Ok(Passage::Passes) => {}
-                Ok(Passage::Late(highest)) => return Asked::Late(highest),
+                Ok(Passage::Late(highest)) => return Asked::Late(lease, highest),
                 Ok(Passage::Full) => return Asked::Failed("too many leases are known".into()),
                 Err(error) => return Asked::Failed(error.to_string()),
             }
@@ -190,10 +190,8 @@
 /// The ids that files of this kind name. Files that are none of ours are passed over.
 fn read(folder: &Path, kind: &str) -> std::io::Result<BTreeSet<String>> {
     let mut uids = BTreeSet::new();
-    for entry in std::fs::read_dir(folder)? {
-        let name = entry?.file_name();
-        let Some(uid) = name.to_str().and_then(|name| name.strip_prefix(kind)) else { continue };
-        match unhex(uid) {
+    for uid in names(folder, kind)? {
+        match unhex(&uid) {
             Some(uid) => _ = uids.insert(uid),
             None => tracing::debug!("maintenance: {uid:?} is no file of ours"),
         }
@@ -203,17 +201,21 @@
 
 /// Leases and tokens that files name; a lease may have several while one is taken away.
 fn read_fences(folder: &Path) -> std::io::Result<Vec<(String, Token)>> {
-    let mut seen = Vec::new();
+    let seen = |name: String| {
+        let (lease, token) = name.split_once('-')?;
+        unhex(lease).zip(token.parse().ok())
+    };
+    Ok(names(folder, FENCE)?.into_iter().filter_map(seen).collect())
+}
+
+/// What follows in the names of files that begin so.
+fn names(folder: &Path, kind: &str) -> std::io::Result<Vec<String>> {
+    let mut names = Vec::new();
     for entry in std::fs::read_dir(folder)? {
         let name = entry?.file_name();
-        let Some((lease, token)) =
-            name.to_str().and_then(|name| name.strip_prefix(FENCE)).and_then(|rest| rest.split_once('-'))
-        else {
-            continue;
-        };
-        seen.extend(unhex(lease).zip(token.parse().ok()));
+        names.extend(name.to_str().and_then(|name| name.strip_prefix(kind)).map(str::to_string));
     }
-    Ok(seen)
+    Ok(names)
 }
 
 fn hex(uid: &str) -> String {
--- a/crates/proxy/src/fleet/command.rs
+++ b/crates/proxy/src/fleet/command.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{run, start_command, store};
 use anyhow::{Context, Result, bail, ensure};
 use lexopt::prelude::*;
-use pumicebay_accord::{Holder, Lease, Member, Record, Reply, Seen, Shared, Want};
+use pumicebay_accord::{Holder, Lease, Member, Record, Reply, Seen, Shared, Want, outlasted};
 use serde_json::{Value as Json, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -222,7 +222,7 @@
         None => Record::found(founded, voters),
         Some(survived) => {
             // All voters are empty now: nobody renews a lease of the record before, whose holders stop in their time.
-            let wait = wait.unwrap_or_else(|| Duration::from_nanos(survived.outlasted(config.drift_ppm)));
+            let wait = wait.unwrap_or_else(|| Duration::from_nanos(outlasted(&survived, config.drift_ppm)));
             eprintln!(
                 "pumicebay: version {} goes on in {:.1} s: what was agreed after it is lost",
                 survived.version,
@@ -252,10 +252,11 @@
 
 /// An operator's word for a voter that waits for others who are gone for good.
 async fn trust(config: &FleetConfig, name: &str) -> Result<ExitCode> {
-    let at = config.callable().find(|(voter, _)| *voter == name).map(|(_, at)| at);
-    let at = at.with_context(|| format!("{name} is neither among fleet.voters nor fleet.spares"))?;
-    let taken =
-        call(config, at).await?.ask(Frame::Trust, taken).await.with_context(|| format!("voter {name}"))?;
+    let taken = call(config, config.called(name)?)
+        .await?
+        .ask(Frame::Trust, taken)
+        .await
+        .with_context(|| format!("voter {name}"))?;
     ensure!(taken, "{name} has nothing to be trusted with: see pumicebay fleet status");
     Ok(ExitCode::SUCCESS)
 }
@@ -273,8 +274,7 @@
 
 async fn replace(asker: &Asker, out: &str, new: &str) -> Result<ExitCode> {
     let config = &asker.me.config;
-    let at = config.callable().find(|(name, _)| *name == new).map(|(_, at)| at);
-    let at = at.with_context(|| format!("{new} is neither among fleet.voters nor fleet.spares"))?;
+    let at = config.called(new)?;
     let hello = call(config, at).await.with_context(|| format!("{new} at {at}"))?.hello;
     let disk = hello.voter.with_context(|| format!("{new} does not vote, or its disk is not open"))?;
     let record = read(asker).await?;
--- a/crates/proxy/src/fleet/config.rs
+++ b/crates/proxy/src/fleet/config.rs
@@ -112,8 +112,8 @@
 
     /// Where a process of this name takes links; only who may vote does.
     pub fn listens(&self, name: &str) -> Option<SocketAddr> {
-        let called = self.voters.get(name).or_else(|| self.spares.get(name))?;
-        Some(self.listen.unwrap_or(*called))
+        let called = self.called(name).ok()?;
+        Some(self.listen.unwrap_or(called))
     }
 
     /// All that may vote, and where each is called.
@@ -121,6 +121,12 @@
         self.voters.iter().chain(&self.spares).map(|(name, at)| (name, *at))
     }
 
+    /// Where this one of them is called.
+    pub fn called(&self, name: &str) -> Result<SocketAddr> {
+        let at = self.voters.get(name).or_else(|| self.spares.get(name));
+        at.copied().with_context(|| format!("{name} is neither among fleet.voters nor fleet.spares"))
+    }
+
     pub fn summary(&self, name: &str) -> String {
         let role = if self.listens(name).is_some() { "may vote" } else { "asks" };
         format!("fleet {}: {role}, {} voters, drift {} ppm", self.name, self.voters.len(), self.drift_ppm)
--- a/crates/proxy/src/fleet/inbound.rs
+++ b/crates/proxy/src/fleet/inbound.rs
@@ -3,31 +3,24 @@
 use crate::fleet::door::{Door, Event};
 use crate::fleet::me::Me;
 use crate::fleet::wire::{BEAT, Frame, Hello, Link, Role};
+use crate::listen::listen;
 use anyhow::{Context, Result};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 /// Answers that wait on a link.
 const ANSWERS: usize = 64;
-const BACKLOG: u32 = 1024;
 const NO_ROOM: Duration = Duration::from_millis(20);
 const AGAIN: Duration = Duration::from_millis(200);
 
-fn listen(at: SocketAddr) -> Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(at).with_context(|| format!("fleet.listen: {at}"))?;
-    socket.listen(BACKLOG).with_context(|| format!("fleet.listen: {at}"))
-}
-
 /// Accepts as long as the process lives; an address that another process still has is tried again.
 pub async fn accept(me: Me, door: Door, at: SocketAddr) {
     let mut warned = false;
     let listener = loop {
-        match listen(at) {
+        match listen("fleet.listen", at) {
             Ok(listener) => break listener,
             Err(error) if !std::mem::replace(&mut warned, true) => tracing::warn!("fleet: {error:#}"),
             Err(_) => {}
--- a/crates/proxy/src/fleet/seat.rs
+++ b/crates/proxy/src/fleet/seat.rs
@@ -7,10 +7,8 @@
 use crate::fleet::store::{Disk, Found};
 use crate::fleet::wire::{self, Frame, Role, Status};
 use anyhow::{Context, Result};
-use pumicebay_accord::{
-    Answer, AskId, Host, Kept, Message, Name, Nanos, Shared, Standing, Store, Terms, Voter,
-};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use pumicebay_accord::{Acts, Answer, AskId, Kept, Name, Nanos, Shared, Standing, Store, Terms, Voter};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -25,38 +23,6 @@
 /// The pause before a disk that failed, or that another process has, is tried again.
 const AGAIN: Duration = Duration::from_millis(500);
 
-/// What the decisions asked for since the disk was synced last.
-struct Acts {
-    random: oorandom::Rand64,
-    kept: Option<Kept>,
-    sent: VecDeque<(Store, Message)>,
-    answers: Vec<Answer>,
-    wake: Option<Nanos>,
-    standing: Option<Standing>,
-}
-
-impl Host for Acts {
-    fn keep(&mut self, kept: &Kept) {
-        self.kept = Some(kept.clone());
-    }
-    fn send(&mut self, to: Store, message: Message) {
-        self.sent.push_back((to, message));
-    }
-    fn answer(&mut self, answer: Answer) {
-        self.answers.push(answer);
-    }
-    fn settled(&mut self, _: &Shared) {}
-    fn wake(&mut self, at: Nanos) {
-        self.wake = Some(self.wake.map_or(at, |set| set.min(at)));
-    }
-    fn chance(&mut self) -> f64 {
-        self.random.rand_float()
-    }
-    fn stands(&mut self, standing: Standing) {
-        self.standing = Some(standing);
-    }
-}
-
 struct Seat {
     me: Me,
     links: Links,
@@ -64,7 +30,9 @@
     /// The voter and its disk, while there is one that works.
     open: Option<(Voter, Arc<Disk>)>,
     trouble: Option<String>,
+    /// What the decisions asked for since the disk was synced last.
     acts: Acts,
+    random: oorandom::Rand64,
     /// Which voter has which store, by what they said last.
     stores: BTreeMap<Store, Name>,
     /// Where answers go.
@@ -74,16 +42,9 @@
 /// Runs the voter as long as the process lives.
 pub async fn run(me: Me, links: Links, mailbox: Mailbox) {
     let Mailbox(mut events, tell) = mailbox;
-    let acts = Acts {
-        random: oorandom::Rand64::new(u128::from(draw())),
-        kept: None,
-        sent: VecDeque::new(),
-        answers: Vec::new(),
-        wake: None,
-        standing: None,
-    };
-    let (stores, askers) = (BTreeMap::new(), HashMap::new());
-    let mut seat = Seat { me, links, tell, open: None, trouble: None, acts, stores, askers };
+    let random = oorandom::Rand64::new(u128::from(draw()));
+    let (acts, stores, askers) = (Acts::default(), BTreeMap::new(), HashMap::new());
+    let mut seat = Seat { me, links, tell, open: None, trouble: None, acts, random, stores, askers };
     let mut again = interval(AGAIN);
     again.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -149,10 +110,7 @@
         }
         self.trouble = Some(trouble);
         self.open = None;
-        self.acts.kept = None;
-        self.acts.sent.clear();
-        self.acts.answers.clear();
-        self.acts.wake = None;
+        self.acts = Acts::default();
         self.askers.clear();
     }
 
@@ -177,6 +135,7 @@
             return;
         };
         let acts = &mut self.acts;
+        acts.chance = self.random.rand_float();
         match event {
             Event::Heard(who, role, disk) => {
                 if role == Role::Proxy {
@@ -204,26 +163,16 @@
             }
             Event::Status(_) => {}
         }
-        self.hear_itself(now);
+        acts.hear_itself(now, voter);
     }
 
     fn woke(&mut self) {
         let now = self.me.clock.now();
         self.acts.wake = None;
+        self.acts.chance = self.random.rand_float();
         if let Some((voter, _)) = &mut self.open {
             voter.woke(now, &mut self.acts);
-        }
-        self.hear_itself(now);
-    }
-
-    /// What a voter says to itself needs no link, only its turn.
-    fn hear_itself(&mut self, now: Nanos) {
-        let Some((voter, _)) = &mut self.open else { return };
-        let own = voter.kept().store;
-        while let Some(at) = self.acts.sent.iter().position(|(to, _)| *to == own) {
-            if let Some((_, message)) = self.acts.sent.remove(at) {
-                voter.got(now, own, message, &mut self.acts);
-            }
+            self.acts.hear_itself(now, voter);
         }
     }
 
@@ -231,7 +180,8 @@
     async fn flush(&mut self) -> Result<()> {
         let Some((voter, disk)) = &self.open else { return Ok(()) };
         let own = voter.kept().store;
-        if let Some(kept) = self.acts.kept.take() {
+        self.acts.settled.clear();
+        if let Some(kept) = self.acts.kept.drain(..).next_back() {
             let disk = disk.clone();
             spawn_blocking(move || disk.write(&kept)).await.context("writing").flatten()?;
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod heir;
 pub mod http;
 pub mod list;
+pub mod listen;
 pub mod long;
 pub mod migrate;
 pub mod module;
--- /dev/null
+++ b/crates/proxy/src/listen.rs
@@ -0,0 +1,15 @@
+//! Listening sockets that the proxy opens itself.
+
+use anyhow::{Context, Result};
+use std::net::SocketAddr;
+use tokio::net::{TcpListener, TcpSocket};
+
+const BACKLOG: u32 = 1024;
+
+/// Errors name the key of the configuration that has the address.
+pub fn listen(key: &str, at: SocketAddr) -> Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(at).with_context(|| format!("{key}: {at}"))?;
+    socket.listen(BACKLOG).with_context(|| format!("{key}: {at}"))
+}
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -130,7 +130,6 @@
                 );
             }
         };
-        let lease = under.as_ref().map(|(lease, _)| lease.clone()).unwrap_or_default();
         // A process that has yet to hear of its nodes would take each id for unknown.
         if timeout(STARTING, self.watch.clone().reached(Phase::Serving)).await.is_err() {
             return Word(503, "has no list yet, call again".into());
@@ -141,7 +140,7 @@
             Asked::Done => Word(200, format!("{who} is back")),
             Asked::Unknown => Word(404, format!("no cache node {who:?} is known")),
             Asked::Origin => Word(409, format!("{who} is the origin, not a cache node")),
-            Asked::Late(token) => Word(409, format!("{lease} has gone on to token {token}")),
+            Asked::Late(lease, token) => Word(409, format!("{lease} has gone on to token {token}")),
             Asked::Failed(error) => Word(500, format!("{who}: could not be kept: {error}")),
         }
     }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -9,6 +9,7 @@
 use crate::fleet::{self, asker::Asker};
 use crate::heir::{Heir, Seat};
 use crate::list::{self, List};
+use crate::listen::listen;
 use crate::module::{self, Door, Module};
 use crate::operator::{self, Operator};
 use crate::phases::{Phase, Phases, Watch};
@@ -22,14 +23,13 @@
 use std::os::fd::AsFd;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::TaskTracker;
 
-const BACKLOG: u32 = 1024;
 /// How long the process before may go on after this one serves.
 const OVERLAP: Duration = Duration::from_secs(4);
 /// How long a process that takes over waits for the list: operators wait some seconds for its yes.
@@ -266,14 +266,6 @@
     }
 }
 
-/// Listens on an address that the configuration gives under this key.
-fn listen(key: &str, at: SocketAddr) -> Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(at).with_context(|| format!("{key}: {at}"))?;
-    socket.listen(BACKLOG).with_context(|| format!("{key}: {at}"))
-}
-
 /// The clients' listening socket from the platform. Deploy files pass it on as standard input, the one descriptor
 /// that can be taken over safely.
 fn inherited() -> Result<TcpListener> {
