The carrier of control: its design, and the resources and messages it speaks in

One node of any depth in a tree from the control machines down, differences by version, digests against drift, sums of what is in force. Rejected: gossip alone, as no sum comes of it; all changes in the record, which is 64 KiB and written whole; a second log with a leader.

Types only so far, nothing uses them. Built; not measured.

--- /dev/null
+++ b/crates/carrier/src/message.rs
@@ -0,0 +1,67 @@
+//! What parent and child say to each other.
+
+use crate::Nanos;
+use crate::resource::{Interest, Name, Resource, Version};
+use serde::{Deserialize, Serialize};
+
+/// A process: its name and which life of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Member {
+    pub name: Name,
+    pub incarnation: u64,
+}
+
+/// From a child to its parent.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Up {
+    /// First on a link: who calls, what it wants, and the version and digest of what it holds of that.
+    Subscribe { who: Member, wants: Interest, holds: Version, digest: u64 },
+    /// What it holds now (on disk, of a control machine): the parent sends no next part of a difference before it.
+    Holds { version: Version, digest: u64 },
+    /// What is in force below and at the child, as a sum.
+    Sum(Sum),
+}
+
+/// From a parent to its child.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Down {
+    /// Once a second, and after the last part of a difference: the newest version that the parent holds, the digest of what
+    /// the child wants at that version, and how old the parent's knowledge is: time since the root held just this.
+    Pulse { holds: Version, digest: u64, age: Nanos },
+    /// What changed for the child after `after`, up to `version`; in parts, of which only the last makes it hold `version`.
+    /// A whole one replaces what the child has.
+    Delta { after: Version, version: Version, whole: bool, last: bool, resources: Vec<Resource> },
+    /// No room for one more child: it goes to another.
+    Full,
+}
+
+/// What is in force at a process and all below it. It never claims more than what was said to be in force there.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Sum {
+    /// Everyone counted has this in force, but the exceptions.
+    pub in_force: Version,
+    pub members: u32,
+    pub exceptions: Vec<Exception>,
+    /// Exceptions beyond those named.
+    pub unnamed: u32,
+    /// Who came from another parent a short while ago: whoever sums takes them off what it has as lost.
+    pub arrived: Vec<Member>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Exception {
+    pub who: Member,
+    /// What it had in force last.
+    pub in_force: Version,
+    pub why: Why,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Why {
+    /// It refused this resource, at this version of it, for this reason; the last good one stays in force.
+    Refused { resource: Name, version: Version, reason: String },
+    /// It is there and has not caught up within the time that is usual.
+    Late,
+    /// Its link was lost, and it has not been heard of since.
+    Lost,
+}
