A client's end is heard before an attempt that waited begins; tests of endings at 0.1 s

Cause: what a turn of the module asked for was written right after it, also where the client had closed amid that turn: the runtime looks at the sockets only afterwards. With a turn of 0.3 s (forced) the first byte came 0.3 s after the close, on a new connection and on an idle one. Change: an exchange names its client's connection, and a try whose request came over 20 ms ago lets the runtime hear of ends before its first byte, at its beginning and once its connection has come up.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -16,8 +16,8 @@
 use pumicebay_names::{NANOS, identity};
 use std::collections::VecDeque;
 use std::io::ErrorKind;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
@@ -39,7 +39,7 @@
 /// How long a client may take to read what it asked for, or to write a command that is not its first.
 const READING: Duration = Duration::from_secs(10);
 /// How often it is looked whether a client that does not read its answer is still there.
-const LOOK: Duration = Duration::from_millis(50);
+const LOOK: Duration = Duration::from_millis(20);
 /// What is still read from a client that was refused, and for how long.
 const LINGER: Duration = Duration::from_secs(1);
 const LINGER_BYTES: u64 = 1 << 20;
@@ -153,6 +153,8 @@
     begun: Option<Instant>,
     /// It has brought an exchange.
     used: bool,
+    /// Given up once the client has left: tells so to what has not begun yet, also where the module is busy.
+    here: Arc<()>,
 }
 
 struct Pending {
@@ -174,7 +176,7 @@
 impl Client {
     fn new(front: Front, stream: TcpStream) -> Client {
         let framed = Framed::new(stream, Parts::default());
-        Client { front, framed, pending: VecDeque::new(), begun: None, used: false }
+        Client { front, framed, pending: VecDeque::new(), begun: None, used: false, here: Arc::default() }
     }
 
     async fn run(mut self) {
@@ -183,6 +185,7 @@
         if let Err(error) = self.serve().await {
             tracing::debug!("client: {error}");
         }
+        drop(self.here);
         if self.used {
             self.front.used.fetch_sub(1, Ordering::Relaxed);
         }
@@ -412,8 +415,8 @@
                 Reply::Ready(Frame::error("ERR the client has left"))
             }
             Ok(Command::Exchange(ask, cargo)) => {
-                let cargo = Cargo { upload, ..cargo };
-                let (xchg, answered) = self.front.shared.door.arrive(at, ask, cargo).await;
+                let cargo = Cargo { at, client: Arc::downgrade(&self.here), upload, ..cargo };
+                let (xchg, answered) = self.front.shared.door.arrive(ask, cargo).await;
                 Reply::Waiting(xchg, answered)
             }
             Ok(Command::Reply(reply)) => Reply::Ready(reply),
@@ -574,6 +577,6 @@
     ask.key = Some(identity(&String::from_utf8_lossy(key)));
     let value = value.cloned().unwrap_or_default();
     let (key, id, labels) = (key.clone(), id.clone(), labels.clone());
-    let cargo = Cargo { write: ask.write, key, id, labels, value, upload: None };
+    let cargo = Cargo { at: 0, client: Weak::new(), write: ask.write, key, id, labels, value, upload: None };
     Ok(Command::Exchange(ask, cargo))
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -14,8 +14,8 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
@@ -28,6 +28,10 @@
 /// An exchange as it goes on to nodes; the value of a write is kept until its answer, no other.
 #[derive(Debug)]
 pub struct Cargo {
+    /// When its last byte came.
+    pub at: Nanos,
+    /// Its client's connection, as long as it is there: tells of its end before the module hears of it.
+    pub client: Weak<()>,
     pub write: bool,
     pub key: Bytes,
     pub id: Bytes,
@@ -38,6 +42,12 @@
     pub upload: Option<Box<Upload>>,
 }
 
+impl Cargo {
+    pub fn client_has_left(&self) -> bool {
+        self.client.strong_count() == 0
+    }
+}
+
 /// The final answer to an exchange.
 #[derive(Debug)]
 pub enum Answer {
@@ -71,7 +81,7 @@
 }
 
 enum Event {
-    Arrived(Xchg, Nanos, Ask, Arc<Cargo>, oneshot::Sender<Answer>),
+    Arrived(Xchg, Ask, Arc<Cargo>, oneshot::Sender<Answer>),
     Dropped(Xchg),
     Ended(Xchg, usize, Node, Back),
     Probed(Node, Back),
@@ -92,11 +102,11 @@
         let _ = self.mailbox.send(event).await;
     }
 
-    /// Takes an exchange whose last byte came at `at`; its final answer comes by the channel.
-    pub async fn arrive(&self, at: Nanos, ask: Ask, cargo: Cargo) -> (Xchg, oneshot::Receiver<Answer>) {
+    /// Takes an exchange; its final answer comes by the channel.
+    pub async fn arrive(&self, ask: Ask, cargo: Cargo) -> (Xchg, oneshot::Receiver<Answer>) {
         let (answer, answered) = oneshot::channel();
         let xchg = self.last.fetch_add(1, Ordering::Relaxed) + 1;
-        self.post(Event::Arrived(xchg, at, ask, Arc::new(cargo), answer)).await;
+        self.post(Event::Arrived(xchg, ask, Arc::new(cargo), answer)).await;
         (xchg, answered)
     }
 
@@ -261,11 +271,12 @@
         let now = self.balance.host.shared.clock.now();
         match event {
             // Nodes tell exchanges apart by their ids: of two with one id either might get the other's value.
-            Event::Arrived(_, _, _, cargo, answer) if self.balance.host.ids.contains(&cargo.id) => {
+            Event::Arrived(_, _, cargo, answer) if self.balance.host.ids.contains(&cargo.id) => {
                 self.balance.host.shared.counters.exchanges_rejected.add();
                 let _ = answer.send(Answer::Rejected(Bytes::from_static(b"ERR id of an open request")));
             }
-            Event::Arrived(xchg, at, ask, cargo, answer) => {
+            Event::Arrived(xchg, ask, cargo, answer) => {
+                let at = cargo.at;
                 self.balance.host.ids.insert(cargo.id.clone());
                 self.balance.host.shared.counters.exchanges_taken.add();
                 let recall = CancellationToken::new();
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,6 +1,7 @@
 //! The actor of one node, a cache node or the origin: its idle connections and the tries that are out.
 //! A connection carries one try at a time, since giving up a try means closing its connection.
 
+use crate::clock::MILLIS;
 use crate::config::Config;
 use crate::http::{self, Request, Response};
 use crate::long::{self, Long, PIECE, SILENT, Upload, Value};
@@ -13,7 +14,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
-use pumicebay_core::{Held, Node, Outcome, Xchg};
+use pumicebay_core::{Held, Nanos, Node, Outcome, Xchg};
 use pumicebay_names as names;
 use socket2::SockRef;
 use std::collections::VecDeque;
@@ -25,6 +26,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::task::yield_now;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Framed};
 use tokio_util::sync::CancellationToken;
@@ -35,6 +37,8 @@
 const MARGIN: u32 = 10;
 /// Answers with a status of 1xx that may come ahead of the one that counts.
 const MOST_INTERIM: usize = 8;
+/// A client whose request came no longer ago can't have left for longer.
+const LATELY: Nanos = 20 * MILLIS;
 /// No node holds as many exchanges as this.
 const MOST_HELD: f64 = 1e9;
 /// What a label of its own takes at most.
@@ -60,8 +64,22 @@
         if let Errand::Try { recall, .. } = self { Some(recall) } else { None }
     }
 
+    /// Taken back, or its client has left, of which the module may not have heard.
     fn recalled(&self) -> bool {
-        self.recall().is_some_and(CancellationToken::is_cancelled)
+        let gone = matches!(self, Errand::Try { cargo, .. } if cargo.client_has_left());
+        gone || self.recall().is_some_and(CancellationToken::is_cancelled)
+    }
+
+    /// Has the runtime hear first of clients that have left, where this one may have: guards nodes from attempts that
+    /// begin for nobody after a turn in which nothing was heard. Whether it did.
+    async fn hears(&self, shared: &Shared) -> bool {
+        let now = shared.clock.now();
+        let long = matches!(self, Errand::Try { cargo, .. } if now.saturating_sub(cargo.at) > LATELY);
+        if long {
+            // Tasks that yield go on after what the sockets tell, and after those who are told.
+            yield_now().await;
+        }
+        long
     }
 
     /// Returns when it is taken back.
@@ -210,23 +228,35 @@
         // An earlier try has sent it on already.
         return (Some(Outcome::Unsent.into()), idle);
     }
-    let begun = timeout_at(until, async {
-        let mut connection = match idle {
-            Some(connection) => {
-                shared.counters.connections_reused.add();
-                connection
-            }
-            None => connect(shared, address, origin).await?,
-        };
-        // Until the last byte is written nothing can have run.
-        let written = connection.write(shared, errand).await;
-        written.map(|()| connection).map_err(|_| Outcome::Unreachable)
-    });
-    let begun = async { begun.await.unwrap_or(Err(Outcome::Unreachable)) };
-    let mut connection = match unless_taken_back(shared, errand, begun).await {
+    let heard = errand.hears(shared).await;
+    // Meanwhile it may have ended, or brought what nobody asked for.
+    let idle = idle.filter(|connection| !heard || connection.alive());
+    if errand.recalled() {
+        shared.counters.tries_taken_back.add();
+        return (Some(Outcome::Unsent.into()), idle);
+    }
+    let up = async {
+        if let Some(connection) = idle {
+            shared.counters.connections_reused.add();
+            return Ok(connection);
+        }
+        let connection = connect(shared, address, origin).await?;
+        errand.hears(shared).await;
+        Ok(connection)
+    };
+    let mut connection = match unless_taken_back(shared, errand, in_time(until, up)).await {
         Ok(connection) => connection,
         Err(outcome) => return (Some(outcome.into()), None),
     };
+    if errand.recalled() {
+        shared.counters.tries_taken_back.add();
+        return (Some(Outcome::Unsent.into()), Some(connection));
+    }
+    // Until the last byte is written nothing can have run.
+    let written = async { connection.write(shared, errand).await.map_err(|_| Outcome::Unreachable) };
+    if let Err(outcome) = unless_taken_back(shared, errand, in_time(until, written)).await {
+        return (Some(outcome.into()), None);
+    }
     if let Some(value) = value {
         if let Err(outcome) = unless_taken_back(shared, errand, connection.upload(value)).await {
             return (Some(outcome.into()), None);
@@ -292,6 +322,11 @@
     }
 }
 
+/// A step of sending that is not done by then reached nobody.
+async fn in_time<T>(until: Instant, step: impl Future<Output = Result<T, Outcome>>) -> Result<T, Outcome> {
+    timeout_at(until, step).await.unwrap_or(Err(Outcome::Unreachable))
+}
+
 async fn connect(shared: &Shared, address: SocketAddr, origin: bool) -> Result<Connection, Outcome> {
     let unsent = |_| {
         tracing::warn!("{address}: no connection to spare");
--- a/crates/proxy/tests/proxy/endings.rs
+++ b/crates/proxy/tests/proxy/endings.rs
@@ -19,8 +19,10 @@
 use pumicebay::serve::Shared;
 use pumicebay::tuning::Routes;
 use serde_json::{Value as Json, json};
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -147,7 +149,49 @@
     assert!(!seen.contains("id-left"), "{seen}");
 }
 
-const SOON: Duration = Duration::from_millis(300);
+const SOON: Duration = Duration::from_millis(100);
+
+/// A client leaves right after the turn in which the proxy counts this, and for a while nothing else gets a turn: this
+/// stands in line with the proxy's own tasks, whose thread it shares, and before those that such a turn wakes.
+async fn leaves_before_a_stall(world: &World, client: Client, counted: String) {
+    let counters = world.counters.clone();
+    let stall = async move {
+        let poll = |cx: &mut Context| {
+            cx.waker().wake_by_ref();
+            let seen = counters.to_string().lines().any(|line| line == counted);
+            if seen { Poll::Ready(()) } else { Poll::Pending }
+        };
+        poll_fn(poll).await;
+        drop(client);
+        std::thread::sleep(3 * SOON);
+    };
+    tokio::spawn(stall).await.unwrap();
+}
+
+/// A client that leaves amid a turn of the proxy's so long that nothing is heard for three times as long as a client
+/// may have gone: the attempts that the same turn asked for are not begun after it.
+#[tokio::test]
+async fn a_client_leaves_amid_a_long_turn() {
+    // The first attempt, then a further one at the origin after a miss and after failures; each on a new connection
+    // and on one that stands idle.
+    for (key, attempts) in [("hit", 1), ("miss", 2), ("fail", 2), ("cut", 2)] {
+        for idle in [false, true] {
+            let world = patient_world(&[]).await;
+            let mut tries = attempts;
+            if idle {
+                world.client().await.get("miss").await;
+                tries += 2;
+            }
+            let mut client = world.client().await;
+            client.send(&["C.GET", key, "id-left", "c=read,d=60000"]).await;
+            leaves_before_a_stall(&world, client, format!("tries_sent {tries}")).await;
+            world.until_counted("exchanges_dropped 1").await;
+            nothing_is_left(&world).await;
+            let seen = world.cache.text() + &world.origin.text();
+            assert_eq!(seen.matches("id-left").count(), attempts - 1, "{key}, idle {idle}: {seen}");
+        }
+    }
+}
 
 #[tokio::test]
 async fn a_client_leaves_while_the_connection_to_the_node_comes_up() {
@@ -243,9 +287,11 @@
 #[tokio::test]
 async fn a_client_leaves_while_its_connection_waits_for_room() {
     let world = World::start_with(&patient(&[]), |config| config.clients = 1).await;
-    let (mut holds, mut client) = (world.client().await, world.client().await);
+    let mut holds = world.client().await;
     holds.send(&["C.GET", "held-1", "id-holds", "c=read,d=60000"]).await;
     world.cache.until("id-holds").await;
+    // What says nothing for some milliseconds is turned away: it speaks at once.
+    let mut client = world.client().await;
     client.send(&["C.GET", "hit", "id-left", "c=read,d=60000"]).await;
     world.until_counted("clients_accepted 2").await;
     drop(client);
@@ -398,9 +444,11 @@
     let (trace, counters) = (Trace::default(), shared.counters.clone());
     let address = crate::listen(trace.clone(), crate::cache_node).await;
     let (node, recall) = (node::start(&shared, 0, false), CancellationToken::new());
+    let here = Arc::new(());
     let cargo = |id: &'static str| {
         let [key, id, labels] = ["hit", id, "c=read"].map(|word| Bytes::from_static(word.as_bytes()));
-        Arc::new(Cargo { write: false, key, id, labels, value: Bytes::new(), upload: None })
+        let (client, value) = (Arc::downgrade(&here), Bytes::new());
+        Arc::new(Cargo { at: 0, client, write: false, key, id, labels, value, upload: None })
     };
     let until = Instant::now() + Duration::from_secs(3);
     let errand = |xchg, id, recall| Errand::Try { xchg, try_no: 0, cargo: cargo(id), until, recall };
--- a/crates/proxy/tests/proxy/wire.rs
+++ b/crates/proxy/tests/proxy/wire.rs
@@ -7,6 +7,7 @@
 use pumicebay::node::{answered, command, probed, replied, request};
 use pumicebay::resp::{self, Frame, Resp};
 use std::fmt::Debug;
+use std::sync::Weak;
 use std::time::Duration;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -141,6 +142,8 @@
 #[test]
 fn a_try_goes_on_as_it_came_but_for_how_long_we_wait() {
     let cargo = |write| Cargo {
+        at: 0,
+        client: Weak::new(),
         upload: None,
         write,
         key: "k/1 é".into(),
