A try tells its node no more time than its client has left, at the origin too

Ruled out: cache nodes (command() tells what is left of the try, never past the client's end but for fetches). At fault: request() in node.rs, which passed the client's labels to the origin as they came, and the term of a fetch that outlives its client.

Change: Cargo knows until when its client waits; both forms tell the lower of that and of the try's own end.

Test: a_further_try_tells_no_more_time_than_its_client_has_left; traces of the origin's labels had d=3000 and d=150 as the client said, now what is left, as at cache nodes (checked to lie within what the client sent).

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -415,7 +415,8 @@
                 Reply::Ready(Frame::error("ERR the client has left"))
             }
             Ok(Command::Exchange(ask, cargo)) => {
-                let cargo = Cargo { at, client: Arc::downgrade(&self.here), upload, ..cargo };
+                let ends = at.saturating_add(ask.grace);
+                let cargo = Cargo { at, ends, client: Arc::downgrade(&self.here), upload, ..cargo };
                 let (xchg, answered) = self.front.shared.door.arrive(ask, cargo).await;
                 Reply::Waiting(xchg, answered)
             }
@@ -577,6 +578,7 @@
     ask.key = Some(identity(&String::from_utf8_lossy(key)));
     let value = value.cloned().unwrap_or_default();
     let (key, id, labels) = (key.clone(), id.clone(), labels.clone());
-    let cargo = Cargo { at: 0, client: Weak::new(), write: ask.write, key, id, labels, value, upload: None };
+    let cargo =
+        Cargo { at: 0, ends: 0, client: Weak::new(), write: ask.write, key, id, labels, value, upload: None };
     Ok(Command::Exchange(ask, cargo))
 }
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -30,6 +30,8 @@
 pub struct Cargo {
     /// When its last byte came.
     pub at: Nanos,
+    /// Until when its client waits.
+    pub ends: Nanos,
     /// Its client's connection, as long as it is there: tells of its end before the module hears of it.
     pub client: Weak<()>,
     pub write: bool,
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -372,8 +372,7 @@
                 framed.send(&Frame::command([b"INFO", b"load"])).await
             }
             (Wire::Cache(framed), Errand::Try { cargo, until, .. }) => {
-                let left = until.saturating_duration_since(Instant::now());
-                let words = command(cargo, left);
+                let words = command(cargo, told(shared, cargo, *until));
                 match &cargo.upload {
                     Some(upload) => {
                         resp::encode_beginning(&words, upload.length, framed.write_buffer_mut())?;
@@ -385,7 +384,10 @@
             (Wire::Origin(framed), Errand::Probe { .. }) => {
                 framed.send(Request::get("/health/live".into())).await
             }
-            (Wire::Origin(framed), Errand::Try { cargo, .. }) => framed.send(request(cargo)).await,
+            (Wire::Origin(framed), Errand::Try { cargo, until, .. }) => {
+                let labels = labels(&cargo.labels, told(shared, cargo, *until));
+                framed.send(request(cargo, &labels)).await
+            }
         }
     }
 
@@ -522,7 +524,7 @@
 }
 
 /// The labels as they came, with `d` as what is left, in milliseconds: put at its place, or at the end.
-fn labels(came: &[u8], left: Duration) -> Bytes {
+pub fn labels(came: &[u8], left: Duration) -> Bytes {
     let (left, mut told) = (left.as_millis().max(1), false);
     let mut labels = BytesMut::with_capacity(came.len() + LEFT);
     for (place, label) in came.split(|&byte| byte == b',').enumerate() {
@@ -542,12 +544,19 @@
     labels.freeze()
 }
 
-/// A try as the origin reads it.
-pub fn request(cargo: &Cargo) -> Request<'_> {
+/// How long a try tells its node that it will be waited for: no longer than the client will, also where this proxy does.
+/// Guards nodes, the origin among them, from work for those who have left.
+fn told(shared: &Shared, cargo: &Cargo, until: Instant) -> Duration {
+    let client = Duration::from_nanos(cargo.ends.saturating_sub(shared.clock.now()));
+    until.saturating_duration_since(Instant::now()).min(client)
+}
+
+/// A try as the origin reads it, with the labels that go to it.
+pub fn request<'a>(cargo: &'a Cargo, labels: &'a Bytes) -> Request<'a> {
     Request {
         method: if cargo.write { "PUT" } else { "GET" },
         path: http::path(&cargo.key),
-        headers: vec![("X-Txn", &cargo.id), ("X-Labels", &cargo.labels)],
+        headers: vec![("X-Txn", &cargo.id), ("X-Labels", labels)],
         body: (cargo.write && cargo.upload.is_none()).then_some(&cargo.value[..]),
         follows: cargo.upload.as_ref().map(|upload| upload.length),
     }
