--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,6 +1,7 @@
 //! The actor of one node, a cache node or the origin: its idle connections and the tries that are out.
 //! A connection carries one try at a time, since giving up a try means closing its connection.
 
+use crate::clock::MILLIS;
 use crate::config::Config;
 use crate::http::{self, Request, Response};
 use crate::long::{self, Long, PIECE, SILENT, Upload, Value};
@@ -13,7 +14,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
-use pumicebay_core::{Held, Node, Outcome, Xchg};
+use pumicebay_core::{Held, Nanos, Node, Outcome, Xchg};
 use pumicebay_names as names;
 use socket2::SockRef;
 use std::collections::VecDeque;
@@ -25,6 +26,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::task::yield_now;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Framed};
 use tokio_util::sync::CancellationToken;
@@ -35,6 +37,8 @@
 const MARGIN: u32 = 10;
 /// Answers with a status of 1xx that may come ahead of the one that counts.
 const MOST_INTERIM: usize = 8;
+/// A client whose request came no longer ago can't have left for longer.
+const LATELY: Nanos = 20 * MILLIS;
 /// No node holds as many exchanges as this.
 const MOST_HELD: f64 = 1e9;
 /// What a label of its own takes at most.
@@ -60,8 +64,22 @@
         if let Errand::Try { recall, .. } = self { Some(recall) } else { None }
     }
 
+    /// Taken back, or its client has left, of which the module may not have heard.
     fn recalled(&self) -> bool {
-        self.recall().is_some_and(CancellationToken::is_cancelled)
+        let gone = matches!(self, Errand::Try { cargo, .. } if cargo.client_has_left());
+        gone || self.recall().is_some_and(CancellationToken::is_cancelled)
+    }
+
+    /// Has the runtime hear first of clients that have left, where this one may have: guards nodes from attempts that
+    /// begin for nobody after a turn in which nothing was heard. Whether it did.
+    async fn hears(&self, shared: &Shared) -> bool {
+        let now = shared.clock.now();
+        let long = matches!(self, Errand::Try { cargo, .. } if now.saturating_sub(cargo.at) > LATELY);
+        if long {
+            // Tasks that yield go on after what the sockets tell, and after those who are told.
+            yield_now().await;
+        }
+        long
     }
 
     /// Returns when it is taken back.
@@ -210,23 +228,35 @@
         // An earlier try has sent it on already.
         return (Some(Outcome::Unsent.into()), idle);
     }
-    let begun = timeout_at(until, async {
-        let mut connection = match idle {
-            Some(connection) => {
-                shared.counters.connections_reused.add();
-                connection
-            }
-            None => connect(shared, address, origin).await?,
-        };
-        // Until the last byte is written nothing can have run.
-        let written = connection.write(shared, errand).await;
-        written.map(|()| connection).map_err(|_| Outcome::Unreachable)
-    });
-    let begun = async { begun.await.unwrap_or(Err(Outcome::Unreachable)) };
-    let mut connection = match unless_taken_back(shared, errand, begun).await {
+    let heard = errand.hears(shared).await;
+    // Meanwhile it may have ended, or brought what nobody asked for.
+    let idle = idle.filter(|connection| !heard || connection.alive());
+    if errand.recalled() {
+        shared.counters.tries_taken_back.add();
+        return (Some(Outcome::Unsent.into()), idle);
+    }
+    let up = async {
+        if let Some(connection) = idle {
+            shared.counters.connections_reused.add();
+            return Ok(connection);
+        }
+        let connection = connect(shared, address, origin).await?;
+        errand.hears(shared).await;
+        Ok(connection)
+    };
+    let mut connection = match unless_taken_back(shared, errand, in_time(until, up)).await {
         Ok(connection) => connection,
         Err(outcome) => return (Some(outcome.into()), None),
     };
+    if errand.recalled() {
+        shared.counters.tries_taken_back.add();
+        return (Some(Outcome::Unsent.into()), Some(connection));
+    }
+    // Until the last byte is written nothing can have run.
+    let written = async { connection.write(shared, errand).await.map_err(|_| Outcome::Unreachable) };
+    if let Err(outcome) = unless_taken_back(shared, errand, in_time(until, written)).await {
+        return (Some(outcome.into()), None);
+    }
     if let Some(value) = value {
         if let Err(outcome) = unless_taken_back(shared, errand, connection.upload(value)).await {
             return (Some(outcome.into()), None);
@@ -292,6 +322,11 @@
     }
 }
 
+/// A step of sending that is not done by then reached nobody.
+async fn in_time<T>(until: Instant, step: impl Future<Output = Result<T, Outcome>>) -> Result<T, Outcome> {
+    timeout_at(until, step).await.unwrap_or(Err(Outcome::Unreachable))
+}
+
 async fn connect(shared: &Shared, address: SocketAddr, origin: bool) -> Result<Connection, Outcome> {
     let unsent = |_| {
         tracing::warn!("{address}: no connection to spare");
@@ -337,8 +372,7 @@
                 framed.send(&Frame::command([b"INFO", b"load"])).await
             }
             (Wire::Cache(framed), Errand::Try { cargo, until, .. }) => {
-                let left = until.saturating_duration_since(Instant::now());
-                let words = command(cargo, left);
+                let words = command(cargo, told(shared, cargo, *until));
                 match &cargo.upload {
                     Some(upload) => {
                         resp::encode_beginning(&words, upload.length, framed.write_buffer_mut())?;
@@ -350,7 +384,10 @@
             (Wire::Origin(framed), Errand::Probe { .. }) => {
                 framed.send(Request::get("/health/live".into())).await
             }
-            (Wire::Origin(framed), Errand::Try { cargo, .. }) => framed.send(request(cargo)).await,
+            (Wire::Origin(framed), Errand::Try { cargo, until, .. }) => {
+                let labels = labels(&cargo.labels, told(shared, cargo, *until));
+                framed.send(request(cargo, &labels)).await
+            }
         }
     }
 
@@ -487,7 +524,7 @@
 }
 
 /// The labels as they came, with `d` as what is left, in milliseconds: put at its place, or at the end.
-fn labels(came: &[u8], left: Duration) -> Bytes {
+pub fn labels(came: &[u8], left: Duration) -> Bytes {
     let (left, mut told) = (left.as_millis().max(1), false);
     let mut labels = BytesMut::with_capacity(came.len() + LEFT);
     for (place, label) in came.split(|&byte| byte == b',').enumerate() {
@@ -507,12 +544,19 @@
     labels.freeze()
 }
 
-/// A try as the origin reads it.
-pub fn request(cargo: &Cargo) -> Request<'_> {
+/// How long a try tells its node that it will be waited for: no longer than the client will, also where this proxy does.
+/// Guards nodes, the origin among them, from work for those who have left.
+fn told(shared: &Shared, cargo: &Cargo, until: Instant) -> Duration {
+    let client = Duration::from_nanos(cargo.ends.saturating_sub(shared.clock.now()));
+    until.saturating_duration_since(Instant::now()).min(client)
+}
+
+/// A try as the origin reads it, with the labels that go to it.
+pub fn request<'a>(cargo: &'a Cargo, labels: &'a Bytes) -> Request<'a> {
     Request {
         method: if cargo.write { "PUT" } else { "GET" },
         path: http::path(&cargo.key),
-        headers: vec![("X-Txn", &cargo.id), ("X-Labels", &cargo.labels)],
+        headers: vec![("X-Txn", &cargo.id), ("X-Labels", labels)],
         body: (cargo.write && cargo.upload.is_none()).then_some(&cargo.value[..]),
         follows: cargo.upload.as_ref().map(|upload| upload.length),
     }
