Clients that leave at once are all heard before the tries that wait for them begin

Cause: with 200 clients that leave in one turn, a try went on before its client's task did: the node's task stood in the run queue already when the sockets were looked at (begun 0.3 s after the close, two of 17 tries). Change: a task of its own yields, and is queued behind those that are told. Tests: the crossing forced for further attempts (miss, failures, a repeat that nodes discard), the fetch of another, a turn on a key, the line for the origin, room at a cache.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -76,8 +76,9 @@
         let now = shared.clock.now();
         let long = matches!(self, Errand::Try { cargo, .. } if now.saturating_sub(cargo.at) > LATELY);
         if long {
-            // Tasks that yield go on after what the sockets tell, and after those who are told.
-            yield_now().await;
+            // A task that yields goes on once the sockets were looked at, behind those who are told of an end then. One
+            // of its own, as the node's may stand before these already.
+            let _ = tokio::spawn(yield_now()).await;
         }
         long
     }
--- a/crates/proxy/tests/proxy/endings.rs
+++ b/crates/proxy/tests/proxy/endings.rs
@@ -151,45 +151,101 @@
 
 const SOON: Duration = Duration::from_millis(100);
 
-/// A client leaves right after the turn in which the proxy counts this, and for a while nothing else gets a turn: this
-/// stands in line with the proxy's own tasks, whose thread it shares, and before those that such a turn wakes.
-async fn leaves_before_a_stall(world: &World, client: Client, counted: String) {
+/// Clients leave right after the turn in which the proxy counts this, or some turns later, and for a while nothing else
+/// gets a turn: this stands in line with the proxy's own tasks, whose thread it shares, and before those that such a
+/// turn wakes. Nothing is heard for three times as long as a client may have gone.
+async fn leave_before_a_stall(world: &World, clients: Vec<Client>, counted: String, mut turns: usize) {
     let counters = world.counters.clone();
     let stall = async move {
         let poll = |cx: &mut Context| {
             cx.waker().wake_by_ref();
-            let seen = counters.to_string().lines().any(|line| line == counted);
-            if seen { Poll::Ready(()) } else { Poll::Pending }
+            if !counters.to_string().lines().any(|line| line == counted) {
+                return Poll::Pending;
+            }
+            turns = turns.wrapping_sub(1);
+            if turns == usize::MAX { Poll::Ready(()) } else { Poll::Pending }
         };
         poll_fn(poll).await;
-        drop(client);
+        drop(clients);
         std::thread::sleep(3 * SOON);
     };
     tokio::spawn(stall).await.unwrap();
 }
 
-/// A client that leaves amid a turn of the proxy's so long that nothing is heard for three times as long as a client
-/// may have gone: the attempts that the same turn asked for are not begun after it.
+/// How often the nodes have seen what clients asked for that leave.
+fn seen(world: &World) -> usize {
+    (world.cache.text() + &world.origin.text()).matches("id-left").count()
+}
+
+/// A client that leaves amid a turn of the proxy's that is far too long: the attempts that the same turn asked for are
+/// not begun after it.
 #[tokio::test]
 async fn a_client_leaves_amid_a_long_turn() {
-    // The first attempt, then a further one at the origin after a miss and after failures; each on a new connection
-    // and on one that stands idle.
-    for (key, attempts) in [("hit", 1), ("miss", 2), ("fail", 2), ("cut", 2)] {
-        for idle in [false, true] {
-            let world = patient_world(&[]).await;
+    let get = |key| vec!["C.GET", key, "id-left", "c=read,d=60000"];
+    let put = vec!["C.SET", "x-mute", "id-left", "c=put,d=60000", "value"];
+    let asked = [(get("hit"), 1), (get("miss"), 2), (get("fail"), 2), (get("cut"), 2), (put, 2)];
+    // The first attempt; further ones after a miss, after failures and, where nodes discard repeats, after one that
+    // may have run. Each on a new connection, which is not yet asked for or comes up, and on one that stands idle.
+    for (words, attempts) in asked {
+        for (idle, turns) in [(false, 0), (false, 1), (true, 0)] {
+            let long = ("/settings/routes/1/overall-timeout-us", json!(60_000_000));
+            let world = patient_world(&[long, ("/settings/routes/1/effect", json!("by_key"))]).await;
             let mut tries = attempts;
             if idle {
                 world.client().await.get("miss").await;
                 tries += 2;
             }
             let mut client = world.client().await;
-            client.send(&["C.GET", key, "id-left", "c=read,d=60000"]).await;
-            leaves_before_a_stall(&world, client, format!("tries_sent {tries}")).await;
+            client.send(&words).await;
+            leave_before_a_stall(&world, vec![client], format!("tries_sent {tries}"), turns).await;
             world.until_counted("exchanges_dropped 1").await;
             nothing_is_left(&world).await;
-            let seen = world.cache.text() + &world.origin.text();
-            assert_eq!(seen.matches("id-left").count(), attempts - 1, "{key}, idle {idle}: {seen}");
+            assert_eq!(seen(&world), attempts - 1, "{words:?}, idle {idle}, {turns}");
+        }
+    }
+}
+
+/// Clients wait for others, and leave all at once amid the turn in which these are answered: what that turn asked for
+/// in their place is not begun.
+#[tokio::test]
+async fn clients_leave_amid_the_turn_that_places_them() {
+    let one_proxy_of_many = ("/settings/fleet-size", json!(300));
+    let keeps_order = ("/settings/routes/0/keep-order", json!(true));
+    let rows = [
+        // The fetch of another.
+        (None, vec!["miss-held"], "miss-held", 200, "tries_missed 1"),
+        // Their turn on a key.
+        (Some(keeps_order), vec!["held-1"], "held-1", 200, "tries_missed 0"),
+        // In line for the origin.
+        (Some(one_proxy_of_many.clone()), vec!["miss-held-1"], "miss-held-2", 1, "tries_missed 2"),
+        // Room at a cache.
+        (Some(one_proxy_of_many), vec!["miss-held", "held-1"], "hit", 1, "tries_missed 1"),
+    ];
+    for (set, holds, key, count, ready) in rows {
+        let world = patient_world(&set.into_iter().collect::<Vec<_>>()).await;
+        let (mut holders, mut clients, mut holder) = (Vec::new(), Vec::new(), &world.cache);
+        for held in &holds {
+            let mut client = world.client().await;
+            client.send(&["C.GET", held, &format!("id-{held}"), "c=read,d=60000"]).await;
+            holder = if held.starts_with("miss") { &world.origin } else { &world.cache };
+            holder.until(&format!("id-{held}")).await;
+            holders.push(client);
+        }
+        for number in 0..count {
+            let mut client = world.client().await;
+            client.send(&["C.GET", key, &format!("id-left-{number}"), "c=read,d=60000"]).await;
+            clients.push(client);
         }
+        world.until_counted(&format!("exchanges_taken {}", holds.len() + count)).await;
+        world.until_counted(ready).await;
+        let before = (seen(&world), self::count(&world, "tries_sent"));
+        holder.release(1);
+        leave_before_a_stall(&world, clients, "exchanges_completed 1".into(), 0).await;
+        let placed = self::count(&world, "tries_sent");
+        world.origin.release(2);
+        nothing_is_left(&world).await;
+        assert_eq!(seen(&world), before.0, "{holds:?}");
+        assert!(placed > before.1, "{holds:?}: nothing was asked for in that turn");
     }
 }
 
