Tests of fences, watch, histories and the exploration move into test files

Cause: fences.rs, watch.rs and the lab's history.rs held their tests inside, and explore.rs was a test among the sources.

Change: they are in crates/accord/tests and crates/lab/tests/lab as they were. The two limits that tests name became constants of their types (Fences::LEASES, Watch::SILENT). The exploration takes in the sources by path, not the library: it tells worlds apart by what a voter keeps to itself and plants faults for one thread alone, so nothing had to become public, and the same code is explored with the same `cfg(test)`. The command stays `cargo test -p pumicebay-accord`; the proofs are built with opt-level 3 as before.

--- a/crates/accord/src/fences.rs
+++ b/crates/accord/src/fences.rs
@@ -3,9 +3,6 @@
 use crate::record::{Name, Token};
 use std::collections::BTreeMap;
 
-/// Leases that are kept in mind. None is ever forgotten: its next call could come with a lower token.
-const LEASES: usize = 256;
-
 /// What becomes of an act.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Passage {
@@ -21,6 +18,9 @@
 pub struct Fences(BTreeMap<Name, Token>);
 
 impl Fences {
+    /// Leases that are kept in mind. None is ever forgotten: its next call could come with a lower token.
+    pub const LEASES: usize = 256;
+
     /// What was seen before: by another process, or in an earlier life.
     pub fn saw(&mut self, lease: &str, token: Token) {
         let known = self.0.entry(lease.into()).or_default();
@@ -31,35 +31,8 @@
     pub fn passes(&self, lease: &str, token: Token) -> Passage {
         match self.0.get(lease) {
             Some(&highest) if token < highest => Passage::Late(highest),
-            None if self.0.len() >= LEASES => Passage::Full,
+            None if self.0.len() >= Fences::LEASES => Passage::Full,
             _ => Passage::Passes,
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn only_lower_tokens_are_late() {
-        let mut fences = Fences::default();
-        assert_eq!(fences.passes("a", 5), Passage::Passes);
-        // Not kept yet, as the host may have failed to.
-        assert_eq!(fences.passes("a", 4), Passage::Passes);
-        fences.saw("a", 5);
-        fences.saw("a", 3);
-        assert_eq!(fences.passes("a", 4), Passage::Late(5));
-        assert_eq!(fences.passes("a", 5), Passage::Passes);
-        assert_eq!(fences.passes("b", 1), Passage::Passes);
-    }
-
-    #[test]
-    fn none_is_forgotten_for_another() {
-        let mut fences = Fences::default();
-        (0..LEASES).for_each(|lease| fences.saw(&format!("{lease}"), 7));
-        assert_eq!(fences.passes("one more", 9), Passage::Full);
-        assert_eq!(fences.passes("0", 6), Passage::Late(7));
-        assert_eq!(fences.passes("0", 8), Passage::Passes);
-    }
-}
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -17,9 +17,6 @@
 mod voter;
 mod watch;
 
-#[cfg(test)]
-mod explore;
-
 pub use acts::Acts;
 pub use fences::{Fences, Passage};
 pub use holding::{Held, Holding};
--- a/crates/accord/src/watch.rs
+++ b/crates/accord/src/watch.rs
@@ -24,8 +24,6 @@
 const EVERY: Nanos = 500_000_000;
 /// How long a node is probed for those who want it, from the last time that anybody did.
 const KEEP: Nanos = 10_000_000_000;
-/// Without a word for so long a process is on its own.
-const SILENT: Nanos = 3_000_000_000;
 /// How often it probes then, about.
 const RARE: Nanos = 5_000_000_000;
 
@@ -53,6 +51,9 @@
 }
 
 impl Watch {
+    /// Without a word for so long a process is on its own.
+    pub const SILENT: Nanos = 3_000_000_000;
+
     /// Whether anything is wanted of whoever holds the lease.
     pub fn needed(&self) -> bool {
         !self.nodes.is_empty()
@@ -124,7 +125,7 @@
             return;
         }
         let Some(waits) = one.waits else { return };
-        if now < waits.max(one.told) + SILENT {
+        if now < waits.max(one.told) + Watch::SILENT {
             if one.asked.is_none_or(|asked| now >= asked + KEEP / 2) {
                 one.asked = Some(now);
                 host.ask_for(node);
@@ -147,79 +148,3 @@
 fn by_chance(time: Nanos, host: &mut impl WatchHost) -> Nanos {
     (time as f64 * (0.5 + host.chance())) as Nanos
 }
-
-#[cfg(test)]
-mod tests {
-    use super::{SILENT, Watch, WatchHost};
-    use crate::Nanos;
-    use expect_test::expect;
-
-    const SECOND: Nanos = 1_000_000_000;
-
-    #[derive(Default)]
-    struct Trace(String);
-
-    impl WatchHost for Trace {
-        fn probe(&mut self, node: &str) {
-            self.0 += &format!("probe {node}\n");
-        }
-        fn answer(&mut self, node: &str, answered: bool) {
-            self.0 += &format!("answer {node} {answered}\n");
-        }
-        fn tell(&mut self, token: u64, node: &str, answered: bool) {
-            self.0 += &format!("tell {token} {node} {answered}\n");
-        }
-        fn ask_for(&mut self, node: &str) {
-            self.0 += &format!("ask for {node}\n");
-        }
-        fn chance(&mut self) -> f64 {
-            0.5
-        }
-    }
-
-    #[test]
-    fn the_holder_probes_for_all_and_tells_them() {
-        let (mut watch, mut trace) = (Watch::default(), Trace::default());
-        watch.held(Some(7));
-        watch.asked_for(0, "n1");
-        watch.tick(SECOND, &mut trace);
-        watch.probed(SECOND, "n1", false, &mut trace);
-        watch.wanted(2 * SECOND, "n1", &mut trace);
-        watch.probed(2 * SECOND, "n1", true, &mut trace);
-        // Nobody wants it any more.
-        watch.tick(13 * SECOND, &mut trace);
-        assert!(!watch.needed());
-        expect![[r#"
-            probe n1
-            tell 7 n1 false
-            probe n1
-            tell 7 n1 true
-            answer n1 true
-        "#]]
-        .assert_eq(&trace.0);
-    }
-
-    #[test]
-    fn the_others_ask_and_wait_and_go_on_alone_when_nothing_comes() {
-        let (mut watch, mut trace) = (Watch::default(), Trace::default());
-        watch.wanted(0, "n1", &mut trace);
-        watch.wanted(SECOND, "n1", &mut trace);
-        watch.told(SECOND, 7, "n1", false, &mut trace);
-        // From one that holds the lease no more.
-        watch.wanted(2 * SECOND, "n1", &mut trace);
-        watch.told(2 * SECOND, 6, "n1", true, &mut trace);
-        trace.0 += "silence\n";
-        watch.tick(2 * SECOND + SILENT, &mut trace);
-        watch.tick(5 * SECOND + SILENT, &mut trace);
-        watch.tick(6 * SECOND + SILENT, &mut trace);
-        watch.probed(6 * SECOND + SILENT, "n1", false, &mut trace);
-        expect![[r#"
-            ask for n1
-            answer n1 false
-            silence
-            probe n1
-            answer n1 false
-        "#]]
-        .assert_eq(&trace.0);
-    }
-}
--- a/crates/accord/src/explore.rs
+++ b/crates/accord/tests/explore.rs
@@ -4,18 +4,49 @@
 //! complete. States are told apart by 64-bit hashes.
 //!
 //! Not covered: more than three voters at a time, three who ask, more of each than the budgets have. The rig of `crates/lab` goes further without being complete.
-
-use crate::message::{Answer, Ask, Ballot, Message, Reply, Shared, Want};
-use crate::record::{Member, Record, Store, Token};
+//!
+//! The sources are taken in as they are, not as a library: worlds are told apart by what a voter keeps to itself, which
+//! is to stay private, and faults are planted for one thread alone, as many are looked for at a time.
+
+// Not all that the sources have is called here.
+#![allow(dead_code)]
+
+#[path = "../src/acts.rs"]
+mod acts;
+#[path = "../src/holding.rs"]
+mod holding;
+#[path = "../src/judge.rs"]
+mod judge;
+#[path = "../src/message.rs"]
+mod message;
+#[path = "../src/planted.rs"]
+mod planted;
+#[path = "../src/presence.rs"]
+mod presence;
+#[path = "../src/record.rs"]
+mod record;
+#[path = "../src/round.rs"]
+mod round;
+#[path = "../src/voter.rs"]
+mod voter;
+
+use crate::acts::Acts;
+use crate::holding::Holding;
+use crate::message::{Answer, Ask, AskId, Ballot, Message, Reply, Shared, Want};
+use crate::planted::{Fault, plant, planted};
+use crate::presence::Presence;
+use crate::record::{Holder, Lease, Member, Record, Store, Token};
 use crate::round::Round;
 use crate::voter::{Kept, Standing, Terms, Voter};
-use crate::{Acts, Fault, Holder, Holding, Nanos, plant, planted};
 use rustc_hash::{FxHashSet, FxHasher};
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 use std::time::Instant;
 
+/// As in the library.
+type Nanos = u64;
+
 /// Units of a clock that is right in one tick of real time; drifting ones count two more or less.
 const TICK: Nanos = 8;
 const DRIFT_PPM: u64 = 250_000;
@@ -515,7 +546,7 @@
     fn own(&self, next: &mut World, at: usize, want: Want) -> Ask {
         next.numbers[at] += 1;
         let who = Holder { name: format!("h{at}"), incarnation: 1 };
-        Ask { id: crate::AskId { who, number: next.numbers[at] }, want }
+        Ask { id: AskId { who, number: next.numbers[at] }, want }
     }
 
     /// Lets a voter act, and carries out what it asks for, its words to itself at once.
--- a/crates/lab/tests/lab/main.rs
+++ b/crates/lab/tests/lab/main.rs
@@ -1,6 +1,7 @@
-//! The lab itself: its auditor, its virtual days, its scenarios' errors, and real days cut short.
+//! The lab itself: its auditor, its checker of histories, its virtual days, its scenarios' errors, and real days cut short.
 
 mod audit;
+mod history;
 mod scenarios;
 mod sockets;
 mod stand_ins;
