Labels are laid in place: one allocation fewer an exchange, none for the origin

Cause: the labels that tell the origin what is left cost two allocations a miss (18 for 16), seen by tests/cost.rs.

Change: they are laid out in place, and copied once for a cache node.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -11,15 +11,16 @@
 use crate::room::Spare;
 use crate::serve::Shared;
 use anyhow::{Context, Result, bail};
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
 use pumicebay_core::{Held, Nanos, Node, Outcome, Xchg};
 use pumicebay_names as names;
+use smallvec::SmallVec;
 use socket2::SockRef;
 use std::collections::VecDeque;
-use std::fmt::Write;
-use std::io::{ErrorKind, Read};
+
+use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -517,32 +518,40 @@
     let word: &'static [u8] = if cargo.write { b"C.SET" } else { b"C.GET" };
     let mut words = Vec::with_capacity(5);
     words.extend([Bytes::from_static(word), cargo.key.clone(), cargo.id.clone()].map(Frame::Bulk));
-    words.push(Frame::Bulk(labels(&cargo.labels, left)));
+    words.push(Frame::Bulk(Bytes::copy_from_slice(&labels(&cargo.labels, left))));
     if cargo.write && cargo.upload.is_none() {
         words.push(Frame::Bulk(cargo.value.clone()));
     }
     words
 }
 
+/// The labels as a node gets them; most lists fit in place.
+type Labels = SmallVec<[u8; 256]>;
+
 /// The labels as they came, with `d` as what is left, in milliseconds: put at its place, or at the end.
-pub fn labels(came: &[u8], left: Duration) -> Bytes {
+pub fn labels(came: &[u8], left: Duration) -> Labels {
     let (left, mut told) = (left.as_millis().max(1), false);
-    let mut labels = BytesMut::with_capacity(came.len() + LEFT);
+    let mut own = [0; LEFT];
+    let free = {
+        let mut free = &mut own[..];
+        let _ = write!(free, "d={left}");
+        free.len()
+    };
+    let own = &own[..LEFT - free];
+    let mut labels = Labels::new();
     for (place, label) in came.split(|&byte| byte == b',').enumerate() {
         if place > 0 {
-            labels.put_u8(b',');
-        }
-        if label.starts_with(b"d=") {
-            let _ = write!(labels, "d={left}");
-            told = true;
-        } else {
-            labels.put_slice(label);
+            labels.push(b',');
         }
+        let is_left = label.starts_with(b"d=");
+        labels.extend_from_slice(if is_left { own } else { label });
+        told |= is_left;
     }
     if !told {
-        let _ = write!(labels, ",d={left}");
+        labels.push(b',');
+        labels.extend_from_slice(own);
     }
-    labels.freeze()
+    labels
 }
 
 /// How long a try tells its node that it will be waited for: no longer than the client will, also where this proxy does.
@@ -553,7 +562,7 @@
 }
 
 /// A try as the origin reads it, with the labels that go to it.
-pub fn request<'a>(cargo: &'a Cargo, labels: &'a Bytes) -> Request<'a> {
+pub fn request<'a>(cargo: &'a Cargo, labels: &'a [u8]) -> Request<'a> {
     Request {
         method: if cargo.write { "PUT" } else { "GET" },
         path: http::path(&cargo.key),
