Auditor: cold nodes fall under the sum of all proxies that knew; unequal proxies in the model

Cause: the auditor only asked whether the model's node was buried, whoever had sent it what.

Change: the auditor counts for each cold process what came, from which proxy, and whether that proxy had been told of this start when it sent; past the bound it falls, once a process, whatever the model's node made of it, and is charged to rule 4 or counted as uncharged. Scenario keys proxies.busiest and proxies.said: one proxy with more traffic than others, and fewer by the settings than there are.

--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -39,7 +39,7 @@
     json!({
         "discovery": match day.discovery.follow { Follow::Push => "push", Follow::Ask => "ask" },
         "domain": {"mode": "aside", "origin-kind": 1},
-        "fleet-size": day.proxies.count,
+        "fleet-size": if day.proxies.said > 0 { day.proxies.said } else { day.proxies.count },
         "me": me,
         "skus": [CACHE, ORIGIN],
         "failure-domains": (0..day.nodes.zones).map(zone).collect::<Vec<_>>(),
--- a/crates/lab/src/real/fleet.rs
+++ b/crates/lab/src/real/fleet.rs
@@ -253,6 +253,7 @@
         desk.waiting.insert(job.id, tell);
         desk.xchgs.insert(job.id, xchg);
         let now = desk.now;
+        (node < nodes.len()).then(|| desk.auditor.got(now, xchg, node));
         match nodes.get_mut(node) {
             Some(cache) => cache.arrive(now, job, &mut Work { desk, node, cache: Some(node) }),
             None => origin.arrive(now, job, &mut Work { desk, node, cache: None }),
@@ -411,6 +412,7 @@
         let now = inner.desk.now;
         for entry in entries.iter().filter(|entry| entry.node < self.origin()) {
             inner.desk.auditor.told(now, proxy, entry.node, entry.state);
+            inner.desk.auditor.told_start(now, proxy, entry.node, entry.started);
         }
         let targets: Vec<Json> = entries.iter().map(|entry| self.target(entry)).collect();
         json!({"rev": inner.registry.version(), "all": since.is_none(), "targets": targets})
@@ -531,6 +533,7 @@
         if !inner.nodes[node].up || inner.left[node] {
             let now = inner.desk.now.max(1);
             inner.nodes[node].start(now);
+            inner.desk.auditor.started(now, node);
             inner.left[node] = false;
             self.lives[node].send_modify(|life| *life = Life { listens: true, epoch: life.epoch + 1 });
         }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -507,6 +507,7 @@
             write: route.write,
         };
         self.core.jobs.insert(job.id, at);
+        cache.into_iter().for_each(|node| self.core.auditor.got(now, xchg, node));
         let mut work = Work { core: &mut self.core, node: at.node, done: None };
         match self.nodes.get_mut(at.node) {
             Some(node) => node.arrive(now, job, &mut work),
@@ -582,6 +583,7 @@
         self.core.auditor.restarted(proxy);
         for entry in entries.iter().filter(|entry| entry.node < self.nodes.len()) {
             self.core.auditor.told(at, proxy, entry.node, entry.state);
+            self.core.auditor.told_start(at, proxy, entry.node, entry.started);
         }
         let known = &mut self.proxies[proxy];
         known.life += 1;
@@ -610,6 +612,7 @@
         let at = known.told;
         for entry in entries.iter().filter(|entry| entry.node < self.nodes.len()) {
             self.core.auditor.told(at, proxy, entry.node, entry.state);
+            self.core.auditor.told_start(at, proxy, entry.node, entry.started);
         }
         self.core.tell(proxy, at, ToSeat::Listed { whole: false, entries: Arc::new(entries) });
     }
@@ -712,6 +715,7 @@
     fn node_starts(&mut self, node: Node) {
         if !self.nodes[node].up || self.left[node] {
             self.nodes[node].start(self.core.now.max(1));
+            self.core.auditor.started(self.core.now.max(1), node);
             self.left[node] = false;
             self.core.epochs[node] += 1;
             self.notice(node);
--- a/crates/lab/tests/lab/audit.rs
+++ b/crates/lab/tests/lab/audit.rs
@@ -165,3 +165,57 @@
     auditor.origin_stopped(8 * MS);
     assert_eq!(auditor.counts, [0, 0, 0, 0, 2]);
 }
+
+/// What the auditor says of so many requests at once, by three proxies in turn, to a node whose process is 0.1 s old:
+/// by its age 27 are allowed then, so that the fortieth is one too many. Each proxy was told of a start, or not.
+fn burst(count: u64, told: [Option<u64>; 3]) -> (Vec<String>, u64) {
+    let nodes = "cores = 1\nstart_capacity = 0.1\nwarm_up_seconds = 10\nfall_multiple = 1";
+    let mut auditor = Auditor::new(&day(&format!("[nodes]\n{nodes}\n[[route]]\nservice_ms = 4")), MS);
+    auditor.started(5000 * MS, 2);
+    for (proxy, started) in told.into_iter().enumerate() {
+        started.into_iter().for_each(|started| auditor.told_start(5050 * MS, proxy, 2, started * MS));
+    }
+    for xchg in 1..=count {
+        auditor.taken(5090 * MS, xchg, (xchg % 3) as usize, READ, 6000 * MS);
+        auditor.sent(5095 * MS, xchg, Some(2));
+        auditor.got(5100 * MS, xchg, 2);
+        auditor.answered(5110 * MS, xchg, Final::Served, true);
+    }
+    auditor.finish();
+    (auditor.broken.iter().map(|broken| broken.what.clone()).collect(), auditor.uncharged)
+}
+
+#[test]
+fn a_cold_node_falls_under_the_sum_of_all_that_knew_of_its_start() {
+    let (knew, before) = (Some(5000), Some(4000));
+    assert_eq!(burst(39, [knew; 3]), (vec![], 0));
+    let fell =
+        |part| vec![format!("a cold node was buried: 40 requests, {part}% by proxies told of its start")];
+    assert_eq!(burst(40, [knew; 3]), (fell(100), 0));
+    assert_eq!(burst(400, [knew; 3]), (fell(100), 0), "a process falls once");
+    // Those who were not told, or of the process before, could not know; a third of it is no excuse.
+    assert_eq!(burst(40, [None; 3]), (vec![], 1));
+    assert_eq!(burst(40, [before; 3]), (vec![], 1));
+    assert_eq!(burst(40, [None, knew, knew]), (fell(68), 0));
+    assert_eq!(burst(40, [knew, None, knew]), (vec![], 1));
+}
+
+#[test]
+fn a_cold_node_is_judged_by_its_window_and_its_age() {
+    let fell = |at: fn(u64) -> u64| {
+        let nodes = "cores = 1\nstart_capacity = 0.1\nwarm_up_seconds = 10\nfall_multiple = 1";
+        let mut auditor = Auditor::new(&day(&format!("[nodes]\n{nodes}\n[[route]]\nservice_ms = 4")), MS);
+        auditor.started(MS, 2);
+        auditor.told_start(MS, 0, 2, MS);
+        for xchg in 1..=60 {
+            auditor.taken(at(xchg) * MS, xchg, 0, READ, (at(xchg) + 1000) * MS);
+            auditor.sent((at(xchg) + 5) * MS, xchg, Some(2));
+            auditor.got((at(xchg) + 5) * MS, xchg, 2);
+        }
+        auditor.counts[4]
+    };
+    assert_eq!(fell(|_| 100), 1);
+    assert_eq!(fell(|xchg| 100 + 30 * xchg), 0, "spread over two windows");
+    assert_eq!(fell(|_| 4000), 0, "by then it bears more than a hundred");
+    assert_eq!(fell(|_| 11_000), 0, "warm");
+}
--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec.rs
@@ -48,6 +48,10 @@
 part! {
     Proxies {
         count: usize = 2,
+        /// How many there are by their settings; 0 for as many as there are.
+        said: usize = 0,
+        /// How many times the traffic of any other the first has.
+        busiest: f64 = 1.0,
         /// Upstream tries an exchange may have.
         tries: u32 = 4,
         probes: bool = true,
@@ -234,6 +238,12 @@
             "expected 0 or more and less than seconds",
         );
         need((1..=10_000).contains(&self.proxies.count), "proxies.count", "expected 1 to 10000");
+        need(self.proxies.said <= 10_000, "proxies.said", "expected 0 to 10000");
+        need(
+            more(self.proxies.busiest) && self.proxies.busiest <= 1000.0,
+            "proxies.busiest",
+            "expected more than 0, at most 1000",
+        );
         need(self.proxies.tries > 0, "proxies.tries", "expected 1 or more");
         need(self.proxies.restart_seconds >= 0.0, "proxies.restart_seconds", "expected 0 or more");
         let waits = [self.proxies.ready_seconds, self.proxies.ends_seconds];
--- a/crates/model/src/traffic.rs
+++ b/crates/model/src/traffic.rs
@@ -107,6 +107,16 @@
         }
     }
 
+    /// The proxy that is asked first: any as likely, or the first so many times as likely as another.
+    fn proxy(&self, rng: &mut Rng) -> usize {
+        let crate::spec::Proxies { count, busiest, .. } = self.day.proxies;
+        if busiest == 1.0 {
+            return rng.random_range(0..count);
+        }
+        let drawn = rng.random::<f64>() * (busiest + (count - 1) as f64) - busiest;
+        if drawn < 0.0 { 0 } else { (1 + drawn as usize).min(count - 1) }
+    }
+
     fn draw(&self, source: &mut Source, at: Nanos) -> Wish {
         debug_assert!(at >= source.from);
         let rng = &mut source.rng;
@@ -117,7 +127,7 @@
         let once = rng.random::<f64>() < source.one_off;
         let fresh: u64 = rng.random();
         let key = if once { fresh | 1 << 63 } else { key(drifted % self.day.clients.keys) };
-        let proxy = rng.random_range(0..self.day.proxies.count);
+        let proxy = self.proxy(rng);
         Wish { at, route, tenant, key, size: size(&self.day, key), proxy }
     }
 }
--- a/crates/model/tests/model/days.rs
+++ b/crates/model/tests/model/days.rs
@@ -107,6 +107,23 @@
     );
 }
 
+#[test]
+fn proxies_may_be_unequal_and_more_than_is_said() {
+    let mut uneven = day(Vec::new());
+    uneven.proxies.count = 6;
+    let first = |day: &Scenario| wishes(day).iter().filter(|wish| wish.proxy == 0).count() as f64;
+    let (equal, all) = (first(&uneven), wishes(&uneven).len() as f64);
+    uneven.proxies.busiest = 10.0;
+    // One of six, and ten of fifteen; the others share the rest.
+    assert!((0.15..0.18).contains(&(equal / all)), "{equal} of {all}");
+    assert!((0.64..0.69).contains(&(first(&uneven) / all)), "of {all}");
+    let last = wishes(&uneven).iter().filter(|wish| wish.proxy == 5).count() as f64;
+    assert!((0.055..0.08).contains(&(last / all)), "{last} of {all}");
+    (uneven.proxies.busiest, uneven.proxies.said) = (0.0, 10_001);
+    let keys: Vec<String> = uneven.problems().into_iter().map(|problem| problem.key).collect();
+    assert_eq!(keys, ["proxies.said", "proxies.busiest"]);
+}
+
 #[test]
 fn the_list_tells_changes_since_a_version_and_may_be_stale() {
     let mut list = Registry::default();
