Keep four descriptors free of idle clients; a hangup waits for one

Cause: where the platform gives fewer descriptors than limits.sockets, only a client that could not be accepted asked an idle one to close. Connections to nodes that took the last descriptors left none for discovery: with 64 descriptors, two dozen reads held at the node and idle clients, discovery was not asked again within 5 s (test discovery_is_followed_though_nodes_have_the_last_descriptors, seen to fail without this). A hangup that found no descriptor was lost ("the old configuration stays").

Change: an actor tries every 100 ms whether four descriptors can be had, and asks as many idle clients to close as are lacking. A configuration that could not be read for want of a descriptor is read again for up to 10 s (test seen to fail without it).

--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::tuning::{Routes, Tuning};
 use anyhow::{Context, Result, bail, ensure};
 use pumicebay_accord::Fences;
+use rustix::io::Errno;
 use serde_json::Value as Json;
 use socket2::Socket;
 use std::net::SocketAddr;
@@ -27,11 +28,17 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::task::TaskTracker;
 
 /// How long the process before may go on after this one serves.
 const OVERLAP: Duration = Duration::from_secs(4);
+/// Descriptors that are kept free: discovery, a new configuration and operators must not wait until an idle client leaves.
+const FREE: usize = 4;
+/// How often it is looked whether so many are, and how often a configuration is read again for want of one.
+const LOOK: Duration = Duration::from_millis(100);
+/// How long a configuration may wait for a descriptor.
+const UNREAD: Duration = Duration::from_secs(10);
 /// How long a process that takes over waits for the list: operators wait some seconds for its yes.
 const FIRST_LIST: Duration = Duration::from_millis(1500);
 
@@ -185,6 +192,7 @@
                 ahead.add_permits(whole.ahead / 2);
             });
         }
+        actors.spawn(keep_free(front.room.clone()));
         actors.spawn(clients::accept(front, listener));
         phases.enter(Phase::Serving);
         tracing::info!("listens on {address}");
@@ -276,14 +284,44 @@
     Ok(TcpListener::from_std(socket.into())?)
 }
 
-/// Reads the configuration again each time the platform says so.
+/// Asks idle clients to close while hardly a descriptor is left, as where the platform gives fewer than the limits say.
+/// A client that can't be accepted asks so too; but what goes out of the proxy may have taken the last ones.
+async fn keep_free(room: Room) {
+    let Ok(any) = std::fs::File::open("/dev/null") else { return std::future::pending().await };
+    loop {
+        let free: Vec<_> = (0..FREE).map_while(|_| any.try_clone().ok()).collect();
+        let lack = FREE - free.len();
+        drop(free);
+        (0..lack).for_each(|_| room.ask());
+        sleep(LOOK).await;
+    }
+}
+
+/// Reads the configuration again each time the platform says so. For want of a descriptor it tries again: the word
+/// would be lost.
 pub fn reread(read: impl Fn() -> Result<Config> + Send + 'static) -> Result<mpsc::Receiver<Result<Config>>> {
     let mut hangup = signal(SignalKind::hangup())?;
     let (tell, configs) = mpsc::channel(1);
-    tokio::spawn(async move { while hangup.recv().await.is_some() && tell.send(read()).await.is_ok() {} });
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            let (until, mut config) = (Instant::now() + UNREAD, read());
+            while config.as_ref().is_err_and(no_descriptor) && Instant::now() < until {
+                sleep(LOOK).await;
+                config = read();
+            }
+            if tell.send(config).await.is_err() {
+                return;
+            }
+        }
+    });
     Ok(configs)
 }
 
+fn no_descriptor(error: &anyhow::Error) -> bool {
+    let code = error.chain().find_map(|error| error.downcast_ref::<std::io::Error>()?.raw_os_error());
+    code.is_some_and(|code| [Errno::MFILE, Errno::NFILE].contains(&Errno::from_raw_os_error(code)))
+}
+
 /// Returns when the platform says to stop.
 pub async fn signalled() -> Result<impl Future<Output = ()>> {
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
--- a/crates/proxy/tests/proxy/cli.rs
+++ b/crates/proxy/tests/proxy/cli.rs
@@ -101,12 +101,20 @@
         Running { child, log, address }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
     fn counters(&self) -> String {
         let counted = program(&["counters", &self.address]).output().unwrap();
         String::from_utf8_lossy(&counted.stdout).into_owned()
     }
 
-    fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: &str) {
         let sent = Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
         assert!(sent.success());
     }
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod clients;
 mod config;
+mod descriptors;
 mod endings;
 mod fleet;
 mod list;
@@ -11,6 +12,7 @@
 mod nodes;
 mod operations;
 mod phases;
+mod restart;
 mod wire;
 
 use bytes::BytesMut;
