Capacity: slopes in one file, their lines at the target, and a page that a test holds to it

Cause: nothing said whether the design carries the size in two years; single figures stood in several pages, most of them without their run.

Change: docs/capacity/slopes.json keeps points, command, seed and date of each slope; `pumicebay-lab capacity` fits lines, takes them to the target and writes the tables of docs/CAPACITY.md; `capacity measure` measures an idle and a busy proxy, tables of keys, and the first voter of an idle fleet. Tests: page and file agree, bad input is named.

The measure of the voter is built and not run yet.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::capacity;
 use crate::progress::Progress;
 use crate::results::Results;
 use crate::rig::{self, Programs, plan::Plan};
@@ -35,6 +36,11 @@
   fleet PLAN [--clock real|virtual] [--seed N] [--seeds N] [--proxy PATH] [--json FILE] [--report FILE.html]
                        starts the processes of a fleet on loopback, injects PLAN's faults between
                        them, and judges leases and the record by a witness
+  capacity [--slopes FILE] [--page FILE [--check]]
+                       what the slopes that were measured say at the size in two years, as tables; with
+                       --page they are written into the page, or compared with it
+  capacity measure [--proxy PATH] [--json FILE]
+                       the memory and processor time of an idle proxy by nodes and by changes of the list
   help                 print this
 
 Every command takes --threads N. A broken rule makes the exit code 1, a wrong call 2, a run
@@ -58,6 +64,9 @@
     report: Option<PathBuf>,
     set: Vec<(String, String)>,
     threads: Option<usize>,
+    slopes: Option<PathBuf>,
+    page: Option<PathBuf>,
+    check: bool,
 }
 
 pub fn main() -> Result<ExitCode> {
@@ -72,6 +81,7 @@
         Some("sweep") => sweep(&call),
         Some("hunt") => hunt(&call),
         Some("fleet") => fleet(&call),
+        Some("capacity") => capacity(&call),
         Some("help") => {
             say(&format!("{HELP}\n"));
             Ok(ExitCode::SUCCESS)
@@ -93,6 +103,9 @@
             Long("proxy") => call.proxy = Some(args.value()?.string()?),
             Long("json") => call.json = Some(args.value()?.into()),
             Long("report") => call.report = Some(args.value()?.into()),
+            Long("slopes") => call.slopes = Some(args.value()?.into()),
+            Long("page") => call.page = Some(args.value()?.into()),
+            Long("check") => call.check = true,
             Long("threads") => call.threads = Some(args.value()?.parse()?),
             Long("set") => {
                 let text = args.value()?.string()?;
@@ -288,3 +301,33 @@
     }
     Ok(if wrong > 0 { ExitCode::from(1) } else { ExitCode::SUCCESS })
 }
+
+/// The tables of the size in two years, or the measures that some of its slopes come from. `--check` compares and changes
+/// nothing.
+fn capacity(call: &Call) -> Result<ExitCode> {
+    match call.path.as_deref().and_then(Path::to_str) {
+        Some("measure") => {
+            ensure!(!call.check && call.page.is_none(), "--page, --check: do not go with measure");
+            let own = std::env::current_exe().context("this program's own path")?;
+            let program = call.proxy.as_ref().map_or(own, PathBuf::from);
+            let measures = capacity::measure::measure(&program, |line| eprintln!("{line}"))?;
+            say(&measures.table());
+            if let Some(file) = &call.json {
+                write(file, &(serde_json::to_string_pretty(&measures)? + "\n"))?;
+            }
+            return Ok(ExitCode::SUCCESS);
+        }
+        Some(other) => bail!("capacity: expected measure or nothing, found {other:?}"),
+        None => {}
+    }
+    let slopes = call.slopes.as_deref().unwrap_or(Path::new(capacity::SLOPES));
+    let file = capacity::slopes::File::read(slopes)?;
+    match (&call.page, call.check) {
+        (page, true) => capacity::check(page.as_deref().unwrap_or(Path::new(capacity::PAGE)), &file)?,
+        (Some(page), false) => write(page, &capacity::page(&capacity::read(page)?, &file)?)?,
+        (None, false) => capacity::tables::all(&file)
+            .iter()
+            .for_each(|(name, table)| say(&format!("## {name}\n\n{table}\n"))),
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod audit;
 pub mod baselines;
+pub mod capacity;
 pub mod cli;
 pub mod compare;
 pub mod hunt;
--- /dev/null
+++ b/crates/lab/tests/capacity.rs
@@ -0,0 +1,230 @@
+//! The page on the size in two years holds the tables that its slopes give, and a file of slopes that is not sound is
+//! refused by the name of what is wrong.
+
+use pumicebay_lab::capacity::fit::Line;
+use pumicebay_lab::capacity::slopes::{File, TARGET};
+use pumicebay_lab::capacity::{self, PAGE, SLOPES, tables};
+use serde_json::{Value as Json, json};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+const LAB: &str = env!("CARGO_BIN_EXE_pumicebay-lab");
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn shipped() -> Json {
+    let text = std::fs::read_to_string(root().join(SLOPES)).expect("the slopes");
+    serde_json::from_str(&text).expect("JSON")
+}
+
+/// What a file is refused for.
+fn refused(json: &Json) -> String {
+    format!("{:#}", File::parse(&json.to_string()).expect_err("a file that is not sound was taken"))
+}
+
+#[test]
+fn page_holds_what_the_slopes_give() {
+    let file = File::read(&root().join(SLOPES)).expect("sound slopes");
+    capacity::check(&root().join(PAGE), &file)
+        .expect("page and slopes differ: run pumicebay-lab capacity --page docs/CAPACITY.md");
+}
+
+#[test]
+fn a_page_that_differs_is_named_by_its_line() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let page = std::fs::read_to_string(root().join(PAGE)).expect("the page");
+    let other = page.replacen("| nodes | 7,200 |", "| nodes | 7,201 |", 1);
+    assert_ne!(page, other, "the page has no such line");
+    let path = folder.path().join("page.md");
+    std::fs::write(&path, other).expect("a page");
+    let run = Command::new(LAB)
+        .current_dir(root())
+        .args(["capacity", "--check", "--page"])
+        .arg(&path)
+        .output()
+        .expect("the lab");
+    let said = String::from_utf8_lossy(&run.stderr);
+    assert_eq!(run.status.code(), Some(2), "{said}");
+    assert!(said.contains("7,201") && said.contains("7,200") && said.contains("line "), "{said}");
+    let run = Command::new(LAB).current_dir(root()).args(["capacity", "--check"]).output().expect("the lab");
+    assert!(run.status.success(), "{}", String::from_utf8_lossy(&run.stderr));
+}
+
+#[test]
+fn a_page_without_a_marker_is_refused() {
+    let file = File::read(&root().join(SLOPES)).expect("sound slopes");
+    let page = std::fs::read_to_string(root().join(PAGE)).expect("the page");
+    for (name, _) in tables::all(&file) {
+        let without = page.replace(&format!("<!-- table: {name} -->"), "");
+        let error = capacity::page(&without, &file).expect_err("a page without a table");
+        assert!(format!("{error:#}").contains(&format!("table: {name}")), "{error:#}");
+    }
+    let error = capacity::page(&page.replace("<!-- end of table -->", ""), &file).expect_err("no ends");
+    assert!(format!("{error:#}").contains("end of table"), "{error:#}");
+}
+
+/// Every key of the file is needed, and no other is taken.
+#[test]
+fn missing_and_unknown_keys_are_named() {
+    let good = shipped();
+    File::parse(&good.to_string()).expect("sound slopes");
+    for name in TARGET {
+        let mut json = good.clone();
+        json["target"].as_object_mut().expect("target").remove(*name);
+        assert!(refused(&json).contains(&format!("target.{name}: missing")), "{}", refused(&json));
+    }
+    let slope = good["slopes"][0].as_object().expect("a slope").clone();
+    assert_eq!(slope.len(), 12, "keys of a slope: {:?}", slope.keys());
+    for name in slope.keys() {
+        let mut json = good.clone();
+        json["slopes"][0].as_object_mut().expect("a slope").remove(name);
+        assert!(refused(&json).contains(&format!("missing field `{name}`")), "{}", refused(&json));
+    }
+    for place in ["", "/target", "/slopes/0"] {
+        let mut json = good.clone();
+        json.pointer_mut(place).expect("a place")["horses"] = json!(1);
+        assert!(refused(&json).contains("horses"), "{}", refused(&json));
+    }
+    for name in ["target", "slopes"] {
+        let mut json = good.clone();
+        json.as_object_mut().expect("a file").remove(name);
+        assert!(refused(&json).contains(name), "{}", refused(&json));
+    }
+    assert!(File::parse("{").is_err(), "half a file was taken");
+}
+
+#[test]
+fn absurd_values_are_named() {
+    let cases = [
+        ("/target/nodes", json!(0), "target.nodes: expected more than 0"),
+        ("/target/objects", json!(1e13), "target.objects: expected more than 0 and at most 1e12"),
+        ("/target/core_percent", json!(101), "target.core_percent: expected at most 100"),
+        ("/target/zone_nodes", json!(7201), "target.zone_nodes: expected at most nodes"),
+        ("/target/zone_proxies", json!(16_001), "target.zone_proxies: expected at most proxies"),
+        ("/target/memory_mb", json!("much"), "invalid type: string \"much\""),
+        ("/slopes", json!([]), "slopes: expected one or more"),
+        ("/slopes/0/name", json!(" "), "slopes[0].name: empty"),
+        ("/slopes/0/role", json!("king"), "unknown variant `king`"),
+        ("/slopes/0/kind", json!("dreamt"), "unknown variant `dreamt`"),
+        ("/slopes/0/unit", json!(""), "unit: empty"),
+        ("/slopes/0/quantity", json!("a|b"), "quantity: has a sign that breaks a table"),
+        ("/slopes/0/command", json!(""), "command: empty"),
+        ("/slopes/0/date", json!("yesterday"), "date: expected YYYY-MM-DD"),
+        ("/slopes/0/date", json!("2026-13-01"), "date: expected YYYY-MM-DD"),
+        ("/slopes/0/at", json!([]), "at: expected one figure"),
+        ("/slopes/0/at", json!(["horses"]), "at: the target has no figure \"horses\""),
+        ("/slopes/0/at", json!(["nodes/horses"]), "at: the target has no figure \"nodes/horses\""),
+        ("/slopes/0/limit", json!(0), "limit: expected more than 0"),
+        ("/slopes/0/limit", json!(-4), "limit: expected more than 0"),
+        ("/slopes/0/seed", json!(-1), "invalid value: integer `-1`"),
+        ("/slopes/0/points/0", json!([-1.0, 2.0]), "points: expected 0 to 1e12, found [-1, 2]"),
+        ("/slopes/0/points/0", json!([1.0, 2e12]), "points: expected 0 to 1e12"),
+        ("/slopes/0/points/0", json!([1.0]), "invalid length 1"),
+    ];
+    for (place, value, wanted) in cases {
+        let mut json = shipped();
+        *json.pointer_mut(place).expect("a place") = value.clone();
+        let error = refused(&json);
+        assert!(error.contains(wanted), "{place} {value}: {error}");
+        if place.starts_with("/slopes/0/") && !error.contains(" at line ") && !place.ends_with("/name") {
+            assert!(error.starts_with("slopes[0], "), "{place}: the slope is not named: {error}");
+        }
+    }
+    let mut json = shipped();
+    json["slopes"][1]["name"] = json["slopes"][0]["name"].clone();
+    assert!(refused(&json).contains("is there twice"), "{}", refused(&json));
+}
+
+#[test]
+fn too_few_points_and_too_short_a_span_are_refused() {
+    let with = |points: Json| {
+        let mut json = shipped();
+        json["slopes"][0]["points"] = points;
+        json
+    };
+    File::parse(&with(json!([[1, 1], [5, 5], [20, 20], [100, 100]])).to_string()).expect("enough");
+    let three = refused(&with(json!([[1, 1], [10, 5], [100, 20]])));
+    assert!(three.contains("points: expected 4 or more with different x above 0, found 3"), "{three}");
+    // Neither the same x again nor none at all is one more.
+    for more in [json!([100, 21]), json!([0, 0])] {
+        let error = refused(&with(json!([[1, 1], [10, 5], [100, 20], more])));
+        assert!(error.contains("found 3"), "{error}");
+    }
+    let short = refused(&with(json!([[0, 0], [1, 1], [5, 5], [20, 20], [99, 99]])));
+    assert!(short.contains("points: expected two decades of x or more, found 1 to 99"), "{short}");
+}
+
+#[test]
+fn a_line_and_its_verdict() {
+    let line = Line::through(&[(0.0, 5.0), (10.0, 25.0), (100.0, 205.0)]).expect("a line");
+    assert!((line.intercept - 5.0).abs() < 1e-9 && (line.slope - 2.0).abs() < 1e-9, "{line:?}");
+    assert!(line.residual < 1e-9 && (line.at(1000.0) - 2005.0).abs() < 1e-6, "{line:?}");
+    let off = Line::through(&[(0.0, 1.0), (0.0, 3.0), (2.0, 1.0), (2.0, 3.0)]).expect("a line");
+    assert!((off.residual - 1.0).abs() < 1e-9 && off.slope.abs() < 1e-9, "{off:?}");
+    assert_eq!(Line::through(&[(1.0, 1.0), (1.0, 2.0)]), None);
+    assert_eq!(Line::through(&[]), None);
+    assert_eq!(tables::verdict(10.0, 0.0, Some(10.0)), "undecided");
+    assert_eq!(tables::verdict(9.0, 0.5, Some(10.0)), "fits");
+    assert_eq!(tables::verdict(11.0, 0.5, Some(10.0)), "**does not**");
+    assert_eq!(tables::verdict(11.0, 1.5, Some(10.0)), "undecided");
+    assert_eq!(tables::verdict(11.0, 1.5, None), "no limit stated");
+}
+
+#[test]
+fn figures_are_written_with_three_digits_and_commas() {
+    let cases = [
+        (0.0, "0"),
+        (0.0813, "0.0813"),
+        (1.0, "1"),
+        (5.04, "5.04"),
+        (12.345, "12.3"),
+        (99.96, "100"),
+        (126.0, "126"),
+        (7200.0, "7,200"),
+        (1.3e9, "1,300,000,000"),
+        (-1234.0, "-1,234"),
+    ];
+    for (value, text) in cases {
+        assert_eq!(tables::figure(value), text, "{value}");
+    }
+}
+
+#[test]
+fn wrong_calls_are_refused() {
+    for (args, wanted) in [
+        (&["capacity", "weigh"][..], "expected measure or nothing"),
+        (&["capacity", "measure", "--check"][..], "do not go with measure"),
+        (&["capacity", "--slopes", "no-such-file.json"][..], "no-such-file.json"),
+    ] {
+        let run = Command::new(LAB).current_dir(root()).args(args).output().expect("the lab");
+        let said = String::from_utf8_lossy(&run.stderr);
+        assert_eq!(run.status.code(), Some(2), "{args:?}: {said}");
+        assert!(said.contains(wanted), "{args:?}: {said}");
+    }
+}
+
+/// One short measure: a process stands with its nodes, is told of changes, and is read.
+#[test]
+fn an_idle_proxy_is_measured() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let watched = std::time::Duration::from_secs(1);
+    let idle = |nodes| runtime.block_on(capacity::measure::idle(Path::new(LAB), nodes, 10.0, watched));
+    let (none, some) = (idle(0).expect("a measure"), idle(400).expect("a measure"));
+    assert!(none.resident_mb > 1.0 && some.resident_mb > none.resident_mb, "{none:?} {some:?}");
+    assert!(some.peak_mb >= some.resident_mb && some.list_bytes > 400 * 100, "{some:?}");
+    assert!(some.told >= 5 && some.core_percent > 0.0 && some.bytes_per_second > 500.0, "{some:?}");
+}
+
+/// The same for one that passes values on, short ones and long ones.
+#[test]
+fn a_busy_proxy_is_measured() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let watched = std::time::Duration::from_secs(1);
+    for bytes in [200, 150_000] {
+        let busy = capacity::measure::busy(Path::new(LAB), 30.0, bytes, watched);
+        let busy = runtime.block_on(busy).expect("a measure");
+        assert!(busy.failed == 0 && busy.core_percent > 0.0 && busy.requests_per_second > 5.0, "{busy:?}");
+    }
+}
