Capacity: voters and requests measured, verdicts far out hang on the line

Cause: the processor and memory of a voter and the cost of requests and bytes were unmeasured; two decades of requests were 99-fold and refused by the file's own check; a run of `measure` ended without figures since it missed the moment at which a small fleet is founded.

--- a/crates/lab/src/capacity/measure.rs
+++ b/crates/lab/src/capacity/measure.rs
@@ -32,14 +32,15 @@
 const QUIET: f64 = 0.08;
 const KEYS: [usize; 5] = [10_000, 30_000, 100_000, 300_000, 1_000_000];
 /// What one client asks a second, for values of so many bytes, of a cache that has them: by requests and by bytes.
-const TRAFFIC: [(f64, usize); 8] = [
-    (8.0, 200),
+const TRAFFIC: [(f64, usize); 9] = [
+    (4.0, 200),
+    (20.0, 200),
     (80.0, 200),
     (250.0, 200),
     (800.0, 200),
-    (50.0, 2_500),
-    (50.0, 25_000),
-    (50.0, 100_000),
+    (50.0, 1_000),
+    (50.0, 10_000),
+    (50.0, 50_000),
     (50.0, 250_000),
 ];
 /// Processes of a fleet, the seconds that its idle links are counted, and how often one that does not come about is
@@ -47,8 +48,8 @@
 const PROCESSES: [usize; 4] = [3, 15, 60, 300];
 const IDLE_LINKS: f64 = 16.0;
 const PLAYS: u64 = 3;
-/// From the founding until all links are up.
-const LINKED: Duration = Duration::from_secs(4);
+/// How often a voter is looked at.
+const LOOK: Duration = Duration::from_millis(250);
 /// How long a proxy is watched, and how long before that it may settle.
 const WATCHED: Duration = Duration::from_secs(12);
 const SETTLES: Duration = Duration::from_secs(3);
@@ -101,7 +102,6 @@
 pub struct Measures {
     pub idle: Vec<Idle>,
     pub busy: Vec<Busy>,
-    pub voters: Vec<Voter>,
     /// Keys, and the megabytes of a table of that many.
     pub tables: Vec<(usize, f64)>,
 }
@@ -134,18 +134,6 @@
                 busy.failed
             );
         }
-        text += "processes  seed  frames/s  KB/s  a voter: resident MB  core %\n";
-        for voter in &self.voters {
-            text += &format!(
-                "{:>9} {:>5} {:>9.0} {:>5.1} {:>21.2} {:>7.3}\n",
-                voter.processes,
-                voter.seed,
-                voter.frames_per_second,
-                voter.kilobytes_per_second,
-                voter.resident_mb,
-                voter.core_percent
-            );
-        }
         for (keys, mb) in &self.tables {
             text += &format!("a table of {keys} keys: {mb:.2} MB\n");
         }
@@ -157,7 +145,7 @@
 pub fn measure(program: &Path, say: impl Fn(&str)) -> Result<Measures> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let tables = tables()?;
-    let mut measures = Measures { idle: Vec::new(), busy: Vec::new(), voters: Vec::new(), tables };
+    let mut measures = Measures { idle: Vec::new(), busy: Vec::new(), tables };
     let quiet = NODES.map(|nodes| (nodes, QUIET));
     let most = NODES[NODES.len() - 1];
     let changing = CHANGES.map(|changes| (most, changes));
@@ -169,14 +157,6 @@
         say(&format!("{requests} requests a second for {bytes} bytes"));
         measures.busy.push(runtime.block_on(busy(program, requests, bytes, WATCHED))?);
     }
-    for processes in PROCESSES {
-        let play = |seed| {
-            say(&format!("a fleet of {processes} processes, seed {seed}"));
-            voter(program, processes, seed).inspect_err(|error| say(&format!("no measure: {error:#}")))
-        };
-        let played = (1..PLAYS).find_map(|seed| play(seed).ok());
-        measures.voters.push(played.map_or_else(|| play(PLAYS), Ok)?);
-    }
     Ok(measures)
 }
 
@@ -401,14 +381,43 @@
     }
 }
 
+/// Measures the first voter of fleets of these programs, one after the other.
+pub fn voters(programs: &Programs, say: impl Fn(&str)) -> Result<Vec<Voter>> {
+    let mut measured = Vec::new();
+    for processes in PROCESSES {
+        let play = |seed| {
+            say(&format!("a fleet of {processes} processes, seed {seed}"));
+            voter(programs, processes, seed).inspect_err(|error| say(&format!("no measure: {error:#}")))
+        };
+        let played = (1..PLAYS).find_map(|seed| play(seed).ok());
+        measured.push(played.map_or_else(|| play(PLAYS), Ok)?);
+    }
+    Ok(measured)
+}
+
+pub fn voters_table(voters: &[Voter]) -> String {
+    let mut text = String::new();
+    text += "processes  seed  frames/s  KB/s  a voter: resident MB  core %\n";
+    for voter in voters {
+        text += &format!(
+            "{:>9} {:>5} {:>9.0} {:>5.1} {:>21.2} {:>7.3}\n",
+            voter.processes,
+            voter.seed,
+            voter.frames_per_second,
+            voter.kilobytes_per_second,
+            voter.resident_mb,
+            voter.core_percent
+        );
+    }
+    text
+}
+
 /// Plays a fleet on sockets and watches its first voter, once it is founded and nobody wants anything.
-pub fn voter(program: &Path, processes: usize, seed: u64) -> Result<Voter> {
-    let lab = std::env::current_exe().context("this program's own path")?;
-    let programs = Programs { proxy: program.into(), lab };
+pub fn voter(programs: &Programs, processes: usize, seed: u64) -> Result<Voter> {
     let plan =
         Plan { processes, idle_seconds: IDLE_LINKS, seconds: 2.0, leases: 1, askers: 1, ..Plan::default() };
     std::thread::scope(|scope| {
-        let play = scope.spawn(|| rig::play(&plan, seed, &programs));
+        let play = scope.spawn(|| rig::play(&plan, seed, programs));
         let watched = watch_voter(|| play.is_finished());
         let Ok(outcome) = play.join() else { bail!("the play of {processes} processes broke off") };
         let (bytes, frames) = outcome?.idle.context("the play had no idle time")?;
@@ -425,29 +434,27 @@
     })
 }
 
-/// Resident megabytes and the part of a core, from when the command that founds the fleet is done.
+/// Resident megabytes and the part of a core amid the idle time, which ends as the first command is started.
 fn watch_voter(over: impl Fn() -> bool) -> Result<(f64, f64)> {
-    let child = |words: &[&str]| child(std::process::id(), words);
-    let pause = || std::thread::sleep(Duration::from_millis(50));
-    while child(&["fleet", "found"]).is_none() {
-        ensure!(!over(), "no fleet was founded");
-        pause();
-    }
-    // It is called again after a no.
-    let mut gone = std::time::Instant::now();
-    while gone.elapsed() < Duration::from_secs(1) {
-        ensure!(!over(), "no fleet was founded");
-        if child(&["fleet", "found"]).is_some() {
-            gone = std::time::Instant::now();
+    let own = std::process::id();
+    let (mut voter, mut used) = (None, Vec::new());
+    while child(own, &["/a1.json"]).is_none() {
+        ensure!(!over(), "the play ended before anybody wanted anything");
+        voter = voter.or_else(|| child(own, &["serve", "/p1.json"]));
+        if let Some(voter) = &voter {
+            used.push((std::time::Instant::now(), processor(voter)?));
         }
-        pause();
+        std::thread::sleep(LOOK);
     }
-    std::thread::sleep(LINKED);
-    let voter = child(&["serve", "/p1.json"]).context("the first voter is not there")?;
-    let (before, began) = (processor(&voter)?, std::time::Instant::now());
-    std::thread::sleep(Duration::from_secs_f64(IDLE_LINKS / 2.0));
-    let (after, took) = (processor(&voter)?, began.elapsed().as_secs_f64());
-    Ok((memory(&voter, "VmRSS:")?, (after - before) / took * 100.0))
+    let resident = memory(&voter.context("the first voter is not there")?, "VmRSS:")?;
+    let before = |part: f64| {
+        let at = std::time::Instant::now().checked_sub(Duration::from_secs_f64(IDLE_LINKS * part));
+        used.iter().rev().find(|(seen, _)| at.is_some_and(|at| *seen <= at)).context("no idle time was seen")
+    };
+    let ((from, first), (to, last)) = (before(0.75)?, before(0.25)?);
+    let took = to.duration_since(*from).as_secs_f64();
+    ensure!(took > 0.0, "no idle time was seen");
+    Ok((resident, (last - first) / took * 100.0))
 }
 
 /// A child of the process whose command line has arguments that end so.
@@ -475,7 +482,7 @@
 impl Proxy {
     fn start(program: &Path, discovery: SocketAddr) -> Result<Proxy> {
         let folder = tempfile::tempdir().context("a folder for the configuration")?;
-        let path = folder.path().join("p1.json");
+        let path = folder.path().join("proxy.json");
         let listen =
             std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).context("a free port")?.local_addr()?;
         std::fs::write(&path, configuration(listen, discovery).to_string())?;
--- a/crates/lab/src/capacity/tables.rs
+++ b/crates/lab/src/capacity/tables.rs
@@ -6,6 +6,8 @@
 
 /// Of 15 s that nodes let a connection stand idle, the part after which a proxy uses it no more is left off.
 const IDLE_SECONDS: f64 = 13.5;
+/// So many times beyond the last point, a verdict says that it hangs on the line.
+const FAR: f64 = 10.0;
 /// What a proxy's table holds at most.
 const TABLE_KEYS: f64 = 65_536.0;
 /// A node in a list of all, a purge as a hash and as the text of a key of 42 bytes, one changed setting.
@@ -104,7 +106,13 @@
             if x > most { format!(", {} times the last point", figure(x / most)) } else { String::new() };
         format!("{} at {} {}{far}", figure(line.at(x)), figure(x), name.replace('_', " ").replace('/', " / "))
     };
-    let verdicts = slope.at.iter().map(|name| verdict(line.at(file.place(name)), line.residual, slope.limit));
+    let judged = |name: &String| {
+        let x = file.place(name);
+        let verdict = verdict(line.at(x), line.residual, slope.limit);
+        let held = slope.limit.is_some() && x > FAR * most;
+        if held { format!("{verdict}, if the line holds") } else { verdict.into() }
+    };
+    let verdicts = slope.at.iter().map(judged);
     let sign = if line.slope < 0.0 { '-' } else { '+' };
     Some(vec![
         role(slope.role).into(),
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -39,8 +39,9 @@
   capacity [--slopes FILE] [--page FILE [--check]]
                        what the slopes that were measured say at the size in two years, as tables; with
                        --page they are written into the page, or compared with it
-  capacity measure [--proxy PATH] [--json FILE]
-                       the memory and processor time of an idle proxy by nodes and by changes of the list
+  capacity measure|measure-voters [--proxy PATH] [--json FILE]
+                       the memory and processor time of a proxy by nodes, changes of the list and requests;
+                       of a voter by processes that are linked to it
   help                 print this
 
 Every command takes --threads N. A broken rule makes the exit code 1, a wrong call 2, a run
@@ -305,9 +306,11 @@
 /// The tables of the size in two years, or the measures that some of its slopes come from. `--check` compares and changes
 /// nothing.
 fn capacity(call: &Call) -> Result<ExitCode> {
-    match call.path.as_deref().and_then(Path::to_str) {
+    let words = call.path.as_deref().and_then(Path::to_str);
+    let tables = call.check || call.page.is_some();
+    ensure!(words.is_none() || !tables, "--page, --check: do not go with measure");
+    match words {
         Some("measure") => {
-            ensure!(!call.check && call.page.is_none(), "--page, --check: do not go with measure");
             let own = std::env::current_exe().context("this program's own path")?;
             let program = call.proxy.as_ref().map_or(own, PathBuf::from);
             let measures = capacity::measure::measure(&program, |line| eprintln!("{line}"))?;
@@ -317,7 +320,17 @@
             }
             return Ok(ExitCode::SUCCESS);
         }
-        Some(other) => bail!("capacity: expected measure or nothing, found {other:?}"),
+        Some("measure-voters") => {
+            let lab = std::env::current_exe().context("this program's own path")?;
+            let programs = Programs { proxy: call.proxy.as_ref().map_or(lab.clone(), PathBuf::from), lab };
+            let voters = capacity::measure::voters(&programs, |line| eprintln!("{line}"))?;
+            say(&capacity::measure::voters_table(&voters));
+            if let Some(file) = &call.json {
+                write(file, &(serde_json::to_string_pretty(&voters)? + "\n"))?;
+            }
+            return Ok(ExitCode::SUCCESS);
+        }
+        Some(other) => bail!("capacity: expected measure, measure-voters or nothing, found {other:?}"),
         None => {}
     }
     let slopes = call.slopes.as_deref().unwrap_or(Path::new(capacity::SLOPES));
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -4,6 +4,7 @@
 use pumicebay_lab::capacity::fit::Line;
 use pumicebay_lab::capacity::slopes::{File, TARGET};
 use pumicebay_lab::capacity::{self, PAGE, SLOPES, tables};
+use pumicebay_lab::rig::Programs;
 use serde_json::{Value as Json, json};
 use std::path::{Path, PathBuf};
 use std::process::Command;
@@ -172,6 +173,24 @@
     assert_eq!(tables::verdict(11.0, 1.5, None), "no limit stated");
 }
 
+/// What lies far beyond the last point is not said without a condition.
+#[test]
+fn a_verdict_far_out_hangs_on_the_line() {
+    let far = |times: f64| {
+        let mut json = shipped();
+        let nodes = json["target"]["nodes"].as_f64().expect("nodes") / times;
+        let points = [1.0, 0.3, 0.1, 0.01].map(|part| json!([nodes * part, part]));
+        json["slopes"] = json!([json["slopes"][0]]);
+        json["slopes"][0]["points"] = json!(points);
+        json["slopes"][0]["at"] = json!(["nodes"]);
+        json["slopes"][0]["limit"] = json!(1000);
+        let file = File::parse(&json.to_string()).expect("sound slopes");
+        tables::all(&file)[1].1.clone()
+    };
+    assert!(far(11.0).contains("| fits, if the line holds |"), "{}", far(11.0));
+    assert!(far(9.0).contains("| fits |"), "{}", far(9.0));
+}
+
 #[test]
 fn figures_are_written_with_three_digits_and_commas() {
     let cases = [
@@ -194,8 +213,9 @@
 #[test]
 fn wrong_calls_are_refused() {
     for (args, wanted) in [
-        (&["capacity", "weigh"][..], "expected measure or nothing"),
+        (&["capacity", "weigh"][..], "expected measure, measure-voters or nothing"),
         (&["capacity", "measure", "--check"][..], "do not go with measure"),
+        (&["capacity", "measure-voters", "--page", "a.md"][..], "do not go with measure"),
         (&["capacity", "--slopes", "no-such-file.json"][..], "no-such-file.json"),
     ] {
         let run = Command::new(LAB).current_dir(root()).args(args).output().expect("the lab");
@@ -228,3 +248,12 @@
         assert!(busy.failed == 0 && busy.core_percent > 0.0 && busy.requests_per_second > 5.0, "{busy:?}");
     }
 }
+
+/// And the first voter of a small fleet, while nobody wants anything.
+#[test]
+fn a_voter_is_measured() {
+    let programs = Programs { proxy: LAB.into(), lab: LAB.into() };
+    let voter = capacity::measure::voter(&programs, 3, 1).expect("a measure");
+    assert!(voter.resident_mb > 1.0 && voter.core_percent > 0.0, "{voter:?}");
+    assert!(voter.frames_per_second > 10.0 && voter.kilobytes_per_second > 0.5, "{voter:?}");
+}
