--- /dev/null
+++ b/crates/carrier/src/force.rs
@@ -0,0 +1,135 @@
+//! What of what is held is in force at this process.
+
+use crate::Nanos;
+use crate::message::{Exception, Member, Why};
+use crate::node::Host;
+use crate::planted::{Fault, planted};
+use crate::resource::{Interest, Name, Resource, Version};
+use crate::store::{Key, Store};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Force {
+    pub in_force: Version,
+    /// Since when more is held than is in force.
+    pub behind: Option<Nanos>,
+    /// What the process has in force, of each resource that concerns it.
+    applied: BTreeMap<Key, Resource>,
+    /// What it was asked to put in force.
+    out: Option<(Version, BTreeMap<Key, Resource>)>,
+    refused: BTreeMap<Key, (Version, String)>,
+    /// The last good ones of those that are refused.
+    good: BTreeMap<Key, Resource>,
+}
+
+impl Force {
+    pub fn from(good: Vec<Resource>) -> Force {
+        let good = good.into_iter().map(|resource| (key(&resource), resource)).collect();
+        Force { good, ..Force::default() }
+    }
+
+    /// The last good ones of those that are refused.
+    pub fn good(&self) -> Vec<Resource> {
+        self.good.values().cloned().collect()
+    }
+
+    /// What is held has changed, or something came to be in force: asks for the newest, one at a time.
+    pub fn look(&mut self, now: Nanos, store: &Store, concerns: &Interest, host: &mut impl Host) {
+        let held = |key: &Key| store.get(key).filter(|resource| resource.patch.is_some());
+        self.refused
+            .retain(|key, (version, _)| held(key).is_some_and(|resource| resource.version == *version));
+        self.good.retain(|key, good| held(key).is_some_and(|resource| resource.version >= good.version));
+        if self.out.is_none() {
+            let wanted: BTreeMap<Key, Resource> = store
+                .iter()
+                .filter(|resource| resource.patch.is_some() && concerns.wants(&resource.scope))
+                .filter_map(|resource| {
+                    let key = key(resource);
+                    let resource = match self.refused.contains_key(&key) {
+                        true => self.good.get(&key)?.clone(),
+                        false => resource.clone(),
+                    };
+                    Some((key, resource))
+                })
+                .collect();
+            if wanted == self.applied {
+                self.in_force = store.version;
+            } else {
+                // The same version with other content, after a whole set: what was said of it counts no more.
+                if self.in_force >= store.version {
+                    let number = store.version.number.saturating_sub(1);
+                    self.in_force = Version { number, ..store.version };
+                }
+                let resources = wanted.values().cloned().collect();
+                self.out = Some((store.version, wanted));
+                host.put_in_force(store.version, resources);
+            }
+        }
+        if planted(Fault::SumOfHeld) {
+            self.in_force = store.version;
+        }
+        self.behind = if self.in_force < store.version { self.behind.or(Some(now)) } else { None };
+    }
+
+    /// The process has this version in force, but for those that it refused: of them it has what it had.
+    /// Whether that was asked for, and whether the last good ones have changed.
+    pub fn done(
+        &mut self,
+        now: Nanos,
+        version: Version,
+        refused: Vec<(Name, Version, String)>,
+    ) -> (bool, bool) {
+        let Some((out, mut set)) = self.out.take_if(|(out, _)| *out == version) else {
+            return (false, false);
+        };
+        let before = self.good.clone();
+        for (key, resource) in &set {
+            let Some((.., reason)) = refused
+                .iter()
+                .find(|(name, version, _)| *name == resource.name && *version == resource.version)
+            else {
+                // The last good one of a refused one stays that.
+                if !self.refused.contains_key(key) {
+                    self.good.remove(key);
+                }
+                continue;
+            };
+            if self.good.get(key) == Some(resource) {
+                self.good.remove(key);
+                continue;
+            }
+            self.refused.insert(key.clone(), (resource.version, reason.clone()));
+            if let Some(had) = self.applied.get(key) {
+                self.good.insert(key.clone(), had.clone());
+            }
+        }
+        let had = std::mem::take(&mut self.applied);
+        set.retain(|_, resource| {
+            !refused.iter().any(|(name, version, _)| *name == resource.name && *version == resource.version)
+        });
+        for key in self.refused.keys() {
+            if let (None, Some(had)) = (set.get(key), had.get(key)) {
+                set.insert(key.clone(), had.clone());
+            }
+        }
+        self.applied = set;
+        // It had more to do than one version: it is late from here on, if it is.
+        if self.in_force < out {
+            (self.in_force, self.behind) = (out, Some(now));
+        }
+        (true, before != self.good)
+    }
+
+    pub fn exceptions(&self, me: &Member) -> Vec<Exception> {
+        let refused = self.refused.iter().map(|((_, name), (version, reason))| Exception {
+            who: me.clone(),
+            in_force: self.in_force,
+            why: Why::Refused { resource: name.clone(), version: *version, reason: reason.clone() },
+        });
+        refused.collect()
+    }
+}
+
+fn key(resource: &Resource) -> Key {
+    (resource.scope.clone(), resource.name.clone())
+}
--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -6,11 +6,26 @@
 //! holds the lease `carrier` drives a [`Publisher`] beside it. Times are whole nanoseconds of the process's own clock; only
 //! spans are ever sent, never points in time.
 
+mod children;
+mod force;
+mod hash;
 mod message;
+mod node;
+mod parents;
+mod planted;
+mod publisher;
 mod resource;
+mod store;
+mod sums;
 
 pub use message::{Down, Exception, Member, Sum, Up, Why};
+pub use node::{Child, Host, Node, Terms};
+pub use planted::{Fault, plant};
+pub use publisher::{Change, Outcome, Publisher, PublisherHost, Written};
 pub use resource::{Interest, Name, Place, Resource, Scope, Version};
+pub use store::Kept;
 
 /// Whole nanoseconds.
 pub type Nanos = u64;
+const MILLISECOND: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MILLISECOND;
--- a/crates/carrier/src/message.rs
+++ b/crates/carrier/src/message.rs
@@ -16,8 +16,11 @@
 pub enum Up {
     /// First on a link: who calls, what it wants, and the version and digest of what it holds of that.
     Subscribe { who: Member, wants: Interest, holds: Version, digest: u64 },
-    /// What it holds now (on disk, of a control machine): the parent sends no next part of a difference before it.
+    /// What it holds now (on disk, of a control machine): the answer to the last part of a difference, to one that it
+    /// passed over, and to a pulse that moved it.
     Holds { version: Version, digest: u64 },
+    /// The answer to a part that is not the last: the next may come.
+    Took,
     /// What is in force below and at the child, as a sum.
     Sum(Sum),
 }
@@ -26,11 +29,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Down {
     /// Once a second, and after the last part of a difference: the newest version that the parent holds, the digest of what
-    /// the child wants at that version, and how old the parent's knowledge is: time since the root held just this.
+    /// the child wants at that version, and how old the parent's knowledge is: time since the root held just this, in
+    /// nanoseconds, the greatest number where it is not known. A child that has this digest holds that version by it.
     Pulse { holds: Version, digest: u64, age: Nanos },
-    /// What changed for the child after `after`, up to `version`; in parts, of which only the last makes it hold `version`.
-    /// A whole one replaces what the child has.
-    Delta { after: Version, version: Version, whole: bool, last: bool, resources: Vec<Resource> },
+    /// What changed for the child after `after`, up to `version`; in parts, of which only the last makes it hold `version`,
+    /// which grows from part to part where the parent's does. A whole one replaces what the child has. Of a part that is
+    /// `cut` the last patch goes on in the next part, under the same scope, name and version.
+    Delta { after: Version, version: Version, whole: bool, last: bool, cut: bool, resources: Vec<Resource> },
     /// No room for one more child: it goes to another.
     Full,
 }
--- a/crates/carrier/src/resource.rs
+++ b/crates/carrier/src/resource.rs
@@ -6,6 +6,9 @@
 
 pub type Name = String;
 
+/// The longest name of a resource or in its scope, in bytes.
+pub(crate) const NAME: usize = 200;
+
 /// Of the whole set: which founding of the record, and how many changes since. Never reused, and compared as written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Version {
@@ -75,6 +78,17 @@
     }
 }
 
+/// A name that nothing can bear, if there is one among these.
+pub(crate) fn wrong_name<'a>(scope: &'a Scope, name: &'a Name) -> Option<&'a Name> {
+    let (one, two) = match scope {
+        Scope::Fleet => (None, None),
+        Scope::Region(one) | Scope::Zone(one) | Scope::Site(one) => (Some(one), None),
+        Scope::Proxy(site, proxy) => (Some(site), Some(proxy)),
+    };
+    let mut names = [Some(name), one, two].into_iter().flatten();
+    names.find(|name| name.is_empty() || name.len() > NAME)
+}
+
 impl fmt::Display for Version {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.epoch, self.number)
--- /dev/null
+++ b/crates/carrier/src/sums.rs
@@ -0,0 +1,141 @@
+//! What is in force at and below a process, as a sum.
+
+use crate::children::Children;
+use crate::message::{Exception, Member, Sum, Why};
+use crate::node::Child;
+use crate::planted::{Fault, planted};
+use crate::resource::{Interest, Version};
+use crate::{Nanos, SECOND};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What is held here for longer than this and not in force at a member is late there; at one that has others below it,
+/// which come later by nature, the other.
+pub(crate) const LATE: [Nanos; 2] = [3 * SECOND, 5 * SECOND];
+/// A lost member is named for so long, unless it arrives elsewhere.
+const LOST: Nanos = 60 * SECOND;
+/// How long it is carried up that one has arrived.
+const ARRIVED: Nanos = 30 * SECOND;
+/// Arrivals remembered at once, the newest.
+const ARRIVALS: usize = 256;
+
+/// Members that went, and that came.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Moves {
+    /// What each had in force last, and until when it is named.
+    lost: BTreeMap<Member, (Version, Nanos)>,
+    /// By which child each came, and until when that is carried up.
+    arrived: BTreeMap<Member, (Child, Nanos)>,
+}
+
+impl Moves {
+    /// A child that was counted is gone. Of more than `most` the first to be forgotten anyway goes.
+    pub fn lost(&mut self, now: Nanos, who: Member, in_force: Version, most: usize) {
+        self.arrived.remove(&who);
+        if planted(Fault::ForgetsLost) {
+            return;
+        }
+        self.lost.insert(who, (in_force, now + LOST));
+        bound(&mut self.lost, most, |(_, until)| *until);
+    }
+
+    /// A member came by this child, or is one.
+    pub fn arrived(&mut self, now: Nanos, who: &Member, child: Child) {
+        // A new life of a name stands for the old ones.
+        self.lost.retain(|lost, _| lost.name != who.name || lost.incarnation > who.incarnation);
+        self.arrived.insert(who.clone(), (child, now + ARRIVED));
+        bound(&mut self.arrived, ARRIVALS, |(_, until)| *until);
+    }
+
+    /// Who came within the last while, the newest first, at most so many.
+    fn lately(&self, now: Nanos, most: usize) -> Vec<Member> {
+        let there = self.arrived.iter().filter(|(_, (_, until))| now < *until);
+        let mut lately: Vec<_> = there.map(|(who, (_, until))| (std::cmp::Reverse(*until), who)).collect();
+        lately.sort();
+        lately.into_iter().take(most).map(|(_, who)| who.clone()).collect()
+    }
+
+    /// Whether somebody that a child has lost came by another.
+    fn came_by_another(&self, now: Nanos, who: &Member, child: Child) -> bool {
+        let later = Member { name: who.name.clone(), incarnation: u64::MAX };
+        let mut lives = self.arrived.range(who..=&later);
+        lives.any(|(_, (by, until))| now < *until && (*by != child))
+    }
+
+    pub fn forget_old(&mut self, now: Nanos) {
+        self.lost.retain(|_, (_, until)| now < *until);
+        self.arrived.retain(|_, (_, until)| now < *until);
+    }
+}
+
+fn bound<V>(map: &mut BTreeMap<Member, V>, most: usize, until: impl Fn(&V) -> Nanos) {
+    while map.len() > most {
+        let oldest = map.iter().min_by_key(|(_, what)| until(what)).map(|(who, _)| who.clone());
+        let Some(oldest) = oldest else { return };
+        map.remove(&oldest);
+    }
+}
+
+/// What a process says of itself.
+pub(crate) struct Own {
+    pub in_force: Version,
+    pub late: bool,
+    pub exceptions: Vec<Exception>,
+}
+
+/// Joins what a process says of itself and what its children said.
+pub(crate) fn sum(
+    now: Nanos,
+    holds: Version,
+    own: Own,
+    children: &Children,
+    moves: &Moves,
+    named: usize,
+) -> Sum {
+    let mut lowest = (!own.late).then_some(own.in_force);
+    let (mut members, mut unnamed) = (1u32, 0u32);
+    let mut exceptions = own.exceptions;
+    for (child, one) in children.iter() {
+        let (Some((who, wants)), Some(sum)) = (&one.who, &one.sum) else { continue };
+        let gone =
+            |other: &Exception| other.why == Why::Lost && moves.came_by_another(now, &other.who, *child);
+        let back = sum.exceptions.iter().filter(|other| gone(other)).count() as u32;
+        let count = sum.members.saturating_sub(back).max(1);
+        members = members.saturating_add(count);
+        let below = sum.exceptions.iter().filter(|other| !gone(other));
+        // Never more than is held here: what a child claims beyond that may be anything.
+        let in_force = sum.in_force.min(holds);
+        let allowed = LATE[usize::from(!matches!(wants, Interest::Proxy(..)))];
+        if one.behind.is_some_and(|(_, since)| now >= since + allowed) {
+            let others = below.filter(|other| other.who != *who || matches!(other.why, Why::Refused { .. }));
+            let others: Vec<Exception> = others.cloned().collect();
+            let mut named: BTreeSet<&Member> = others.iter().map(|other| &other.who).collect();
+            named.insert(who);
+            // None of those below it may count as in force.
+            unnamed = unnamed.saturating_add(count.saturating_sub(named.len() as u32).max(sum.unnamed));
+            exceptions.push(Exception { who: who.clone(), in_force, why: Why::Late });
+            exceptions.extend(others);
+        } else {
+            exceptions.extend(below.cloned());
+            unnamed = unnamed.saturating_add(sum.unnamed);
+            lowest = Some(lowest.map_or(in_force, |lowest| lowest.min(in_force)));
+        }
+    }
+    for (who, (in_force, until)) in &moves.lost {
+        if now < *until {
+            members = members.saturating_add(1);
+            exceptions.push(Exception { who: who.clone(), in_force: *in_force, why: Why::Lost });
+        }
+    }
+    // A member may refuse more than one resource; beyond those named, members are counted.
+    let named_too: BTreeSet<Member> = exceptions.iter().take(named).map(|other| other.who.clone()).collect();
+    let others: BTreeSet<Member> =
+        exceptions.drain(named.min(exceptions.len())..).map(|other| other.who).collect();
+    unnamed = unnamed.saturating_add(others.difference(&named_too).count() as u32);
+    Sum {
+        in_force: lowest.unwrap_or(own.in_force),
+        members,
+        exceptions,
+        unnamed,
+        arrived: moves.lately(now, named),
+    }
+}
