--- a/crates/carrier/src/force.rs
+++ b/crates/carrier/src/force.rs
@@ -4,7 +4,7 @@
 use crate::message::{Exception, Member, Why};
 use crate::node::Host;
 use crate::planted::{Fault, planted};
-use crate::resource::{Interest, Name, Resource, Version};
+use crate::resource::{Interest, Name, Resource, Scope, Version};
 use crate::store::{Key, Store};
 use std::collections::BTreeMap;
 
@@ -77,43 +77,34 @@
         &mut self,
         now: Nanos,
         version: Version,
-        refused: Vec<(Name, Version, String)>,
+        refused: Vec<(Scope, Name, String)>,
     ) -> (bool, bool) {
         let Some((out, mut set)) = self.out.take_if(|(out, _)| *out == version) else {
             return (false, false);
         };
         let before = self.good.clone();
-        for (key, resource) in &set {
-            let Some((.., reason)) = refused
-                .iter()
-                .find(|(name, version, _)| *name == resource.name && *version == resource.version)
-            else {
-                // The last good one of a refused one stays that.
-                if !self.refused.contains_key(key) {
-                    self.good.remove(key);
+        let refused = refused.into_iter().map(|(scope, name, reason)| ((scope, name), reason));
+        let refused: Vec<_> =
+            refused.filter_map(|(key, reason)| Some((set.remove(&key)?, key, reason))).collect();
+        // Whose newest is in force needs no other. The last good one of a refused one stays that.
+        self.good.retain(|key, _| !set.contains_key(key) || self.refused.contains_key(key));
+        for (resource, key, reason) in refused {
+            let had = self.applied.remove(&key);
+            if self.good.get(&key) == Some(&resource) {
+                // It will not have that either, say after an update: there is none.
+                self.good.remove(&key);
+            } else {
+                self.refused.insert(key.clone(), (resource.version, reason));
+                if let Some(had) = &had {
+                    self.good.insert(key.clone(), had.clone());
                 }
-                continue;
-            };
-            if self.good.get(key) == Some(resource) {
-                self.good.remove(key);
-                continue;
             }
-            self.refused.insert(key.clone(), (resource.version, reason.clone()));
-            if let Some(had) = self.applied.get(key) {
-                self.good.insert(key.clone(), had.clone());
-            }
-        }
-        let had = std::mem::take(&mut self.applied);
-        set.retain(|_, resource| {
-            !refused.iter().any(|(name, version, _)| *name == resource.name && *version == resource.version)
-        });
-        for key in self.refused.keys() {
-            if let (None, Some(had)) = (set.get(key), had.get(key)) {
-                set.insert(key.clone(), had.clone());
+            if let Some(had) = had {
+                set.insert(key, had);
             }
         }
         self.applied = set;
-        // It had more to do than one version: it is late from here on, if it is.
+        // What is held now is later than this: it is late from here on, if it is.
         if self.in_force < out {
             (self.in_force, self.behind) = (out, Some(now));
         }
@@ -121,12 +112,14 @@
     }
 
     pub fn exceptions(&self, me: &Member) -> Vec<Exception> {
-        let refused = self.refused.iter().map(|((_, name), (version, reason))| Exception {
-            who: me.clone(),
-            in_force: self.in_force,
-            why: Why::Refused { resource: name.clone(), version: *version, reason: reason.clone() },
-        });
-        refused.collect()
+        let why = |((scope, resource), (version, reason)): (&Key, &(Version, String))| Why::Refused {
+            scope: scope.clone(),
+            resource: resource.clone(),
+            version: *version,
+            reason: reason.clone(),
+        };
+        let refused = self.refused.iter().map(why);
+        refused.map(|why| Exception { who: me.clone(), in_force: self.in_force, why }).collect()
     }
 }
 
--- a/crates/carrier/src/message.rs
+++ b/crates/carrier/src/message.rs
@@ -1,7 +1,7 @@
 //! What parent and child say to each other.
 
 use crate::Nanos;
-use crate::resource::{Interest, Name, Resource, Version};
+use crate::resource::{Interest, Name, Resource, Scope, Version};
 use serde::{Deserialize, Serialize};
 
 /// A process: its name and which life of it.
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Why {
     /// It refused this resource, at this version of it, for this reason; the last good one stays in force.
-    Refused { resource: Name, version: Version, reason: String },
+    Refused { scope: Scope, resource: Name, version: Version, reason: String },
     /// It is there and has not caught up within the time that is usual.
     Late,
     /// Its link was lost, and it has not been heard of since.
--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -5,7 +5,7 @@
 use crate::message::{Down, Exception, Member, Sum, Up, Why};
 use crate::parents::{OLD, Parents};
 use crate::planted::{Fault, planted};
-use crate::resource::{Interest, Name, Place, Resource, Version, wrong_name};
+use crate::resource::{Interest, Name, Place, Resource, Scope, Version, wrong_name};
 use crate::store::{Kept, Store};
 use crate::sums::{self, LATE, Moves, Own};
 use crate::{MILLISECOND, Nanos, SECOND};
@@ -349,13 +349,13 @@
         }
     }
 
-    /// This version is in force, but for those that were refused, by name and version, with the reason: of them what was
-    /// in force before still is.
+    /// This version is in force, but for those that were refused, by scope and name, with the reason: of them what was in
+    /// force before still is.
     pub fn in_force(
         &mut self,
         now: Nanos,
         version: Version,
-        refused: Vec<(Name, Version, String)>,
+        refused: Vec<(Scope, Name, String)>,
         host: &mut impl Host,
     ) {
         let (asked, good) = self.force.done(now, version, refused);
