--- a/crates/carrier/src/force.rs
+++ b/crates/carrier/src/force.rs
@@ -6,7 +6,16 @@
 use crate::planted::{Fault, planted};
 use crate::resource::{Interest, Name, Resource, Scope, Version};
 use crate::store::{Key, Store};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the process was asked to put in force.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Out {
+    version: Version,
+    set: BTreeMap<Key, Resource>,
+    /// What is refused at this version too.
+    refused: BTreeSet<Key>,
+}
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Force {
@@ -15,8 +24,8 @@
     pub behind: Option<Nanos>,
     /// What the process has in force, of each resource that concerns it.
     applied: BTreeMap<Key, Resource>,
-    /// What it was asked to put in force.
-    out: Option<(Version, BTreeMap<Key, Resource>)>,
+    out: Option<Out>,
+    /// At which version each is refused, and why, until another version of it is in force or it is removed.
     refused: BTreeMap<Key, (Version, String)>,
     /// The last good ones of those that are refused.
     good: BTreeMap<Key, Resource>,
@@ -36,16 +45,18 @@
     /// What is held has changed, or something came to be in force: asks for the newest, one at a time.
     pub fn look(&mut self, now: Nanos, store: &Store, concerns: &Interest, host: &mut impl Host) {
         let held = |key: &Key| store.get(key).filter(|resource| resource.patch.is_some());
-        self.refused
-            .retain(|key, (version, _)| held(key).is_some_and(|resource| resource.version == *version));
         self.good.retain(|key, good| held(key).is_some_and(|resource| resource.version >= good.version));
+        let refused = self.refused.iter();
+        let refused =
+            refused.filter(|(key, (version, _))| held(key).is_some_and(|held| held.version == *version));
+        let refused: BTreeSet<Key> = refused.map(|(key, _)| key.clone()).collect();
         if self.out.is_none() {
             let wanted: BTreeMap<Key, Resource> = store
                 .iter()
                 .filter(|resource| resource.patch.is_some() && concerns.wants(&resource.scope))
                 .filter_map(|resource| {
                     let key = key(resource);
-                    let resource = match self.refused.contains_key(&key) {
+                    let resource = match refused.contains(&key) {
                         true => self.good.get(&key)?.clone(),
                         false => resource.clone(),
                     };
@@ -54,6 +65,7 @@
                 .collect();
             if wanted == self.applied {
                 self.in_force = store.version;
+                self.refused.retain(|key, _| refused.contains(key));
             } else {
                 // The same version with other content, after a whole set: what was said of it counts no more.
                 if self.in_force >= store.version {
@@ -61,7 +73,7 @@
                     self.in_force = Version { number, ..store.version };
                 }
                 let resources = wanted.values().cloned().collect();
-                self.out = Some((store.version, wanted));
+                self.out = Some(Out { version: store.version, set: wanted, refused });
                 host.put_in_force(store.version, resources);
             }
         }
@@ -79,15 +91,15 @@
         version: Version,
         refused: Vec<(Scope, Name, String)>,
     ) -> (bool, bool) {
-        let Some((out, mut set)) = self.out.take_if(|(out, _)| *out == version) else {
-            return (false, false);
-        };
+        let Some(out) = self.out.take_if(|out| out.version == version) else { return (false, false) };
+        let Out { version, mut set, refused: still } = out;
         let before = self.good.clone();
         let refused = refused.into_iter().map(|(scope, name, reason)| ((scope, name), reason));
         let refused: Vec<_> =
             refused.filter_map(|(key, reason)| Some((set.remove(&key)?, key, reason))).collect();
         // Whose newest is in force needs no other. The last good one of a refused one stays that.
-        self.good.retain(|key, _| !set.contains_key(key) || self.refused.contains_key(key));
+        self.good.retain(|key, _| !set.contains_key(key) || still.contains(key));
+        self.refused.retain(|key, _| still.contains(key));
         for (resource, key, reason) in refused {
             let had = self.applied.remove(&key);
             if self.good.get(&key) == Some(&resource) {
@@ -105,8 +117,8 @@
         }
         self.applied = set;
         // What is held now is later than this: it is late from here on, if it is.
-        if self.in_force < out {
-            (self.in_force, self.behind) = (out, Some(now));
+        if self.in_force < version {
+            (self.in_force, self.behind) = (version, Some(now));
         }
         (true, before != self.good)
     }
