Carrier: exceptions name the gravest first; nobody lost counts twice; arrivals carried 75 s

Lost and late come first now, up to half is spared for refusals, four of one member at most, and who is not named for the gravest is counted. Arrivals were carried for 30 s: shorter than an old parent, that notices late, has them as lost; 75 s now.

--- a/crates/carrier/src/force.rs
+++ b/crates/carrier/src/force.rs
@@ -8,6 +8,11 @@
 use crate::store::{Key, Store};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Of one member at most so many refused resources are named, and of a reason so many characters said: sums go up once a
+/// second, beside all else that a link bears.
+const NAMED: usize = 4;
+const REASON: usize = 100;
+
 /// What the process was asked to put in force.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Out {
@@ -106,6 +111,7 @@
                 // It will not have that either, say after an update: there is none.
                 self.good.remove(&key);
             } else {
+                let reason = reason.chars().take(REASON).collect();
                 self.refused.insert(key.clone(), (resource.version, reason));
                 if let Some(had) = &had {
                     self.good.insert(key.clone(), had.clone());
@@ -130,7 +136,7 @@
             version: *version,
             reason: reason.clone(),
         };
-        let refused = self.refused.iter().map(why);
+        let refused = self.refused.iter().take(NAMED).map(why);
         refused.map(|why| Exception { who: me.clone(), in_force: self.in_force, why }).collect()
     }
 }
--- a/crates/carrier/src/message.rs
+++ b/crates/carrier/src/message.rs
@@ -45,9 +45,11 @@
 pub struct Sum {
     /// Everyone counted has this in force, but the exceptions.
     pub in_force: Version,
+    /// All that are counted, exceptions included.
     pub members: u32,
+    /// The gravest, and of one member four refusals at most.
     pub exceptions: Vec<Exception>,
-    /// Exceptions beyond those named.
+    /// Members that are exceptions beyond those named.
     pub unnamed: u32,
     /// Who came from another parent a short while ago: whoever sums takes them off what it has as lost.
     pub arrived: Vec<Member>,
--- a/crates/carrier/src/sums.rs
+++ b/crates/carrier/src/sums.rs
@@ -13,8 +13,8 @@
 pub(crate) const LATE: [Nanos; 2] = [3 * SECOND, 5 * SECOND];
 /// A lost member is named for so long, unless it arrives elsewhere.
 const LOST: Nanos = 60 * SECOND;
-/// How long it is carried up that one has arrived.
-const ARRIVED: Nanos = 30 * SECOND;
+/// How long it is carried up that one has arrived: longer than its old parent, which may notice late, has it as lost.
+const ARRIVED: Nanos = 75 * SECOND;
 /// Arrivals remembered at once, the newest.
 const ARRIVALS: usize = 256;
 
@@ -94,19 +94,23 @@
     let mut lowest = (!own.late).then_some(own.in_force);
     let (mut members, mut unnamed) = (1u32, 0u32);
     let mut exceptions = own.exceptions;
+    let mut lost: BTreeSet<Member> = BTreeSet::new();
     for (child, one) in children.iter() {
         let (Some((who, wants)), Some(sum)) = (&one.who, &one.sum) else { continue };
-        let gone =
-            |other: &Exception| other.why == Why::Lost && moves.came_by_another(now, &other.who, *child);
-        let back = sum.exceptions.iter().filter(|other| gone(other)).count() as u32;
-        let count = sum.members.saturating_sub(back).max(1);
+        // Neither whoever came back elsewhere nor whoever was lost in two places counts twice.
+        let twice = |other: &&Exception| {
+            other.why == Why::Lost
+                && (moves.came_by_another(now, &other.who, *child) || !lost.insert(other.who.clone()))
+        };
+        let (back, below): (Vec<&Exception>, Vec<&Exception>) = sum.exceptions.iter().partition(twice);
+        let count = sum.members.saturating_sub(back.len() as u32).max(1);
         members = members.saturating_add(count);
-        let below = sum.exceptions.iter().filter(|other| !gone(other));
         // Never more than is held here: what a child claims beyond that may be anything.
         let in_force = sum.in_force.min(holds);
         let allowed = LATE[usize::from(!matches!(wants, Interest::Proxy(..)))];
         if one.behind.is_some_and(|(_, since)| now >= since + allowed) {
-            let others = below.filter(|other| other.who != *who || matches!(other.why, Why::Refused { .. }));
+            let others =
+                below.into_iter().filter(|other| other.who != *who || other.why.rank() > Why::Late.rank());
             let others: Vec<Exception> = others.cloned().collect();
             let mut named: BTreeSet<&Member> = others.iter().map(|other| &other.who).collect();
             named.insert(who);
@@ -115,22 +119,19 @@
             exceptions.push(Exception { who: who.clone(), in_force, why: Why::Late });
             exceptions.extend(others);
         } else {
-            exceptions.extend(below.cloned());
+            exceptions.extend(below.into_iter().cloned());
             unnamed = unnamed.saturating_add(sum.unnamed);
             lowest = Some(lowest.map_or(in_force, |lowest| lowest.min(in_force)));
         }
     }
     for (who, (in_force, until)) in &moves.lost {
-        if now < *until {
+        if now < *until && lost.insert(who.clone()) {
             members = members.saturating_add(1);
             exceptions.push(Exception { who: who.clone(), in_force: *in_force, why: Why::Lost });
         }
     }
-    // A member may refuse more than one resource; beyond those named, members are counted.
-    let named_too: BTreeSet<Member> = exceptions.iter().take(named).map(|other| other.who.clone()).collect();
-    let others: BTreeSet<Member> =
-        exceptions.drain(named.min(exceptions.len())..).map(|other| other.who).collect();
-    unnamed = unnamed.saturating_add(others.difference(&named_too).count() as u32);
+    let (exceptions, more) = name(exceptions, named);
+    let unnamed = unnamed.saturating_add(more);
     Sum {
         in_force: lowest.unwrap_or(own.in_force),
         members,
@@ -139,3 +140,35 @@
         arrived: moves.lately(now, named),
     }
 }
+
+/// The gravest, but up to half for refusals, whose reasons help; and how many members are not named for the gravest
+/// that there is of them.
+fn name(mut exceptions: Vec<Exception>, most: usize) -> (Vec<Exception>, u32) {
+    if exceptions.len() <= most {
+        return (exceptions, 0);
+    }
+    exceptions.sort_by_key(|one| one.why.rank());
+    let refused = exceptions.split_off(exceptions.partition_point(|one| one.why.rank() < 2));
+    let spared = refused.len().min(most / 2);
+    let mut others = exceptions.split_off(exceptions.len().min(most - spared));
+    let mut refused = refused.into_iter();
+    exceptions.extend(refused.by_ref().take(most - exceptions.len()));
+    others.extend(refused);
+    let named = |one: &Exception| {
+        exceptions.iter().any(|other| other.who == one.who && other.why.rank() <= one.why.rank())
+    };
+    let unnamed: BTreeSet<&Member> = others.iter().filter(|one| !named(one)).map(|one| &one.who).collect();
+    let unnamed = unnamed.len() as u32;
+    (exceptions, unnamed)
+}
+
+impl Why {
+    /// The gravest first: who is lost or late may have nothing in force, who refuses has all else.
+    fn rank(&self) -> u8 {
+        match self {
+            Why::Lost => 0,
+            Why::Late => 1,
+            Why::Refused { .. } => 2,
+        }
+    }
+}
