Carrier: traces of node and publisher; a full record takes changes again once it has room

The traces found two things: after a refusal for want of room the next change was refused though a batch had been confirmed since; and a sum was made anew for each thing that any child said.

--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -96,9 +96,10 @@
     /// When the root is known to have held just this.
     known: Option<Nanos>,
     published: bool,
-    /// What went up last, when, and when to look again.
+    /// What went up last and when, when it was summed last, and when that is due again.
     sent: Sum,
     summed: Nanos,
+    looked: Nanos,
     sum_due: Nanos,
 }
 
@@ -136,6 +137,7 @@
             published: false,
             sent: Sum::default(),
             summed: now,
+            looked: now,
             sum_due: Nanos::MAX,
         };
         node.force.look(now, &node.store, &node.concerns, host);
@@ -460,15 +462,15 @@
         }
     }
 
-    /// The sum may have changed: if so it goes up soon.
+    /// The sum may have changed: if so it goes up soon. With a thousand children it is not made for each thing they say.
     fn changed(&mut self, now: Nanos, host: &mut impl Host) {
-        self.sum_due = self.sum_due.min(self.summed + SUM[0]);
+        self.sum_due = self.sum_due.min(self.looked + SUM[0]);
         self.sum_if_due(now, host);
     }
 
     fn sum_if_due(&mut self, now: Nanos, host: &mut impl Host) {
         if now >= self.sum_due && self.parents.parent().is_some() {
-            self.sum_due = self.summed + SUM[1];
+            (self.looked, self.sum_due) = (now, self.summed + SUM[1]);
             if now >= self.sum_due || self.sum(now) != self.sent {
                 self.send_sum(now, host);
             }
@@ -476,7 +478,7 @@
     }
 
     fn send_sum(&mut self, now: Nanos, host: &mut impl Host) {
-        (self.summed, self.sum_due) = (now, now + SUM[1]);
+        (self.summed, self.looked, self.sum_due) = (now, now, now + SUM[1]);
         self.sent = self.sum(now);
         host.send_up(Up::Sum(self.sent.clone()));
     }
--- a/crates/carrier/src/parents.rs
+++ b/crates/carrier/src/parents.rs
@@ -55,7 +55,7 @@
             tier.sort_by_key(|name| (hash([me.as_bytes(), name.as_bytes()]), *name));
             candidates.extend(tier.into_iter().cloned());
         }
-        let first = now + by_chance(REDIAL[0], host);
+        let first = if candidates.is_empty() { Nanos::MAX } else { now + by_chance(REDIAL[0], host) };
         let (link, home) = (Link::None(first), Nanos::MAX);
         Parents { candidates, at: 0, link, vain: 0, back: None, fresh: now, old: None, home, tried: 0 }
     }
--- a/crates/carrier/src/publisher.rs
+++ b/crates/carrier/src/publisher.rs
@@ -217,7 +217,7 @@
             _ if size > BATCH => {
                 Some(format!("the changes take {size} bytes of the record, {BATCH} at most may"))
             }
-            _ if self.full.is_some_and(|since| now >= since + FULL) => Some(full()),
+            _ if self.full.is_some_and(|since| now >= since + FULL) && size > self.room() => Some(full()),
             _ => changes.iter().find_map(|change| wrong(change).err()),
         };
         if let Some(refused) = refused {
@@ -240,20 +240,19 @@
         if self.doing != Doing::Ready {
             return;
         }
-        let Tail { version, base, changes } = &self.tail;
-        let base = (*base).max(self.confirmed.min(*version));
-        let kept = changes.iter().filter(|resource| resource.version > base);
-        let mut kept: BTreeMap<_, Resource> = kept
-            .map(|resource| ((resource.scope.clone(), resource.name.clone()), resource.clone()))
-            .collect();
-        let mut next = Tail { version: *version, base, changes: Vec::new() };
-        let tail: usize = kept.values().map(size_of).sum();
+        let version = self.tail.version;
+        let kept = self
+            .unconfirmed()
+            .map(|resource| ((resource.scope.clone(), resource.name.clone()), resource.clone()));
+        let mut kept: BTreeMap<_, Resource> = kept.collect();
+        let mut next = Tail { version, base: self.base(), changes: Vec::new() };
+        let room = self.room();
         let mut batch = 0;
         while let Some(offer) = self.offers.front() {
             if batch + offer.size > BATCH {
                 break;
             }
-            if tail + batch + offer.size > TAIL {
+            if batch + offer.size > room {
                 self.full.get_or_insert(now);
                 break;
             }
@@ -283,6 +282,21 @@
         self.send(next, host);
     }
 
+    /// What a majority has, the next time that the record is written.
+    fn base(&self) -> Version {
+        self.tail.base.max(self.confirmed.min(self.tail.version))
+    }
+
+    fn unconfirmed(&self) -> impl Iterator<Item = &Resource> {
+        let base = self.base();
+        self.tail.changes.iter().filter(move |resource| resource.version > base)
+    }
+
+    /// For more changes, in bytes of the record.
+    fn room(&self) -> usize {
+        TAIL.saturating_sub(self.unconfirmed().map(size_of).sum())
+    }
+
     fn send(&mut self, next: Tail, host: &mut impl PublisherHost) {
         match serde_json::to_string(&next) {
             Ok(text) => {
--- a/crates/carrier/src/sums.rs
+++ b/crates/carrier/src/sums.rs
@@ -25,6 +25,7 @@
     lost: BTreeMap<Member, (Version, Nanos)>,
     /// By which child each came, and until when that is carried up.
     arrived: BTreeMap<Member, (Child, Nanos)>,
+    looked: Nanos,
 }
 
 impl Moves {
@@ -62,6 +63,10 @@
     }
 
     pub fn forget_old(&mut self, now: Nanos) {
+        if now < self.looked + SECOND {
+            return;
+        }
+        self.looked = now;
         self.lost.retain(|_, (_, until)| now < *until);
         self.arrived.retain(|_, (_, until)| now < *until);
     }
