--- a/crates/carrier/src/children.rs
+++ b/crates/carrier/src/children.rs
@@ -75,6 +75,14 @@
         self.of.iter()
     }
 
+    /// Those that have said who they are, but for control machines.
+    pub fn subscribed(&self) -> usize {
+        self.of
+            .values()
+            .filter(|one| one.who.as_ref().is_some_and(|(_, wants)| *wants != Interest::All))
+            .count()
+    }
+
     pub fn numbers(&self) -> Vec<Child> {
         self.of.keys().copied().collect()
     }
--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -43,7 +43,7 @@
     pub relay: bool,
     /// Whom it may call, the tiers in the order given, within each in an order of its own. None of a control machine.
     pub tiers: Vec<Vec<Name>>,
-    /// At most so many children.
+    /// At most so many children, control machines not counted.
     pub children: usize,
     /// At most so many bytes to a child in any second, pulses included.
     pub child_bytes_per_second: u64,
@@ -53,6 +53,8 @@
     pub named: usize,
 }
 
+/// Places beyond those for children: for control machines, and for links on which nobody has said who calls.
+const SPARE: usize = 64;
 /// Parts of a difference that are not its end, in bytes at most: who sends more is no parent.
 const COLLECTED: usize = 4 * 1024 * 1024;
 /// A sum goes up this soon after the last one where it has changed, and else as late as the other.
@@ -374,11 +376,16 @@
 
     /// A child calls.
     pub fn child_up(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
-        if self.children.len() >= self.terms.children {
-            host.send_down(child, Down::Full);
-            return host.drop_child(child);
-        }
         self.children.add(now, child);
+        // Whoever has not said yet who it is has no place; a crowd of them must not take all there are.
+        if self.children.len() > self.terms.children + SPARE {
+            self.turn_away(now, child, host);
+        }
+    }
+
+    fn turn_away(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
+        host.send_down(child, Down::Full);
+        self.drop(now, child, host);
     }
 
     /// A child said this.
@@ -398,6 +405,10 @@
                     let older = other.incarnation > who.incarnation;
                     self.drop(now, if older { child } else { link }, host);
                 }
+                // A control machine can go nowhere else than to the root: it always finds a place.
+                if wants != Interest::All && self.children.subscribed() >= self.terms.children {
+                    return self.turn_away(now, child, host);
+                }
                 if let Some(one) = self.children.get(child) {
                     one.subscribed(now, who, wants, holds, digest);
                 }
@@ -443,7 +454,7 @@
     pub fn child_lost(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
         let Some(one) = self.children.remove(child) else { return };
         if let (Some((who, _)), Some(sum)) = (one.who, one.sum) {
-            self.moves.lost(now, who, sum.in_force, self.terms.children);
+            self.moves.lost(now, who, sum.in_force, self.terms.children + SPARE);
         }
         self.changed(now, host);
     }
--- a/crates/carrier/tests/common/mod.rs
+++ b/crates/carrier/tests/common/mod.rs
@@ -212,6 +212,9 @@
     pub wakes: Nanos,
     /// How long it takes to put something in force, and to write its disk.
     pub slow: Nanos,
+    /// It never comes back; nobody reaches it, and it nobody, until then.
+    pub dead: bool,
+    pub island: Nanos,
 }
 
 pub struct Link {
@@ -315,6 +318,8 @@
                 gone: Vec::new(),
                 wakes: Nanos::MAX,
                 slow,
+                dead: false,
+                island: 0,
             });
             world.later(0, Event::Start(at));
         }
@@ -555,6 +560,14 @@
         }
     }
 
+    /// Cut off from all others for a while, without a word to anybody.
+    pub fn isolate(&mut self, at: usize, time: Nanos) {
+        self.processes[at].island = self.now + time;
+        for link in self.links.values_mut().filter(|link| link.child.0 == at || link.parent.0 == at) {
+            link.mute = true;
+        }
+    }
+
     fn answered(&mut self, at: usize, life: u64, call: u64, name: &str) {
         let process = &self.processes[at];
         if process.life != life || process.call != call {
@@ -566,6 +579,9 @@
             return self.with(at, |node, now, host| node.parent_lost(now, host));
         };
         self.links.retain(|_, link| link.ends != (false, false));
+        if self.processes[at].island > self.now || self.processes[parent].island > self.now {
+            return;
+        }
         let link = self.next_link;
         self.next_link += 1;
         self.links.insert(
@@ -644,6 +660,9 @@
 
     pub fn start(&mut self, at: usize) {
         let process = &mut self.processes[at];
+        if process.dead || process.node.is_some() {
+            return;
+        }
         process.life += 1;
         process.terms.me.incarnation = process.life;
         (process.putting, process.wakes, process.link) = (false, Nanos::MAX, None);
--- a/crates/carrier/tests/schedules.rs
+++ b/crates/carrier/tests/schedules.rs
@@ -17,6 +17,10 @@
     let relays: Vec<Name> = (0..world.below(3)).map(|at| format!("r{at}")).collect();
     let mut fleet: Vec<Terms> = controls.iter().map(|name| terms(name, "s0", true, false, vec![])).collect();
     fleet.extend(relays.iter().map(|name| terms(name, "s0", false, true, vec![controls.clone()])));
+    // Some have few places: whoever is turned away finds another.
+    if world.one_in(3) {
+        fleet.iter_mut().for_each(|terms| terms.children = if terms.relay { 1 } else { 8 / controls.len() });
+    }
     let leaves = 1 + world.below(8 - fleet.len() as u64).min(4);
     for at in 0..leaves {
         let site = ["s0", "s0", "s1"][world.below(3) as usize];
@@ -52,7 +56,7 @@
     let links: Vec<Child> =
         world.links.iter().filter(|(_, link)| link.ends == (true, true)).map(|(at, _)| *at).collect();
     let link = (!links.is_empty()).then(|| links[world.chance.below(links.len() as u64) as usize]);
-    match (world.chance.below(8), link) {
+    match (world.chance.below(9), link) {
         (0, Some(link)) => world.cut(link),
         (1, Some(link)) => world.links.get_mut(&link).unwrap().mute = true,
         (2 | 3, _) if world.processes[at].node.is_some() => {
@@ -69,6 +73,10 @@
         }
         (4, _) => world.later(0, common::Event::Lease),
         (5, _) => world.lossy = !world.lossy,
+        (6, _) if world.chance.one_in(3) => {
+            let time = world.chance.below(15) * SECOND;
+            world.isolate(at, time);
+        }
         _ => {
             let changes = (0..1 + world.chance.below(3)).map(|_| change(world)).collect();
             world.offer(changes);
@@ -90,6 +98,15 @@
         strike(&mut world, wiped);
     }
     world.lossy = false;
+    // Of relays and control machines one may never come back.
+    let at = world.chance.below(5) as usize;
+    if controls == 3
+        && at < world.processes.len()
+        && (world.processes[at].terms.control || world.processes[at].terms.relay)
+    {
+        world.crash(at);
+        world.processes[at].dead = true;
+    }
     world
 }
 
