Carrier: what is on disk is said apart from what is held; relays find a place too

A control machine without a folder, or with a slow disk, would have left parts without an answer and been dropped every ten seconds: Up::Kept says what is on disk, Up::Holds what is held. A record whose numbers are used up is refused.

--- a/crates/carrier/src/children.rs
+++ b/crates/carrier/src/children.rs
@@ -75,12 +75,10 @@
         self.of.iter()
     }
 
-    /// Those that have said who they are, but for control machines.
-    pub fn subscribed(&self) -> usize {
-        self.of
-            .values()
-            .filter(|one| one.who.as_ref().is_some_and(|(_, wants)| *wants != Interest::All))
-            .count()
+    /// Those that serve nobody themselves.
+    pub fn proxies(&self) -> usize {
+        let proxy = |one: &&Subscriber| matches!(one.who, Some((_, Interest::Proxy(..))));
+        self.of.values().filter(proxy).count()
     }
 
     pub fn numbers(&self) -> Vec<Child> {
--- a/crates/carrier/src/message.rs
+++ b/crates/carrier/src/message.rs
@@ -16,11 +16,13 @@
 pub enum Up {
     /// First on a link: who calls, what it wants, and the version and digest of what it holds of that.
     Subscribe { who: Member, wants: Interest, holds: Version, digest: u64 },
-    /// What it holds now (on disk, of a control machine): the answer to the last part of a difference, to one that it
-    /// passed over, and to a pulse that moved it.
+    /// What it holds now: the answer to the last part of a difference, to one that it passed over, and to a pulse that
+    /// moved it.
     Holds { version: Version, digest: u64 },
     /// The answer to a part that is not the last: the next may come.
     Took,
+    /// Of a control machine: this is on its disk.
+    Kept(Version),
     /// What is in force below and at the child, as a sum.
     Sum(Sum),
 }
--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -26,7 +26,8 @@
     /// All that concerns this process now, the widest scope first, then by name. Comes back as `in_force`, and none is
     /// asked for before. Of those that it refuses the process leaves in force what it had.
     fn put_in_force(&mut self, version: Version, resources: Vec<Resource>);
-    /// To disk, where there is one; comes back as `kept`, and none is asked for before. At most four times a second.
+    /// To disk; comes back as `kept` once it is synced, and none is asked for before. At most four times a second. Where
+    /// there is no disk nothing comes back: what only memory has counts for no majority.
     fn keep(&mut self, kept: &Kept);
     /// Between 0 and 1.
     fn chance(&mut self) -> f64;
@@ -43,7 +44,7 @@
     pub relay: bool,
     /// Whom it may call, the tiers in the order given, within each in an order of its own. None of a control machine.
     pub tiers: Vec<Vec<Name>>,
-    /// At most so many children, control machines not counted.
+    /// At most so many children, control machines and relays not counted.
     pub children: usize,
     /// At most so many bytes to a child in any second, pulses included.
     pub child_bytes_per_second: u64,
@@ -53,7 +54,7 @@
     pub named: usize,
 }
 
-/// Places beyond those for children: for control machines, and for links on which nobody has said who calls.
+/// Places beyond those for proxies: for control machines, relays, and links on which nobody has said who calls.
 const SPARE: usize = 64;
 /// Parts of a difference that are not its end, in bytes at most: who sends more is no parent.
 const COLLECTED: usize = 4 * 1024 * 1024;
@@ -74,8 +75,8 @@
 /// What is on disk, and what is to go there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Disk {
-    has: Option<(Version, u64)>,
-    out: Option<(Version, u64)>,
+    has: Option<Version>,
+    out: Option<Version>,
     wrote: Option<Nanos>,
     due: Option<Nanos>,
 }
@@ -122,7 +123,7 @@
         kept.resources.retain(|resource| wants.wants(&resource.scope));
         let store = Store::from(&kept);
         let force = Force::from(kept.good);
-        let has = on_disk.then(|| (store.version, store.digest(&wants)));
+        let has = on_disk.then_some(store.version);
         let mut node = Node {
             terms,
             wants,
@@ -177,11 +178,7 @@
         self.collected = None;
         let (who, wants) = (self.terms.me.clone(), self.wants.clone());
         host.send_up(Up::Subscribe { who, wants, holds: self.store.version, digest: self.digest() });
-        if self.terms.control
-            && let Some((version, digest)) = self.disk.has
-        {
-            host.send_up(Up::Holds { version, digest });
-        }
+        self.say_kept(host);
         self.send_sum(now, host);
     }
 
@@ -229,9 +226,7 @@
                     self.store.take(version, resources);
                 }
                 self.moved(now, true, host);
-                if !self.terms.control {
-                    self.say_held(host);
-                }
+                self.say_held(host);
             }
         }
     }
@@ -281,17 +276,17 @@
             // Nothing changed for it: it holds the newer version by holding this.
             self.store.take(holds, []);
             self.moved(now, false, host);
-            if !self.terms.control {
-                self.say_held(host);
-            }
+            self.say_held(host);
         }
     }
 
     fn say_held(&mut self, host: &mut impl Host) {
-        if !self.terms.control {
-            host.send_up(Up::Holds { version: self.store.version, digest: self.digest() });
-        } else if let Some((version, digest)) = self.disk.has {
-            host.send_up(Up::Holds { version, digest });
+        host.send_up(Up::Holds { version: self.store.version, digest: self.digest() });
+    }
+
+    fn say_kept(&mut self, host: &mut impl Host) {
+        if let (true, Some(version)) = (self.terms.control, self.disk.has) {
+            host.send_up(Up::Kept(version));
         }
     }
 
@@ -326,16 +321,16 @@
             return;
         }
         (self.disk.due, self.disk.wrote) = (None, Some(now));
-        self.disk.out = Some((self.store.version, self.digest()));
+        self.disk.out = Some(self.store.version);
         host.keep(&Kept { good: self.force.good(), ..self.store.kept() });
     }
 
     /// Its disk has this version.
     pub fn kept(&mut self, now: Nanos, version: Version, host: &mut impl Host) {
-        if let Some(has) = self.disk.out.take_if(|(out, _)| *out == version) {
-            self.disk.has = Some(has);
-            if self.terms.control && self.parents.parent().is_some() {
-                self.say_held(host);
+        if self.disk.out == Some(version) {
+            (self.disk.has, self.disk.out) = (Some(version), None);
+            if self.parents.parent().is_some() {
+                self.say_kept(host);
             }
         }
         self.keep(now, host);
@@ -405,20 +400,17 @@
                     let older = other.incarnation > who.incarnation;
                     self.drop(now, if older { child } else { link }, host);
                 }
-                // A control machine can go nowhere else than to the root: it always finds a place.
-                if wants != Interest::All && self.children.subscribed() >= self.terms.children {
+                // A control machine can go nowhere else than to the root, and others wait for a relay: they find a place
+                // where proxies have taken all there are for them.
+                if matches!(wants, Interest::Proxy(..)) && self.children.proxies() >= self.terms.children {
                     return self.turn_away(now, child, host);
                 }
                 if let Some(one) = self.children.get(child) {
                     one.subscribed(now, who, wants, holds, digest);
                 }
             }
-            Up::Holds { version, digest } => {
-                one.holds(version, digest);
-                if matches!(one.who, Some((_, Interest::All))) {
-                    one.on_disk = Some(version);
-                }
-            }
+            Up::Holds { version, digest } => one.holds(version, digest),
+            Up::Kept(version) => one.on_disk = Some(version),
             Up::Took => one.took(),
             Up::Sum(sum) => self.summed(now, child, sum),
         }
@@ -561,7 +553,7 @@
 
     /// Which control machines have what on disk: itself, and those that are its children.
     pub fn confirmed(&self) -> impl Iterator<Item = (&str, Version)> {
-        let own = self.disk.has.map(|(version, _)| (self.terms.me.name.as_str(), version));
+        let own = self.disk.has.map(|version| (self.terms.me.name.as_str(), version));
         let holds = self.store.version;
         let children = self.children.iter().filter_map(move |(_, one)| match &one.who {
             Some((who, Interest::All)) => Some((who.name.as_str(), one.on_disk?.min(holds))),
--- a/crates/carrier/src/publisher.rs
+++ b/crates/carrier/src/publisher.rs
@@ -182,6 +182,10 @@
         if holds.epoch > epoch {
             return self.stop(&format!("this process holds {holds}, of a later founding than {epoch}"), host);
         }
+        if tail.version.number.max(holds.number) > u64::MAX / 2 {
+            // Nobody counts that far: it was written by hand, or a disk lies. Numbers must go on growing.
+            return self.stop(&format!("no numbers are left after {} and {holds}", tail.version), host);
+        }
         self.epoch = epoch;
         self.number = self.number.max(tail.version.number).max(holds.number);
         self.doing = Doing::Ready;
@@ -258,7 +262,6 @@
             }
             let Some(offer) = self.offers.pop_front() else { break };
             (batch, self.full) = (batch + offer.size, None);
-            // Numbers end after more years than there are; none is given twice.
             self.number = self.number.saturating_add(1);
             next.version = Version { epoch: self.epoch, number: self.number };
             for Change { scope, name, patch } in offer.changes {
--- a/crates/carrier/tests/publisher.rs
+++ b/crates/carrier/tests/publisher.rs
@@ -152,6 +152,10 @@
             "{\"version\":{\"epoch\":7,\"number\":9},\"base\":{\"epoch\":7,\"number\":5},\"changes\":[]}",
             version(8, 1),
         ),
+        (
+            "{\"version\":{\"epoch\":7,\"number\":18446744073709551615},\"base\":{\"epoch\":7,\"number\":5},\"changes\":[]}",
+            version(7, 9),
+        ),
     ] {
         let mut publisher = Publisher::start(0, &mut host);
         publisher.offered(0, 3, vec![change("a", "{}")], &mut host);
@@ -160,16 +164,19 @@
     check(
         &mut host,
         expect![[r#"
-        read
-        answer 3: Refused("this process holds 7.4, the record only what came after 7.5")
-        give back
-        read
-        answer 3: Refused("the record's value `carrier` can't be read: expected ident at line 1 column 2")
-        give back
-        read
-        answer 3: Refused("this process holds 8.1, of a later founding than 7")
-        give back
-    "#]],
+            read
+            answer 3: Refused("this process holds 7.4, the record only what came after 7.5")
+            give back
+            read
+            answer 3: Refused("the record's value `carrier` can't be read: expected ident at line 1 column 2")
+            give back
+            read
+            answer 3: Refused("this process holds 8.1, of a later founding than 7")
+            give back
+            read
+            answer 3: Refused("no numbers are left after 7.18446744073709551615 and 7.9")
+            give back
+        "#]],
     );
 }
 
--- a/crates/carrier/tests/traces.rs
+++ b/crates/carrier/tests/traces.rs
@@ -26,6 +26,7 @@
         Act::Up(Up::Subscribe { who, holds, .. }) => format!("up: {} subscribes with {holds}", who.name),
         Act::Up(Up::Holds { version, .. }) => format!("up: holds {version}"),
         Act::Up(Up::Took) => "up: took".into(),
+        Act::Up(Up::Kept(version)) => format!("up: {version} is on disk"),
         Act::Up(Up::Sum(sum)) => format!("up: {}", summed(&sum)),
         Act::Down(child, Down::Pulse { holds, age, .. }) => {
             let age = if age == Nanos::MAX { "unknown".into() } else { format!("{} ms", age / MS) };
