--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -400,6 +400,9 @@
                     let older = other.incarnation > who.incarnation;
                     self.drop(now, if older { child } else { link }, host);
                 }
+                if self.children.get(child).is_none() {
+                    return;
+                }
                 // A control machine can go nowhere else than to the root, and others wait for a relay: they find a place
                 // where proxies have taken all there are for them.
                 if matches!(wants, Interest::Proxy(..)) && self.children.proxies() >= self.terms.children {
--- a/crates/carrier/tests/traces.rs
+++ b/crates/carrier/tests/traces.rs
@@ -181,6 +181,27 @@
     );
 }
 
+#[test]
+fn the_last_good_one_outlives_a_restart() {
+    let mut host = acts();
+    let good = vec![resource(Scope::Fleet, "a", 1, "{}")];
+    let resources = vec![resource(Scope::Fleet, "a", 2, "{\"bad\":1}")];
+    let kept = Kept { version: version(2), resources, good, ..Kept::default() };
+    let mut node = Node::start(0, terms("p0", "s0", false, false, vec![]), Some(kept), &mut host);
+    node.in_force(0, version(2), vec![(Scope::Fleet, "a".into(), "no".into())], &mut host);
+    node.in_force(0, version(2), vec![], &mut host);
+    check(
+        &mut host,
+        expect![[r#"
+        put 1.2 in force: a@1.2
+        put 1.2 in force: a@1.1
+    "#]],
+    );
+    let why =
+        "Refused { scope: Fleet, resource: \"a\", version: Version { epoch: 1, number: 2 }, reason: \"no\" }";
+    assert_eq!(summed(&node.sum(0)), format!("1.2 at 1, but p0 {why}"));
+}
+
 #[test]
 fn a_silent_parent_is_left_and_the_next_called() {
     let mut host = acts();
