--- a/crates/carrier/src/store.rs
+++ b/crates/carrier/src/store.rs
@@ -9,6 +9,7 @@
 const TOMBSTONES: usize = 1_024;
 
 pub(crate) type Key = (Scope, Name);
+type Index = (Version, Scope, Name);
 
 /// What a process has on its disk: what it holds, marks of removed resources included.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -27,8 +28,10 @@
     /// The newest mark that was dropped: nobody behind it can be told what was removed since.
     pub pruned: Version,
     resources: BTreeMap<Key, Resource>,
-    by_version: BTreeSet<(Version, Scope, Name)>,
-    removed: BTreeSet<(Version, Scope, Name)>,
+    by_version: BTreeSet<Index>,
+    /// The same by scope: of many thousands a proxy wants those of five.
+    by_scope: BTreeMap<Scope, BTreeSet<(Version, Name)>>,
+    removed: BTreeSet<Index>,
     /// Of the resources that are there, by scope; marks are no part of it, since not everybody keeps the same.
     digests: BTreeMap<Scope, u64>,
     /// Of all the proxies of a site.
@@ -39,7 +42,7 @@
 /// Where a difference that is sent in parts has come to: after this resource, or within its patch.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Cursor {
-    after: Option<(Version, Scope, Name)>,
+    after: Option<Index>,
     /// Bytes of the patch of `after` that were sent, where it was cut.
     within: usize,
 }
@@ -125,17 +128,29 @@
             self.removed.insert(index.clone());
         }
         self.by_version.insert(index);
+        self.by_scope.entry(key.0.clone()).or_default().insert((resource.version, key.1.clone()));
         self.count(&resource);
         self.resources.insert(key, resource);
     }
 
     fn forget(&mut self, old: &Resource) {
         let index = (old.version, old.scope.clone(), old.name.clone());
-        self.by_version.remove(&index);
+        self.unlist(&index);
         self.removed.remove(&index);
         self.count(old);
     }
 
+    fn unlist(&mut self, index: &Index) {
+        self.by_version.remove(index);
+        let (version, scope, name) = index;
+        if let Some(of) = self.by_scope.get_mut(scope) {
+            of.remove(&(*version, name.clone()));
+            if of.is_empty() {
+                self.by_scope.remove(scope);
+            }
+        }
+    }
+
     /// Exclusive or: once in, twice out.
     fn count(&mut self, resource: &Resource) {
         let digest = digest_of(resource);
@@ -153,7 +168,7 @@
         while self.removed.len() > TOMBSTONES {
             let Some(oldest) = self.removed.pop_first() else { return };
             self.pruned = self.pruned.max(oldest.0);
-            self.by_version.remove(&oldest);
+            self.unlist(&oldest);
             self.resources.remove(&(oldest.1, oldest.2));
         }
     }
@@ -167,19 +182,40 @@
                 (place, self.digests.get(&Scope::Proxy(place.site.clone(), name.clone())).copied())
             }
         };
-        let Place { region, zone, site } = place.clone();
-        [Scope::Fleet, Scope::Region(region), Scope::Zone(zone), Scope::Site(site)]
-            .iter()
-            .fold(proxies.unwrap_or(0), |digest, scope| {
-                digest ^ self.digests.get(scope).copied().unwrap_or(0)
-            })
+        let of = |scope: &Scope| self.digests.get(scope).copied().unwrap_or(0);
+        around(place).iter().fold(proxies.unwrap_or(0), |digest, scope| digest ^ of(scope))
+    }
+
+    /// What is wanted from here on, in the order of versions.
+    fn wanted<'a>(
+        &'a self,
+        begin: Index,
+        interest: &'a Interest,
+    ) -> Box<dyn Iterator<Item = &'a Resource> + 'a> {
+        let get = |scope: &Scope, name: &Name| self.resources.get(&(scope.clone(), name.clone()));
+        let Interest::Proxy(place, proxy) = interest else {
+            let past = self.by_version.range(begin..);
+            let past = past.filter(|(_, scope, _)| interest.wants(scope));
+            return Box::new(past.filter_map(move |(_, scope, name)| get(scope, name)));
+        };
+        let mut found: Vec<&Resource> = Vec::new();
+        for scope in around(place).into_iter().chain([Scope::Proxy(place.site.clone(), proxy.clone())]) {
+            let of = self.by_scope.get(&scope).into_iter();
+            let past = of
+                .flat_map(|of| of.range((begin.0, Name::new())..))
+                .filter_map(|(_, name)| get(&scope, name));
+            let order = (&begin.0, &begin.1, &begin.2);
+            found.extend(past.filter(|one| (&one.version, &one.scope, &one.name) >= order));
+        }
+        found.sort_by(|one, other| {
+            (one.version, &one.scope, &one.name).cmp(&(other.version, &other.scope, &other.name))
+        });
+        Box::new(found.into_iter())
     }
 
     /// What bears a version above this one, the oldest first, marks of removed ones included.
     pub fn delta<'a>(&'a self, after: Version, interest: &'a Interest) -> impl Iterator<Item = &'a Resource> {
-        let past = self.by_version.range((after, Scope::Fleet, Name::new())..);
-        past.filter(move |(version, scope, _)| *version > after && interest.wants(scope))
-            .filter_map(|(_, scope, name)| self.resources.get(&(scope.clone(), name.clone())))
+        self.wanted(past(after), interest).filter(move |one| one.version > after)
     }
 
     /// The next part, of at most so many bytes, of what this interest misses `after` a version; of a whole set, which
@@ -194,23 +230,19 @@
     ) -> Part {
         let mut part = Part { resources: Vec::new(), last: true, cut: false, next: from.clone() };
         let mut left = room;
-        let begin = from.after.clone().unwrap_or_else(|| match whole {
-            Some(_) => (Version::default(), Scope::Fleet, Name::new()),
-            None => (after, Scope::Fleet, Name::new()),
-        });
-        for index in self.by_version.range(begin..) {
-            let (version, scope, name) = index;
-            let resumed = from.after.as_ref() == Some(index);
+        let begin = from
+            .after
+            .clone()
+            .unwrap_or_else(|| past(if whole.is_some() { Version::default() } else { after }));
+        for resource in self.wanted(begin, interest) {
+            let index = (resource.version, resource.scope.clone(), resource.name.clone());
+            let resumed = from.after.as_ref() == Some(&index);
             // A cut patch goes on where it stopped, unless the resource has changed since: then it bears a higher
             // version, comes later, and the child drops the piece it has.
-            if resumed && from.within == 0 {
-                continue;
-            }
-            if (whole.is_none() && *version <= after) || !interest.wants(scope) {
+            if (resumed && from.within == 0) || (whole.is_none() && resource.version <= after) {
                 continue;
             }
-            let Some(resource) = self.resources.get(&(scope.clone(), name.clone())) else { continue };
-            if resource.patch.is_none() && whole.is_some_and(|began| *version <= began) {
+            if resource.patch.is_none() && whole.is_some_and(|began| resource.version <= began) {
                 continue;
             }
             let skip = if resumed { from.within } else { 0 };
@@ -218,8 +250,11 @@
             let needs = frame(resource) + text.map_or(0, str::len);
             if needs <= left {
                 left -= needs;
-                part.resources.push(Resource { patch: text.map(Into::into), ..resource.clone() });
-                part.next = Cursor { after: Some(index.clone()), within: 0 };
+                part.resources.push(match skip {
+                    0 => resource.clone(),
+                    _ => Resource { patch: text.map(Into::into), ..resource.clone() },
+                });
+                part.next = Cursor { after: Some(index), within: 0 };
                 continue;
             }
             part.last = false;
@@ -231,7 +266,7 @@
                 if fits > 0 {
                     part.cut = true;
                     part.resources.push(Resource { patch: Some(text[..fits].into()), ..resource.clone() });
-                    part.next = Cursor { after: Some(index.clone()), within: skip + fits };
+                    part.next = Cursor { after: Some(index), within: skip + fits };
                 }
             }
             break;
@@ -245,6 +280,17 @@
     }
 }
 
+/// The scopes of a place, the widest first.
+fn around(place: &Place) -> [Scope; 4] {
+    let Place { region, zone, site } = place.clone();
+    [Scope::Fleet, Scope::Region(region), Scope::Zone(zone), Scope::Site(site)]
+}
+
+/// Where what bears a higher version begins.
+fn past(version: Version) -> Index {
+    (Version { number: version.number.saturating_add(1), ..version }, Scope::Fleet, Name::new())
+}
+
 fn toggle<K: Ord + Clone>(digests: &mut BTreeMap<K, u64>, key: &K, digest: u64) {
     let now = digests.get(key).copied().unwrap_or(0) ^ digest;
     if now == 0 {
