--- a/crates/carrier/tests/common/mod.rs
+++ b/crates/carrier/tests/common/mod.rs
@@ -841,6 +841,26 @@
         faults.into_iter().for_each(|fault| self.wrong(fault));
     }
 
+    /// What was answered is what became of it.
+    pub fn check_answers(&mut self) {
+        let all = || self.settled.values().flatten();
+        let mut faults = Vec::new();
+        for (number, outcome) in &self.answers {
+            let patch = format!(r#"{{"x":{number}}}"#);
+            let there = all().any(|one| one.patch.as_deref() == Some(patch.as_str()));
+            match outcome {
+                Outcome::Settled(version) if self.settled.range(version..).next().is_none() => {
+                    faults.push(format!("offer {number} is not settled as {version}"));
+                }
+                Outcome::Refused(words) if there => {
+                    faults.push(format!("offer {number} was refused, {words}: it is there"))
+                }
+                _ => {}
+            }
+        }
+        faults.into_iter().for_each(|fault| self.wrong(fault));
+    }
+
     /// Whether everybody holds and has in force what is settled last; else who does not.
     pub fn settled_everywhere(&self) -> Result<(), String> {
         let Some(holder) = self.holder else { return Err("no root".into()) };
--- a/crates/carrier/tests/schedules.rs
+++ b/crates/carrier/tests/schedules.rs
@@ -45,7 +45,8 @@
         0 => None,
         1 => Some(r#"{"bad":1}"#.to_string()),
         2 => Some(format!(r#"{{"long":"{}"}}"#, "ä".repeat(1_500))),
-        _ => Some(format!(r#"{{"x":{}}}"#, chance.below(1_000))),
+        // By the offer, to find what became of it.
+        _ => Some(format!(r#"{{"x":{}}}"#, world.offers + 1)),
     };
     Change { scope, name: format!("n{}", chance.below(4)), patch }
 }
@@ -120,6 +121,7 @@
             Err(_) => world.run(world.now + 100 * MS),
         }
     }
+    world.check_answers();
     world.now - begin
 }
 
