--- a/crates/carrier/src/parents.rs
+++ b/crates/carrier/src/parents.rs
@@ -137,6 +137,12 @@
         self.link = Link::None(Nanos::MAX);
     }
 
+    /// Longer after calls in vain: where thousands call at once an answer takes its time, and giving up on it too soon only
+    /// makes more calls.
+    fn patience(&self) -> Nanos {
+        SILENT << self.vain.min(2)
+    }
+
     fn call(&mut self, now: Nanos, host: &mut impl Host) {
         self.link = Link::None(Nanos::MAX);
         if let Some(name) = self.candidates.get(self.at) {
@@ -152,7 +158,7 @@
                 self.call(now, host);
                 false
             }
-            Link::Called(since) | Link::Up(since) if now >= since + SILENT => {
+            Link::Called(since) | Link::Up(since) if now >= since + self.patience() => {
                 self.end(host);
                 self.lost(now, host);
                 true
@@ -185,11 +191,11 @@
     pub fn due(&self) -> Nanos {
         match self.link {
             Link::None(next) => next,
-            Link::Called(since) => since + SILENT,
+            Link::Called(since) => since + self.patience(),
             Link::Up(heard) => {
                 let old = self.old.map_or(self.fresh + OLD, |(next, _)| next.max(self.fresh + OLD));
                 let old = if self.candidates.len() > 1 { old } else { Nanos::MAX };
-                (heard + SILENT).min(old).min(self.home)
+                (heard + self.patience()).min(old).min(self.home)
             }
         }
     }
