--- a/crates/carrier/src/message.rs
+++ b/crates/carrier/src/message.rs
@@ -1,7 +1,7 @@
 //! What parent and child say to each other.
 
 use crate::Nanos;
-use crate::resource::{Interest, Name, Resource, Version};
+use crate::resource::{Interest, Name, Resource, Scope, Version};
 use serde::{Deserialize, Serialize};
 
 /// A process: its name and which life of it.
@@ -16,8 +16,13 @@
 pub enum Up {
     /// First on a link: who calls, what it wants, and the version and digest of what it holds of that.
     Subscribe { who: Member, wants: Interest, holds: Version, digest: u64 },
-    /// What it holds now (on disk, of a control machine): the parent sends no next part of a difference before it.
+    /// What it holds now: the answer to the last part of a difference, to one that it passed over, and to a pulse that
+    /// moved it.
     Holds { version: Version, digest: u64 },
+    /// The answer to a part that is not the last: the next may come.
+    Took,
+    /// Of a control machine: this is on its disk.
+    Kept(Version),
     /// What is in force below and at the child, as a sum.
     Sum(Sum),
 }
@@ -26,11 +31,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Down {
     /// Once a second, and after the last part of a difference: the newest version that the parent holds, the digest of what
-    /// the child wants at that version, and how old the parent's knowledge is: time since the root held just this.
+    /// the child wants at that version, and how old the parent's knowledge is: time since the root held just this, in
+    /// nanoseconds, the greatest number where it is not known. A child that has this digest holds that version by it.
     Pulse { holds: Version, digest: u64, age: Nanos },
-    /// What changed for the child after `after`, up to `version`; in parts, of which only the last makes it hold `version`.
-    /// A whole one replaces what the child has.
-    Delta { after: Version, version: Version, whole: bool, last: bool, resources: Vec<Resource> },
+    /// What changed for the child after `after`, up to `version`; in parts, of which only the last makes it hold `version`,
+    /// which grows from part to part where the parent's does. A whole one replaces what the child has. Of a part that is
+    /// `cut` the last patch goes on in the next part, under the same scope, name and version.
+    Delta { after: Version, version: Version, whole: bool, last: bool, cut: bool, resources: Vec<Resource> },
     /// No room for one more child: it goes to another.
     Full,
 }
@@ -40,9 +47,11 @@
 pub struct Sum {
     /// Everyone counted has this in force, but the exceptions.
     pub in_force: Version,
+    /// All that are counted, exceptions included.
     pub members: u32,
+    /// The gravest, and of one member four refusals at most.
     pub exceptions: Vec<Exception>,
-    /// Exceptions beyond those named.
+    /// Members that are exceptions beyond those named.
     pub unnamed: u32,
     /// Who came from another parent a short while ago: whoever sums takes them off what it has as lost.
     pub arrived: Vec<Member>,
@@ -59,7 +68,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Why {
     /// It refused this resource, at this version of it, for this reason; the last good one stays in force.
-    Refused { resource: Name, version: Version, reason: String },
+    Refused { scope: Scope, resource: Name, version: Version, reason: String },
     /// It is there and has not caught up within the time that is usual.
     Late,
     /// Its link was lost, and it has not been heard of since.
