--- /dev/null
+++ b/crates/proxy/src/fleet/carrier/actor.rs
@@ -0,0 +1,455 @@
+//! The carrier's actor: it owns the node, and on a control machine that holds the lease the publisher, and drives both with
+//! the fleet's clock.
+
+use crate::fleet::asker::Asker;
+use crate::fleet::carrier::apply::{self, Layer};
+use crate::fleet::carrier::config::{CarrierConfig, Part};
+use crate::fleet::carrier::door::{Door, Event};
+use crate::fleet::carrier::links::{Parent, dial};
+use crate::fleet::carrier::publish;
+use crate::fleet::me::{Me, draw};
+use crate::fleet::wire::{CarrierStatus, Frame};
+use pumicebay_accord::{Held, Reply};
+use pumicebay_carrier::{
+    Change, Child, Down, Host, Kept, Member, Nanos, Node, Outcome, Place, Publisher, Resource, Scope, Terms,
+    Up, Version,
+};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
+
+const PART_BYTES: usize = 4096;
+const NAMED: usize = 16;
+/// Events taken together before the clock is looked at again.
+const BATCH: usize = 64;
+/// How often what is told of its age is renewed, at the least.
+const LOOK: Nanos = 500_000_000;
+/// From this age on a process says that what it has may be old.
+const OLD: Nanos = 10_000_000_000;
+
+/// What the process is told of the carrier.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Told {
+    pub holds: Version,
+    /// When the publisher is known to have held just this; `None` where it never was.
+    pub known: Option<Instant>,
+}
+
+enum Act {
+    Dial(String),
+    HangUp,
+    Up(Up),
+    Down(Child, Down),
+    Drop(Child),
+    PutInForce(Version, Vec<Resource>),
+    Keep(Kept),
+}
+
+/// What the node asks for, in its order.
+struct Acts {
+    acts: VecDeque<Act>,
+    random: oorandom::Rand64,
+}
+
+impl Host for Acts {
+    fn dial(&mut self, parent: &str) {
+        self.acts.push_back(Act::Dial(parent.into()));
+    }
+    fn hang_up(&mut self) {
+        self.acts.push_back(Act::HangUp);
+    }
+    fn send_up(&mut self, message: Up) {
+        self.acts.push_back(Act::Up(message));
+    }
+    fn send_down(&mut self, child: Child, message: Down) {
+        self.acts.push_back(Act::Down(child, message));
+    }
+    fn drop_child(&mut self, child: Child) {
+        self.acts.push_back(Act::Drop(child));
+    }
+    fn put_in_force(&mut self, version: Version, resources: Vec<Resource>) {
+        self.acts.push_back(Act::PutInForce(version, resources));
+    }
+    fn keep(&mut self, kept: &Kept) {
+        self.acts.push_back(Act::Keep(kept.clone()));
+    }
+    fn chance(&mut self) -> f64 {
+        self.random.rand_float()
+    }
+}
+
+/// What the actor needs of the rest of the process.
+pub struct Ways {
+    pub door: Door,
+    pub layer: Layer,
+    /// Of a control machine.
+    pub asker: Option<Asker>,
+    /// To the disk, where there is one.
+    pub keep: Option<watch::Sender<Option<Kept>>>,
+    /// Gives the lease back.
+    pub give_back: mpsc::Sender<()>,
+    pub tell: watch::Sender<Told>,
+}
+
+struct Actor {
+    me: Me,
+    config: Arc<CarrierConfig>,
+    ways: Ways,
+    node: Node,
+    acts: Acts,
+    parent: Option<Parent>,
+    dials: u64,
+    /// How many of them came to nothing since a link was up.
+    vain: u32,
+    children: HashMap<Child, mpsc::Sender<Down>>,
+    publisher: Option<(Publisher, publish::Host)>,
+    publishers: u64,
+    since: Nanos,
+    /// Who publishes, as far as is known.
+    root: Option<String>,
+    /// Whether it has said that what it has may be old.
+    old: bool,
+    started: Nanos,
+}
+
+fn terms(me: &Me, config: &CarrierConfig) -> Terms {
+    let names = |of: &std::collections::BTreeMap<String, _>| -> Vec<String> {
+        of.keys().filter(|name| **name != me.who.name).cloned().collect()
+    };
+    let part = config.part(&me.who.name);
+    let tiers = match part {
+        Part::Control => Vec::new(),
+        Part::Relay => vec![names(&config.control)],
+        Part::Leaf => vec![names(&config.relays), names(&config.control)],
+    };
+    Terms {
+        me: Member { name: me.who.name.clone(), incarnation: me.who.incarnation },
+        place: place(me, config),
+        control: part == Part::Control,
+        relay: part == Part::Relay,
+        tiers,
+        children: config.children,
+        child_bytes_per_second: config.bytes_per_second,
+        part_bytes: PART_BYTES,
+        named: NAMED,
+    }
+}
+
+pub fn place(me: &Me, config: &CarrierConfig) -> Place {
+    Place { region: config.region.clone(), zone: me.config.zone.clone(), site: config.site.clone() }
+}
+
+/// Runs as long as the process lives.
+pub async fn run(
+    me: Me,
+    config: Arc<CarrierConfig>,
+    kept: Option<Kept>,
+    ways: Ways,
+    mut events: mpsc::Receiver<Event>,
+) {
+    let random = oorandom::Rand64::new(u128::from(draw()));
+    let mut acts = Acts { acts: VecDeque::new(), random };
+    let started = me.clock.now();
+    let node = Node::start(started, terms(&me, &config), kept, &mut acts);
+    let mut actor = Actor {
+        me,
+        config,
+        ways,
+        node,
+        acts,
+        parent: None,
+        dials: 0,
+        vain: 0,
+        children: HashMap::new(),
+        publisher: None,
+        publishers: 0,
+        since: 0,
+        root: None,
+        old: false,
+        started,
+    };
+    actor.carry_out();
+    loop {
+        let due = actor.due();
+        tokio::select! {
+            event = events.recv() => match event {
+                Some(event) => {
+                    actor.take(event);
+                    for _ in 1..BATCH {
+                        let Ok(event) = events.try_recv() else { break };
+                        actor.take(event);
+                    }
+                }
+                None => return,
+            },
+            () = sleep_until(due) => {}
+        }
+        actor.tick();
+    }
+}
+
+impl Actor {
+    fn now(&self) -> Nanos {
+        self.me.clock.now()
+    }
+
+    fn due(&self) -> Instant {
+        let publisher = self.publisher.as_ref().map_or(Nanos::MAX, |(publisher, _)| publisher.due());
+        let due = self.node.due().min(publisher).min(self.now() + LOOK);
+        Instant::now() + self.me.clock.until(due)
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.now();
+        // What comes of a dial that was given up counts no more.
+        let dialled = self.parent.as_ref().map(|parent| parent.number);
+        let (node, acts) = (&mut self.node, &mut self.acts);
+        match event {
+            Event::ChildUp(child, mailbox) => {
+                self.children.insert(child, mailbox);
+                node.child_up(now, child, acts);
+            }
+            Event::ChildSaid(child, up) if self.children.contains_key(&child) => {
+                node.child_said(now, child, up, acts);
+            }
+            Event::ChildLost(child) if self.children.remove(&child).is_some() => {
+                node.child_lost(now, child, acts);
+            }
+            Event::ParentUp(number) if dialled == Some(number) => {
+                self.vain = 0;
+                node.parent_up(now, acts);
+            }
+            Event::ParentSaid(number, down) if dialled == Some(number) => node.told(now, down, acts),
+            Event::ParentLost(number) if dialled == Some(number) => {
+                self.parent = None;
+                node.parent_lost(now, acts);
+            }
+            // Of a link that was given up.
+            Event::ChildSaid(..) | Event::ChildLost(_) => {}
+            Event::ParentUp(_) | Event::ParentSaid(..) | Event::ParentLost(_) => {}
+            Event::InForce(version, refused) => node.in_force(now, version, refused, acts),
+            Event::Kept(version) => node.kept(now, version, acts),
+            Event::Lease(held, holder) => self.lease(now, held, holder),
+            Event::Read(number, reply) => self.publisher_read(now, number, &reply),
+            Event::Written(number, reply) => {
+                if let Some((publisher, host)) =
+                    self.publisher.as_mut().filter(|(_, host)| host.number == number)
+                {
+                    publisher.written(now, publish::written(reply), host);
+                }
+            }
+            Event::Offer(number, changes, link) => self.offered(number, changes, link),
+            Event::Checked(number, changes, link, checked) => match (checked, &mut self.publisher) {
+                (Err(why), _) => _ = link.try_send(Frame::Offered(number, Outcome::Refused(why))),
+                (Ok(()), Some((publisher, host))) => {
+                    let number = host.waits(number, link);
+                    publisher.offered(now, number, changes, host);
+                }
+                (Ok(()), None) => _ = link.try_send(self.status()),
+            },
+            Event::Status(link) => _ = link.try_send(self.status()),
+        }
+        self.carry_out();
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        self.node.tick(now, &mut self.acts);
+        if let Some((publisher, host)) = &mut self.publisher {
+            publisher.tick(now, host);
+        }
+        self.carry_out();
+        self.tell(now);
+    }
+
+    /// What was asked for, until nothing more is.
+    fn carry_out(&mut self) {
+        loop {
+            self.publisher_acts();
+            let Some(act) = self.acts.acts.pop_front() else { return };
+            match act {
+                Act::Dial(name) => {
+                    self.dials += 1;
+                    let at = self.config.called(&name);
+                    self.parent =
+                        Some(dial(&self.me, &self.ways.door, self.dials, &name, at, self.vain == 0));
+                    self.vain = self.vain.saturating_add(1);
+                }
+                Act::HangUp => self.parent = None,
+                Act::Up(up) => {
+                    let full = |parent: &Parent| parent.ups.try_send(up).is_err();
+                    if self.parent.as_ref().is_some_and(full) {
+                        // It does not read: as good as gone.
+                        self.parent = None;
+                        self.node.parent_lost(self.me.clock.now(), &mut self.acts);
+                    }
+                }
+                Act::Down(child, down) => {
+                    let full = |mailbox: &mpsc::Sender<Down>| mailbox.try_send(down).is_err();
+                    if self.children.get(&child).is_some_and(full) {
+                        tracing::info!("carrier: a child that does not read is dropped");
+                        self.children.remove(&child);
+                        self.node.child_lost(self.me.clock.now(), child, &mut self.acts);
+                    }
+                }
+                Act::Drop(child) => _ = self.children.remove(&child),
+                Act::PutInForce(version, resources) => {
+                    let (layer, door) = (self.ways.layer.clone(), self.ways.door.clone());
+                    tokio::spawn(async move {
+                        if let Some(refused) = layer.lay(resources).await {
+                            door.say(Event::InForce(version, refused)).await;
+                        }
+                    });
+                }
+                Act::Keep(kept) => match &self.ways.keep {
+                    Some(keep) => _ = keep.send_replace(Some(kept)),
+                    // Nowhere to keep it: only control machines must, and they have a folder.
+                    None => {
+                        let (door, version) = (self.ways.door.clone(), kept.version);
+                        tokio::spawn(async move { door.say(Event::Kept(version)).await });
+                    }
+                },
+            }
+        }
+    }
+
+    fn publisher_acts(&mut self) {
+        let now = self.now();
+        let Some((publisher, host)) = &mut self.publisher else { return };
+        publisher.confirmed(now, self.node.majority(self.config.control.len()), host);
+        for act in std::mem::take(&mut host.acts) {
+            match act {
+                publish::Act::Publish(version, resources) => {
+                    self.node.publish(now, version, resources, &mut self.acts);
+                }
+                publish::Act::GiveBack => {
+                    host.end();
+                    self.publisher = None;
+                    let _ = self.ways.give_back.try_send(());
+                    self.root = None;
+                    return self.node.root_is(now, None, &mut self.acts);
+                }
+            }
+        }
+    }
+
+    fn lease(&mut self, now: Nanos, held: Option<Held>, holder: Option<String>) {
+        let root = if held.is_some() { Some(self.me.who.name.clone()) } else { holder };
+        if root != self.root {
+            tracing::info!("carrier: {} publishes", root.as_deref().unwrap_or("nobody that is known"));
+            self.root = root;
+        }
+        self.node.root_is(now, self.root.as_deref(), &mut self.acts);
+        self.end_publisher();
+        if let (Some(held), Some(asker)) = (held, &self.ways.asker) {
+            (self.publishers, self.since) = (self.publishers + 1, now);
+            let door = self.ways.door.clone();
+            let mut host = publish::Host::new(asker.clone(), door, self.publishers, held.token);
+            let publisher = Publisher::start(now, &mut host);
+            self.publisher = Some((publisher, host));
+        }
+    }
+
+    fn end_publisher(&mut self) {
+        if let Some((_, mut host)) = self.publisher.take() {
+            host.end();
+        }
+    }
+
+    fn publisher_read(&mut self, now: Nanos, number: u64, reply: &Reply) {
+        let holds = self.node.holds();
+        let Some((publisher, host)) = self.publisher.as_mut().filter(|(_, host)| host.number == number)
+        else {
+            return;
+        };
+        match reply {
+            Reply::Record(record) => {
+                let (epoch, entry) = publish::entry(record);
+                publisher.read(now, epoch, entry, holds, host);
+            }
+            _ => publisher.read_failed(now, host),
+        }
+    }
+
+    /// What is offered is tried on this process's own file first: its words name the key that is wrong.
+    fn offered(&mut self, number: u64, changes: Vec<Change>, link: mpsc::Sender<Frame>) {
+        if self.publisher.is_none() {
+            let _ = link.try_send(self.status());
+            return;
+        }
+        let (layer, door) = (self.ways.layer.clone(), self.ways.door.clone());
+        let new = changes.iter().map(|Change { scope, name, patch }| Resource {
+            scope: scope.clone(),
+            name: name.clone(),
+            version: Version::default(),
+            patch: patch.as_deref().map(Into::into),
+        });
+        let new: Vec<Resource> = new.collect();
+        tokio::spawn(async move {
+            let checked = layer.check(new).await;
+            door.say(Event::Checked(number, changes, link, checked)).await;
+        });
+    }
+
+    fn status(&self) -> Frame {
+        let now = self.now();
+        Frame::CarrierIs(Box::new(CarrierStatus {
+            name: self.me.who.name.clone(),
+            publisher: self.root.clone(),
+            publishes: self.publisher.as_ref().map(|_| now.saturating_sub(self.since)),
+            holds: self.node.holds(),
+            age: self.node.age(now),
+            sum: self.node.sum(now),
+            queue: self.publisher.as_ref().map_or(0, |(_, host)| host.waiting.len() as u64),
+            children: self.node.children() as u64,
+        }))
+    }
+
+    /// What the process knows of its age, and a line when that becomes old, or is well again.
+    fn tell(&mut self, now: Nanos) {
+        let age = self.node.age(now);
+        let known = age.and_then(|age| Instant::now().checked_sub(Duration::from_nanos(age)));
+        let holds = self.node.holds();
+        self.ways.tell.send_replace(Told { holds, known });
+        let old = age.unwrap_or(now.saturating_sub(self.started)) > OLD;
+        if old != self.old {
+            self.old = old;
+            let seconds = age.unwrap_or(0) as f64 / 1e9;
+            match (old, age) {
+                (true, Some(_)) => tracing::warn!(
+                    "carrier: version {holds} is known to be the newest as of {seconds:.1} s ago; serving goes on"
+                ),
+                (true, None) => tracing::warn!(
+                    "carrier: nothing heard yet, version {holds} is from before the start; serving goes on"
+                ),
+                (false, _) => tracing::info!("carrier: well again, version {holds} as of {seconds:.1} s ago"),
+            }
+        }
+    }
+}
+
+/// A scope as commands write it.
+pub fn scope(text: &str) -> Option<Scope> {
+    let mut words = text.split('/');
+    let mut word = || words.next().filter(|word| !word.is_empty()).map(String::from);
+    let scope = match word()?.as_str() {
+        "fleet" => Scope::Fleet,
+        "region" => Scope::Region(word()?),
+        "zone" => Scope::Zone(word()?),
+        "site" => Scope::Site(word()?),
+        "proxy" => Scope::Proxy(word()?, word()?),
+        _ => return None,
+    };
+    words.next().is_none().then_some(scope)
+}
+
+/// What of the kept set concerns this process, in the order in which it is laid.
+pub fn concerning(me: &str, place: Place, resources: &[Resource]) -> Vec<Resource> {
+    let interest = pumicebay_carrier::Interest::Proxy(place, me.into());
+    let mut all: Vec<Resource> =
+        resources.iter().filter(|resource| interest.wants(&resource.scope)).cloned().collect();
+    apply::in_order(&mut all);
+    all
+}
--- /dev/null
+++ b/crates/proxy/src/fleet/carrier/command.rs
@@ -0,0 +1,288 @@
+//! `pumicebay fleet set`, `unset` and `changes`: what operators ask of the carrier, by way of the control machine that
+//! publishes.
+
+use crate::fleet::carrier::actor::scope;
+use crate::fleet::carrier::config::CarrierConfig;
+use crate::fleet::config::FleetConfig;
+use crate::fleet::me::incarnation;
+use crate::fleet::wire::{BEAT, CARRIER, CarrierStatus, Frame, Hello, Link, Role};
+use anyhow::{Context, Result, bail, ensure};
+use pumicebay_accord::Holder;
+use pumicebay_carrier::{Change, Exception, Outcome, Version, Why};
+use serde_json::{Value as Json, json};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
+
+const CONNECT: Duration = Duration::from_secs(1);
+const ANSWERS: Duration = Duration::from_secs(2);
+/// How long a publisher is looked for, and how long one may take to settle an offer.
+const PATIENCE: Duration = Duration::from_secs(8);
+const SETTLES: Duration = Duration::from_secs(15);
+const AGAIN: Duration = Duration::from_millis(250);
+/// Whoever lost its way to a publisher that is gone is linked to the next by then: before it, who is not counted is not
+/// known either.
+const GATHERED: Duration = Duration::from_secs(8);
+/// Not known, or not in force everywhere.
+const NOT_YET: u8 = 3;
+
+struct Called(Link);
+
+impl Called {
+    async fn call(fleet: &FleetConfig, at: SocketAddr) -> Result<Called> {
+        let who = Holder { name: "command".into(), incarnation: incarnation() };
+        let stream = timeout(CONNECT, TcpStream::connect(at)).await.context("no connection in time")??;
+        let (link, _) = Link::dial(stream, &Hello::new(&fleet.name, &who, Role::Command, None)).await?;
+        ensure!(link.speaks() >= CARRIER, "speaks links up to {}, not {CARRIER}", link.speaks());
+        Ok(Called(link))
+    }
+
+    /// Sends a frame and gives the first that is wanted of what comes back; the link is kept up meanwhile.
+    async fn ask<T>(
+        &mut self,
+        frame: Frame,
+        patience: Duration,
+        wanted: impl Fn(Frame) -> Option<T>,
+    ) -> Result<T> {
+        self.0.send(&frame).await?;
+        let until = Instant::now() + patience;
+        let mut beat = interval(BEAT);
+        beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                frame = timeout_at(until, self.0.next()) => {
+                    if let Some(answer) = wanted(frame.context("no answer in time")??) {
+                        return Ok(answer);
+                    }
+                }
+                _ = beat.tick() => self.0.send(&Frame::Beat(None)).await?,
+            }
+        }
+    }
+
+    async fn status(&mut self) -> Result<CarrierStatus> {
+        self.ask(Frame::Carrier, ANSWERS, |frame| match frame {
+            Frame::CarrierIs(status) => Some(*status),
+            _ => None,
+        })
+        .await
+    }
+}
+
+fn carrier(fleet: &FleetConfig) -> Result<&CarrierConfig> {
+    fleet.carrier.as_deref().context("fleet.carrier: missing; nothing is carried in this fleet")
+}
+
+/// The link to whoever publishes, and what it says; else the newest that any control machine says.
+async fn publisher(
+    fleet: &FleetConfig,
+    patience: Duration,
+) -> Result<(Called, CarrierStatus), (Option<CarrierStatus>, String)> {
+    let carrier = carrier(fleet).map_err(|error| (None, error.to_string()))?;
+    let until = Instant::now() + patience;
+    let (mut newest, mut why): (Option<CarrierStatus>, String) = (None, "no control machine answers".into());
+    loop {
+        for (name, at) in &carrier.control {
+            let asked = async {
+                let mut called = Called::call(fleet, *at).await?;
+                let status = called.status().await?;
+                let publishes = status.publisher.clone();
+                let Some(other) = publishes.filter(|other| *other != status.name) else {
+                    return Ok((called, status));
+                };
+                let at = carrier.called(&other).with_context(|| format!("{other} is no control machine"))?;
+                let mut called = Called::call(fleet, at).await.with_context(|| other.clone())?;
+                let status = called.status().await.with_context(|| other.clone())?;
+                anyhow::Ok((called, status))
+            };
+            match asked.await {
+                Ok((called, status)) if status.publisher.as_ref() == Some(&status.name) => {
+                    return Ok((called, status));
+                }
+                Ok((_, status)) => {
+                    why = "no control machine is known to publish".into();
+                    if newest.as_ref().is_none_or(|newest| newest.holds < status.holds) {
+                        newest = Some(status);
+                    }
+                }
+                Err(error) if newest.is_none() => why = format!("{name}: {error:#}"),
+                Err(_) => {}
+            }
+        }
+        if Instant::now() >= until {
+            return Err((newest, why));
+        }
+        sleep(AGAIN).await;
+    }
+}
+
+/// `pumicebay fleet set` and `unset`.
+pub async fn change(
+    fleet: &FleetConfig,
+    scope_text: &str,
+    name: &str,
+    file: Option<&str>,
+    wait: Option<Duration>,
+) -> Result<ExitCode> {
+    carrier(fleet)?;
+    let scope = scope(scope_text).with_context(|| {
+        format!("{scope_text:?}: expected fleet, region/R, zone/Z, site/S or proxy/SITE/NAME")
+    })?;
+    let patch = match file {
+        Some("-") => Some(std::io::read_to_string(std::io::stdin()).context("standard input")?),
+        Some(file) => Some(std::fs::read_to_string(file).with_context(|| file.to_string())?),
+        None => None,
+    };
+    if let Some(patch) = &patch {
+        let json: Json = serde_json::from_str(patch).with_context(|| file.unwrap_or_default().to_string())?;
+        ensure!(json.is_object(), "{}: expected an object, found {json}", file.unwrap_or_default());
+    }
+    let version = match offer(fleet, Change { scope, name: name.into(), patch }).await? {
+        Outcome::Settled(version) => version,
+        Outcome::Refused(why) => bail!("refused: {why}"),
+        Outcome::Unknown => {
+            eprintln!("pumicebay: whether it was written is not known; see pumicebay fleet changes");
+            return Ok(ExitCode::from(NOT_YET));
+        }
+    };
+    println!("{version}");
+    match wait {
+        Some(wait) => wait_for(fleet, version, wait).await,
+        None => Ok(ExitCode::SUCCESS),
+    }
+}
+
+async fn offer(fleet: &FleetConfig, change: Change) -> Result<Outcome> {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let (mut called, _) = match publisher(fleet, until.saturating_duration_since(Instant::now())).await {
+            Ok(found) => found,
+            Err((_, why)) => bail!("nothing was written: {why}"),
+        };
+        let answer = called.ask(Frame::Offer(1, vec![change.clone()]), SETTLES, |frame| match frame {
+            Frame::Offered(1, outcome) => Some(Some(outcome)),
+            Frame::CarrierIs(_) => Some(None),
+            _ => None,
+        });
+        match answer.await {
+            Ok(Some(outcome)) => return Ok(outcome),
+            // Another publishes by now.
+            Ok(None) => sleep(AGAIN).await,
+            Err(error) => {
+                eprintln!("pumicebay: {error:#}");
+                return Ok(Outcome::Unknown);
+            }
+        }
+    }
+}
+
+/// Until it is in force everywhere, or all that is missing won't come by waiting.
+async fn wait_for(fleet: &FleetConfig, version: Version, wait: Duration) -> Result<ExitCode> {
+    let until = Instant::now() + wait;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        match publisher(fleet, left).await {
+            Ok((mut called, mut status)) => loop {
+                let sum = &status.sum;
+                let refused = |exception: &Exception| matches!(exception.why, Why::Refused { .. });
+                let all = gathered(&status) && sum.in_force >= version && sum.unnamed == 0;
+                if all && sum.exceptions.is_empty() {
+                    return Ok(ExitCode::SUCCESS);
+                }
+                if all && sum.exceptions.iter().all(refused) || Instant::now() >= until {
+                    eprint!("{}", words(&shown(&status)));
+                    return Ok(ExitCode::from(NOT_YET));
+                }
+                sleep(AGAIN).await;
+                match called.status().await {
+                    Ok(newer) if newer.publisher.as_ref() == Some(&newer.name) => status = newer,
+                    _ => break,
+                }
+            },
+            Err((_, why)) => {
+                eprintln!("pumicebay: whether {version} is in force is not known: {why}");
+                return Ok(ExitCode::from(NOT_YET));
+            }
+        }
+    }
+}
+
+/// `pumicebay fleet changes`.
+pub async fn changes(fleet: &FleetConfig, as_json: bool) -> Result<ExitCode> {
+    carrier(fleet)?;
+    let (status, published) = match publisher(fleet, ANSWERS).await {
+        Ok((_, status)) => (status, true),
+        Err((Some(status), _)) => (status, false),
+        Err((None, why)) => bail!("{why}"),
+    };
+    let mut shown = shown(&status);
+    if !published {
+        shown["publisher"] = Json::Null;
+    }
+    if as_json {
+        println!("{shown:#}");
+    } else {
+        print!("{}", words(&shown));
+    }
+    Ok(if shown["everywhere"] == true && published { ExitCode::SUCCESS } else { ExitCode::from(NOT_YET) })
+}
+
+fn gathered(status: &CarrierStatus) -> bool {
+    status.publishes.is_some_and(|time| Duration::from_nanos(time) >= GATHERED)
+}
+
+fn shown(status: &CarrierStatus) -> Json {
+    let CarrierStatus { name, publisher, publishes, holds, age, sum, queue, children } = status;
+    let exception = |exception: &Exception| {
+        let why = match &exception.why {
+            Why::Refused { scope, resource, version, reason } => {
+                format!("refused {resource} for {scope}, of {version}: {reason}")
+            }
+            Why::Late => "late".into(),
+            Why::Lost => "lost".into(),
+        };
+        json!({"name": exception.who.name, "in_force": exception.in_force.to_string(), "why": why})
+    };
+    json!({
+        "version": holds.to_string(), "publisher": publisher, "said_by": name,
+        "everywhere": gathered(status) && sum.in_force >= *holds && sum.exceptions.is_empty() && sum.unnamed == 0,
+        "gathered": gathered(status), "publishes_s": publishes.map(|time| time as f64 / 1e9),
+        "in_force": sum.in_force.to_string(), "members": sum.members,
+        "exceptions": sum.exceptions.iter().map(exception).collect::<Vec<_>>(), "unnamed": sum.unnamed,
+        "queue": queue, "children": children, "age_s": age.map(|age| age as f64 / 1e9),
+    })
+}
+
+fn words(shown: &Json) -> String {
+    let text = |json: &Json| json.as_str().map_or_else(|| json.to_string(), String::from);
+    let [version, in_force, members, queue, by] =
+        ["version", "in_force", "members", "queue", "said_by"].map(|key| text(&shown[key]));
+    let empty = Vec::new();
+    let exceptions = shown["exceptions"].as_array().unwrap_or(&empty);
+    let everywhere = match shown["everywhere"].as_bool() {
+        Some(true) => "in force everywhere".into(),
+        _ if shown["gathered"] == false => {
+            format!("{in_force} is in force at those counted; others may not be linked yet")
+        }
+        _ if exceptions.is_empty() && shown["unnamed"] == 0 => {
+            format!("not everywhere yet; {in_force} is in force everywhere")
+        }
+        _ => format!("{in_force} is in force everywhere but for those below"),
+    };
+    let publisher = match shown["publisher"].as_str() {
+        Some(publisher) => format!("published by {publisher}"),
+        None => format!("NOBODY IS KNOWN TO PUBLISH: as {by} knows it"),
+    };
+    let mut lines =
+        format!("version {version}, {everywhere}\n{members} members, {queue} waiting, {publisher}\n");
+    for exception in exceptions {
+        let [name, in_force, why] = ["name", "in_force", "why"].map(|key| text(&exception[key]));
+        lines += &format!("  {name}  has {in_force}  {why}\n");
+    }
+    if shown["unnamed"] != 0 {
+        lines += &format!("  and {} more\n", shown["unnamed"]);
+    }
+    lines
+}
--- /dev/null
+++ b/crates/proxy/src/fleet/carrier/links.rs
@@ -0,0 +1,215 @@
+//! The carrier's links: children that call, the parent that is dialled, commands. Each is a task with a small mailbox; one
+//! that does not read, or says nothing, ends, and nobody waits for it.
+
+use crate::fleet::carrier::door::{Door, Event};
+use crate::fleet::me::Me;
+use crate::fleet::wire::{BEAT, CARRIER, Frame, Hello, Link, Role};
+use crate::listen::listen;
+use anyhow::{Context, Result, ensure};
+use pumicebay_carrier::{Child, Down, Up};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// What waits for a child: one part of a difference and some pulses. One whose mailbox is full does not read.
+const DOWNS: usize = 8;
+const UPS: usize = 16;
+/// Answers that wait for a command.
+const ANSWERS: usize = 16;
+/// Links beyond the children's: those that are told that there is no room, and commands.
+const SPARE: usize = 64;
+const CONNECT: Duration = Duration::from_secs(1);
+const NO_ROOM: Duration = Duration::from_millis(20);
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Accepts as long as the process lives; an address that another process still has is tried again.
+pub async fn accept(me: Me, door: Door, at: SocketAddr, children: usize) {
+    let mut warned = false;
+    let listener = loop {
+        match listen("fleet.carrier.listen", at) {
+            Ok(listener) => break listener,
+            Err(error) if !std::mem::replace(&mut warned, true) => tracing::warn!("carrier: {error:#}"),
+            Err(_) => {}
+        }
+        sleep(AGAIN).await;
+    };
+    tracing::info!("carrier: children call at {at}");
+    let room = Arc::new(Semaphore::new(children.saturating_add(SPARE).min(Semaphore::MAX_PERMITS)));
+    for number in 1.. {
+        let place = room.clone().acquire_owned().await;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!("carrier: {error}");
+                sleep(NO_ROOM).await;
+                continue;
+            }
+        };
+        let (me, door) = (me.clone(), door.clone());
+        tokio::spawn(async move {
+            if let Err(error) = serve(&me, &door, stream, number).await {
+                tracing::info!("carrier: a link ends: {error:#}");
+            }
+            drop(place);
+        });
+    }
+}
+
+fn hello(me: &Me) -> Hello {
+    Hello::new(&me.config.name, &me.who, Role::Proxy, None)
+}
+
+async fn serve(me: &Me, door: &Door, stream: TcpStream, number: Child) -> Result<()> {
+    let (mut link, other) = Link::take(stream, async || hello(me)).await?;
+    let name = other.who.to_string();
+    ensure!(link.speaks() >= CARRIER, "{name} speaks links up to {}, not {CARRIER}", link.speaks());
+    if other.role == Role::Command {
+        // Commands come and go.
+        if let Err(error) = command(door, &mut link).await {
+            tracing::debug!("carrier: {name}: {error:#}");
+        }
+        return Ok(());
+    }
+    let (downs, mailbox) = mpsc::channel(DOWNS);
+    door.say(Event::ChildUp(number, downs)).await;
+    let ended = child(door, &mut link, &other, number, mailbox).await;
+    door.say(Event::ChildLost(number)).await;
+    ended.with_context(|| format!("child {name}"))
+}
+
+async fn child(
+    door: &Door,
+    link: &mut Link,
+    other: &Hello,
+    number: Child,
+    mut mailbox: mpsc::Receiver<Down>,
+) -> Result<()> {
+    let mut beat = Instant::now();
+    loop {
+        let said = tokio::select! {
+            frame = link.next() => match frame? {
+                Frame::Up(up) => {
+                    if let Up::Subscribe { who, .. } = &*up {
+                        let same = who.name == other.who.name && who.incarnation == other.who.incarnation;
+                        ensure!(same, "subscribes as {}, and said hello as {}", who.name, other.who);
+                    }
+                    door.say(Event::ChildSaid(number, *up)).await;
+                    continue;
+                }
+                Frame::Bye => return Ok(()),
+                _ => continue,
+            },
+            down = mailbox.recv() => match down {
+                Some(down) => Frame::Down(Box::new(down)),
+                None => {
+                    link.send(&Frame::Bye).await?;
+                    return Ok(());
+                }
+            },
+            () = sleep_until(beat) => Frame::Beat(None),
+        };
+        link.send(&said).await?;
+        beat = Instant::now() + BEAT;
+    }
+}
+
+async fn command(door: &Door, link: &mut Link) -> Result<()> {
+    let (answers, mut answered) = mpsc::channel(ANSWERS);
+    let mut beat = Instant::now();
+    loop {
+        let said = tokio::select! {
+            frame = link.next() => match frame? {
+                Frame::Offer(number, changes) => {
+                    door.say(Event::Offer(number, changes, answers.clone())).await;
+                    continue;
+                }
+                Frame::Carrier => {
+                    door.say(Event::Status(answers.clone())).await;
+                    continue;
+                }
+                Frame::Bye => return Ok(()),
+                _ => continue,
+            },
+            Some(frame) = answered.recv() => frame,
+            () = sleep_until(beat) => Frame::Beat(None),
+        };
+        link.send(&said).await?;
+        beat = Instant::now() + BEAT;
+    }
+}
+
+/// The link to a parent, or the dial to one: it ends with this.
+pub struct Parent {
+    /// Of the dial: what comes of an earlier one counts no more.
+    pub number: u64,
+    pub name: String,
+    pub ups: mpsc::Sender<Up>,
+    task: AbortHandle,
+}
+
+impl Drop for Parent {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Dials; what comes of it, and that it ended, is said under this number. `first` is the dial after a link that was up.
+pub fn dial(me: &Me, door: &Door, number: u64, name: &str, at: Option<SocketAddr>, first: bool) -> Parent {
+    let (ups, mailbox) = mpsc::channel(UPS);
+    let (me, door, parent) = (me.clone(), door.clone(), name.to_string());
+    let task = tokio::spawn(async move {
+        let mut up = false;
+        match parent_link(&me, &door, number, &parent, at, mailbox, &mut up).await {
+            Ok(()) => tracing::info!("carrier: parent {parent} ended the link"),
+            Err(error) if up => tracing::info!("carrier: link to parent {parent} lost: {error:#}"),
+            // Said once, until one is up again.
+            Err(error) if first => tracing::info!("carrier: no link to parent {parent}: {error:#}"),
+            Err(error) => tracing::debug!("carrier: no link to parent {parent}: {error:#}"),
+        }
+        door.say(Event::ParentLost(number)).await;
+    });
+    Parent { number, name: name.into(), ups, task: task.abort_handle() }
+}
+
+async fn parent_link(
+    me: &Me,
+    door: &Door,
+    number: u64,
+    name: &str,
+    at: Option<SocketAddr>,
+    mut mailbox: mpsc::Receiver<Up>,
+    up: &mut bool,
+) -> Result<()> {
+    let at = at.context("fleet.carrier has no such control machine or relay")?;
+    let stream = timeout(CONNECT, TcpStream::connect(at)).await.context("no connection in time")??;
+    let (mut link, other) = Link::dial(stream, &hello(me)).await?;
+    ensure!(other.who.name == name, "at {at} is {}", other.who);
+    ensure!(link.speaks() >= CARRIER, "speaks links up to {}, not {CARRIER}", link.speaks());
+    door.say(Event::ParentUp(number)).await;
+    *up = true;
+    tracing::info!("carrier: parent is {}", other.who);
+    let mut beat = Instant::now();
+    loop {
+        let said = tokio::select! {
+            frame = link.next() => match frame? {
+                Frame::Down(down) => {
+                    door.say(Event::ParentSaid(number, *down)).await;
+                    continue;
+                }
+                Frame::Bye => return Ok(()),
+                _ => continue,
+            },
+            said = mailbox.recv() => match said {
+                Some(said) => Frame::Up(Box::new(said)),
+                None => return Ok(()),
+            },
+            () = sleep_until(beat) => Frame::Beat(None),
+        };
+        link.send(&said).await?;
+        beat = Instant::now() + BEAT;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/fleet/carrier/publish.rs
@@ -0,0 +1,143 @@
+//! What a publisher asks for, carried out: reads and writes of the record under the lease, and answers to commands.
+
+use crate::fleet::asker::Asker;
+use crate::fleet::carrier::door::{Door, Event};
+use crate::fleet::lease::Lease;
+use crate::fleet::wire::Frame;
+use pumicebay_accord::{Held, Reply, Shared, Token, Want};
+use pumicebay_carrier::{Outcome, PublisherHost, Resource, Version, Written};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+/// The lease, and the value in the record.
+pub const NAME: &str = "carrier";
+pub const LEASE: Duration = Duration::from_secs(3);
+/// How long the voters are asked before it is not known whether it was done.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Who gave the lease back lets others have it before it wants it again.
+const AFTER_GIVING_BACK: Duration = Duration::from_secs(5);
+
+/// What the decisions ask for, once the actor has the time.
+pub enum Act {
+    Publish(Version, Vec<Resource>),
+    GiveBack,
+}
+
+/// The host of one publisher, for as long as its lease.
+pub struct Host {
+    asker: Asker,
+    door: Door,
+    /// Of the publisher: answers to an earlier one count no more.
+    pub number: u64,
+    token: Token,
+    pub acts: Vec<Act>,
+    /// Who waits for what became of an offer, by the number that the publisher has for it, and that of the command.
+    pub waiting: BTreeMap<u64, (u64, mpsc::Sender<Frame>)>,
+    last: u64,
+}
+
+impl Host {
+    pub fn new(asker: Asker, door: Door, number: u64, token: Token) -> Host {
+        Host { asker, door, number, token, acts: Vec::new(), waiting: BTreeMap::new(), last: 0 }
+    }
+
+    /// A number for an offer, whose answer goes there.
+    pub fn waits(&mut self, command: u64, link: mpsc::Sender<Frame>) -> u64 {
+        self.last += 1;
+        self.waiting.insert(self.last, (command, link));
+        self.last
+    }
+
+    /// Whoever still waits is told that it is not known.
+    pub fn end(&mut self) {
+        for (command, link) in std::mem::take(&mut self.waiting).into_values() {
+            let _ = link.try_send(Frame::Offered(command, Outcome::Unknown));
+        }
+    }
+}
+
+impl PublisherHost for Host {
+    fn read(&mut self) {
+        let (asker, door, number) = (self.asker.clone(), self.door.clone(), self.number);
+        tokio::spawn(async move {
+            let reply = asker.want(Want::Read, PATIENCE).await;
+            door.say(Event::Read(number, reply)).await;
+        });
+    }
+
+    fn write(&mut self, text: String, version: u64) {
+        let (asker, door, number) = (self.asker.clone(), self.door.clone(), self.number);
+        let fence = Some((NAME.into(), self.token));
+        let want = Want::Put { name: NAME.into(), text, version: Some(version), fence };
+        tokio::spawn(async move {
+            let reply = asker.want(want, PATIENCE).await;
+            door.say(Event::Written(number, reply)).await;
+        });
+    }
+
+    fn publish(&mut self, version: Version, resources: Vec<Resource>) {
+        self.acts.push(Act::Publish(version, resources));
+    }
+
+    fn answer(&mut self, number: u64, outcome: Outcome) {
+        if let Some((command, link)) = self.waiting.remove(&number) {
+            let _ = link.try_send(Frame::Offered(command, outcome));
+        }
+    }
+
+    fn give_back(&mut self) {
+        self.acts.push(Act::GiveBack);
+    }
+}
+
+/// When the record was founded, and the value in it.
+pub fn entry(record: &Shared) -> (u64, Option<(&str, u64)>) {
+    let entry = record.0.values.get(NAME).map(|entry| (entry.text.as_str(), entry.version));
+    (record.0.founded, entry)
+}
+
+pub fn written(reply: Reply) -> Written {
+    match reply {
+        Reply::Written(version) => Written::Done(version),
+        Reply::Refused(why) => {
+            tracing::warn!("carrier: the record was not written: {why}");
+            Written::Refused
+        }
+        _ => Written::Unknown,
+    }
+}
+
+/// Wants the lease as long as the process lives, and says who has it. `given` has a word in it each time it is to be given
+/// back.
+pub async fn want(asker: Asker, door: Door, mut given: mpsc::Receiver<()>) {
+    loop {
+        let mut lease = Lease::want(asker.clone(), NAME, LEASE);
+        let (mut held, mut holder) = (lease.held.clone(), lease.holder.clone());
+        let mut told: Option<(Option<Held>, Option<String>)> = None;
+        loop {
+            let now = (*held.borrow_and_update(), holder.borrow_and_update().clone());
+            // Another grant of the same token only prolongs it.
+            let token = |held: &Option<Held>| held.map(|held| held.token);
+            let same = told.as_ref().is_some_and(|(was, by)| token(was) == token(&now.0) && *by == now.1);
+            if !same {
+                door.say(Event::Lease(now.0, now.1.clone())).await;
+                told = Some(now);
+            }
+            tokio::select! {
+                changed = held.changed() => if changed.is_err() { break },
+                changed = holder.changed() => if changed.is_err() { break },
+                asked = given.recv() => {
+                    if asked.is_none() {
+                        return;
+                    }
+                    lease.give_back().await;
+                    door.say(Event::Lease(None, None)).await;
+                    sleep(AFTER_GIVING_BACK).await;
+                    break;
+                }
+            }
+        }
+    }
+}
--- a/crates/proxy/src/fleet/command.rs
+++ b/crates/proxy/src/fleet/command.rs
@@ -1,6 +1,7 @@
 //! `pumicebay fleet ...`: what operators ask of a fleet. Each command reads a configuration's section `fleet` alone.
 
 use crate::fleet::asker::Asker;
+use crate::fleet::carrier::command as carrier;
 use crate::fleet::config::FleetConfig;
 use crate::fleet::me::{FleetClock, Me, draw, incarnation};
 use crate::fleet::wire::{Frame, Hello, Link, Role, Status};
@@ -35,6 +36,13 @@
   put NAME TEXT [--version N] writes a value, if its version is still N; an empty TEXT removes it
   trust VOTER                 has a voter that Doubts vote at once: only where those whom it waits for are gone for good,
                               and its disk is surely no older copy
+  set SCOPE NAME FILE [--wait SECONDS]
+                              has all proxies of SCOPE (fleet, region/R, zone/Z, site/S or proxy/SITE/NAME) lay FILE, a JSON
+                              merge patch, over their configuration; - is standard input. Exit code 0: written, and with
+                              --wait in force everywhere; 3: not known, or not everywhere; 1: refused
+  unset SCOPE NAME [--wait SECONDS]
+                              takes that away again
+  changes [--json]            the newest version, where it is not in force and why; exit code 3 unless it is everywhere
   replace VOTER [NEW]         gives VOTER's seat to NEW, one of the spares or a voter, whose folder must be new
 
 FILE is by default what $PROXY_CONFIG names.";
@@ -104,11 +112,22 @@
 }
 
 impl Call {
+    fn waits(&self) -> Result<Option<Duration>> {
+        self.wait.map(|wait| seconds("--wait", wait)).transpose()
+    }
+
     async fn carry_out(&self, command: &str, config: Arc<FleetConfig>) -> Result<ExitCode> {
         match (command, &self.words[..]) {
             ("status", []) => return status(&config, self.json).await,
             ("found", []) => return found(&config, self.from.as_deref(), self.wait).await,
             ("trust", [name]) => return trust(&config, name).await,
+            ("changes", []) => return carrier::changes(&config, self.json).await,
+            ("set", [scope, name, file]) => {
+                return carrier::change(&config, scope, name, Some(file), self.waits()?).await;
+            }
+            ("unset", [scope, name]) => {
+                return carrier::change(&config, scope, name, None, self.waits()?).await;
+            }
             _ => {}
         }
         let who = Holder { name: format!("command-{:08x}", draw() as u32), incarnation: incarnation() };
--- a/crates/proxy/src/fleet/config.rs
+++ b/crates/proxy/src/fleet/config.rs
@@ -1,11 +1,13 @@
 //! The section `fleet` of the configuration. Every message names the key.
 
+use crate::fleet::carrier::config::{CarrierConfig, Part};
 use crate::sound::sound;
 use anyhow::{Context, Result, bail, ensure};
 use serde_json::Value as Json;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 const KEYS: &[&str] = &[
     "name",
@@ -19,6 +21,7 @@
     "asks",
     "links",
     "clock-ppm",
+    "carrier",
 ];
 /// A quartz clock is good to some 100 millionths; a stepped or virtual one is worse.
 const DRIFT_PPM: u64 = 10_000;
@@ -49,6 +52,8 @@
     pub links: usize,
     /// For rigs: how much faster this process's fleet clock runs, in millionths.
     pub clock_ppm: i64,
+    /// How changes of configuration reach this process, if they do.
+    pub carrier: Option<Arc<CarrierConfig>>,
 }
 
 impl FleetConfig {
@@ -76,13 +81,13 @@
         };
         let fleet_name = text("name").context("fleet.name: missing")?;
         ensure!((1..=100).contains(&fleet_name.len()), "fleet.name: expected 1 to 100 bytes");
-        let voters = addresses(fleet, "voters")?;
+        let voters = addresses(fleet, "fleet", "voters")?;
         ensure!(
             voters.len() == 3 || voters.len() == 5,
             "fleet.voters: expected three or five, found {}",
             voters.len()
         );
-        let spares = addresses(fleet, "spares")?;
+        let spares = addresses(fleet, "fleet", "spares")?;
         if let Some(twice) = spares.keys().find(|spare| voters.contains_key(*spare)) {
             bail!("fleet.spares: {twice} is among the voters");
         }
@@ -95,6 +100,14 @@
         let listen = text("listen").map(|at| {
             at.parse().with_context(|| format!("fleet.listen: expected ADDRESS:PORT, found {at:?}"))
         });
+        let carrier = CarrierConfig::parse(json, name)?;
+        if let Some(carrier) = &carrier {
+            let taken = |at: SocketAddr| voters.values().chain(spares.values()).any(|other| *other == at);
+            let mut all = carrier.control.iter().chain(&carrier.relays);
+            if let Some((other, at)) = all.find(|(_, at)| taken(**at)) {
+                bail!("fleet.carrier: {other} takes children at {at}, where a voter or spare takes links");
+            }
+        }
         Ok(Some(FleetConfig {
             name: fleet_name.into(),
             zone: text("zone").unwrap_or_default().into(),
@@ -107,9 +120,16 @@
             asks: number("asks", ASKS, 1 << 20)? as usize,
             links: number("links", LINKS, 1 << 16)? as usize,
             clock_ppm: fleet.get("clock-ppm").and_then(Json::as_i64).unwrap_or(0),
+            carrier: carrier.map(Arc::new),
         }))
     }
 
+    /// Whether a process of this name keeps links to the voters: with a carrier, those at its edges do not.
+    pub fn asks_voters(&self, name: &str) -> bool {
+        let edge = |carrier: &Arc<CarrierConfig>| carrier.part(name) != Part::Control;
+        self.called(name).is_ok() || !self.carrier.as_ref().is_some_and(edge)
+    }
+
     /// Where a process of this name takes links; only who may vote does.
     pub fn listens(&self, name: &str) -> Option<SocketAddr> {
         let called = self.called(name).ok()?;
@@ -128,24 +148,33 @@
     }
 
     pub fn summary(&self, name: &str) -> String {
-        let role = if self.listens(name).is_some() { "may vote" } else { "asks" };
-        format!("fleet {}: {role}, {} voters, drift {} ppm", self.name, self.voters.len(), self.drift_ppm)
+        let role = match self.listens(name) {
+            Some(_) => "may vote",
+            None if self.asks_voters(name) => "asks",
+            None => "has no links to voters",
+        };
+        let carrier =
+            self.carrier.as_ref().map_or(String::new(), |carrier| format!("; {}", carrier.summary(name)));
+        let (fleet, voters, drift) = (&self.name, self.voters.len(), self.drift_ppm);
+        format!("fleet {fleet}: {role}, {voters} voters, drift {drift} ppm{carrier}")
     }
 }
 
-fn addresses(fleet: &Json, key: &str) -> Result<BTreeMap<String, SocketAddr>> {
-    let all = fleet.get(key).unwrap_or(&Json::Null);
+/// Names and addresses under `key` of the section that messages call `section`.
+pub fn addresses(json: &Json, section: &str, key: &str) -> Result<BTreeMap<String, SocketAddr>> {
+    let all = json.get(key).unwrap_or(&Json::Null);
     if all.is_null() {
         return Ok(BTreeMap::new());
     }
-    let object = all.as_object().with_context(|| format!("fleet.{key}: expected names with addresses"))?;
+    let object =
+        all.as_object().with_context(|| format!("{section}.{key}: expected names with addresses"))?;
     object
         .iter()
         .filter(|(name, _)| !name.starts_with('#'))
         .map(|(name, at)| {
             let parsed = at.as_str().and_then(|at| at.parse().ok());
-            let at =
-                parsed.with_context(|| format!("fleet.{key}.{name}: expected ADDRESS:PORT, found {at}"))?;
+            let at = parsed
+                .with_context(|| format!("{section}.{key}.{name}: expected ADDRESS:PORT, found {at}"))?;
             Ok((name.clone(), at))
         })
         .collect()
--- a/crates/proxy/src/fleet/inbound.rs
+++ b/crates/proxy/src/fleet/inbound.rs
@@ -84,7 +84,10 @@
                 }
                 frame @ (Frame::News(_) | Frame::Wanted(..)) => door.pass_on(frame),
                 Frame::Bye => return Ok(()),
+                // Answers to nobody here, and what goes to the carrier's own address.
                 Frame::Answer(_) | Frame::Taken(_) | Frame::StatusIs(_) => {}
+                Frame::Up(_) | Frame::Down(_) | Frame::Offer(..) | Frame::Offered(..) => {}
+                Frame::Carrier | Frame::CarrierIs(_) => {}
             },
             Some(answer) = answered.recv() => link.send(&answer).await?,
             frame = passed.recv(), if role == Role::Proxy => if let Ok(frame) = frame {
--- a/crates/proxy/src/fleet/lease.rs
+++ b/crates/proxy/src/fleet/lease.rs
@@ -1,7 +1,7 @@
 //! One lease, asked for and renewed for as long as somebody wants it.
 
 use crate::fleet::asker::Asker;
-use pumicebay_accord::{Held, Holding, Reply};
+use pumicebay_accord::{Held, Holding, Name, Reply};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
@@ -9,6 +9,8 @@
 /// What is held now, as of the last change; whoever acts looks at the clock too.
 pub struct Lease {
     pub held: watch::Receiver<Option<Held>>,
+    /// The name of who has it where that is another, as of the last refusal.
+    pub holder: watch::Receiver<Option<Name>>,
     give_back: Option<oneshot::Sender<oneshot::Sender<()>>>,
 }
 
@@ -16,12 +18,13 @@
     /// Wants the lease `name`, for `time` at each grant.
     pub fn want(asker: Asker, name: &str, time: Duration) -> Lease {
         let (tell, held) = watch::channel(None);
+        let (tell_holder, holder) = watch::channel(None);
         let (give_back, given) = oneshot::channel();
         let me = &asker.me;
         let nanos = u64::try_from(time.as_nanos()).unwrap_or(u64::MAX);
         let holding = Holding::new(me.clock.now(), me.who.clone(), name, nanos, me.config.drift_ppm);
-        tokio::spawn(run(asker, holding, time, tell, given));
-        Lease { held, give_back: Some(give_back) }
+        tokio::spawn(run(asker, holding, time, (tell, tell_holder), given));
+        Lease { held, holder, give_back: Some(give_back) }
     }
 
     /// Stops holding it at once; returns when the others know, or a little later.
@@ -37,7 +40,7 @@
     asker: Asker,
     mut holding: Holding,
     time: Duration,
-    tell: watch::Sender<Option<Held>>,
+    (tell, tell_holder): (watch::Sender<Option<Held>>, watch::Sender<Option<Name>>),
     mut given: oneshot::Receiver<oneshot::Sender<()>>,
 ) {
     let clock = asker.me.clock;
@@ -54,7 +57,21 @@
         }
         tell.send_if_modified(|held| std::mem::replace(held, holding.held()) != holding.held());
         tokio::select! {
-            Some((number, reply)) = answered.recv() => holding.answered(clock.now(), number, &reply),
+            Some((number, reply)) = answered.recv() => {
+                let other = match &reply {
+                    // An earlier life of one's own name is nobody to turn to.
+                    Reply::Denied(Some(holder), _) if holder.name != asker.me.who.name => Some(&holder.name),
+                    _ => None,
+                };
+                if matches!(reply, Reply::Denied(..) | Reply::Granted(_)) {
+                    tell_holder.send_if_modified(|was| {
+                        let changed = was.as_ref() != other;
+                        *was = other.cloned();
+                        changed
+                    });
+                }
+                holding.answered(clock.now(), number, &reply);
+            }
             () = sleep_until(Instant::now() + clock.until(holding.due())) => {}
             done = &mut given => {
                 let ask = holding.give_back(clock.now(), asker.number());
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -16,9 +16,11 @@
 //! | `prober.rs` | the module's way to have nodes probed |
 //! | `probes.rs` | one process probes a node that is down for all of its zone |
 //! | `lease.rs` | one lease held for as long as it is wanted |
+//! | `carrier/` | changes of configuration to all processes, and back what is in force |
 //! | `command.rs`, `run.rs` | `pumicebay fleet ...` |
 
 pub mod asker;
+pub mod carrier;
 pub mod command;
 pub mod config;
 pub mod door;
--- a/crates/proxy/src/fleet/wire.rs
+++ b/crates/proxy/src/fleet/wire.rs
@@ -7,6 +7,7 @@
 use pumicebay_accord::{
     Answer, Ask, Holder, LARGEST, Message, Name, Nanos, Record, Seen, Shared, Standing, Store, Token,
 };
+use pumicebay_carrier::{Change, Down, Outcome, Sum, Up, Version};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -16,7 +17,9 @@
 /// The versions of these frames that this program speaks. A later program that adds frames raises the newest, and sends
 /// them only on links whose other end speaks them too.
 pub const OLDEST: u16 = 1;
-pub const NEWEST: u16 = 1;
+pub const NEWEST: u16 = 2;
+/// Since when the carrier's frames are spoken.
+pub const CARRIER: u16 = 2;
 /// A record and what goes with it.
 const LONGEST: usize = LARGEST + 16 * 1024;
 /// How long a hello may take, and a frame to leave.
@@ -108,6 +111,34 @@
     Wanted(Name, Name),
     /// Ends in order.
     Bye,
+    // Since version 2:
+    /// What a child of the carrier says to its parent, and a parent to its child.
+    Up(Box<Up>),
+    Down(Box<Down>),
+    /// Changes of configuration, to the control machine that publishes; with their number, which the answer bears.
+    Offer(u64, Vec<Change>),
+    Offered(u64, Outcome),
+    /// Asks a control machine what it knows of changes; also its answer to an offer where another publishes.
+    Carrier,
+    CarrierIs(Box<CarrierStatus>),
+}
+
+/// What a control machine shows of the carrier.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CarrierStatus {
+    pub name: String,
+    /// Who publishes, as far as it knows.
+    pub publisher: Option<String>,
+    /// For how long it has published, if it does: at first not all that are there have come to it.
+    pub publishes: Option<Nanos>,
+    pub holds: Version,
+    /// How long ago the publisher is known to have held just this; `None` where it never was.
+    pub age: Option<Nanos>,
+    /// What is in force at it and below it: of the publisher, everywhere.
+    pub sum: Sum,
+    /// Offered and not settled yet.
+    pub queue: u64,
+    pub children: u64,
 }
 
 impl Hello {
@@ -151,8 +182,9 @@
     Refused(String),
 }
 
-/// A link that is up, and when it was heard last: who waits for a frame may be called away again and again.
-pub struct Link(Framed<TcpStream, LengthDelimitedCodec>, Instant);
+/// A link that is up, when it was heard last, as who waits for a frame may be called away again and again, and the newest
+/// version that both ends speak.
+pub struct Link(Framed<TcpStream, LengthDelimitedCodec>, Instant, u16);
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_framed(stream)
@@ -175,7 +207,7 @@
             }
         };
         let other = timeout(HELLO, talk).await.context("no hello in time")??;
-        Ok((Link(framed, Instant::now()), other))
+        Ok((Link(framed, Instant::now(), NEWEST.min(other.newest)), other))
     }
 
     /// Hears the other end's hello and answers it with one's own.
@@ -195,7 +227,12 @@
             refused.map(|()| other)
         };
         let other = timeout(HELLO, talk).await.context("no hello in time")??;
-        Ok((Link(framed, Instant::now()), other))
+        Ok((Link(framed, Instant::now(), NEWEST.min(other.newest)), other))
+    }
+
+    /// The newest version that both ends speak.
+    pub fn speaks(&self) -> u16 {
+        self.2
     }
 
     /// A peer that does not read loses its link; nobody waits for it any longer.
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::config::{self, Config};
 use crate::counters::Counters;
 use crate::desk::Desk;
+use crate::fleet::carrier::{self, apply};
 use crate::fleet::{self, asker::Asker};
 use crate::heir::{Heir, Seat};
 use crate::list::{self, List};
@@ -17,7 +18,7 @@
 use crate::tuning::{Routes, Tuning};
 use anyhow::{Context, Result, bail, ensure};
 use pumicebay_accord::Fences;
-use serde_json::Value as Json;
+use pumicebay_carrier::Resource;
 use socket2::Socket;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
@@ -26,7 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, spawn_blocking};
 use tokio::time::{sleep, timeout};
 use tokio_util::task::TaskTracker;
 
@@ -61,6 +62,8 @@
     pub operator: Option<SocketAddr>,
     /// The way to ask the fleet, where it is in one.
     pub fleet: Option<Asker>,
+    /// What it knows of the carrier, where it has one.
+    pub carrier: Option<watch::Receiver<carrier::actor::Told>>,
     phases: Phases,
     config: Arc<Config>,
     counters: Arc<Counters>,
@@ -74,8 +77,12 @@
     /// Where the next process finds this one.
     seat: Option<Arc<Seat>>,
     heir: Arc<OnceLock<Heir>>,
-    /// The last configuration that was taken.
-    json: Json,
+    /// The file as it was read last, what the carrier last wanted laid over it, and what of that is in force.
+    file: Config,
+    carried: Vec<Resource>,
+    good: Vec<Resource>,
+    /// What the carrier wants.
+    orders: mpsc::Receiver<apply::Order>,
     /// Those without which it can't go on.
     actors: JoinSet<()>,
 }
@@ -83,6 +90,12 @@
 impl Proxy {
     /// Opens its sockets only when it is able to serve what comes.
     pub async fn start(config: Config, counters: Arc<Counters>) -> Result<Proxy> {
+        let file = config;
+        let (kept, laid) = carrier::kept(&file).await;
+        let (config, good) = match laid {
+            Some(laid) => (laid.config, laid.good),
+            None => (file.clone(), Vec::new()),
+        };
         let (phases, config) = (Phases::default(), Arc::new(config));
         tracing::info!("{}", config.summary().replace('\n', "; "));
         let (door, desk, mailbox) = module::door();
@@ -145,14 +158,21 @@
             actors.spawn(Bans { desk: desk.clone(), folder, out, fences }.run(calls));
             actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
         }
-        let fleet = config.fleet.as_ref().map(|section| {
+        let me = config.fleet.as_ref().map(|section| fleet::me::Me::new(&config.name, section.clone()));
+        let fleet = me.as_ref().filter(|me| me.config.asks_voters(&config.name)).map(|me| {
             let (prober, probes) = fleet::prober::door();
             module.probes_by(prober);
-            let me = fleet::me::Me::new(&config.name, section.clone());
-            let (asker, parts) = fleet::start(&me, desk.clone(), probes);
+            let (asker, parts) = fleet::start(me, desk.clone(), probes);
             actors.spawn(parts);
             asker
         });
+        let (layer, orders) = apply::door();
+        let carried = me.as_ref().and_then(|me| {
+            let section = me.config.carrier.clone()?;
+            let (told, parts) = carrier::start(me, section, fleet.clone(), layer, kept);
+            actors.spawn(parts);
+            Some(told)
+        });
         let listener = if config.inherited { inherited()? } else { listen("listen", config.listen)? };
         let address = listener.local_addr()?;
         let connections = TaskTracker::new();
@@ -188,12 +208,13 @@
         actors.spawn(clients::accept(front, listener));
         phases.enter(Phase::Serving);
         tracing::info!("listens on {address}");
-        let (json, routes, operator) = (config.json.clone(), tell_routes, door_at);
+        let (routes, operator) = (tell_routes, door_at);
         let heir = shared.heir.clone();
         Ok(Proxy {
             address,
             operator,
             fleet,
+            carrier: carried,
             phases,
             config,
             counters,
@@ -204,29 +225,27 @@
             desk,
             seat,
             heir,
-            json,
+            file,
+            carried: good.clone(),
+            good,
+            orders,
             actors,
         })
     }
 
     /// Takes from a new configuration what can change while it serves; one that can't be read, or lacks what the
     /// last one had, changes nothing.
-    async fn reload(&mut self, config: Result<Config>) {
-        match config.and_then(|config| config::keeps(&self.json, &config.json).map(|()| config)) {
-            Ok(config) => {
-                let summary = config.summary();
-                let Config { discovery, json, .. } = config;
+    async fn reload(&mut self, file: Result<Config>) {
+        match file.and_then(|file| config::keeps(&self.file.json, &file.json).map(|()| file)) {
+            Ok(file) => {
+                self.file = file;
                 self.counters.reloads.add();
-                let (settings, routes) = self.tuning.take(&json["settings"]);
-                self.desk.retuned(settings).await;
-                self.routes.send_replace(Arc::new(routes));
-                self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
-                tracing::info!("configuration read again: {}", summary.replace('\n', "; "));
-                let restart = config::needs_restart(&self.config.json, &json);
+                let config = self.lay().await.config;
+                tracing::info!("configuration read again: {}", config.summary().replace('\n', "; "));
+                let restart = config::needs_restart(&self.config.json, &config.json);
                 if !restart.is_empty() {
                     tracing::warn!("configuration: needs a restart: {}", restart.join(", "));
                 }
-                self.json = json;
             }
             Err(error) => {
                 self.counters.reloads_failed.add();
@@ -235,6 +254,46 @@
         }
     }
 
+    /// Puts the file in force with what is carried over it.
+    async fn lay(&mut self) -> apply::Laid {
+        let laid = if self.carried.is_empty() {
+            apply::Laid { config: self.file.clone(), good: Vec::new(), refused: Vec::new() }
+        } else {
+            let (file, carried, good) = (self.file.clone(), self.carried.clone(), self.good.clone());
+            // Many that fail are read one by one: exchanges don't wait for that.
+            let laid = spawn_blocking(move || apply::lay(&file, &carried, &good)).await;
+            laid.unwrap_or_else(|error| {
+                tracing::error!("carrier: nothing of it is in force: {error}");
+                apply::Laid { config: self.file.clone(), good: Vec::new(), refused: Vec::new() }
+            })
+        };
+        self.good.clone_from(&laid.good);
+        let (settings, routes) = self.tuning.take(&laid.config.json["settings"]);
+        self.desk.retuned(settings).await;
+        self.routes.send_replace(Arc::new(routes));
+        let discovery = laid.config.discovery;
+        self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
+        for (scope, name, why) in &laid.refused {
+            tracing::error!("carrier: {name} for {scope} is refused: {why}");
+        }
+        laid
+    }
+
+    /// What the carrier wants.
+    async fn carry(&mut self, order: apply::Order) {
+        match order {
+            apply::Order::Lay(resources, answer) => {
+                self.carried = resources;
+                let laid = self.lay().await;
+                let _ = answer.send(laid.refused);
+            }
+            apply::Order::Check(new, answer) => {
+                let (file, good) = (self.file.clone(), self.good.clone());
+                spawn_blocking(move || answer.send(apply::check(&file, &good, &new)));
+            }
+        }
+    }
+
     pub fn watch(&self) -> Watch {
         self.phases.watch()
     }
@@ -251,6 +310,7 @@
                 () = &mut stop => break,
                 ended = self.actors.join_next() => bail!("an actor ended: {ended:?}"),
                 Some(config) = configs.recv() => self.reload(config).await,
+                Some(order) = self.orders.recv() => self.carry(order).await,
             }
         }
         let longest = self.routes.borrow().longest();
