--- /dev/null
+++ b/crates/proxy/tests/proxy/carrier.rs
@@ -0,0 +1,278 @@
+//! Changes of configuration to a fleet of proxies on loopback: three voters, two control machines, relays and
+//! leaves. Each is a whole proxy with stand-ins of its own.
+
+use crate::World;
+use crate::cli::{File, program};
+use crate::operations::Folder;
+use expect_test::expect;
+use serde_json::{Value as Json, json};
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::time::sleep;
+
+const VOTERS: [&str; 3] = ["v1", "v2", "v3"];
+const CONTROL: [&str; 2] = ["c1", "c2"];
+
+/// All processes of it, each with its folder.
+struct Fleet {
+    worlds: BTreeMap<&'static str, World>,
+    section: Json,
+    folder: Folder,
+    file: File,
+}
+
+/// An address below those that the kernel gives out: nobody else takes it between now and its use.
+fn free() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id().wrapping_mul(61).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let at = format!("127.0.0.1:{}", 12_000 + number % 20_000);
+        if TcpListener::bind(&at).is_ok() {
+            return at;
+        }
+    }
+}
+
+impl Fleet {
+    /// Founded, with these processes beside the control machines.
+    async fn start(test: &str, relays: &[&'static str], leaves: &[&'static str]) -> Fleet {
+        let at =
+            |names: &[&str]| names.iter().map(|name| (name.to_string(), json!(free()))).collect::<Json>();
+        let section = json!({
+            "name": test, "zone": "hall", "voters": at(&VOTERS),
+            "carrier": {"control": at(&CONTROL), "relays": at(relays), "region": "north", "site": "s1"},
+        });
+        let folder = Folder::new(&format!("carrier-{test}"));
+        let file = File::new(&format!("carrier-{test}"), &json!({"fleet": section}).to_string());
+        let mut fleet = Fleet { worlds: BTreeMap::new(), section, folder, file };
+        for name in VOTERS.iter().chain(&CONTROL).chain(relays).chain(leaves) {
+            fleet.begin(name, &[]).await;
+        }
+        for _ in 0..200 {
+            let (code, _) = fleet.say(&["found"]).await;
+            if code == 0 {
+                break;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        fleet
+    }
+
+    async fn begin(&mut self, name: &'static str, set: &[(&str, Json)]) {
+        let mut section = self.section.clone();
+        let folder = self.folder.0.join(name);
+        section["folder"] = json!(folder.join("voter"));
+        section["carrier"]["folder"] = json!(folder.join("carrier"));
+        let own = [("/name", json!(name)), ("/fleet", section)];
+        let set: Vec<(&str, Json)> = own.into_iter().chain(set.iter().cloned()).collect();
+        let world = World::start(&set).await;
+        self.worlds.insert(name, world);
+    }
+
+    /// As a process that is killed: its links, its listeners and all it was about to do are gone.
+    async fn kill(&mut self, name: &str) -> World {
+        let mut world = self.worlds.remove(name).unwrap();
+        world.running.abort();
+        let _ = (&mut world.running).await;
+        world
+    }
+
+    /// `pumicebay fleet` with these words: its exit code, and all it says.
+    async fn say(&self, words: &[&str]) -> (i32, String) {
+        let path = self.file.path().to_string();
+        let mut words: Vec<String> = words.iter().map(|word| word.to_string()).collect();
+        words.insert(0, "fleet".into());
+        words.extend(["--config".into(), path]);
+        let done = tokio::task::spawn_blocking(move || {
+            let words: Vec<&str> = words.iter().map(String::as_str).collect();
+            program(&words).output().unwrap()
+        });
+        let done = done.await.unwrap();
+        let text =
+            format!("{}{}", String::from_utf8_lossy(&done.stdout), String::from_utf8_lossy(&done.stderr));
+        (done.status.code().unwrap_or(-1), text)
+    }
+
+    /// Has it everywhere within so many seconds, or says where it is not.
+    async fn set(&self, scope: &str, name: &str, patch: &Json, wait: &str) -> (i32, String) {
+        let patch = File::new(&format!("{}-{name}", self.section["name"]), &patch.to_string());
+        let (code, text) = self.say(&["set", scope, name, patch.path(), "--wait", wait]).await;
+        // Versions begin with the time of the founding.
+        let digits = |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+        let hidden = |word: &str| {
+            let bare = word.trim_end_matches([' ', ',', ':', '\n']);
+            let version = bare.split_once('.').is_some_and(|(one, two)| digits(one) && digits(two));
+            if version { word.replace(bare, "VERSION") } else { word.into() }
+        };
+        (code, text.split_inclusive([' ', '\n']).map(hidden).collect())
+    }
+
+    /// Has it everywhere.
+    async fn put(&self, scope: &str, name: &str, patch: &Json) {
+        assert_eq!(self.set(scope, name, patch, "20").await, (0, "VERSION\n".into()));
+    }
+
+    async fn changes(&self) -> Json {
+        let (_, text) = self.say(&["changes", "--json"]).await;
+        serde_json::from_str(&text).unwrap_or_else(|_| json!(text))
+    }
+
+    /// What a client of each gets under this class.
+    async fn ask(&self, class: &str) -> String {
+        let mut trace = String::new();
+        for (name, world) in &self.worlds {
+            let labels = format!("c={class},t=acme,d=3000,size=9,k=x");
+            let reply = world.client().await.ask(&["C.GET", "hit", name, &labels]).await;
+            trace += &format!("{name} {reply}");
+        }
+        trace
+    }
+}
+
+/// A patch that gives the proxies one more route.
+fn with_route(fleet: &Fleet, name: &str) -> Json {
+    let json = &fleet.worlds.values().next().unwrap().json;
+    let mut routes = json["settings"]["routes"].clone();
+    let mut route = routes[0].clone();
+    route["name"] = json!(name);
+    routes.as_array_mut().unwrap().push(route);
+    json!({"settings": {"routes": routes}})
+}
+
+#[tokio::test]
+async fn a_change_reaches_all_and_holds_there() {
+    let fleet = Fleet::start("reach", &["r1"], &["l1", "l2"]).await;
+    let patch = with_route(&fleet, "fresh");
+    fleet.put("fleet", "routes", &patch).await;
+    expect![[r#"
+        c1 hit: value of c1
+        c2 hit: value of c2
+        l1 hit: value of l1
+        l2 hit: value of l2
+        r1 hit: value of r1
+        v1 hit: value of v1
+        v2 hit: value of v2
+        v3 hit: value of v3
+    "#]]
+    .assert_eq(&fleet.ask("fresh").await);
+    let changes = fleet.changes().await;
+    assert_eq!((&changes["everywhere"], &changes["members"]), (&json!(true), &json!(8)), "{changes:#}");
+    // One proxy alone, and another site alone.
+    let own = with_route(&fleet, "own");
+    fleet.put("proxy/s1/l2", "routes", &own).await;
+    let holds = |text: String| text.lines().filter(|line| line.contains("value of")).count();
+    assert_eq!(holds(fleet.ask("own").await), 1);
+    fleet.put("site/other", "routes", &own).await;
+    assert_eq!(holds(fleet.ask("own").await), 1);
+    let (code, said) = fleet.say(&["unset", "proxy/s1/l2", "routes", "--wait", "10"]).await;
+    assert_eq!(code, 0, "{said}");
+    assert_eq!(holds(fleet.ask("fresh").await), 8);
+}
+
+/// What the publisher's own file can't take is refused at once, with the key; what one proxy alone can't take is named, and
+/// the rest have it.
+#[tokio::test]
+async fn what_is_refused_is_named_with_its_key() {
+    let mut fleet = Fleet::start("refuse", &[], &["l1"]).await;
+    // Its file lacks what those of all others have.
+    fleet.begin("l2", &[("/settings/rules", json!({"fall-us": 1_000_000, "start-capacity": 0.12}))]).await;
+    let mut trace = String::new();
+    for patch in [
+        json!({"settings": {"routes": []}}),
+        json!({"settings": {"permissions": {"most-upstream-tries": "many"}}}),
+        json!({"listen": "127.0.0.1:1"}),
+    ] {
+        let (code, said) = fleet.set("fleet", "wrong", &patch, "5").await;
+        trace += &format!("{code} {said}");
+    }
+    let (code, said) = fleet.say(&["unset", "planet", "wrong"]).await;
+    trace += &format!("{code} {said}");
+    let mut patch = with_route(&fleet, "fresh");
+    patch["settings"]["rules"] = json!({"cold-us": 24_000_000});
+    let (code, said) = fleet.set("fleet", "rules", &patch, "20").await;
+    let publisher = fleet.changes().await["publisher"].as_str().unwrap_or("?").to_string();
+    trace += &format!("{code} {}", said.replace(&publisher, "PUBLISHER"));
+    expect![[r#"
+        1 pumicebay: refused: wrong for fleet: settings.routes: expected one or more
+        1 pumicebay: refused: wrong for fleet: settings.permissions.most-upstream-tries: expected a whole number, found "many"
+        1 pumicebay: refused: wrong for fleet: needs a restart, put it into the file: listen
+        1 pumicebay: "planet": expected fleet, region/R, zone/Z, site/S or proxy/SITE/NAME
+        3 VERSION
+        version VERSION, VERSION is in force everywhere but for those below
+        7 members, 0 waiting, published by PUBLISHER
+          l2  has VERSION  refused rules for fleet, of VERSION: needs a restart, put it into the file: settings.rules.cold-us
+    "#]]
+    .assert_eq(&trace);
+    expect![[r#"
+        c1 hit: value of c1
+        c2 hit: value of c2
+        l1 hit: value of l1
+        l2 hit: -ERR label 'c': unknown or missing class
+        v1 hit: value of v1
+        v2 hit: value of v2
+        v3 hit: value of v3
+    "#]]
+    .assert_eq(&fleet.ask("fresh").await);
+    // A better one: the exception is gone.
+    let (code, said) = fleet.set("fleet", "rules", &with_route(&fleet, "fresh"), "10").await;
+    assert_eq!(code, 0, "{said}");
+    assert!(fleet.ask("fresh").await.contains("l2 hit: value of l2"));
+}
+
+#[tokio::test]
+async fn children_of_a_relay_that_is_gone_go_to_others() {
+    let mut fleet = Fleet::start("relay", &["r1", "r2"], &["l1", "l2", "l3", "l4"]).await;
+    fleet.put("fleet", "routes", &with_route(&fleet, "one")).await;
+    drop(fleet.kill("r1").await);
+    // Not everywhere: it is not known what is in force at the relay that is gone.
+    let (code, said) = fleet.set("fleet", "routes", &with_route(&fleet, "two"), "12").await;
+    assert_eq!(code, 3, "{said}");
+    assert_eq!(fleet.ask("two").await.matches("value of").count(), 10, "{}", fleet.ask("two").await);
+    let changes = fleet.changes().await;
+    let named = |exception: &Json| format!("{} {}", exception["name"], exception["why"]);
+    let exceptions: Vec<String> = changes["exceptions"].as_array().unwrap().iter().map(named).collect();
+    assert_eq!(exceptions, [r#""r1" "lost""#], "{changes:#}");
+    // It comes back, and all is well.
+    fleet.begin("r1", &[]).await;
+    fleet.put("fleet", "routes", &with_route(&fleet, "three")).await;
+}
+
+/// Proxies serve on, and start from what they kept; one whose kept file is spoilt starts from its own file alone.
+#[tokio::test]
+async fn serving_goes_on_without_any_control_machine() {
+    let mut fleet = Fleet::start("gone", &["r1"], &["l1", "l2"]).await;
+    fleet.put("fleet", "routes", &with_route(&fleet, "fresh")).await;
+    for name in CONTROL {
+        drop(fleet.kill(name).await);
+    }
+    for name in ["l1", "l2"] {
+        drop(fleet.kill(name).await);
+    }
+    let spoilt = fleet.folder.0.join("l2/carrier/carrier");
+    let mut bytes = std::fs::read(&spoilt).unwrap();
+    bytes[30] ^= 1;
+    std::fs::write(&spoilt, bytes).unwrap();
+    for name in ["l1", "l2"] {
+        fleet.begin(name, &[]).await;
+    }
+    expect![[r#"
+        l1 hit: value of l1
+        l2 hit: -ERR label 'c': unknown or missing class
+        r1 hit: value of r1
+        v1 hit: value of v1
+        v2 hit: value of v2
+        v3 hit: value of v3
+    "#]]
+    .assert_eq(&fleet.ask("fresh").await);
+    assert_eq!(fleet.ask("read").await.matches("value of").count(), 6);
+    let (code, said) = fleet.set("fleet", "routes", &with_route(&fleet, "late"), "1").await;
+    assert!(code == 1 && said.contains("nothing was written"), "{code} {said}");
+    // They come back with their folders, and with them all the rest.
+    for name in CONTROL {
+        fleet.begin(name, &[]).await;
+    }
+    fleet.put("fleet", "routes", &with_route(&fleet, "late")).await;
+    assert_eq!(fleet.ask("late").await.matches("value of").count(), 8);
+}
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! A proxy on loopback with stand-ins for one cache node, the origin and discovery. What the stand-ins do
 //! with an exchange its key tells; what they see they write down.
 
+mod carrier;
 mod cli;
 mod clients;
 mod config;
