--- a/crates/carrier/src/force.rs
+++ b/crates/carrier/src/force.rs
@@ -30,6 +30,8 @@
     /// What the process has in force, of each resource that concerns it.
     applied: BTreeMap<Key, Resource>,
     out: Option<Out>,
+    /// What they are laid over has changed since they were asked for.
+    again: bool,
     /// At which version each is refused, and why, until another version of it is in force or it is removed.
     refused: BTreeMap<Key, (Version, String)>,
     /// The last good ones of those that are refused.
@@ -47,6 +49,11 @@
         self.good.values().cloned().collect()
     }
 
+    /// What they are laid over has changed: those that were refused may do now, and others may not.
+    pub fn again(&mut self) {
+        self.again = true;
+    }
+
     /// What is held has changed, or something came to be in force: asks for the newest, one at a time.
     pub fn look(&mut self, now: Nanos, store: &Store, concerns: &Interest, host: &mut impl Host) {
         let held = |key: &Key| store.get(key).filter(|resource| resource.patch.is_some());
@@ -54,7 +61,7 @@
         let refused = self.refused.iter();
         let refused =
             refused.filter(|(key, (version, _))| held(key).is_some_and(|held| held.version == *version));
-        let refused: BTreeSet<Key> = refused.map(|(key, _)| key.clone()).collect();
+        let refused: BTreeSet<Key> = refused.filter(|_| !self.again).map(|(key, _)| key.clone()).collect();
         if self.out.is_none() {
             let wanted: BTreeMap<Key, Resource> = store
                 .iter()
@@ -68,10 +75,11 @@
                     Some((key, resource))
                 })
                 .collect();
-            if wanted == self.applied {
+            if wanted == self.applied && !std::mem::take(&mut self.again) {
                 self.in_force = store.version;
                 self.refused.retain(|key, _| refused.contains(key));
             } else {
+                self.again = false;
                 // The same version with other content, after a whole set: what was said of it counts no more.
                 if self.in_force >= store.version {
                     let number = store.version.number.saturating_sub(1);
--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -370,6 +370,13 @@
         self.changed(now, host);
     }
 
+    /// What resources are laid over here has changed, say a file was read again: all are asked for anew.
+    pub fn reread(&mut self, now: Nanos, host: &mut impl Host) {
+        self.force.again();
+        self.force.look(now, &self.store, &self.concerns, host);
+        self.changed(now, host);
+    }
+
     /// A child calls.
     pub fn child_up(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
         if self.children.len() >= self.terms.children {
--- a/crates/proxy/src/fleet/carrier/actor.rs
+++ b/crates/proxy/src/fleet/carrier/actor.rs
@@ -15,6 +15,7 @@
     Up, Version,
 };
 use std::collections::{HashMap, VecDeque};
+use std::fmt::{Display, Formatter};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -30,13 +31,24 @@
 const OLD: Nanos = 10_000_000_000;
 
 /// What the process is told of the carrier.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Told {
     pub holds: Version,
     /// When the publisher is known to have held just this; `None` where it never was.
     pub known: Option<Instant>,
 }
 
+impl Display for Told {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self.known {
+            Some(known) => {
+                write!(f, "version {} as of {:.1} s ago", self.holds, known.elapsed().as_secs_f64())
+            }
+            None => write!(f, "version {}, nothing heard since the start", self.holds),
+        }
+    }
+}
+
 enum Act {
     Dial(String),
     HangUp,
@@ -230,6 +242,7 @@
             Event::ChildSaid(..) | Event::ChildLost(_) => {}
             Event::ParentUp(_) | Event::ParentSaid(..) | Event::ParentLost(_) => {}
             Event::InForce(version, refused) => node.in_force(now, version, refused, acts),
+            Event::Reread => node.reread(now, acts),
             Event::Kept(version) => node.kept(now, version, acts),
             Event::Lease(held, holder) => self.lease(now, held, holder),
             Event::Read(number, reply) => self.publisher_read(now, number, &reply),
--- a/crates/proxy/src/fleet/carrier/door.rs
+++ b/crates/proxy/src/fleet/carrier/door.rs
@@ -20,6 +20,8 @@
     ParentLost(u64),
     /// What was put in force, and what was not.
     InForce(Version, Vec<Refusal>),
+    /// The file was read again: what was refused may do now, and what did not.
+    Reread,
     Kept(Version),
     /// The lease, and who has it where that is another.
     Lease(Option<Held>, Option<String>),
--- a/crates/proxy/src/fleet/carrier/mod.rs
+++ b/crates/proxy/src/fleet/carrier/mod.rs
@@ -27,8 +27,9 @@
 use crate::fleet::carrier::actor::{Told, Ways};
 use crate::fleet::carrier::apply::{Laid, Layer};
 use crate::fleet::carrier::config::CarrierConfig;
+use crate::fleet::carrier::door::Door;
 use crate::fleet::me::Me;
-use pumicebay_carrier::{Kept, Place, Version};
+use pumicebay_carrier::{Kept, Place};
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinSet, spawn_blocking};
@@ -62,18 +63,18 @@
     (Some(kept), Some(laid))
 }
 
-/// Takes its part: keeps a link to a parent, takes children if it is to, publishes if it is its turn. Gives what it
-/// says of itself, and what has to run as long as it does.
+/// Takes its part: keeps a link to a parent, takes children if it is to, publishes if it is its turn, and tells how old what
+/// it has is. Gives the way to it, and what has to run as long as it does.
 pub fn start(
     me: &Me,
     config: Arc<CarrierConfig>,
     asker: Option<Asker>,
     layer: Layer,
     kept: Option<Kept>,
-) -> (watch::Receiver<Told>, impl Future<Output = ()> + use<>) {
+    tell: watch::Sender<Told>,
+) -> (Door, impl Future<Output = ()> + use<>) {
     let mut actors = JoinSet::new();
     let (door, events) = door::door();
-    let (tell, told) = watch::channel(Told { holds: Version::default(), known: None });
     let (give_back, given) = mpsc::channel(1);
     let keep = config.folder.clone().map(|folder| {
         let (keep, newest) = watch::channel(None);
@@ -89,5 +90,5 @@
     }
     let ways = Ways { door: door.clone(), layer, asker, keep, give_back, tell };
     actors.spawn(actor::run(me.clone(), config, kept, ways, events));
-    (told, super::watched(actors))
+    (door, super::watched(actors))
 }
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -3,6 +3,7 @@
 //! the module.
 
 use crate::bans::{Asked, LONGEST_LEASE, Maintenance};
+use crate::fleet::carrier::actor::Told;
 use crate::http::{Call, Calls, Word};
 use crate::phases::{Phase, Watch};
 use crate::room::{Room, Spare};
@@ -32,6 +33,8 @@
 pub struct Operator {
     pub watch: Watch,
     pub maintenance: Maintenance,
+    /// How old the configuration is that came by the carrier, where there is one.
+    pub carrier: Option<tokio::sync::watch::Receiver<Told>>,
 }
 
 /// Accepts as long as the process lives.
@@ -99,7 +102,13 @@
         }
         if method == "GET" {
             return match self.watch.now() {
-                Phase::Serving | Phase::Draining => Word(200, "serving".into()),
+                Phase::Serving | Phase::Draining => Word(
+                    200,
+                    match &self.carrier {
+                        Some(carrier) => format!("serving, carrier: {}", *carrier.borrow()),
+                        None => "serving".into(),
+                    },
+                ),
                 phase => Word(503, format!("takes no clients: {phase:?}")),
             };
         }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -62,8 +62,8 @@
     pub operator: Option<SocketAddr>,
     /// The way to ask the fleet, where it is in one.
     pub fleet: Option<Asker>,
-    /// What it knows of the carrier, where it has one.
-    pub carrier: Option<watch::Receiver<carrier::actor::Told>>,
+    /// The way to the carrier, where it has one.
+    carrier: Option<carrier::door::Door>,
     phases: Phases,
     config: Arc<Config>,
     counters: Arc<Counters>,
@@ -137,6 +137,8 @@
         let mut actors = JoinSet::new();
         let operator = config.operator.map(|at| listen("operator", at)).transpose()?;
         let door_at = operator.as_ref().map(TcpListener::local_addr).transpose()?;
+        let has_carrier = config.fleet.as_ref().is_some_and(|fleet| fleet.carrier.is_some());
+        let (tell, told) = has_carrier.then(|| watch::channel(carrier::actor::Told::default())).unzip();
         if let Some(listener) = operator {
             let (maintenance, calls) = bans::maintenance();
             let (watch, folder) = (shared.watch.clone(), config.folder.clone());
@@ -156,7 +158,7 @@
             }
             let fences = Fences::default();
             actors.spawn(Bans { desk: desk.clone(), folder, out, fences }.run(calls));
-            actors.spawn(operator::accept(Operator { watch, maintenance }, listener));
+            actors.spawn(operator::accept(Operator { watch, maintenance, carrier: told }, listener));
         }
         let me = config.fleet.as_ref().map(|section| fleet::me::Me::new(&config.name, section.clone()));
         let fleet = me.as_ref().filter(|me| me.config.asks_voters(&config.name)).map(|me| {
@@ -167,11 +169,11 @@
             asker
         });
         let (layer, orders) = apply::door();
-        let carried = me.as_ref().and_then(|me| {
+        let carrier = me.as_ref().zip(tell).and_then(|(me, tell)| {
             let section = me.config.carrier.clone()?;
-            let (told, parts) = carrier::start(me, section, fleet.clone(), layer, kept);
+            let (door, parts) = carrier::start(me, section, fleet.clone(), layer, kept, tell);
             actors.spawn(parts);
-            Some(told)
+            Some(door)
         });
         let listener = if config.inherited { inherited()? } else { listen("listen", config.listen)? };
         let address = listener.local_addr()?;
@@ -214,7 +216,7 @@
             address,
             operator,
             fleet,
-            carrier: carried,
+            carrier,
             phases,
             config,
             counters,
@@ -246,6 +248,9 @@
                 if !restart.is_empty() {
                     tracing::warn!("configuration: needs a restart: {}", restart.join(", "));
                 }
+                if let Some(carrier) = &self.carrier {
+                    carrier.say(carrier::door::Event::Reread).await;
+                }
             }
             Err(error) => {
                 self.counters.reloads_failed.add();
--- a/crates/proxy/tests/proxy/carrier.rs
+++ b/crates/proxy/tests/proxy/carrier.rs
@@ -1,10 +1,13 @@
 //! Changes of configuration to a fleet of proxies on loopback: three voters, two control machines, relays and
 //! leaves. Each is a whole proxy with stand-ins of its own.
 
-use crate::World;
 use crate::cli::{File, program};
-use crate::operations::Folder;
+use crate::operations::{Folder, call};
+use crate::{World, configuration};
 use expect_test::expect;
+use pumicebay::config::parse;
+use pumicebay::fleet::carrier::{apply, disk};
+use pumicebay_carrier::{Kept, Resource, Scope, Version};
 use serde_json::{Value as Json, json};
 use std::collections::BTreeMap;
 use std::net::TcpListener;
@@ -65,7 +68,7 @@
         let folder = self.folder.0.join(name);
         section["folder"] = json!(folder.join("voter"));
         section["carrier"]["folder"] = json!(folder.join("carrier"));
-        let own = [("/name", json!(name)), ("/fleet", section)];
+        let own = [("/name", json!(name)), ("/fleet", section), ("/operator", json!("127.0.0.1:0"))];
         let set: Vec<(&str, Json)> = own.into_iter().chain(set.iter().cloned()).collect();
         let world = World::start(&set).await;
         self.worlds.insert(name, world);
@@ -215,9 +218,20 @@
         v3 hit: value of v3
     "#]]
     .assert_eq(&fleet.ask("fresh").await);
-    // A better one: the exception is gone.
-    let (code, said) = fleet.set("fleet", "rules", &with_route(&fleet, "fresh"), "10").await;
-    assert_eq!(code, 0, "{said}");
+    // Its file is mended and read again: the exception is gone.
+    let l2 = &fleet.worlds["l2"];
+    let mut mended = l2.json.clone();
+    mended["settings"]["rules"]["cold-us"] = json!(24_000_000);
+    l2.configs.send(parse(&mended)).await.unwrap();
+    let mut changes = json!(null);
+    for _ in 0..100 {
+        changes = fleet.changes().await;
+        if changes["everywhere"] == true {
+            break;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(changes["everywhere"], true, "{changes:#}");
     assert!(fleet.ask("fresh").await.contains("l2 hit: value of l2"));
 }
 
@@ -267,6 +281,11 @@
     "#]]
     .assert_eq(&fleet.ask("fresh").await);
     assert_eq!(fleet.ask("read").await.matches("value of").count(), 6);
+    let status = call(fleet.worlds["l1"].operator.unwrap(), "GET", "/status", "").await;
+    assert!(
+        status.starts_with("200 serving, carrier: version ") && status.contains("nothing heard"),
+        "{status}"
+    );
     let (code, said) = fleet.set("fleet", "routes", &with_route(&fleet, "late"), "1").await;
     assert!(code == 1 && said.contains("nothing was written"), "{code} {said}");
     // They come back with their folders, and with them all the rest.
@@ -276,3 +295,88 @@
     fleet.put("fleet", "routes", &with_route(&fleet, "late")).await;
     assert_eq!(fleet.ask("late").await.matches("value of").count(), 8);
 }
+
+fn resource(scope: Scope, name: &str, number: u64, patch: &str) -> Resource {
+    Resource { scope, name: name.into(), version: Version { epoch: 7, number }, patch: Some(patch.into()) }
+}
+
+/// Cut at every byte and flipped at every bit, a kept file is either whole or known to be spoilt.
+#[test]
+fn a_kept_file_is_whole_or_known_not_to_be() {
+    let resources = vec![resource(Scope::Fleet, "a", 3, "{}")];
+    let kept = Kept { version: Version { epoch: 7, number: 3 }, resources, ..Kept::default() };
+    let whole = disk::encode(&kept).unwrap();
+    assert_eq!(disk::decode(&whole).unwrap(), kept);
+    for at in 0..whole.len() {
+        assert!(disk::decode(&whole[..at]).is_err(), "cut at {at}");
+        for bit in 0..8 {
+            let mut flipped = whole.clone();
+            flipped[at] ^= 1 << bit;
+            assert!(disk::decode(&flipped).is_err(), "flipped at {at}");
+        }
+    }
+    let mut later = whole;
+    later[8] = 2;
+    expect!["of version 2, this program reads 1"].assert_eq(&disk::decode(&later).unwrap_err().to_string());
+}
+
+/// The examples of RFC 7396.
+#[test]
+fn patches_are_merged_as_the_rfc_says() {
+    for (target, patch, merged) in [
+        (json!({"a": "b"}), json!({"a": "c"}), json!({"a": "c"})),
+        (json!({"a": "b"}), json!({"b": "c"}), json!({"a": "b", "b": "c"})),
+        (json!({"a": "b"}), json!({"a": null}), json!({})),
+        (json!({"a": "b", "b": "c"}), json!({"a": null}), json!({"b": "c"})),
+        (json!({"a": ["b"]}), json!({"a": "c"}), json!({"a": "c"})),
+        (json!({"a": "c"}), json!({"a": ["b"]}), json!({"a": ["b"]})),
+        (json!({"a": {"b": "c"}}), json!({"a": {"b": "d", "c": null}}), json!({"a": {"b": "d"}})),
+        (json!({"a": [{"b": "c"}]}), json!({"a": [1]}), json!({"a": [1]})),
+        (json!(["a", "b"]), json!(["c", "d"]), json!(["c", "d"])),
+        (json!({"a": "b"}), json!(["c"]), json!(["c"])),
+        (json!({"a": "foo"}), json!(null), json!(null)),
+        (json!({"e": null}), json!({"a": 1}), json!({"e": null, "a": 1})),
+        (json!([1, 2]), json!({"a": "b", "c": null}), json!({"a": "b"})),
+        (json!({}), json!({"a": {"bb": {"ccc": null}}}), json!({"a": {"bb": {}}})),
+    ] {
+        let mut target = target;
+        apply::merge(&mut target, &patch);
+        assert_eq!(target, merged);
+    }
+}
+
+/// Narrower scopes go over wider ones, and of those that fail the last good ones stay.
+#[test]
+fn what_fails_is_left_out_and_its_last_good_one_stays() {
+    let file = parse(&configuration(&[])).unwrap();
+    let tries =
+        |number: Json| json!({"settings": {"permissions": {"most-upstream-tries": number}}}).to_string();
+    let site = Scope::Site("s1".into());
+    let mut all = vec![
+        resource(site.clone(), "tries", 1, &tries(json!(3))),
+        resource(Scope::Fleet, "tries", 2, &tries(json!(2))),
+    ];
+    apply::in_order(&mut all);
+    let first = apply::lay(&file, &all, &[]);
+    let said =
+        |laid: &apply::Laid| laid.config.json["settings"]["permissions"]["most-upstream-tries"].clone();
+    assert_eq!((said(&first), first.refused.len(), first.good.len()), (json!(3), 0, 2));
+    let next = [
+        resource(Scope::Fleet, "bad", 4, "[]"),
+        all[0].clone(),
+        resource(site, "tries", 3, &tries(json!("many"))),
+    ];
+    let second = apply::lay(&file, &next, &first.good);
+    assert_eq!((said(&second), second.good.len()), (json!(3), 2), "the site's last good one");
+    expect![[r#"
+        fleet bad: expected an object, found []
+        site/s1 tries: settings.permissions.most-upstream-tries: expected a whole number, found "many""#]]
+    .assert_eq(
+        &second
+            .refused
+            .iter()
+            .map(|(scope, name, why)| format!("{scope} {name}: {why}"))
+            .collect::<Vec<_>>()
+            .join("\n"),
+    );
+}
