--- a/crates/carrier/src/children.rs
+++ b/crates/carrier/src/children.rs
@@ -75,6 +75,12 @@
         self.of.iter()
     }
 
+    /// Those that serve nobody themselves.
+    pub fn proxies(&self) -> usize {
+        let proxy = |one: &&Subscriber| matches!(one.who, Some((_, Interest::Proxy(..))));
+        self.of.values().filter(proxy).count()
+    }
+
     pub fn numbers(&self) -> Vec<Child> {
         self.of.keys().copied().collect()
     }
