Carrier: who publishes is never lost to itself; without a disk nothing counts as kept

The actor said that a version was kept where there is no disk.

Change: a process passes over its own name among the lost of its children, and says nothing of a disk it has not.

--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -543,7 +543,7 @@
         if late {
             exceptions.insert(0, Exception { who: me.clone(), in_force, why: Why::Late });
         }
-        let own = Own { in_force, late, exceptions };
+        let own = Own { me: me.clone(), in_force, late, exceptions };
         sums::sum(now, self.store.version, own, &self.children, &self.moves, self.terms.named)
     }
 
--- a/crates/carrier/src/sums.rs
+++ b/crates/carrier/src/sums.rs
@@ -82,6 +82,7 @@
 
 /// What a process says of itself.
 pub(crate) struct Own {
+    pub me: Member,
     pub in_force: Version,
     pub late: bool,
     pub exceptions: Vec<Exception>,
@@ -102,10 +103,13 @@
     let mut lost: BTreeSet<Member> = BTreeSet::new();
     for (child, one) in children.iter() {
         let (Some((who, wants)), Some(sum)) = (&one.who, &one.sum) else { continue };
-        // Neither whoever came back elsewhere nor whoever was lost in two places counts twice.
+        // Neither whoever came back elsewhere nor whoever was lost in two places counts twice; nor does this process, which
+        // one that was its parent has as lost.
         let twice = |other: &&Exception| {
             other.why == Why::Lost
-                && (moves.came_by_another(now, &other.who, *child) || !lost.insert(other.who.clone()))
+                && (moves.came_by_another(now, &other.who, *child)
+                    || (other.who.name == own.me.name && other.who.incarnation <= own.me.incarnation)
+                    || !lost.insert(other.who.clone()))
         };
         let (back, below): (Vec<&Exception>, Vec<&Exception>) = sum.exceptions.iter().partition(twice);
         let count = sum.members.saturating_sub(back.len() as u32).max(1);
--- a/crates/proxy/src/fleet/carrier/actor.rs
+++ b/crates/proxy/src/fleet/carrier/actor.rs
@@ -316,14 +316,12 @@
                         }
                     });
                 }
-                Act::Keep(kept) => match &self.ways.keep {
-                    Some(keep) => _ = keep.send_replace(Some(kept)),
-                    // Nowhere to keep it: only control machines must, and they have a folder.
-                    None => {
-                        let (door, version) = (self.ways.door.clone(), kept.version);
-                        tokio::spawn(async move { door.say(Event::Kept(version)).await });
+                Act::Keep(kept) => {
+                    // Where there is no disk nothing comes back, and nothing more is to be kept.
+                    if let Some(keep) = &self.ways.keep {
+                        keep.send_replace(Some(kept));
                     }
-                },
+                }
             }
         }
     }
--- a/crates/proxy/src/fleet/carrier/links.rs
+++ b/crates/proxy/src/fleet/carrier/links.rs
@@ -20,8 +20,8 @@
 const UPS: usize = 16;
 /// Answers that wait for a command.
 const ANSWERS: usize = 16;
-/// Links beyond the children's: those that are told that there is no room, and commands.
-const SPARE: usize = 64;
+/// Links beyond those of proxies: other control machines, relays, those that are told that there is no room, commands.
+const SPARE: usize = 256;
 const CONNECT: Duration = Duration::from_secs(1);
 const NO_ROOM: Duration = Duration::from_millis(20);
 const AGAIN: Duration = Duration::from_millis(200);
