Leases: a renewal that a later one overtook is denied, and that is not the lease's loss

Cause: on a busy machine a renewal takes longer than the quarter second until the next; voters deny the one that comes after its successor, and the holder gave the lease up, for a whole lease's time. Seen with the lease `carrier`: publishers came and went, in 2 of 8 starts of five processes at load 20 to 33 on 8 cores (journalled lines: ask 11 granted, then 10 denied).

Change: the denial of an ask that is not the newest counts as no answer; the newest one's tells. What is held still ends by its own time.

--- a/crates/proxy/src/fleet/lease.rs
+++ b/crates/proxy/src/fleet/lease.rs
@@ -45,9 +45,11 @@
 ) {
     let clock = asker.me.clock;
     let (answers, mut answered) = mpsc::channel::<(u64, Reply)>(8);
+    let mut newest = 0;
     loop {
         let now = clock.now();
         if let Some(ask) = holding.ask(now, asker.number()) {
+            newest = ask.id.number;
             let (asker, answers) = (asker.clone(), answers.clone());
             tokio::spawn(async move {
                 let number = ask.id.number;
@@ -58,6 +60,10 @@
         tell.send_if_modified(|held| std::mem::replace(held, holding.held()) != holding.held());
         tokio::select! {
             Some((number, reply)) = answered.recv() => {
+                // Voters deny an ask that a later one overtook, also where the later one was granted: what is held is not
+                // lost by that. The answer to the newest tells.
+                let overtaken = number < newest && matches!(reply, Reply::Denied(..));
+                let reply = if overtaken { Reply::Unknown } else { reply };
                 let other = match &reply {
                     // An earlier life of one's own name is nobody to turn to.
                     Reply::Denied(Some(holder), _) if holder.name != asker.me.who.name => Some(&holder.name),
