Carrier: for operators: changing the configuration of all; a test with real processes

Cause: nothing said how a change is made and seen in force, and what to do with a laggard; no test had real processes.

--- a/crates/proxy/tests/proxy/carrier.rs
+++ b/crates/proxy/tests/proxy/carrier.rs
@@ -1,7 +1,7 @@
 //! Changes of configuration to a fleet of proxies on loopback: three voters, two control machines, relays and
 //! leaves. Each is a whole proxy with stand-ins of its own.
 
-use crate::cli::{File, program};
+use crate::cli::{File, Running, program};
 use crate::operations::{Folder, call};
 use crate::{World, configuration};
 use expect_test::expect;
@@ -380,3 +380,52 @@
             .join("\n"),
     );
 }
+
+/// The program itself: three voters that are control machines, a relay and a leaf, each a process that can be killed.
+#[test]
+fn processes_carry_changes_and_survive_kills() {
+    let names = ["v1", "v2", "v3"];
+    let at =
+        |names: &[&str]| -> Json { names.iter().map(|name| (name.to_string(), json!(free()))).collect() };
+    let folder = Folder::new("carrier-real");
+    let mut section = json!({"name": "real", "voters": at(&names),
+        "carrier": {"control": at(&names), "relays": at(&["r1"]), "site": "s1"}});
+    let mut files = BTreeMap::new();
+    for name in ["v1", "v2", "v3", "r1", "l1"] {
+        section["folder"] = json!(folder.0.join(name).join("voter"));
+        section["carrier"]["folder"] = json!(folder.0.join(name).join("carrier"));
+        let json = configuration(&[("/name", json!(name)), ("/fleet", section.clone())]);
+        files.insert(name, File::new(&format!("carrier-real-{name}"), &json.to_string()));
+    }
+    let start = |name: &str| Running::start(program(&["serve", "--config", files[name].path()]));
+    let mut running: BTreeMap<&str, Running> = files.keys().map(|name| (*name, start(name))).collect();
+    let say = |words: &[&str]| {
+        let words: Vec<&str> =
+            ["fleet"].iter().chain(words).chain(&["--config", files["l1"].path()]).copied().collect();
+        let done = program(&words).output().unwrap();
+        let text =
+            format!("{}{}", String::from_utf8_lossy(&done.stdout), String::from_utf8_lossy(&done.stderr));
+        (done.status.code().unwrap_or(-1), text)
+    };
+    while say(&["found"]).0 != 0 {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let tries = |number: u64| {
+        let patch = json!({"settings": {"permissions": {"most-upstream-tries": number}}});
+        File::new(&format!("carrier-real-{number}"), &patch.to_string())
+    };
+    let (code, said) = say(&["set", "fleet", "tries", tries(2).path(), "--wait", "30"]);
+    assert_eq!(code, 0, "{said}");
+    // The publisher and the relay are killed: the others go on without them, and name them.
+    let (_, changes) = say(&["changes", "--json"]);
+    let changes: Json = serde_json::from_str(&changes).unwrap();
+    assert_eq!(changes["members"], 5, "{changes:#}");
+    running.remove(changes["publisher"].as_str().unwrap()).unwrap();
+    running.remove("r1").unwrap();
+    let (code, said) = say(&["set", "fleet", "tries", tries(3).path(), "--wait", "30"]);
+    assert_eq!(code, 3, "{said}");
+    // All control machines are gone: a proxy that starts has the last good set.
+    running.clear();
+    let log = start("l1").begun.clone();
+    assert!(log.contains("carrier: starts with version") && log.contains("1 of 1 resources"), "{log}");
+}
--- a/crates/proxy/tests/proxy/cli.rs
+++ b/crates/proxy/tests/proxy/cli.rs
@@ -86,19 +86,22 @@
     child: Child,
     log: BufReader<ChildStderr>,
     address: String,
+    /// What it said until it listened.
+    pub begun: String,
 }
 
 impl Running {
     pub fn start(mut command: Command) -> Running {
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
+        let (mut begun, mut line) = (String::new(), String::new());
         while !line.contains("INFO listens on 127.0.0.1:") {
             line.clear();
             assert!(log.read_line(&mut line).unwrap() > 0, "ended before it listened");
+            begun += &line;
         }
         let address = line.trim().rsplit(' ').next().unwrap().to_string();
-        Running { child, log, address }
+        Running { child, log, address, begun }
     }
 
     fn counters(&self) -> String {
