--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -369,6 +369,13 @@
         self.changed(now, host);
     }
 
+    /// What resources are laid over here has changed, say a file was read again: all are asked for anew.
+    pub fn reread(&mut self, now: Nanos, host: &mut impl Host) {
+        self.force.again();
+        self.force.look(now, &self.store, &self.concerns, host);
+        self.changed(now, host);
+    }
+
     /// A child calls.
     pub fn child_up(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
         self.children.add(now, child);
@@ -536,7 +543,7 @@
         if late {
             exceptions.insert(0, Exception { who: me.clone(), in_force, why: Why::Late });
         }
-        let own = Own { in_force, late, exceptions };
+        let own = Own { me: me.clone(), in_force, late, exceptions };
         sums::sum(now, self.store.version, own, &self.children, &self.moves, self.terms.named)
     }
 
