Carrier: frames that can't be read end their link and nothing else, shown on a control machine

Cause: spoilt, cut and later frames were seen on voters' links alone.

Change: five of them on a control machine's address, and a change after them that comes to be in force everywhere.

--- a/crates/proxy/tests/proxy/carrier.rs
+++ b/crates/proxy/tests/proxy/carrier.rs
@@ -7,13 +7,17 @@
 use expect_test::expect;
 use pumicebay::config::parse;
 use pumicebay::fleet::carrier::{apply, disk};
-use pumicebay_carrier::{Kept, Resource, Scope, Version};
+use pumicebay::fleet::wire::{Frame, Hello, Role};
+use pumicebay_accord::Holder;
+use pumicebay_carrier::{Interest, Kept, Member, Resource, Scope, Up, Version};
 use serde_json::{Value as Json, json};
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
 
 const VOTERS: [&str; 3] = ["v1", "v2", "v3"];
 const CONTROL: [&str; 2] = ["c1", "c2"];
@@ -172,6 +176,22 @@
     let (code, said) = fleet.say(&["unset", "proxy/s1/l2", "routes", "--wait", "10"]).await;
     assert_eq!(code, 0, "{said}");
     assert_eq!(holds(fleet.ask("fresh").await), 8);
+    // What can't be read ends its link, and nothing else.
+    let (c1, who) = (&fleet.section["carrier"]["control"]["c1"], Holder { name: "x".into(), incarnation: 1 });
+    let foreign = Member { name: "y".into(), incarnation: 1 };
+    let up = Up::Subscribe { who: foreign, wants: Interest::All, holds: Version::default(), digest: 0 };
+    let up = postcard::to_stdvec(&Frame::Up(Box::new(up))).unwrap();
+    let framed = |bytes: &[u8]| [&(bytes.len() as u32).to_be_bytes(), bytes].concat();
+    for bytes in [framed(&[99, 1, 2]), vec![255; 8], framed(&[]), framed(&up), framed(&up)[..9].to_vec()] {
+        let mut stream = TcpStream::connect(c1.as_str().unwrap()).await.unwrap();
+        let hello = postcard::to_stdvec(&Hello::new("reach", &who, Role::Proxy, None)).unwrap();
+        stream.write_all(&framed(&hello)).await.unwrap();
+        stream.write_all(&bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let ended = timeout(Duration::from_secs(4), stream.read_to_end(&mut Vec::new())).await;
+        assert!(ended.is_ok(), "the link goes on after {bytes:?}");
+    }
+    fleet.put("fleet", "routes", &with_route(&fleet, "after")).await;
 }
 
 /// What the publisher's own file can't take is refused at once, with the key; what one proxy alone can't take is named, and
