Capacity: a measure says what came in place of a value, and the test names which check failed

Cause: `a_busy_proxy_is_measured` failed once in five runs on a machine with a load of 28 on eight cores, and one assertion for three things did not tell which. The cause is not known: a cache that takes over 200 ms to be connected to would be one.

Change: the measure keeps what the last answer that was no value said; three assertions as strict.

It counts as flaky until its cause is found.

--- a/crates/lab/src/capacity/measure.rs
+++ b/crates/lab/src/capacity/measure.rs
@@ -83,8 +83,9 @@
     pub value_bytes: usize,
     pub megabits_per_second: f64,
     pub core_percent: f64,
-    /// Answers that were no value.
+    /// Answers that were no value, and what the last of them said.
     pub failed: u64,
+    pub said: String,
 }
 
 /// The first voter of a fleet of which nobody wants anything, and what all its links carry.
@@ -217,7 +218,8 @@
     let mut due = interval(Duration::from_secs_f64(1.0 / requests));
     due.set_missed_tick_behavior(MissedTickBehavior::Burst);
     let (before, began) = (proxy.processor()?, Instant::now());
-    let (mut asked, mut failed, mut room) = (0_u64, 0_u64, vec![0; bytes + 64]);
+    let (mut asked, mut failed, mut said) = (0_u64, 0_u64, String::new());
+    let mut room = vec![0; bytes + 64];
     while began.elapsed() < watched {
         due.tick().await;
         asked += 1;
@@ -225,8 +227,10 @@
         let words = ["C.GET", &key, &id, "c=read,d=1000"];
         let command: String = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect();
         client.write_all(format!("*4\r\n{command}").as_bytes()).await?;
-        failed +=
-            u64::from(!timeout(READY, value(&mut client, &mut room, bytes)).await.context("no answer")??);
+        let answer = value(&mut client, &mut room, bytes);
+        if let Some(other) = timeout(READY, answer).await.context("no answer")?? {
+            (failed, said) = (failed + 1, other);
+        }
     }
     let (after, took) = (proxy.processor()?, began.elapsed().as_secs_f64());
     serving.abort();
@@ -238,11 +242,12 @@
         megabits_per_second: requests * bytes as f64 * 8.0 / 1e6,
         core_percent: (after - before) / took * 100.0,
         failed,
+        said,
     })
 }
 
-/// Reads one answer; whether it is a value of that length.
-async fn value(client: &mut TcpStream, room: &mut [u8], bytes: usize) -> Result<bool> {
+/// Reads one answer: nothing for a value of that length, else what it says instead.
+async fn value(client: &mut TcpStream, room: &mut [u8], bytes: usize) -> Result<Option<String>> {
     let head = format!("${bytes}\r\n");
     let whole = head.len() + bytes + 2;
     let mut filled = 0;
@@ -251,10 +256,11 @@
         ensure!(read > 0, "the proxy ended the connection");
         filled += read;
         if room[0] != b'$' && room[..filled].ends_with(b"\r\n") {
-            return Ok(false);
+            return Ok(Some(String::from_utf8_lossy(&room[..filled - 2]).into_owned()));
         }
     }
-    Ok(room.starts_with(head.as_bytes()))
+    ensure!(room.starts_with(head.as_bytes()), "a value of another length");
+    Ok(None)
 }
 
 /// A cache that has every key.
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -245,7 +245,9 @@
     for bytes in [200, 150_000] {
         let busy = capacity::measure::busy(Path::new(LAB), 30.0, bytes, watched);
         let busy = runtime.block_on(busy).expect("a measure");
-        assert!(busy.failed == 0 && busy.core_percent > 0.0 && busy.requests_per_second > 5.0, "{busy:?}");
+        assert!(busy.failed == 0, "answers that are no value: {busy:?}");
+        assert!(busy.core_percent > 0.0, "no processor time was seen: {busy:?}");
+        assert!(busy.requests_per_second > 5.0, "hardly anything was asked: {busy:?}");
     }
 }
 
