A change whose fate is not known is offered again by the command

Cause: a publisher that loses its lease amid a write answers that it does not know; two tests of the carrier failed on it on a busy machine (103 of 105).

Change: fleet set offers the same change again for as long as a publisher is looked for. It is only a newer version of the same. That nothing was written is said only where nothing was offered.

--- a/crates/proxy/src/fleet/carrier/command.rs
+++ b/crates/proxy/src/fleet/carrier/command.rs
@@ -155,10 +155,11 @@
 }
 
 async fn offer(fleet: &FleetConfig, change: Change) -> Result<Outcome> {
-    let until = Instant::now() + PATIENCE;
+    let (until, mut offered) = (Instant::now() + PATIENCE, false);
     loop {
         let (mut called, _) = match publisher(fleet, until.saturating_duration_since(Instant::now())).await {
             Ok(found) => found,
+            Err(_) if offered => return Ok(Outcome::Unknown),
             Err((_, why)) => bail!("nothing was written: {why}"),
         };
         let answer = called.ask(Frame::Offer(1, vec![change.clone()]), SETTLES, |frame| match frame {
@@ -167,14 +168,21 @@
             _ => None,
         });
         match answer.await {
-            Ok(Some(outcome)) => return Ok(outcome),
             // Another publishes by now.
-            Ok(None) => sleep(AGAIN).await,
+            Ok(None) => {}
+            // A publisher that lost its lease amid the write does not know. The same change once more is only a newer
+            // version of it.
+            Ok(Some(Outcome::Unknown)) => offered = true,
+            Ok(Some(outcome)) => return Ok(outcome),
             Err(error) => {
-                eprintln!("pumicebay: {error:#}");
-                return Ok(Outcome::Unknown);
+                eprintln!("pumicebay: {error:#}; asked again");
+                offered = true;
             }
         }
+        if offered && Instant::now() >= until {
+            return Ok(Outcome::Unknown);
+        }
+        sleep(AGAIN).await;
     }
 }
 
