--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::progress::Progress;
 use crate::results::Results;
 use crate::rig::{self, Programs, plan::Plan};
+use crate::scale;
 use crate::scenario::{self, Text};
 use crate::{compare, hunt, policy, real, report, sweep, virt};
 use anyhow::{Context, Result, bail, ensure};
@@ -35,6 +36,9 @@
   fleet PLAN [--clock real|virtual] [--seed N] [--seeds N] [--proxy PATH] [--json FILE] [--report FILE.html]
                        starts the processes of a fleet on loopback, injects PLAN's faults between
                        them, and judges leases and the record by a witness
+  scale PLAN [--seed N] [--seeds A..B|N] [--clock virtual|real] [--json FILE] [--report FILE.html]
+                       plays a whole fleet that takes its configuration by the carrier (A..B: both
+                       included)
   help                 print this
 
 Every command takes --threads N. A broken rule makes the exit code 1, a wrong call 2, a run
@@ -72,6 +76,7 @@
         Some("sweep") => sweep(&call),
         Some("hunt") => hunt(&call),
         Some("fleet") => fleet(&call),
+        Some("scale") => scale(&call),
         Some("help") => {
             say(&format!("{HELP}\n"));
             Ok(ExitCode::SUCCESS)
@@ -87,7 +92,27 @@
         match arg {
             Long("clock") => call.clock = Some(args.value()?.string()?),
             Long("seed") => call.seed = Some(args.value()?.parse()?),
-            Long("seeds") => call.seeds = Some(args.value()?.parse()?),
+            Long("seeds") => {
+                let text = args.value()?.string()?;
+                match text.split_once("..") {
+                    // From one to another, both included.
+                    Some((first, last)) => {
+                        let number = |text: &str| {
+                            text.parse::<u64>()
+                                .with_context(|| format!("--seeds: expected A..B, found {text:?}"))
+                        };
+                        let (first, last) = (number(first)?, number(last)?);
+                        ensure!(first <= last, "--seeds: expected A..B with A no higher than B");
+                        (call.seed, call.seeds) = (Some(first), Some(last - first + 1));
+                    }
+                    None => {
+                        let count = text
+                            .parse()
+                            .with_context(|| format!("--seeds: expected a count, found {text:?}"))?;
+                        call.seeds = Some(count);
+                    }
+                }
+            }
             Long("runs") => call.runs = Some(args.value()?.parse()?),
             Long("policy") => call.policy = Some(args.value()?.string()?),
             Long("proxy") => call.proxy = Some(args.value()?.string()?),
@@ -288,3 +313,15 @@
     }
     Ok(if wrong > 0 { ExitCode::from(1) } else { ExitCode::SUCCESS })
 }
+
+/// Plays a whole fleet that takes its configuration by the carrier; exit code 1 where anything went wrong.
+fn scale(call: &Call) -> Result<ExitCode> {
+    let (first, count) = (call.seed.unwrap_or(1), call.seeds.unwrap_or(1));
+    ensure!(count > 0, "--seeds: expected 1 or more");
+    let wants =
+        scale::Wants { real: call.real()?, json: call.json.as_deref(), report: call.report.as_deref() };
+    let seeds = first..=first.saturating_add(count - 1);
+    let path = call.path.as_deref().context("no plan; see scenarios/scale")?;
+    let well = scale::command(path, seeds, &wants, &say)?;
+    Ok(if well { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod results;
 pub mod rig;
+pub mod scale;
 pub mod scenario;
 pub mod seat;
 pub mod stats;
--- /dev/null
+++ b/crates/lab/src/scale/plan.rs
@@ -0,0 +1,355 @@
+//! What is played: how large the fleet is, what changes, and which fault begins when.
+
+use anyhow::{Context, Result, bail, ensure};
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// The most that a plan may ask for: above it a play would not end in a sitting.
+const MOST: usize = 100_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The process `who` dies, and is back after `seconds`, with the disk that `disk` says.
+    Dies,
+    /// Half of the proxies of `site` restart at once.
+    HalfSite,
+    /// All links of the proxies of `zone` are reset within one second.
+    ZoneReconnects,
+    /// `region` is cut off for `seconds`: what is sent is lost, and nobody is told.
+    RegionCut,
+    /// `count` changes within one second.
+    Burst,
+    /// `who` reads one byte a second.
+    SlowChild,
+    /// `who` is stopped (SIGSTOP) and goes on later.
+    Stall,
+    /// All control machines are gone.
+    ControlGone,
+    /// `who` refuses the next change that concerns it.
+    Refused,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Disk {
+    #[default]
+    Kept,
+    Empty,
+    /// A copy from the beginning of the play.
+    Old,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    pub kind: Kind,
+    /// In seconds from the start, and how long it lasts.
+    pub at: f64,
+    #[serde(default = "two")]
+    pub seconds: f64,
+    /// `proxy-N`, `relay-N`, `control-N`, or `root`: whoever publishes then.
+    #[serde(default)]
+    pub who: Option<String>,
+    #[serde(default)]
+    pub site: Option<usize>,
+    #[serde(default)]
+    pub zone: Option<usize>,
+    #[serde(default)]
+    pub region: Option<usize>,
+    #[serde(default)]
+    pub count: Option<usize>,
+    #[serde(default)]
+    pub disk: Disk,
+    /// It dies as it sends the next part of a difference, not before.
+    #[serde(default)]
+    pub amid: bool,
+    /// The machine is gone, so that nobody is told: others learn it by silence.
+    #[serde(default)]
+    pub silent: bool,
+}
+
+fn two() -> f64 {
+    2.0
+}
+
+/// So many of a hundred changes are of this size.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Size {
+    pub bytes: usize,
+    pub share: f64,
+}
+
+/// So many for the fleet, so many for each region, zone and site, and one for each of this share of the proxies.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    pub fleet: usize,
+    pub each: usize,
+    pub proxies: f64,
+}
+
+/// Shares of the changes by scope.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scopes {
+    pub fleet: f64,
+    pub region: f64,
+    pub zone: f64,
+    pub site: f64,
+    pub proxy: f64,
+}
+
+/// How long a message travels one way, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Delays {
+    pub site: f64,
+    pub region: f64,
+    pub between: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    #[serde(default)]
+    pub about: String,
+    pub proxies: usize,
+    pub sites: usize,
+    pub zones: usize,
+    pub regions: usize,
+    /// Control machines, and voters, which are processes of their own here.
+    pub control: usize,
+    #[serde(default = "five")]
+    pub voters: usize,
+    pub changes_per_second: f64,
+    /// Not played: for the arithmetic of the capacity page.
+    pub purges_per_second: f64,
+    /// Measured time; `warm_seconds` before it, in which the fleet starts and the resources are written, count for nothing.
+    pub seconds: f64,
+    #[serde(default = "warm")]
+    pub warm_seconds: f64,
+    /// Proxies of each site that take children; none: all call the control machines.
+    #[serde(default)]
+    pub relays_per_site: usize,
+    /// Different resources, each written once before the measured time.
+    #[serde(default = "resources")]
+    pub resources: Resources,
+    #[serde(default = "sizes")]
+    pub change_bytes: Vec<Size>,
+    #[serde(default = "scopes")]
+    pub scopes: Scopes,
+    /// Of each proxy.
+    #[serde(default)]
+    pub restarts_per_day: f64,
+    /// The stated drift, and how far clocks are off at the most, in millionths.
+    #[serde(default = "drift")]
+    pub drift_ppm: u64,
+    #[serde(default)]
+    pub clocks_ppm: i64,
+    #[serde(default = "delays")]
+    pub delays_ms: Delays,
+    /// Of segments; a lost one is sent again after 200 ms.
+    #[serde(default)]
+    pub loss: f64,
+    #[serde(default = "lease")]
+    pub lease_seconds: f64,
+    /// How long a disk takes, and putting a change in force.
+    #[serde(default = "disk")]
+    pub disk_ms: f64,
+    #[serde(default = "apply")]
+    pub apply_ms: f64,
+    #[serde(default = "children")]
+    pub children: usize,
+    #[serde(default = "budget")]
+    pub child_bytes_per_second: u64,
+    #[serde(default = "part")]
+    pub part_bytes: usize,
+    #[serde(default = "named")]
+    pub named: usize,
+    /// Without it proxies ask the voters, every so many seconds.
+    #[serde(default = "yes")]
+    pub carrier: bool,
+    #[serde(default = "poll")]
+    pub poll_seconds: f64,
+    #[serde(default, rename = "fault")]
+    pub faults: Vec<Fault>,
+}
+
+fn five() -> usize {
+    5
+}
+fn warm() -> f64 {
+    15.0
+}
+fn resources() -> Resources {
+    Resources { fleet: 24, each: 1, proxies: 0.05 }
+}
+fn sizes() -> Vec<Size> {
+    let size = |bytes, share| Size { bytes, share };
+    vec![size(200, 0.7), size(600, 0.25), size(3000, 0.05)]
+}
+fn scopes() -> Scopes {
+    Scopes { fleet: 0.3, region: 0.1, zone: 0.1, site: 0.3, proxy: 0.2 }
+}
+fn drift() -> u64 {
+    10_000
+}
+fn delays() -> Delays {
+    Delays { site: 0.2, region: 2.0, between: 60.0 }
+}
+fn lease() -> f64 {
+    3.0
+}
+fn disk() -> f64 {
+    4.0
+}
+fn apply() -> f64 {
+    20.0
+}
+fn children() -> usize {
+    2048
+}
+fn budget() -> u64 {
+    6_000
+}
+fn part() -> usize {
+    4096
+}
+fn named() -> usize {
+    16
+}
+fn yes() -> bool {
+    true
+}
+fn poll() -> f64 {
+    4.0
+}
+
+impl Plan {
+    pub fn read(path: &Path) -> Result<Plan> {
+        let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+        Plan::parse(&text).with_context(|| path.display().to_string())
+    }
+
+    pub fn parse(text: &str) -> Result<Plan> {
+        let plan: Plan = toml::from_str(text)?;
+        let counts = [
+            ("proxies", plan.proxies, 1, MOST),
+            ("sites", plan.sites, 1, plan.proxies),
+            ("zones", plan.zones, 1, plan.sites),
+            ("regions", plan.regions, 1, plan.zones),
+            ("control", plan.control, 1, 64),
+            ("relays_per_site", plan.relays_per_site, 0, plan.proxies / plan.sites),
+            ("resources.fleet", plan.resources.fleet, 1, 1000),
+            ("resources.each", plan.resources.each, 0, 10),
+            ("children", plan.children, 1, MOST),
+            ("part_bytes", plan.part_bytes, 64, 65_536),
+            ("named", plan.named, 0, 4096),
+        ];
+        for (key, found, least, most) in counts {
+            ensure!((least..=most).contains(&found), "{key}: expected {least} to {most}, found {found}");
+        }
+        ensure!(matches!(plan.voters, 3 | 5), "voters: expected three or five, found {}", plan.voters);
+        let budget = plan.child_bytes_per_second;
+        ensure!(budget >= 64, "child_bytes_per_second: expected 64 or more, found {budget}");
+        let Delays { site, region, between } = plan.delays_ms;
+        let numbers = [
+            ("changes_per_second", plan.changes_per_second, 0.0, 1000.0),
+            ("purges_per_second", plan.purges_per_second, 0.0, 1e6),
+            ("seconds", plan.seconds, 1.0, 86_400.0),
+            ("warm_seconds", plan.warm_seconds, 5.0, 600.0),
+            ("restarts_per_day", plan.restarts_per_day, 0.0, 10_000.0),
+            ("loss", plan.loss, 0.0, 0.5),
+            ("resources.proxies", plan.resources.proxies, 0.0, 1.0),
+            ("lease_seconds", plan.lease_seconds, 0.5, 600.0),
+            ("disk_ms", plan.disk_ms, 0.0, 10_000.0),
+            ("apply_ms", plan.apply_ms, 0.0, 10_000.0),
+            ("poll_seconds", plan.poll_seconds, 0.1, 3600.0),
+            ("delays_ms.site", site, 0.0, 1000.0),
+            ("delays_ms.region", region, 0.0, 1000.0),
+            ("delays_ms.between", between, 0.0, 1000.0),
+            ("clocks_ppm", plan.clocks_ppm as f64, 0.0, plan.drift_ppm as f64),
+            ("drift_ppm", plan.drift_ppm as f64, 0.0, 500_000.0),
+        ];
+        for (key, found, least, most) in numbers {
+            ensure!((least..=most).contains(&found), "{key}: expected {least} to {most}, found {found}");
+        }
+        for (at, size) in plan.change_bytes.iter().enumerate() {
+            let fits = (16..=32_768).contains(&size.bytes);
+            ensure!(fits, "change_bytes.{at}.bytes: expected 16 to 32768, found {}", size.bytes);
+        }
+        let shares: Vec<f64> = plan.change_bytes.iter().map(|size| size.share).collect();
+        shared("change_bytes", &shares)?;
+        shared("scopes", &plan.scopes.shares())?;
+        for (at, fault) in plan.faults.iter().enumerate() {
+            plan.fits(fault).with_context(|| format!("fault {at}"))?;
+        }
+        Ok(plan)
+    }
+
+    fn fits(&self, fault: &Fault) -> Result<()> {
+        let end = fault.at + fault.seconds;
+        ensure!(fault.at >= 0.0 && fault.seconds >= 0.0, "at, seconds: expected zero or more");
+        ensure!(end <= self.seconds, "seconds: ends at {end}, after the play");
+        let number = |key: &str, given: Option<usize>, most: usize| {
+            let found = given.with_context(|| format!("{key}: missing"))?;
+            ensure!(found < most, "{key}: expected less than {most}, found {found}");
+            Ok(())
+        };
+        match fault.kind {
+            Kind::HalfSite => number("site", fault.site, self.sites),
+            Kind::ZoneReconnects => number("zone", fault.zone, self.zones),
+            Kind::RegionCut => number("region", fault.region, self.regions),
+            Kind::Burst => number("count", fault.count, 10_001),
+            Kind::ControlGone => Ok(()),
+            Kind::Dies | Kind::SlowChild | Kind::Stall | Kind::Refused => {
+                let who = fault.who.as_deref().context("who: missing")?;
+                let (kind, number) = who.rsplit_once('-').unwrap_or((who, ""));
+                let number = number.parse::<usize>().ok();
+                let relays = self.relays_per_site * self.sites;
+                let fits = match (kind, number) {
+                    ("root", None) => fault.kind != Kind::Refused && fault.kind != Kind::SlowChild,
+                    ("control", Some(number)) => number < self.control && fault.kind != Kind::Refused,
+                    ("proxy", Some(number)) => number < self.proxies,
+                    ("relay", Some(number)) => number < relays,
+                    _ => bail!("who: expected proxy-N, relay-N, control-N or root, found {who:?}"),
+                };
+                ensure!(fits, "who: nobody of this fault is {who:?}");
+                Ok(())
+            }
+        }
+    }
+}
+
+/// Shares that add up to one.
+fn shared(key: &str, shares: &[f64]) -> Result<()> {
+    let sum: f64 = shares.iter().sum();
+    ensure!(shares.iter().all(|share| *share >= 0.0), "{key}: expected no share below zero");
+    ensure!((sum - 1.0).abs() < 1e-6, "{key}: expected shares that add up to 1, found {sum}");
+    Ok(())
+}
+
+impl Scopes {
+    pub fn shares(&self) -> [f64; 5] {
+        [self.fleet, self.region, self.zone, self.site, self.proxy]
+    }
+}
+
+impl Fault {
+    pub fn words(&self) -> String {
+        let mut words = format!("{:.1} s {:?}", self.at, self.kind);
+        if let Some(who) = &self.who {
+            words += &format!(" {who}");
+        }
+        for (name, value) in
+            [("site", self.site), ("zone", self.zone), ("region", self.region), ("count", self.count)]
+        {
+            if let Some(value) = value {
+                words += &format!(" {name} {value}");
+            }
+        }
+        words + &format!(" for {:.1} s", self.seconds)
+    }
+}
