--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -53,6 +53,8 @@
     pub named: usize,
 }
 
+/// What a control machine is sent, in bytes a second and in a part, where less is set: proxies are what is spared.
+const CONTROL: (usize, usize) = (1_000_000, 48 * 1024);
 /// Parts of a difference that are not its end, in bytes at most: who sends more is no parent.
 const COLLECTED: usize = 4 * 1024 * 1024;
 /// A sum goes up this soon after the last one where it has changed, and else as late as the other.
@@ -453,8 +455,13 @@
 
     fn serve(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
         let age = self.age(now).unwrap_or(Nanos::MAX);
-        let bytes_per_second = usize::try_from(self.terms.child_bytes_per_second).unwrap_or(usize::MAX);
-        let of = Served { store: &self.store, age, bytes_per_second, part_bytes: self.terms.part_bytes };
+        let mut bytes_per_second = usize::try_from(self.terms.child_bytes_per_second).unwrap_or(usize::MAX);
+        let mut part_bytes = self.terms.part_bytes;
+        if self.children.get(child).is_some_and(|one| matches!(one.who, Some((_, Interest::All)))) {
+            // All others wait for what these have, and nothing leaves the record before a majority of them has it.
+            (bytes_per_second, part_bytes) = (bytes_per_second.max(CONTROL.0), part_bytes.max(CONTROL.1));
+        }
+        let of = Served { store: &self.store, age, bytes_per_second, part_bytes };
         if !self.children.serve(now, child, of, host) {
             self.drop(now, child, host);
         }
--- a/crates/lab/src/scale/agree.rs
+++ b/crates/lab/src/scale/agree.rs
@@ -71,7 +71,7 @@
         let kept = Kept::empty("scale", member.store);
         let mut voter = Voter::start(clock.local(0), &member.name, kept, terms.clone(), &mut acts);
         voter.found(clock.local(0), record.clone(), &mut acts);
-        let spot = Spot { region: at * plan.regions / plan.voters, site: usize::MAX - at };
+        let spot = Spot { region: at * plan.regions / plan.voters, site: usize::MAX - at, voter: true };
         Seat { voter, clock, spot }
     };
     members.iter().enumerate().map(seat).collect()
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -30,6 +30,7 @@
 pub struct Spot {
     pub region: usize,
     pub site: usize,
+    pub voter: bool,
 }
 
 pub fn everyone(plan: &Plan) -> Vec<Site> {
@@ -128,13 +129,14 @@
 }
 
 pub fn spot(site: &Site) -> Spot {
-    Spot { region: site.region, site: site.site }
+    Spot { region: site.region, site: site.site, voter: false }
 }
 
 /// One message's time on its way.
 pub fn way(plan: &Plan, from: Spot, to: Spot, segments: u64, random: &mut SmallRng) -> Nanos {
     let delays = &plan.delays_ms;
     let millis = match () {
+        () if from.voter && to.voter => delays.voters,
         () if from.site == to.site => delays.site,
         () if from.region == to.region => delays.region,
         () => delays.between,
