--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -26,7 +26,8 @@
     /// All that concerns this process now, the widest scope first, then by name. Comes back as `in_force`, and none is
     /// asked for before. Of those that it refuses the process leaves in force what it had.
     fn put_in_force(&mut self, version: Version, resources: Vec<Resource>);
-    /// To disk, where there is one; comes back as `kept`, and none is asked for before. At most four times a second.
+    /// To disk; comes back as `kept` once it is synced, and none is asked for before. At most four times a second. Where
+    /// there is no disk nothing comes back: what only memory has counts for no majority.
     fn keep(&mut self, kept: &Kept);
     /// Between 0 and 1.
     fn chance(&mut self) -> f64;
@@ -43,7 +44,7 @@
     pub relay: bool,
     /// Whom it may call, the tiers in the order given, within each in an order of its own. None of a control machine.
     pub tiers: Vec<Vec<Name>>,
-    /// At most so many children.
+    /// At most so many children, control machines and relays not counted.
     pub children: usize,
     /// At most so many bytes to a child in any second, pulses included.
     pub child_bytes_per_second: u64,
@@ -55,6 +56,8 @@
 
 /// What a control machine is sent, in bytes a second and in a part, where less is set: proxies are what is spared.
 const CONTROL: (usize, usize) = (1_000_000, 48 * 1024);
+/// Places beyond those for proxies: for control machines, relays, and links on which nobody has said who calls.
+const SPARE: usize = 64;
 /// Parts of a difference that are not its end, in bytes at most: who sends more is no parent.
 const COLLECTED: usize = 4 * 1024 * 1024;
 /// A sum goes up this soon after the last one where it has changed, and else as late as the other.
@@ -74,8 +77,8 @@
 /// What is on disk, and what is to go there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Disk {
-    has: Option<(Version, u64)>,
-    out: Option<(Version, u64)>,
+    has: Option<Version>,
+    out: Option<Version>,
     wrote: Option<Nanos>,
     due: Option<Nanos>,
 }
@@ -98,9 +101,10 @@
     /// When the root is known to have held just this.
     known: Option<Nanos>,
     published: bool,
-    /// What went up last, when, and when to look again.
+    /// What went up last and when, when it was summed last, and when that is due again.
     sent: Sum,
     summed: Nanos,
+    looked: Nanos,
     sum_due: Nanos,
 }
 
@@ -121,7 +125,7 @@
         kept.resources.retain(|resource| wants.wants(&resource.scope));
         let store = Store::from(&kept);
         let force = Force::from(kept.good);
-        let has = on_disk.then(|| (store.version, store.digest(&wants)));
+        let has = on_disk.then_some(store.version);
         let mut node = Node {
             terms,
             wants,
@@ -138,6 +142,7 @@
             published: false,
             sent: Sum::default(),
             summed: now,
+            looked: now,
             sum_due: Nanos::MAX,
         };
         node.force.look(now, &node.store, &node.concerns, host);
@@ -175,11 +180,7 @@
         self.collected = None;
         let (who, wants) = (self.terms.me.clone(), self.wants.clone());
         host.send_up(Up::Subscribe { who, wants, holds: self.store.version, digest: self.digest() });
-        if self.terms.control
-            && let Some((version, digest)) = self.disk.has
-        {
-            host.send_up(Up::Holds { version, digest });
-        }
+        self.say_kept(host);
         self.send_sum(now, host);
     }
 
@@ -227,9 +228,7 @@
                     self.store.take(version, resources);
                 }
                 self.moved(now, true, host);
-                if !self.terms.control {
-                    self.say_held(host);
-                }
+                self.say_held(host);
             }
         }
     }
@@ -279,17 +278,17 @@
             // Nothing changed for it: it holds the newer version by holding this.
             self.store.take(holds, []);
             self.moved(now, false, host);
-            if !self.terms.control {
-                self.say_held(host);
-            }
+            self.say_held(host);
         }
     }
 
     fn say_held(&mut self, host: &mut impl Host) {
-        if !self.terms.control {
-            host.send_up(Up::Holds { version: self.store.version, digest: self.digest() });
-        } else if let Some((version, digest)) = self.disk.has {
-            host.send_up(Up::Holds { version, digest });
+        host.send_up(Up::Holds { version: self.store.version, digest: self.digest() });
+    }
+
+    fn say_kept(&mut self, host: &mut impl Host) {
+        if let (true, Some(version)) = (self.terms.control, self.disk.has) {
+            host.send_up(Up::Kept(version));
         }
     }
 
@@ -324,16 +323,16 @@
             return;
         }
         (self.disk.due, self.disk.wrote) = (None, Some(now));
-        self.disk.out = Some((self.store.version, self.digest()));
+        self.disk.out = Some(self.store.version);
         host.keep(&Kept { good: self.force.good(), ..self.store.kept() });
     }
 
     /// Its disk has this version.
     pub fn kept(&mut self, now: Nanos, version: Version, host: &mut impl Host) {
-        if let Some(has) = self.disk.out.take_if(|(out, _)| *out == version) {
-            self.disk.has = Some(has);
-            if self.terms.control && self.parents.parent().is_some() {
-                self.say_held(host);
+        if self.disk.out == Some(version) {
+            (self.disk.has, self.disk.out) = (Some(version), None);
+            if self.parents.parent().is_some() {
+                self.say_kept(host);
             }
         }
         self.keep(now, host);
@@ -374,11 +373,16 @@
 
     /// A child calls.
     pub fn child_up(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
-        if self.children.len() >= self.terms.children {
-            host.send_down(child, Down::Full);
-            return host.drop_child(child);
-        }
         self.children.add(now, child);
+        // Whoever has not said yet who it is has no place; a crowd of them must not take all there are.
+        if self.children.len() > self.terms.children + SPARE {
+            self.turn_away(now, child, host);
+        }
+    }
+
+    fn turn_away(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
+        host.send_down(child, Down::Full);
+        self.drop(now, child, host);
     }
 
     /// A child said this.
@@ -398,16 +402,20 @@
                     let older = other.incarnation > who.incarnation;
                     self.drop(now, if older { child } else { link }, host);
                 }
+                if self.children.get(child).is_none() {
+                    return;
+                }
+                // A control machine can go nowhere else than to the root, and others wait for a relay: they find a place
+                // where proxies have taken all there are for them.
+                if matches!(wants, Interest::Proxy(..)) && self.children.proxies() >= self.terms.children {
+                    return self.turn_away(now, child, host);
+                }
                 if let Some(one) = self.children.get(child) {
                     one.subscribed(now, who, wants, holds, digest);
                 }
             }
-            Up::Holds { version, digest } => {
-                one.holds(version, digest);
-                if matches!(one.who, Some((_, Interest::All))) {
-                    one.on_disk = Some(version);
-                }
-            }
+            Up::Holds { version, digest } => one.holds(version, digest),
+            Up::Kept(version) => one.on_disk = Some(version),
             Up::Took => one.took(),
             Up::Sum(sum) => self.summed(now, child, sum),
         }
@@ -443,7 +451,7 @@
     pub fn child_lost(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
         let Some(one) = self.children.remove(child) else { return };
         if let (Some((who, _)), Some(sum)) = (one.who, one.sum) {
-            self.moves.lost(now, who, sum.in_force, self.terms.children);
+            self.moves.lost(now, who, sum.in_force, self.terms.children + SPARE);
         }
         self.changed(now, host);
     }
@@ -467,15 +475,15 @@
         }
     }
 
-    /// The sum may have changed: if so it goes up soon.
+    /// The sum may have changed: if so it goes up soon. With a thousand children it is not made for each thing they say.
     fn changed(&mut self, now: Nanos, host: &mut impl Host) {
-        self.sum_due = self.sum_due.min(self.summed + SUM[0]);
+        self.sum_due = self.sum_due.min(self.looked + SUM[0]);
         self.sum_if_due(now, host);
     }
 
     fn sum_if_due(&mut self, now: Nanos, host: &mut impl Host) {
         if now >= self.sum_due && self.parents.parent().is_some() {
-            self.sum_due = self.summed + SUM[1];
+            (self.looked, self.sum_due) = (now, self.summed + SUM[1]);
             if now >= self.sum_due || self.sum(now) != self.sent {
                 self.send_sum(now, host);
             }
@@ -483,7 +491,7 @@
     }
 
     fn send_sum(&mut self, now: Nanos, host: &mut impl Host) {
-        (self.summed, self.sum_due) = (now, now + SUM[1]);
+        (self.summed, self.looked, self.sum_due) = (now, now, now + SUM[1]);
         self.sent = self.sum(now);
         host.send_up(Up::Sum(self.sent.clone()));
     }
@@ -555,7 +563,7 @@
 
     /// Which control machines have what on disk: itself, and those that are its children.
     pub fn confirmed(&self) -> impl Iterator<Item = (&str, Version)> {
-        let own = self.disk.has.map(|(version, _)| (self.terms.me.name.as_str(), version));
+        let own = self.disk.has.map(|version| (self.terms.me.name.as_str(), version));
         let holds = self.store.version;
         let children = self.children.iter().filter_map(move |(_, one)| match &one.who {
             Some((who, Interest::All)) => Some((who.name.as_str(), one.on_disk?.min(holds))),
