--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -36,7 +36,8 @@
   fleet PLAN [--clock real|virtual] [--seed N] [--seeds N] [--proxy PATH] [--json FILE] [--report FILE.html]
                        starts the processes of a fleet on loopback, injects PLAN's faults between
                        them, and judges leases and the record by a witness
-  scale PLAN [--seed N] [--seeds A..B|N] [--clock virtual|real] [--json FILE] [--report FILE.html]
+  scale PLAN [--seed N] [--seeds A..B|N] [--clock virtual|real] [--set KEY=VALUE]
+      [--json FILE] [--report FILE.html]
                        plays a whole fleet that takes its configuration by the carrier (A..B: both
                        included)
   help                 print this
@@ -318,8 +319,12 @@
 fn scale(call: &Call) -> Result<ExitCode> {
     let (first, count) = (call.seed.unwrap_or(1), call.seeds.unwrap_or(1));
     ensure!(count > 0, "--seeds: expected 1 or more");
-    let wants =
-        scale::Wants { real: call.real()?, json: call.json.as_deref(), report: call.report.as_deref() };
+    let wants = scale::Wants {
+        real: call.real()?,
+        set: &call.set,
+        json: call.json.as_deref(),
+        report: call.report.as_deref(),
+    };
     let seeds = first..=first.saturating_add(count - 1);
     let path = call.path.as_deref().context("no plan; see scenarios/scale")?;
     let well = scale::command(path, seeds, &wants, &say)?;
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -33,6 +33,8 @@
 /// What a call wants beside its plan and seeds.
 pub struct Wants<'a> {
     pub real: bool,
+    /// Keys of the plan set to other values.
+    pub set: &'a [(String, String)],
     pub json: Option<&'a Path>,
     pub report: Option<&'a Path>,
 }
@@ -44,7 +46,7 @@
     wants: &Wants,
     say: &dyn Fn(&str),
 ) -> Result<bool> {
-    let plan = Plan::read(path)?;
+    let plan = Plan::read_with(path, wants.set)?;
     if wants.real {
         real::play(&plan, *seeds.start())?;
         return Ok(false);
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -231,8 +231,19 @@
 
 impl Plan {
     pub fn read(path: &Path) -> Result<Plan> {
+        Plan::read_with(path, &[])
+    }
+
+    /// With these keys set instead, as `--set KEY=VALUE` has them.
+    pub fn read_with(path: &Path, set: &[(String, String)]) -> Result<Plan> {
         let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
-        Plan::parse(&text).with_context(|| path.display().to_string())
+        let mut table: toml::Table = toml::from_str(&text).with_context(|| path.display().to_string())?;
+        for (key, value) in set {
+            let value: toml::Table = toml::from_str(&format!("value = {value}"))
+                .with_context(|| format!("--set {key}: {value:?} is no value"))?;
+            table.extend(value.into_iter().map(|(_, value)| (key.clone(), value)));
+        }
+        Plan::parse(&toml::to_string(&table)?).with_context(|| path.display().to_string())
     }
 
     pub fn parse(text: &str) -> Result<Plan> {
--- a/crates/lab/src/scale/virt.rs
+++ b/crates/lab/src/scale/virt.rs
@@ -584,27 +584,6 @@
             Event::Look => {
                 let sites = &self.sites;
                 self.truth.look(self.now, &|who, scope| fleet::concerns(&sites[who], scope));
-                if std::env::var("TICKER").is_ok() && self.now % SECOND < LOOK {
-                    eprintln!(
-                        "{} s, {} events, root {:?} sum {:?} settled {}",
-                        self.now / SECOND,
-                        self.events,
-                        self.root(),
-                        self.root().map(|r| {
-                            let n = self.procs[r].node.as_ref().unwrap();
-                            let s = n.sum(self.procs[r].clock.local(self.now));
-                            (
-                                s.in_force,
-                                s.members,
-                                s.exceptions.len(),
-                                s.unnamed,
-                                n.children(),
-                                s.exceptions.first().cloned(),
-                            )
-                        }),
-                        self.truth.settled
-                    );
-                }
                 self.at(self.now + LOOK, Event::Look);
             }
             Event::Measure => {
