--- a/crates/lab/src/scale/outcome.rs
+++ b/crates/lab/src/scale/outcome.rs
@@ -3,7 +3,7 @@
 use super::meter::{Flow, Meter};
 use super::report::{Cost, Found, LIMIT, Traffic, times};
 use super::truth::AIM;
-use super::virt::{SAMPLED, World};
+use super::virt::World;
 use pumicebay_carrier::{Nanos, Node, Scope};
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -154,7 +154,6 @@
             let count = processes.get(role).copied().unwrap_or(1).max(1) as f64;
             (role.to_string(), 1e6 * each * calls / count / self.plan.seconds)
         });
-        debug_assert!(SAMPLED > 0);
         Cost {
             seed: self.seed,
             seconds: started.elapsed().as_secs_f64(),
--- a/crates/lab/src/scale/virt.rs
+++ b/crates/lab/src/scale/virt.rs
@@ -40,7 +40,7 @@
 const GROUP: usize = 18 * 1024;
 const RESOURCE: usize = 160;
 /// One of so many calls of the decisions is timed.
-pub(super) const SAMPLED: u64 = 32;
+const SAMPLED: u64 = 32;
 
 type LinkId = u32;
 
@@ -386,9 +386,8 @@
             self.offer_all(at, changes);
         }
         let mut at = self.begin;
-        while plan.changes_per_second > 0.0 {
-            let gap = -(1.0 - self.random.random_range(0.0..1.0f64)).ln() / plan.changes_per_second;
-            at += (gap * 1e9) as Nanos;
+        loop {
+            at += self.gap(plan.changes_per_second);
             if at >= self.end {
                 break;
             }
@@ -397,9 +396,8 @@
         }
         let restarts = plan.restarts_per_day * plan.proxies as f64 / 86_400.0;
         let mut at = self.begin;
-        while restarts > 0.0 {
-            let gap = -(1.0 - self.random.random_range(0.0..1.0f64)).ln() / restarts;
-            at += (gap * 1e9) as Nanos;
+        loop {
+            at += self.gap(restarts);
             if at + 4 * SECOND >= self.end {
                 break;
             }
@@ -431,6 +429,12 @@
         self.at(LOOK, Event::Look);
     }
 
+    /// Until the next of what happens so often a second by chance.
+    fn gap(&mut self, per_second: f64) -> Nanos {
+        let drawn = -(1.0 - self.random.random_range(0.0..1.0f64)).ln();
+        if per_second > 0.0 { (drawn / per_second * 1e9) as Nanos } else { self.end }
+    }
+
     fn drawn_key(&mut self) -> usize {
         let drawn = self.random.random_range(0.0..1.0);
         let mut sum = 0.0;
@@ -632,7 +636,7 @@
     /// Something happens to a process's node; what it asks for is carried out.
     fn node(&mut self, who: usize, what: impl FnOnce(&mut Node, Nanos, &mut Acts)) {
         self.calls += 1;
-        let timed = self.calls % SAMPLED == 0 && self.now >= self.begin;
+        let timed = self.calls.is_multiple_of(SAMPLED) && self.now >= self.begin;
         let one = &mut self.procs[who];
         let now = one.clock.local(self.now);
         let Some(node) = &mut one.node else { return };
@@ -920,7 +924,7 @@
         what: impl FnOnce(&mut pumicebay_accord::Voter, Nanos, &mut pumicebay_accord::Acts),
     ) {
         self.calls += 1;
-        let timed = self.calls % SAMPLED == 0 && self.now >= self.begin;
+        let timed = self.calls.is_multiple_of(SAMPLED) && self.now >= self.begin;
         let chance = self.random.random_range(0.0..1.0);
         let started = timed.then(Instant::now);
         let Said { messages, answers, wake, kept } = self.seats[at].act(self.now, chance, what);
@@ -991,7 +995,8 @@
         if token.is_some() {
             let mut acts = PublisherActs::default();
             self.controls[at].publisher = Some(Publisher::start(now, &mut acts));
-            self.procs[at].published = true;
+            // Who publishes has no parent, and needs none.
+            (self.procs[at].published, self.procs[at].orphan) = (true, None);
             let name = self.sites[at].name.clone();
             self.node(at, |node, now, host| node.root_is(now, Some(&name), host));
             self.published(at, acts);
@@ -1098,7 +1103,7 @@
         let now = self.procs[at].clock.local(self.now);
         let Some(publisher) = &mut self.controls[at].publisher else { return };
         self.calls += 1;
-        let timed = self.calls % SAMPLED == 0 && self.now >= self.begin;
+        let timed = self.calls.is_multiple_of(SAMPLED) && self.now >= self.begin;
         let mut acts = PublisherActs::default();
         let started = timed.then(Instant::now);
         what(publisher, now, &mut acts);
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -103,3 +103,22 @@
     let error = real::play(&shipped("small.toml"), 1).unwrap_err().to_string();
     assert!(error.contains("--clock: real is not there yet"), "{error}");
 }
+
+/// The judge is not blind: each fault planted in the carrier's decisions breaks something. It takes long there until a change
+/// is in force, so that what is only held shows.
+#[cfg(feature = "planted")]
+#[test]
+fn a_fault_planted_in_the_carrier_is_found() {
+    let mut plan = shipped("small.toml");
+    plan.apply_ms = 1500.0;
+    let found = pumicebay_carrier::Fault::ALL.map(|fault| {
+        pumicebay_carrier::plant(Some(fault));
+        let wrong: Vec<_> = (1..=2).map(|seed| virt::play(&plan, seed).0.wrong).collect();
+        pumicebay_carrier::plant(None);
+        (fault, wrong)
+    });
+    let sound = (1..=2).map(|seed| virt::play(&plan, seed).0.wrong.all()).sum::<usize>();
+    assert_eq!(sound, 0, "without a fault");
+    let missed = found.iter().filter(|(_, wrong)| wrong.iter().all(|wrong| wrong.all() == 0));
+    assert_eq!(missed.count(), 0, "{found:#?}");
+}
