--- a/crates/carrier/src/children.rs
+++ b/crates/carrier/src/children.rs
@@ -9,6 +9,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const PULSE: Nanos = SECOND;
+/// What was sent counts against a child's bytes a second for somewhat longer: on their way messages draw nearer to each other.
+const SPENT: Nanos = SECOND + SECOND / 4;
 /// A pulse that moves a child for which nothing changed comes this long after the last one, at the soonest.
 const EARLY: Nanos = 250 * MILLISECOND;
 /// One that says nothing for so long, or leaves a part without an answer, holds a place that others need.
@@ -205,14 +207,14 @@
             }
             _ => {}
         }
-        while self.spent.front().is_some_and(|(at, _)| at + SECOND <= now) {
+        while self.spent.front().is_some_and(|(at, _)| at + SPENT <= now) {
             self.spent.pop_front();
         }
         let most = of.bytes_per_second.max(LEAST_PART + FRAME + PULSE_BYTES);
         let room = most
             .saturating_sub(self.spent.iter().map(|(_, bytes)| bytes).sum::<usize>() + PULSE_BYTES + FRAME);
         if room < LEAST_PART.min(of.part_bytes) {
-            return self.spent.front().map_or(now, |(at, _)| at + SECOND);
+            return self.spent.front().map_or(now, |(at, _)| at + SPENT);
         }
         let room = room.min(of.part_bytes.max(LEAST_PART) - FRAME);
         let Sending { after, whole, from } = sending;
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -89,6 +89,16 @@
     assert_eq!(other.wrong.all(), 0, "{}", other.summary());
 }
 
+#[test]
+fn a_burst_stays_within_what_a_proxy_may_carry() {
+    let mut plan = shipped("burst.toml");
+    (plan.proxies, plan.sites, plan.zones, plan.regions) = (160, 10, 10, 10);
+    plan.relays_per_site = 0;
+    let (found, _) = virt::play(&plan, 2);
+    assert_eq!((found.traffic["proxy"].over, found.late.0), (0, 0), "{}", found.summary());
+    assert_eq!(found.wrong.all(), 0, "{}", found.summary());
+}
+
 #[test]
 fn without_the_carrier_the_links_of_a_voter_are_the_first_limit() {
     let mut plan = shipped("voters-only.toml");
