--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -50,6 +50,10 @@
     pub child_bytes_per_second: u64,
     /// At most so many bytes in a part of a difference.
     pub part_bytes: usize,
+    /// The same for a control machine: all others wait for what these have, and nothing leaves the record before a majority
+    /// of them has it. Proxies are what is spared.
+    pub control_bytes_per_second: u64,
+    pub control_part_bytes: usize,
     /// At most so many exceptions by name in a sum.
     pub named: usize,
 }
@@ -468,8 +472,14 @@
 
     fn serve(&mut self, now: Nanos, child: Child, host: &mut impl Host) {
         let age = self.age(now).unwrap_or(Nanos::MAX);
-        let bytes_per_second = usize::try_from(self.terms.child_bytes_per_second).unwrap_or(usize::MAX);
-        let of = Served { store: &self.store, age, bytes_per_second, part_bytes: self.terms.part_bytes };
+        let terms = &self.terms;
+        let control = self.children.get(child).is_some_and(|one| matches!(one.who, Some((_, Interest::All))));
+        let (bytes_per_second, part_bytes) = match control {
+            true => (terms.control_bytes_per_second, terms.control_part_bytes),
+            false => (terms.child_bytes_per_second, terms.part_bytes),
+        };
+        let bytes_per_second = usize::try_from(bytes_per_second).unwrap_or(usize::MAX);
+        let of = Served { store: &self.store, age, bytes_per_second, part_bytes };
         if !self.children.serve(now, child, of, host) {
             self.drop(now, child, host);
         }
--- a/crates/carrier/tests/common/mod.rs
+++ b/crates/carrier/tests/common/mod.rs
@@ -271,6 +271,8 @@
         children: 16,
         child_bytes_per_second: 6_000,
         part_bytes: 1_024,
+        control_bytes_per_second: 6_000,
+        control_part_bytes: 1_024,
         named: 16,
     }
 }
--- a/crates/carrier/tests/whole.rs
+++ b/crates/carrier/tests/whole.rs
@@ -116,7 +116,7 @@
     let tiers = [vec![], vec![control.clone()], vec![vec!["r0".to_string()], control]];
     let mut terms = terms(NAMES[at], "s0", at == 0, at == 1, tiers[at].clone());
     terms.me.incarnation = life;
-    terms.child_bytes_per_second = 1_000_000;
+    (terms.child_bytes_per_second, terms.control_bytes_per_second) = (1_000_000, 1_000_000);
     terms
 }
 
--- a/crates/proxy/src/fleet/carrier/actor.rs
+++ b/crates/proxy/src/fleet/carrier/actor.rs
@@ -22,6 +22,9 @@
 use tokio::time::{Instant, sleep_until};
 
 const PART_BYTES: usize = 4096;
+/// Between control machines.
+const CONTROL_PART_BYTES: usize = 48 * 1024;
+const CONTROL_BYTES_PER_SECOND: u64 = 1_000_000;
 const NAMED: usize = 16;
 /// Events taken together before the clock is looked at again.
 const BATCH: usize = 64;
@@ -144,6 +147,8 @@
         tiers,
         children: config.children,
         child_bytes_per_second: config.bytes_per_second,
+        control_bytes_per_second: CONTROL_BYTES_PER_SECOND,
+        control_part_bytes: CONTROL_PART_BYTES,
         part_bytes: PART_BYTES,
         named: NAMED,
     }
