--- a/crates/lab/src/rig/procs.rs
+++ b/crates/lab/src/rig/procs.rs
@@ -383,17 +383,17 @@
 
 /// Loopback addresses of this play alone, with ports that the system gives to nobody: one that was only found free may
 /// be another's by the time it is used.
-struct Home(Ipv4Addr, u16);
+pub(crate) struct Home(Ipv4Addr, u16);
 
 impl Home {
-    fn new() -> Home {
+    pub(crate) fn new() -> Home {
         static PLAYS: AtomicU8 = AtomicU8::new(1);
         let play = PLAYS.fetch_add(1, Ordering::Relaxed).max(1);
         let [high, low] = (std::process::id() as u16).to_be_bytes();
         Home(Ipv4Addr::new(127, high.max(1), low, play), 20_000)
     }
 
-    fn next(&mut self) -> SocketAddr {
+    pub(crate) fn next(&mut self) -> SocketAddr {
         self.1 += 1;
         SocketAddr::from((self.0, self.1))
     }
