Carrier: who is a child here is not lost by another

An earlier arrival of it, carried up by a relay that was linked later, stood in the place of the newer one, and the relay that lost it since had it as lost. Change: a child's own link counts for more than what another child lost. Kept red without it: traces.rs, whoever_is_a_child_here_is_not_lost_by_another (1.1 at 4, but p1 Lost; with it 1.1 at 3). Not mended: the same among two relays below different parents; arrivals bear no age, so the order in which they are heard decides.

--- a/crates/carrier/src/sums.rs
+++ b/crates/carrier/src/sums.rs
@@ -101,6 +101,7 @@
     let (mut members, mut unnamed) = (1u32, 0u32);
     let mut exceptions = own.exceptions;
     let mut lost: BTreeSet<Member> = BTreeSet::new();
+    let here = lost_and_here(children);
     for (child, one) in children.iter() {
         let (Some((who, wants)), Some(sum)) = (&one.who, &one.sum) else { continue };
         // Neither whoever came back elsewhere nor whoever was lost in two places counts twice; nor does this process, which
@@ -108,6 +109,7 @@
         let twice = |other: &&Exception| {
             other.why == Why::Lost
                 && (moves.came_by_another(now, &other.who, *child)
+                    || here.get(other.who.name.as_str()).is_some_and(|life| *life >= other.who.incarnation)
                     || (other.who.name == own.me.name && other.who.incarnation <= own.me.incarnation)
                     || !lost.insert(other.who.clone()))
         };
@@ -150,6 +152,27 @@
     }
 }
 
+/// Those that some child has as lost and that are children here, and which life of them. Their link says more than an
+/// arrival: an earlier one, carried up after theirs, stands in its place among the arrivals.
+fn lost_and_here(children: &Children) -> BTreeMap<&str, u64> {
+    let exceptions = children.iter().filter_map(|(_, one)| one.sum.as_ref()).flat_map(|sum| &sum.exceptions);
+    let lost: BTreeSet<&str> =
+        exceptions.filter(|one| one.why == Why::Lost).map(|one| one.who.name.as_str()).collect();
+    let mut here = BTreeMap::new();
+    if lost.is_empty() {
+        return here;
+    }
+    for (_, one) in children.iter().filter(|(_, one)| one.sum.is_some()) {
+        if let Some((who, _)) = &one.who
+            && lost.contains(who.name.as_str())
+        {
+            let life = here.entry(who.name.as_str()).or_insert(who.incarnation);
+            *life = who.incarnation.max(*life);
+        }
+    }
+    here
+}
+
 /// The gravest, but up to half for refusals, whose reasons help; and how many members are not named for the gravest
 /// that there is of them.
 fn name(mut exceptions: Vec<Exception>, most: usize) -> (Vec<Exception>, u32) {
--- a/crates/carrier/tests/traces.rs
+++ b/crates/carrier/tests/traces.rs
@@ -281,6 +281,36 @@
     .assert_eq(&said);
 }
 
+/// A relay that lost a child, and under whom it had arrived before, may come after that child: what the relay then says
+/// of both is older than the child's own link.
+#[test]
+fn whoever_is_a_child_here_is_not_lost_by_another() {
+    let mut host = acts();
+    let mut node = root(&mut host);
+    let who = Member { name: "p1".into(), incarnation: 1 };
+    let lost = Exception { who: who.clone(), in_force: version(0), why: Why::Lost };
+    let relay = Sum {
+        in_force: version(1),
+        members: 2,
+        exceptions: vec![lost],
+        arrived: vec![who],
+        ..Sum::default()
+    };
+    for (child, name, said) in [(1, "p1", sum(1)), (2, "r1", Up::Sum(relay))] {
+        node.child_up(0, child, &mut host);
+        node.child_said(0, child, subscribe(name, version(1)), &mut host);
+        node.child_said(0, child, said, &mut host);
+    }
+    let mut said = format!("{}\n", summed(&node.sum(SECOND)));
+    // Once its link is gone it is lost, and counts once.
+    node.child_lost(SECOND, 1, &mut host);
+    said += &summed(&node.sum(SECOND));
+    expect![[r#"
+        1.1 at 3
+        1.1 at 3, but p1 Lost"#]]
+    .assert_eq(&said);
+}
+
 #[test]
 fn the_absurd_is_not_believed() {
     let mut host = acts();
