The carrier's root names each control machine that it does not hear

A publisher is nobody's child, so none that lives had lost it, nor what hung on it alone.

Change: the root knows the control machines of its configuration and has those that it does not hear as lost. A trace of its own.

--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -54,6 +54,8 @@
     /// of them has it. Proxies are what is spared.
     pub control_bytes_per_second: u64,
     pub control_part_bytes: usize,
+    /// The other control machines: the root names those that it does not hear, also where none that lives ever did.
+    pub control_machines: Vec<Name>,
     /// At most so many exceptions by name in a sum.
     pub named: usize,
 }
@@ -554,7 +556,28 @@
             exceptions.insert(0, Exception { who: me.clone(), in_force, why: Why::Late });
         }
         let own = Own { me: me.clone(), in_force, late, exceptions };
-        sums::sum(now, self.store.version, own, &self.children, &self.moves, self.terms.named)
+        let mut sum = sums::sum(now, self.store.version, own, &self.children, &self.moves, self.terms.named);
+        if self.root {
+            self.name_unheard(&mut sum);
+        }
+        sum
+    }
+
+    /// Guards the answer "in force everywhere" from a publisher that died: it was nobody's child, so nobody lost it.
+    fn name_unheard(&self, sum: &mut Sum) {
+        let linked = |name: &Name| {
+            self.children.iter().any(|(_, one)| one.who.as_ref().is_some_and(|(who, _)| who.name == *name))
+        };
+        let here = |name: &Name| linked(name) || sum.exceptions.iter().any(|one| one.who.name == *name);
+        let unheard: Vec<&Name> = self.terms.control_machines.iter().filter(|name| !here(name)).collect();
+        for name in unheard {
+            sum.members = sum.members.saturating_add(1);
+            let who = Member { name: name.clone(), incarnation: 0 };
+            match sum.exceptions.len() < self.terms.named {
+                true => sum.exceptions.push(Exception { who, in_force: Version::default(), why: Why::Lost }),
+                false => sum.unnamed = sum.unnamed.saturating_add(1),
+            }
+        }
     }
 
     /// The parent that it has a link to.
--- a/crates/carrier/tests/common/mod.rs
+++ b/crates/carrier/tests/common/mod.rs
@@ -273,6 +273,7 @@
         part_bytes: 1_024,
         control_bytes_per_second: 6_000,
         control_part_bytes: 1_024,
+        control_machines: Vec::new(),
         named: 16,
     }
 }
--- a/crates/carrier/tests/traces.rs
+++ b/crates/carrier/tests/traces.rs
@@ -308,6 +308,23 @@
     .assert_eq(&said);
 }
 
+/// A publisher that dies was nobody's child: the next one names it all the same, until it is there.
+#[test]
+fn a_control_machine_that_nobody_hears_is_named() {
+    let mut host = acts();
+    let mut at = terms("c0", "s0", true, false, vec![]);
+    at.control_machines = vec!["c1".into()];
+    let mut node = Node::start(0, at, None, &mut host);
+    node.root_is(0, Some("c0"), &mut host);
+    let mut said = format!("{}\n", summed(&node.sum(SECOND)));
+    node.child_up(SECOND, 1, &mut host);
+    node.child_said(SECOND, 1, subscribe("c1", version(0)), &mut host);
+    said += &summed(&node.sum(SECOND));
+    expect![[r#"
+        0.0 at 2, but c1 Lost
+        0.0 at 1"#]].assert_eq(&said);
+}
+
 #[test]
 fn the_absurd_is_not_believed() {
     let mut host = acts();
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -93,6 +93,7 @@
         child_bytes_per_second: plan.child_bytes_per_second,
         control_bytes_per_second: 1_000_000,
         control_part_bytes: 48 * 1024,
+        control_machines: Vec::new(),
         part_bytes: plan.part_bytes,
         named: plan.named,
     }
--- a/crates/proxy/src/fleet/carrier/actor.rs
+++ b/crates/proxy/src/fleet/carrier/actor.rs
@@ -149,6 +149,7 @@
         child_bytes_per_second: config.bytes_per_second,
         control_bytes_per_second: CONTROL_BYTES_PER_SECOND,
         control_part_bytes: CONTROL_PART_BYTES,
+        control_machines: names(&config.control),
         part_bytes: PART_BYTES,
         named: NAMED,
     }
