--- a/crates/carrier/tests/traces.rs
+++ b/crates/carrier/tests/traces.rs
@@ -322,7 +322,8 @@
     said += &summed(&node.sum(SECOND));
     expect![[r#"
         0.0 at 2, but c1 Lost
-        0.0 at 1"#]].assert_eq(&said);
+        0.0 at 1"#]]
+    .assert_eq(&said);
 }
 
 #[test]
