Carrier: members number their links, so that news that cross name nobody living as lost

An arrival told again by the relay it had first come to, or the end of a child's link seen after its arrival elsewhere, put a living member among the lost for a minute (sums.rs, Moves::lost and arrived; node.rs, summed). Change: a process numbers its links to parents; arrivals and losses bear that number, and only a later link takes back a loss. Links speak version 3; the carrier's frames of version 2 are not spoken to. Test: news_of_a_member_that_moves_may_cross, the_end_of_a_link_may_be_seen_after_the_next_one_came_up. The tests' model of who is lost is stricter by the same rule.

--- a/crates/carrier/src/children.rs
+++ b/crates/carrier/src/children.rs
@@ -1,6 +1,6 @@
 //! The children of a process: what each holds, and what is on its way to it.
 
-use crate::message::{Down, Member, Sum};
+use crate::message::{Attachment, Down, Sum};
 use crate::node::{Child, Host};
 use crate::planted::{Fault, planted};
 use crate::resource::{Interest, Version};
@@ -31,7 +31,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Subscriber {
-    pub who: Option<(Member, Interest)>,
+    pub who: Option<(Attachment, Interest)>,
     /// What it holds, as it said, and the digest of that.
     pub holds: (Version, u64),
     /// Of a control machine: what it has on disk.
@@ -174,7 +174,14 @@
     }
 
     /// Its first pulse comes at once.
-    pub fn subscribed(&mut self, now: Nanos, who: Member, wants: Interest, version: Version, digest: u64) {
+    pub fn subscribed(
+        &mut self,
+        now: Nanos,
+        who: Attachment,
+        wants: Interest,
+        version: Version,
+        digest: u64,
+    ) {
         self.who = Some((who, wants));
         self.holds = (version, digest);
         self.pulse_at = now;
--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -18,7 +18,7 @@
 mod store;
 mod sums;
 
-pub use message::{Down, Exception, Member, Sum, Up, Why};
+pub use message::{Attachment, Down, Exception, Member, Sum, Up, Why};
 pub use node::{Child, Host, Node, Terms};
 pub use planted::{Fault, plant};
 pub use publisher::{Change, Outcome, Publisher, PublisherHost, Written};
--- a/crates/carrier/src/message.rs
+++ b/crates/carrier/src/message.rs
@@ -11,11 +11,29 @@
     pub incarnation: u64,
 }
 
+/// One link of a member to a parent. A member numbers its own links, so that whoever hears of two of them knows which
+/// is the later one, in whatever order the news came.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Attachment {
+    pub member: Member,
+    /// Counts from 1 in each incarnation.
+    pub number: u64,
+}
+
+impl Attachment {
+    /// Whether this is a later link of the same process, or of a later incarnation of it.
+    pub fn is_later_than(&self, other: &Attachment) -> bool {
+        let order = |one: &Attachment| (one.member.incarnation, one.number);
+        self.member.name == other.member.name && order(self) > order(other)
+    }
+}
+
 /// From a child to its parent.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Up {
-    /// First on a link: who calls, what it wants, and the version and digest of what it holds of that.
-    Subscribe { who: Member, wants: Interest, holds: Version, digest: u64 },
+    /// First on a link: who calls on which of its links, what it wants, and the version and digest of what it holds of
+    /// that.
+    Subscribe { who: Attachment, wants: Interest, holds: Version, digest: u64 },
     /// What it holds now: the answer to the last part of a difference, to one that it passed over, and to a pulse that
     /// moved it.
     Holds { version: Version, digest: u64 },
@@ -53,8 +71,8 @@
     pub exceptions: Vec<Exception>,
     /// Members that are exceptions beyond those named.
     pub unnamed: u32,
-    /// Who came from another parent a short while ago: whoever sums takes them off what it has as lost.
-    pub arrived: Vec<Member>,
+    /// Who came from another parent a short while ago: whoever sums takes their earlier links off what it has as lost.
+    pub arrived: Vec<Attachment>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -71,6 +89,6 @@
     Refused { scope: Scope, resource: Name, version: Version, reason: String },
     /// It is there and has not caught up within the time that is usual.
     Late,
-    /// Its link was lost, and it has not been heard of since.
-    Lost,
+    /// Its link of this number was lost, and no later one has been heard of.
+    Lost { attachment: u64 },
 }
--- a/crates/carrier/src/node.rs
+++ b/crates/carrier/src/node.rs
@@ -1,8 +1,8 @@
 //! A process of the fleet: it has one parent at most, any number of children, and what it holds.
 
-use crate::children::{Children, Served};
+use crate::children::{Children, Served, Subscriber};
 use crate::force::Force;
-use crate::message::{Down, Exception, Member, Sum, Up, Why};
+use crate::message::{Attachment, Down, Exception, Member, Sum, Up, Why};
 use crate::parents::{OLD, Parents};
 use crate::planted::{Fault, planted};
 use crate::resource::{Interest, Name, Place, Resource, Scope, Version, wrong_name};
@@ -98,6 +98,8 @@
     children: Children,
     force: Force,
     moves: Moves,
+    /// How many links to a parent it has had.
+    attachments: u64,
     disk: Disk,
     collected: Option<Collected>,
     /// It publishes: from when it has published once on, what it holds is what the root holds.
@@ -139,6 +141,7 @@
             children: Children::default(),
             force,
             moves: Moves::default(),
+            attachments: 0,
             disk: Disk { has, ..Disk::default() },
             collected: None,
             root: false,
@@ -182,7 +185,9 @@
             return;
         }
         self.collected = None;
-        let (who, wants) = (self.terms.me.clone(), self.wants.clone());
+        self.attachments += 1;
+        let who = Attachment { member: self.terms.me.clone(), number: self.attachments };
+        let wants = self.wants.clone();
         host.send_up(Up::Subscribe { who, wants, holds: self.store.version, digest: self.digest() });
         self.say_kept(host);
         self.send_sum(now, host);
@@ -402,17 +407,7 @@
         one.heard(now);
         match message {
             Up::Subscribe { who, wants, holds, digest } => {
-                // The same name on another link: this one is that which still lives, unless it is the older life.
-                let same = |link: &Child, other: &Member| *link != child && other.name == who.name;
-                let others =
-                    self.children.iter().filter_map(|(link, other)| Some((*link, &other.who.as_ref()?.0)));
-                let others = others
-                    .filter(|(link, other)| same(link, other))
-                    .map(|(link, other)| (link, other.clone()));
-                for (link, other) in others.collect::<Vec<_>>() {
-                    let older = other.incarnation > who.incarnation;
-                    self.drop(now, if older { child } else { link }, host);
-                }
+                self.drop_earlier_links(now, child, &who, host);
                 if self.children.get(child).is_none() {
                     return;
                 }
@@ -434,6 +429,19 @@
         self.changed(now, host);
     }
 
+    /// The same process on two links: only the later one lives.
+    fn drop_earlier_links(&mut self, now: Nanos, child: Child, who: &Attachment, host: &mut impl Host) {
+        let subscribed = |(link, other): (&Child, &Subscriber)| Some((*link, other.who.clone()?.0));
+        let others: Vec<(Child, Attachment)> = self.children.iter().filter_map(subscribed).collect();
+        for (link, other) in others {
+            if link == child || other.member.name != who.member.name {
+                continue;
+            }
+            let earlier = if other.is_later_than(who) { child } else { link };
+            self.drop(now, earlier, host);
+        }
+    }
+
     fn summed(&mut self, now: Nanos, child: Child, mut sum: Sum) {
         let holds = self.store.version;
         let named = self.terms.named;
@@ -450,11 +458,11 @@
         }
         let before = one.sum.replace(sum.clone());
         if before.is_none() {
-            self.moves.arrived(now, &who, child);
+            self.moves.arrived(now, &who);
         }
         let known = before.map(|before| before.arrived).unwrap_or_default();
         for who in sum.arrived.iter().filter(|who| !known.contains(who)) {
-            self.moves.arrived(now, who, child);
+            self.moves.arrived(now, who);
         }
     }
 
@@ -566,7 +574,8 @@
     /// Guards the answer "in force everywhere" from a publisher that died: it was nobody's child, so nobody lost it.
     fn name_unheard(&self, sum: &mut Sum) {
         let linked = |name: &Name| {
-            self.children.iter().any(|(_, one)| one.who.as_ref().is_some_and(|(who, _)| who.name == *name))
+            let named = |who: &Attachment| who.member.name == *name;
+            self.children.iter().any(|(_, one)| one.who.as_ref().is_some_and(|(who, _)| named(who)))
         };
         let here = |name: &Name| linked(name) || sum.exceptions.iter().any(|one| one.who.name == *name);
         let unheard: Vec<&Name> = self.terms.control_machines.iter().filter(|name| !here(name)).collect();
@@ -574,7 +583,10 @@
             sum.members = sum.members.saturating_add(1);
             let who = Member { name: name.clone(), incarnation: 0 };
             match sum.exceptions.len() < self.terms.named {
-                true => sum.exceptions.push(Exception { who, in_force: Version::default(), why: Why::Lost }),
+                true => {
+                    let why = Why::Lost { attachment: 0 };
+                    sum.exceptions.push(Exception { who, in_force: Version::default(), why });
+                }
                 false => sum.unnamed = sum.unnamed.saturating_add(1),
             }
         }
@@ -599,7 +611,7 @@
         let own = self.disk.has.map(|version| (self.terms.me.name.as_str(), version));
         let holds = self.store.version;
         let children = self.children.iter().filter_map(move |(_, one)| match &one.who {
-            Some((who, Interest::All)) => Some((who.name.as_str(), one.on_disk?.min(holds))),
+            Some((who, Interest::All)) => Some((who.member.name.as_str(), one.on_disk?.min(holds))),
             _ => None,
         });
         own.into_iter().chain(children)
--- a/crates/carrier/src/sums.rs
+++ b/crates/carrier/src/sums.rs
@@ -1,11 +1,11 @@
 //! What is in force at and below a process, as a sum.
 
 use crate::children::Children;
-use crate::message::{Exception, Member, Sum, Why};
-use crate::node::Child;
+use crate::message::{Attachment, Exception, Member, Sum, Why};
 use crate::planted::{Fault, planted};
 use crate::resource::{Interest, Version};
 use crate::{Nanos, SECOND};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What is held here for longer than this and not in force at a member is late there; at one that has others below it,
@@ -18,48 +18,79 @@
 /// Arrivals remembered at once, the newest.
 const ARRIVALS: usize = 256;
 
+/// A member whose link was lost.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct LostMember {
+    /// The number of the link that was lost.
+    attachment: u64,
+    /// What it had in force last.
+    in_force: Version,
+    /// Until when it is named.
+    until: Nanos,
+}
+
+/// A member that came to this process or to one below it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Arrival {
+    /// The number of the link by which it came.
+    attachment: u64,
+    /// Until when that is carried up.
+    until: Nanos,
+}
+
 /// Members that went, and that came.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Moves {
-    /// What each had in force last, and until when it is named.
-    lost: BTreeMap<Member, (Version, Nanos)>,
-    /// By which child each came, and until when that is carried up.
-    arrived: BTreeMap<Member, (Child, Nanos)>,
+    lost: BTreeMap<Member, LostMember>,
+    arrived: BTreeMap<Member, Arrival>,
     looked: Nanos,
 }
 
 impl Moves {
     /// A child that was counted is gone. Of more than `most` the first to be forgotten anyway goes.
-    pub fn lost(&mut self, now: Nanos, who: Member, in_force: Version, most: usize) {
-        self.arrived.remove(&who);
+    pub fn lost(&mut self, now: Nanos, who: Attachment, in_force: Version, most: usize) {
+        // Guards the sum from news that cross: the end of a link may be seen after the arrival by the next one.
+        if self.came_later(now, &who) {
+            return;
+        }
         if planted(Fault::ForgetsLost) {
             return;
         }
-        self.lost.insert(who, (in_force, now + LOST));
-        bound(&mut self.lost, most, |(_, until)| *until);
+        let lost = LostMember { attachment: who.number, in_force, until: now + LOST };
+        self.lost.insert(who.member, lost);
+        bound(&mut self.lost, most, |lost| lost.until);
     }
 
-    /// A member came by this child, or is one.
-    pub fn arrived(&mut self, now: Nanos, who: &Member, child: Child) {
-        // A new life of a name stands for the old ones.
-        self.lost.retain(|lost, _| lost.name != who.name || lost.incarnation > who.incarnation);
-        self.arrived.insert(who.clone(), (child, now + ARRIVED));
-        bound(&mut self.arrived, ARRIVALS, |(_, until)| *until);
+    /// A member came to this process, or to one below it.
+    pub fn arrived(&mut self, now: Nanos, who: &Attachment) {
+        let stays = |lost: &Attachment| lost.member.name != who.member.name || !who.is_later_than(lost);
+        self.lost.retain(|member, lost| stays(&attachment(member, lost.attachment)));
+        let known = self.arrived.get(&who.member);
+        if known.is_some_and(|known| known.attachment >= who.number) {
+            return;
+        }
+        let arrival = Arrival { attachment: who.number, until: now + ARRIVED };
+        self.arrived.insert(who.member.clone(), arrival);
+        bound(&mut self.arrived, ARRIVALS, |arrival| arrival.until);
     }
 
     /// Who came within the last while, the newest first, at most so many.
-    fn lately(&self, now: Nanos, most: usize) -> Vec<Member> {
-        let there = self.arrived.iter().filter(|(_, (_, until))| now < *until);
-        let mut lately: Vec<_> = there.map(|(who, (_, until))| (std::cmp::Reverse(*until), who)).collect();
+    fn lately(&self, now: Nanos, most: usize) -> Vec<Attachment> {
+        let there =
+            self.arrived.iter().filter(|(who, arrival)| now < arrival.until && !self.lost.contains_key(*who));
+        let mut lately: Vec<_> =
+            there.map(|(member, arrival)| (Reverse(arrival.until), member, arrival.attachment)).collect();
         lately.sort();
-        lately.into_iter().take(most).map(|(_, who)| who.clone()).collect()
+        lately.into_iter().take(most).map(|(_, member, number)| attachment(member, number)).collect()
     }
 
-    /// Whether somebody that a child has lost came by another.
-    fn came_by_another(&self, now: Nanos, who: &Member, child: Child) -> bool {
-        let later = Member { name: who.name.clone(), incarnation: u64::MAX };
-        let mut lives = self.arrived.range(who..=&later);
-        lives.any(|(_, (by, until))| now < *until && (*by != child))
+    /// Whether a later link of this process is known to have come up.
+    fn came_later(&self, now: Nanos, lost: &Attachment) -> bool {
+        let newest = Member { name: lost.member.name.clone(), incarnation: u64::MAX };
+        let mut incarnations = self.arrived.range(&lost.member..=&newest);
+        incarnations.any(|(member, arrival)| {
+            now < arrival.until && attachment(member, arrival.attachment).is_later_than(lost)
+        })
     }
 
     pub fn forget_old(&mut self, now: Nanos) {
@@ -67,11 +98,15 @@
             return;
         }
         self.looked = now;
-        self.lost.retain(|_, (_, until)| now < *until);
-        self.arrived.retain(|_, (_, until)| now < *until);
+        self.lost.retain(|_, lost| now < lost.until);
+        self.arrived.retain(|_, arrival| now < arrival.until);
     }
 }
 
+fn attachment(member: &Member, number: u64) -> Attachment {
+    Attachment { member: member.clone(), number }
+}
+
 fn bound<V>(map: &mut BTreeMap<Member, V>, most: usize, until: impl Fn(&V) -> Nanos) {
     while map.len() > most {
         let oldest = map.iter().min_by_key(|(_, what)| until(what)).map(|(who, _)| who.clone());
@@ -102,16 +137,18 @@
     let mut exceptions = own.exceptions;
     let mut lost: BTreeSet<Member> = BTreeSet::new();
     let here = lost_and_here(children);
-    for (child, one) in children.iter() {
+    for (_, one) in children.iter() {
         let (Some((who, wants)), Some(sum)) = (&one.who, &one.sum) else { continue };
+        let who = &who.member;
         // Neither whoever came back elsewhere nor whoever was lost in two places counts twice; nor does this process, which
         // one that was its parent has as lost.
         let twice = |other: &&Exception| {
-            other.why == Why::Lost
-                && (moves.came_by_another(now, &other.who, *child)
-                    || here.get(other.who.name.as_str()).is_some_and(|life| *life >= other.who.incarnation)
-                    || (other.who.name == own.me.name && other.who.incarnation <= own.me.incarnation)
-                    || !lost.insert(other.who.clone()))
+            let Why::Lost { attachment: number } = other.why else { return false };
+            let link = attachment(&other.who, number);
+            let is_child =
+                here.get(link.member.name.as_str()).is_some_and(|child| child.is_later_than(&link));
+            let is_own = other.who.name == own.me.name && other.who.incarnation <= own.me.incarnation;
+            moves.came_later(now, &link) || is_child || is_own || !lost.insert(link.member)
         };
         let (back, below): (Vec<&Exception>, Vec<&Exception>) = sum.exceptions.iter().partition(twice);
         let count = sum.members.saturating_sub(back.len() as u32).max(1);
@@ -135,10 +172,11 @@
             lowest = Some(lowest.map_or(in_force, |lowest| lowest.min(in_force)));
         }
     }
-    for (who, (in_force, until)) in &moves.lost {
+    for (who, LostMember { attachment, in_force, until }) in &moves.lost {
         if now < *until && lost.insert(who.clone()) {
             members = members.saturating_add(1);
-            exceptions.push(Exception { who: who.clone(), in_force: *in_force, why: Why::Lost });
+            let why = Why::Lost { attachment: *attachment };
+            exceptions.push(Exception { who: who.clone(), in_force: *in_force, why });
         }
     }
     let (exceptions, more) = name(exceptions, named);
@@ -152,22 +190,24 @@
     }
 }
 
-/// Those that some child has as lost and that are children here, and which life of them. Their link says more than an
-/// arrival: an earlier one, carried up after theirs, stands in its place among the arrivals.
-fn lost_and_here(children: &Children) -> BTreeMap<&str, u64> {
+/// Those that some child has as lost and that are children here, with their links: these stay known when their arrival
+/// is forgotten.
+fn lost_and_here(children: &Children) -> BTreeMap<&str, &Attachment> {
     let exceptions = children.iter().filter_map(|(_, one)| one.sum.as_ref()).flat_map(|sum| &sum.exceptions);
-    let lost: BTreeSet<&str> =
-        exceptions.filter(|one| one.why == Why::Lost).map(|one| one.who.name.as_str()).collect();
+    let lost: BTreeSet<&str> = exceptions
+        .filter(|one| matches!(one.why, Why::Lost { .. }))
+        .map(|one| one.who.name.as_str())
+        .collect();
     let mut here = BTreeMap::new();
     if lost.is_empty() {
         return here;
     }
     for (_, one) in children.iter().filter(|(_, one)| one.sum.is_some()) {
         if let Some((who, _)) = &one.who
-            && lost.contains(who.name.as_str())
+            && lost.contains(who.member.name.as_str())
         {
-            let life = here.entry(who.name.as_str()).or_insert(who.incarnation);
-            *life = who.incarnation.max(*life);
+            let link = here.entry(who.member.name.as_str()).or_insert(who);
+            *link = (*link).max(who);
         }
     }
     here
@@ -198,7 +238,7 @@
     /// The gravest first: who is lost or late may have nothing in force, who refuses has all else.
     fn rank(&self) -> u8 {
         match self {
-            Why::Lost => 0,
+            Why::Lost { .. } => 0,
             Why::Late => 1,
             Why::Refused { .. } => 2,
         }
--- a/crates/carrier/tests/common/mod.rs
+++ b/crates/carrier/tests/common/mod.rs
@@ -207,8 +207,9 @@
     /// Its link up, and the number of its last call.
     pub link: Option<Child>,
     pub call: u64,
-    /// Members whose link was lost here, and when.
-    pub gone: Vec<(Member, Nanos)>,
+    /// Links that were lost here, and when; and the latest link of each process that is known here.
+    pub gone: Vec<(Attachment, Nanos)>,
+    pub came: BTreeMap<Name, Attachment>,
     pub wakes: Nanos,
     /// How long it takes to put something in force, and to write its disk.
     pub slow: Nanos,
@@ -227,7 +228,7 @@
     pub ends: (bool, bool),
     /// A part is on its way, and where it leads.
     pub part: Option<Option<Version>>,
-    pub who: Option<Member>,
+    pub who: Option<Attachment>,
     pub sum: Option<Sum>,
     pub sent: VecDeque<(Nanos, usize)>,
 }
@@ -319,6 +320,7 @@
                 link: None,
                 call: 0,
                 gone: Vec::new(),
+                came: BTreeMap::new(),
                 wakes: Nanos::MAX,
                 slow,
                 dead: false,
@@ -489,13 +491,21 @@
         let now = self.now;
         let Some(Link { who: Some(who), sum: Some(_), .. }) = self.links.get(&link) else { return };
         let who = who.clone();
-        self.came(at, &who);
-        self.processes[at].gone.push((who, now));
+        let process = &mut self.processes[at];
+        process.gone.retain(|(gone, _)| !who.is_later_than(gone));
+        if process.came.get(&who.member.name).is_none_or(|came| !came.is_later_than(&who)) {
+            process.gone.push((who, now));
+        }
     }
 
-    /// Whoever has come here is not lost any more.
-    fn came(&mut self, at: usize, who: &Member) {
-        self.processes[at].gone.retain(|(gone, _)| gone.name != who.name);
+    /// Whoever has come here by a later link is not lost any more.
+    fn came(&mut self, at: usize, who: &Attachment) {
+        let process = &mut self.processes[at];
+        process.gone.retain(|(gone, _)| !who.is_later_than(gone));
+        let came = process.came.entry(who.member.name.clone()).or_insert_with(|| who.clone());
+        if who.is_later_than(came) {
+            *came = who.clone();
+        }
     }
 
     pub fn happen(&mut self, event: Event) {
@@ -669,7 +679,7 @@
         process.life += 1;
         process.terms.me.incarnation = process.life;
         (process.putting, process.wakes, process.link) = (false, Nanos::MAX, None);
-        (process.applied, process.gone) = Default::default();
+        (process.applied, process.gone, process.came) = Default::default();
         let node = Node::start(self.now, process.terms.clone(), process.disk.clone(), &mut process.host);
         process.node = Some(node);
         let token = self.token;
@@ -814,7 +824,7 @@
                 || sum
                     .exceptions
                     .iter()
-                    .any(|one| one.who == *who && matches!(one.why, Why::Late | Why::Lost))
+                    .any(|one| one.who == *who && matches!(one.why, Why::Late | Why::Lost { .. }))
         };
         let mut faults = Vec::new();
         faults.extend(claims(me, &process.terms.place, &process.applied, sum, &self.settled));
@@ -823,11 +833,11 @@
                 && link.ends.1
                 && let (Some(who), Some(below)) = (&link.who, &link.sum)
                 && sum.in_force > below.in_force
-                && !late(who)
+                && !late(&who.member)
             {
                 faults.push(format!(
                     "{} claims {}, {} said {}",
-                    me.name, sum.in_force, who.name, below.in_force
+                    me.name, sum.in_force, who.member.name, below.in_force
                 ));
             }
         }
@@ -835,9 +845,9 @@
             let counted = |link: &Link| {
                 link.parent == (at, process.life)
                     && link.ends.1
-                    && link.who.as_ref().is_some_and(|other| other.name == who.name)
+                    && link.who.as_ref().is_some_and(|other| other.member.name == who.member.name)
             };
-            if self.now < since + 59 * SECOND && !late(who) && !self.links.values().any(counted) {
+            if self.now < since + 59 * SECOND && !late(&who.member) && !self.links.values().any(counted) {
                 faults.push(format!("{} forgot {who:?} of {since} in {sum:?}", me.name));
             }
         }
@@ -905,7 +915,7 @@
         if sum.in_force != *version {
             return Err(format!("the sum says {}", sum.in_force));
         }
-        let lost = sum.exceptions.iter().filter(|one| one.why == Why::Lost).count();
+        let lost = sum.exceptions.iter().filter(|one| matches!(one.why, Why::Lost { .. })).count();
         let late = sum.exceptions.iter().filter(|one| one.why == Why::Late).count();
         if sum.members as usize - lost != living.count() || late > 0 {
             return Err(format!("the sum counts {sum:?}"));
--- a/crates/carrier/tests/traces.rs
+++ b/crates/carrier/tests/traces.rs
@@ -23,7 +23,9 @@
     let line = |act: Act| match act {
         Act::Dial(name) => format!("dial {name}"),
         Act::HangUp => "hang up".into(),
-        Act::Up(Up::Subscribe { who, holds, .. }) => format!("up: {} subscribes with {holds}", who.name),
+        Act::Up(Up::Subscribe { who, holds, .. }) => {
+            format!("up: {} subscribes with {holds}", who.member.name)
+        }
         Act::Up(Up::Holds { version, .. }) => format!("up: holds {version}"),
         Act::Up(Up::Took) => "up: took".into(),
         Act::Up(Up::Kept(version)) => format!("up: {version} is on disk"),
@@ -67,8 +69,17 @@
     expected.assert_eq(&trace(host));
 }
 
+/// By its first link.
 fn subscribe(name: &str, holds: Version) -> Up {
-    let who = Member { name: name.into(), incarnation: 1 };
+    subscribe_again(name, 1, holds)
+}
+
+fn link(name: &str, number: u64) -> Attachment {
+    Attachment { member: Member { name: name.into(), incarnation: 1 }, number }
+}
+
+fn subscribe_again(name: &str, number: u64, holds: Version) -> Up {
+    let who = link(name, number);
     let place = terms(name, "s0", false, false, vec![]).place;
     Up::Subscribe { who, wants: Interest::Proxy(place, name.into()), holds, digest: 0 }
 }
@@ -271,8 +282,8 @@
     expect![[r#"
         2 s: 1.0 at 3
         3 s: 1.1 at 3, but p2 Late
-        4 s: 1.1 at 3, but p2 Lost
-        63 s: 1.1 at 3, but p2 Lost
+        4 s: 1.1 at 3, but p2 Lost { attachment: 1 }
+        63 s: 1.1 at 3, but p2 Lost { attachment: 1 }
         65 s: 1.1 at 2
     "#]]
     .assert_eq(&said);
@@ -284,18 +295,10 @@
 fn whoever_is_a_child_here_is_not_lost_by_another() {
     let mut host = acts();
     let mut node = root(&mut host);
-    let who = Member { name: "p1".into(), incarnation: 1 };
-    let lost = Exception { who: who.clone(), in_force: version(0), why: Why::Lost };
-    let relay = Sum {
-        in_force: version(1),
-        members: 2,
-        exceptions: vec![lost],
-        arrived: vec![who],
-        ..Sum::default()
-    };
-    for (child, name, said) in [(1, "p1", sum(1)), (2, "r1", Up::Sum(relay))] {
+    let relay = Sum { arrived: vec![link("p1", 1)], ..sum_of_relay(Some(("p1", 1))) };
+    for (child, name, number, said) in [(1, "p1", 2, sum(1)), (2, "r1", 1, Up::Sum(relay))] {
         node.child_up(0, child, &mut host);
-        node.child_said(0, child, subscribe(name, version(1)), &mut host);
+        node.child_said(0, child, subscribe_again(name, number, version(1)), &mut host);
         node.child_said(0, child, said, &mut host);
     }
     let mut said = format!("{}\n", summed(&node.sum(SECOND)));
@@ -304,10 +307,69 @@
     said += &summed(&node.sum(SECOND));
     expect![[r#"
         1.1 at 3
-        1.1 at 3, but p1 Lost"#]]
+        1.1 at 3, but p1 Lost { attachment: 2 }"#]]
     .assert_eq(&said);
 }
 
+/// What a relay with one child says, which it has lost or has.
+fn sum_of_relay(lost: Option<(&str, u64)>) -> Sum {
+    let exception = |(name, number): (&str, u64)| Exception {
+        who: link(name, number).member,
+        in_force: version(0),
+        why: Why::Lost { attachment: number },
+    };
+    let exceptions = lost.into_iter().map(exception).collect();
+    Sum { in_force: version(1), members: 2, exceptions, ..Sum::default() }
+}
+
+/// A member moves from one relay to another and back while each of the two tells what it saw before: in whatever order
+/// that comes, nobody who lives is named as lost.
+#[test]
+fn news_of_a_member_that_moves_may_cross() {
+    let came = |number: u64| Sum { arrived: vec![link("p1", number)], ..sum_of_relay(None) };
+    let lost = |number: u64| sum_of_relay(Some(("p1", number)));
+    let gone = Sum { members: 1, ..sum_of_relay(None) };
+    // By which relay, and what it says; p1 lives at the relay of its last link.
+    let stories = [
+        vec![(1, came(1)), (2, came(2)), (1, lost(1))],
+        vec![(1, came(1)), (1, lost(1)), (2, came(2))],
+        vec![(1, came(1)), (2, came(2)), (1, came(3)), (2, lost(2))],
+        vec![(1, came(1)), (1, came(3)), (2, came(2)), (2, lost(2))],
+        vec![(1, came(3)), (2, lost(2)), (2, gone)],
+    ];
+    for story in stories {
+        let mut host = acts();
+        let mut node = root(&mut host);
+        for (child, name) in [(1, "r1"), (2, "r2")] {
+            node.child_up(0, child, &mut host);
+            node.child_said(0, child, subscribe(name, version(1)), &mut host);
+        }
+        for (child, said) in &story {
+            node.child_said(SECOND, *child, Up::Sum(said.clone()), &mut host);
+        }
+        let exceptions = node.sum(2 * SECOND).exceptions;
+        assert_eq!(exceptions, [], "{story:#?}");
+    }
+}
+
+/// A child goes to a relay: its arrival there is told before the end of its own link is seen here.
+#[test]
+fn the_end_of_a_link_may_be_seen_after_the_next_one_came_up() {
+    let mut host = acts();
+    let mut node = root(&mut host);
+    let relay = Sum { arrived: vec![link("p1", 2)], ..sum_of_relay(None) };
+    for (child, name, said) in [(1, "p1", sum(1)), (2, "r1", Up::Sum(relay))] {
+        node.child_up(0, child, &mut host);
+        node.child_said(0, child, subscribe(name, version(1)), &mut host);
+        node.child_said(0, child, said, &mut host);
+    }
+    node.child_lost(SECOND, 1, &mut host);
+    assert_eq!(summed(&node.sum(SECOND)), "1.1 at 3");
+    // Lost there too, it is lost.
+    node.child_said(SECOND, 2, Up::Sum(sum_of_relay(Some(("p1", 2)))), &mut host);
+    assert_eq!(summed(&node.sum(SECOND)), "1.1 at 3, but p1 Lost { attachment: 2 }");
+}
+
 /// A publisher that dies was nobody's child: the next one names it all the same, until it is there.
 #[test]
 fn a_control_machine_that_nobody_hears_is_named() {
@@ -321,7 +383,7 @@
     node.child_said(SECOND, 1, subscribe("c1", version(0)), &mut host);
     said += &summed(&node.sum(SECOND));
     expect![[r#"
-        0.0 at 2, but c1 Lost
+        0.0 at 2, but c1 Lost { attachment: 0 }
         0.0 at 1"#]]
     .assert_eq(&said);
 }
--- a/crates/carrier/tests/whole.rs
+++ b/crates/carrier/tests/whole.rs
@@ -251,7 +251,7 @@
         }
         for link in self.links.values().filter(|link| link.parent == at && link.ends[1]) {
             let Some((who, below)) = &link.sum else { continue };
-            let late = |one: &Exception| one.who == *who && matches!(one.why, Why::Late | Why::Lost);
+            let late = |one: &Exception| one.who == *who && matches!(one.why, Why::Late | Why::Lost { .. });
             let right = sum.in_force <= below.in_force || sum.unnamed > 0 || sum.exceptions.iter().any(late);
             assert!(right, "{} claims {}, {} said {}", NAMES[at], sum.in_force, who.name, below.in_force);
         }
@@ -453,7 +453,7 @@
                     .all(|one| process.node.resources().any(|held| held == one))
         };
         let sum = self.processes[0].node.sum(self.now);
-        let lost = sum.exceptions.iter().filter(|one| one.why == Why::Lost).count();
+        let lost = sum.exceptions.iter().filter(|one| matches!(one.why, Why::Lost { .. })).count();
         sum.in_force == version && sum.members as usize - lost == 3 && self.processes.iter().all(there)
     }
 
--- a/crates/proxy/src/fleet/carrier/command.rs
+++ b/crates/proxy/src/fleet/carrier/command.rs
@@ -249,7 +249,7 @@
                 format!("refused {resource} for {scope}, of {version}: {reason}")
             }
             Why::Late => "late".into(),
-            Why::Lost => "lost".into(),
+            Why::Lost { .. } => "lost".into(),
         };
         json!({"name": exception.who.name, "in_force": exception.in_force.to_string(), "why": why})
     };
--- a/crates/proxy/src/fleet/carrier/links.rs
+++ b/crates/proxy/src/fleet/carrier/links.rs
@@ -94,6 +94,7 @@
             frame = link.next() => match frame? {
                 Frame::Up(up) => {
                     if let Up::Subscribe { who, .. } = &*up {
+                        let who = &who.member;
                         let same = who.name == other.who.name && who.incarnation == other.who.incarnation;
                         ensure!(same, "subscribes as {}, and said hello as {}", who.name, other.who);
                     }
--- a/crates/proxy/src/fleet/wire.rs
+++ b/crates/proxy/src/fleet/wire.rs
@@ -17,9 +17,9 @@
 /// The versions of these frames that this program speaks. A later program that adds frames raises the newest, and sends
 /// them only on links whose other end speaks them too.
 pub const OLDEST: u16 = 1;
-pub const NEWEST: u16 = 2;
-/// Since when the carrier's frames are spoken.
-pub const CARRIER: u16 = 2;
+pub const NEWEST: u16 = 3;
+/// Since when the carrier's frames are spoken in their present form: those of version 2 number no links.
+pub const CARRIER: u16 = 3;
 /// A record and what goes with it.
 const LONGEST: usize = LARGEST + 16 * 1024;
 /// How long a hello may take, and a frame to leave.
