A request's time counts from when the kernel received it, and one function says what attempts tell

Further, by tests on sockets: what lay in a buffer was taken for as old as its parse (clients.rs, command): behind 32 others, behind the last that is taken, for want of room for its connection, while the thread was held up, before its process was there. Each told its server 0.4 s too much after 0.4 s. Ruled out by the same tests, held already: the next attempt after a miss, error, cut, refusal, time-out; the wait for another's fetch, a key's turn, room at a node; a connection 1.5 s late; a long write; a class that ends before or after d; d absent or absurd. Change: ClientStream keeps the time of what was read, by the kernel's stamp where there is one (SO_TIMESTAMPNS by nix; rustix and socket2 give no stamps). What is left is reckoned from that once; the module takes it from there. What is told is one function of the core, rounded down, and where less than a millisecond is left no attempt begins (it told 1 before). Limits: commands that came apart and lay unread together count as the first of them or, where the kernel joined them, the last; where no process had asked for stamps yet the time of the read counts. Test: proxy/told.rs, eleven; six fail with the time of the parse in its place. wire.rs gives whole milliseconds where it gave durations, their rounding is checked in told.rs; the clock of an attempt in endings.rs has an end.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod groups;
 pub mod host;
+pub mod policy;
 pub mod ranks;
 pub mod ring;
 pub mod settings;
--- /dev/null
+++ b/crates/core/src/policy/mod.rs
@@ -0,0 +1,3 @@
+//! The decisions, one matter a module.
+
+pub mod deadline;
--- /dev/null
+++ b/crates/proxy/src/arrival.rs
@@ -0,0 +1,120 @@
+//! A client's connection that knows when what it reads came. The kernel stamps what it receives: what lay unread while the
+//! proxy was busy, had no room for it or was only starting is not taken for newer than it is. Where the kernel gives no
+//! stamps the time of the read counts. It must never make a request older than the kernel says.
+
+use nix::cmsg_space;
+use nix::sys::socket::sockopt::ReceiveTimestampns;
+use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt};
+use nix::sys::time::TimeSpec;
+use std::io::{IoSliceMut, Result};
+use std::os::fd::{AsFd, AsRawFd};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// A stamp that is older says that the machine's clock was set meanwhile.
+const OLDEST: Duration = Duration::from_secs(10);
+
+/// Has the kernel stamp what comes on this socket, and on those that a listener accepts from now on. Whether it does.
+pub fn stamp(socket: &impl AsFd) -> bool {
+    setsockopt(socket, ReceiveTimestampns, &true).is_ok()
+}
+
+/// A client's connection, with the time at which the bytes came that were read last.
+#[derive(Debug)]
+pub struct ClientStream {
+    stream: TcpStream,
+    /// Room for a stamp; empty where there are none.
+    control: Vec<u8>,
+    /// Since when the next byte has lain unread, once that was looked at.
+    unread_since: Option<Instant>,
+    arrived: Instant,
+}
+
+impl ClientStream {
+    /// Of a connection that was just accepted or taken over.
+    pub fn new(stream: TcpStream) -> ClientStream {
+        let control = if stamp(&stream) { cmsg_space!(TimeSpec) } else { Vec::new() };
+        ClientStream { stream, control, unread_since: None, arrived: Instant::now() }
+    }
+
+    pub fn tcp(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// When the bytes came that were read last, as far as is known.
+    pub fn arrived(&self) -> Instant {
+        self.arrived
+    }
+
+    /// Returns once something is there to be read, or the end, and notes since when it has been.
+    pub async fn something(&mut self) -> Result<()> {
+        if self.control.is_empty() {
+            return self.stream.peek(&mut [0]).await.map(|_| ());
+        }
+        let Self { stream, control, .. } = self;
+        let came = stream.async_io(Interest::READABLE, || peek_stamp(stream, control)).await?;
+        self.unread_since = came.and_then(instant);
+        Ok(())
+    }
+
+    /// Notes since when what is there has been, if anything is.
+    pub fn note_unread(&mut self) {
+        let Self { stream, control, .. } = self;
+        if !control.is_empty()
+            && let Ok(came) = stream.try_io(Interest::READABLE, || peek_stamp(stream, control))
+        {
+            self.unread_since = came.and_then(instant);
+        }
+    }
+}
+
+/// When the kernel received the next byte, by the machine's clock; `None` where it does not say.
+fn peek_stamp(stream: &TcpStream, control: &mut Vec<u8>) -> Result<Option<TimeSpec>> {
+    control.clear();
+    control.resize(control.capacity(), 0);
+    let mut byte = [0];
+    let mut parts = [IoSliceMut::new(&mut byte)];
+    let flags = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+    let came = recvmsg::<()>(stream.as_raw_fd(), &mut parts, Some(control), flags)?;
+    let Ok(mut messages) = came.cmsgs() else { return Ok(None) };
+    Ok(messages.find_map(|message| match message {
+        ControlMessageOwned::ScmTimestampns(at) => Some(at),
+        _ => None,
+    }))
+}
+
+/// The steady clock's time for one of the machine's clock, if that can be right.
+fn instant(stamp: TimeSpec) -> Option<Instant> {
+    let stamped = UNIX_EPOCH.checked_add(Duration::from(stamp))?;
+    let age = SystemTime::now().duration_since(stamped).ok().filter(|age| *age <= OLDEST)?;
+    Instant::now().checked_sub(age)
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(self: Pin<&mut Self>, context: &mut Context, buffer: &mut ReadBuf) -> Poll<Result<()>> {
+        let this = self.get_mut();
+        let read = Pin::new(&mut this.stream).poll_read(context, buffer);
+        if read.is_ready() {
+            this.arrived = this.unread_since.take().unwrap_or_else(Instant::now);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context, bytes: &[u8]) -> Poll<Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context) -> Poll<Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context) -> Poll<Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,18 +1,19 @@
 //! The clients' front: RESP commands in, answers out in the order of the commands.
 
+use crate::arrival::{self, ClientStream};
 use crate::clock::MILLIS;
 use crate::config::Config;
 use crate::heir::{Passed, Seat};
 use crate::long::{self, Long, Upload, Value};
 use crate::module::{Answer, Cargo};
 use crate::phases::Phase;
-use crate::resp::{Frame, Part, Parts, bad, begun};
+use crate::resp::{Frame, Part, Parts, bad};
 use crate::room::{Room, Spare};
 use crate::serve::Shared;
 use crate::tuning::Routes;
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
-use pumicebay_core::{Ask, Xchg};
+use pumicebay_core::{Ask, Nanos, Xchg};
 use pumicebay_names::{NANOS, identity};
 use std::collections::VecDeque;
 use std::io::ErrorKind;
@@ -89,6 +90,7 @@
 /// Accepts until the phase says no more, and then what the kernel has accepted by that time: such a client may have
 /// sent a command. Where another process has the same socket, it does.
 pub async fn accept(front: Front, listener: TcpListener) {
+    arrival::stamp(&listener);
     let (mut closing, lobby) = (front.shared.watch.clone(), Arc::new(Semaphore::new(LOBBY)));
     loop {
         let accepted = tokio::select! {
@@ -146,7 +148,7 @@
 
 struct Client {
     front: Front,
-    framed: Framed<TcpStream, Parts>,
+    framed: Framed<ClientStream, Parts>,
     /// In the order of the commands.
     pending: VecDeque<Pending>,
     /// When the command began that has come in part.
@@ -175,13 +177,13 @@
 
 impl Client {
     fn new(front: Front, stream: TcpStream) -> Client {
-        let framed = Framed::new(stream, Parts::default());
+        let framed = Framed::new(ClientStream::new(stream), Parts::default());
         Client { front, framed, pending: VecDeque::new(), begun: None, used: false, here: Arc::default() }
     }
 
     async fn run(mut self) {
         // Until the runtime has heard of it: what lies unread, and whether the client has left by now.
-        let _ = self.framed.get_ref().writable().await;
+        let _ = self.framed.get_ref().tcp().writable().await;
         if let Err(error) = self.serve().await {
             tracing::debug!("client: {error}");
         }
@@ -240,7 +242,7 @@
                     // Closed here, a command that is on its way would meet nobody.
                     if let Some(heir) = self.front.shared.heir.get() {
                         let unread = self.framed.read_buffer();
-                        match heir.pass(self.framed.get_ref(), unread, self.used).await {
+                        match heir.pass(self.framed.get_ref().tcp(), unread, self.used).await {
                             Ok(()) => {
                                 self.front.shared.counters.clients_passed_on.add();
                                 return Ok(());
@@ -301,7 +303,7 @@
             let reply = tokio::select! {
                 biased;
                 reply = next(&mut self.pending) => reply,
-                () = left(self.framed.get_ref()) => return Err(ErrorKind::ConnectionAborted.into()),
+                () = left(self.framed.get_ref().tcp()) => return Err(ErrorKind::ConnectionAborted.into()),
             };
             self.answer(reply).await?;
         }
@@ -315,7 +317,7 @@
         loop {
             match timeout(LOOK, SinkExt::<&Frame>::flush(&mut self.framed)).await {
                 Ok(flushed) => return flushed,
-                Err(_) if has_left(self.framed.get_ref()) => {
+                Err(_) if has_left(self.framed.get_ref().tcp()) => {
                     return Err(ErrorKind::ConnectionAborted.into());
                 }
                 Err(_) if Instant::now() >= by => return Err(ErrorKind::TimedOut.into()),
@@ -394,7 +396,7 @@
             let piece = tokio::select! {
                 biased;
                 piece = value.next() => piece?,
-                () = left(self.framed.get_ref()) => return Err(ErrorKind::ConnectionAborted.into()),
+                () = left(self.framed.get_ref().tcp()) => return Err(ErrorKind::ConnectionAborted.into()),
             };
             let last = piece.is_none();
             self.framed.write_buffer_mut().extend_from_slice(&piece.unwrap_or(Bytes::from_static(b"\r\n")));
@@ -406,11 +408,12 @@
     }
 
     async fn command(&mut self, frame: Frame, upload: Option<Box<Upload>>) -> Reply {
-        let at = self.front.shared.clock.now();
+        let waited = self.framed.get_ref().arrived().elapsed().as_nanos() as Nanos;
+        let at = self.front.shared.clock.now().saturating_sub(waited);
         let routes = self.front.shared.routes.borrow().clone();
         match read(frame, &self.front.shared.config, &routes) {
             // It waited for room, or behind others: nobody is there for the answer.
-            Ok(Command::Exchange(..)) if has_left(self.framed.get_ref()) => {
+            Ok(Command::Exchange(..)) if has_left(self.framed.get_ref().tcp()) => {
                 self.front.shared.counters.exchanges_untaken.add();
                 Reply::Ready(Frame::error("ERR the client has left"))
             }
@@ -466,9 +469,9 @@
 
 /// The next part of what a client sends. None once it has left, which is all that is looked for if nothing more
 /// is to be read.
-async fn part(framed: &mut Framed<TcpStream, Parts>, more: bool) -> Option<std::io::Result<Part>> {
+async fn part(framed: &mut Framed<ClientStream, Parts>, more: bool) -> Option<std::io::Result<Part>> {
     if !more {
-        left(framed.get_ref()).await;
+        left(framed.get_ref().tcp()).await;
         return None;
     }
     framed.next().await
@@ -476,15 +479,19 @@
 
 /// The next command, which must be whole some time after its first byte. None once the client has left.
 async fn whole(
-    framed: &mut Framed<TcpStream, Parts>,
+    framed: &mut Framed<ClientStream, Parts>,
     since: &mut Option<Instant>,
     more: bool,
 ) -> Option<std::io::Result<Part>> {
     if !more {
         return part(framed, more).await;
     }
-    if let Err(error) = begun(framed).await {
-        return Some(Err(error));
+    if framed.read_buffer().is_empty() {
+        if let Err(error) = framed.get_mut().something().await {
+            return Some(Err(error));
+        }
+    } else {
+        framed.get_mut().note_unread();
     }
     let by = *since.get_or_insert_with(Instant::now) + READING;
     let frame = timeout_at(by, framed.next()).await;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,5 +1,6 @@
 //! The proxy on sockets: actors round the decisions of `pumicebay-core`. Start reading at [`serve`].
 
+pub mod arrival;
 pub mod bans;
 pub mod cli;
 pub mod clients;
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -278,13 +278,13 @@
                 let _ = answer.send(Answer::Rejected(Bytes::from_static(b"ERR id of an open request")));
             }
             Event::Arrived(xchg, ask, cargo, answer) => {
-                let at = cargo.at;
+                // What its client has left is reckoned once, from when its last byte came.
+                let grace = cargo.ends.saturating_sub(now);
                 self.balance.host.ids.insert(cargo.id.clone());
                 self.balance.host.shared.counters.exchanges_taken.add();
                 let recall = CancellationToken::new();
                 let open = Open { cargo, answer: Some(answer), tries: 0, recall };
                 self.balance.host.open.insert(xchg, open);
-                let grace = ask.grace.saturating_sub(now.saturating_sub(at));
                 self.balance.arrived(now, xchg, Ask { grace, ..ask });
             }
             Event::Dropped(xchg) => {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
+use pumicebay_core::policy::deadline::time_to_tell;
 use pumicebay_core::{Held, Nanos, Node, Outcome, Xchg};
 use pumicebay_names as names;
 use smallvec::SmallVec;
@@ -255,7 +256,7 @@
         return (Some(Outcome::Unsent.into()), Some(connection));
     }
     // Until the last byte is written nothing can have run.
-    let written = async { connection.write(shared, errand).await.map_err(|_| Outcome::Unreachable) };
+    let written = connection.write(shared, errand);
     if let Err(outcome) = unless_taken_back(shared, errand, in_time(until, written)).await {
         return (Some(outcome.into()), None);
     }
@@ -363,18 +364,34 @@
         unread.is_empty() && quiet(stream)
     }
 
-    async fn write(&mut self, shared: &Shared, errand: &Errand) -> std::io::Result<()> {
-        match (&mut self.wire, errand) {
-            (Wire::Cache(framed), Errand::Probe { .. })
-                if shared.config.settings.text("reports") == "silent" =>
-            {
-                framed.send(&Frame::command([b"PING"])).await
+    /// Writes a probe, or an attempt but for a value that follows. `Unsent` where hardly any time is left for it.
+    async fn write(&mut self, shared: &Shared, errand: &Errand) -> Result<(), Outcome> {
+        let written = match errand {
+            Errand::Probe { .. } => self.write_probe(shared).await,
+            Errand::Try { cargo, until, .. } => {
+                let clock = &shared.clock;
+                let tell = time_to_tell(clock.now(), clock.at(*until), cargo.ends).ok_or(Outcome::Unsent)?;
+                self.write_attempt(cargo, tell).await
             }
-            (Wire::Cache(framed), Errand::Probe { .. }) => {
-                framed.send(&Frame::command([b"INFO", b"load"])).await
+        };
+        written.map_err(|_| Outcome::Unreachable)
+    }
+
+    async fn write_probe(&mut self, shared: &Shared) -> std::io::Result<()> {
+        match &mut self.wire {
+            Wire::Cache(framed) if shared.config.settings.text("reports") == "silent" => {
+                framed.send(&Frame::command([b"PING"])).await
             }
-            (Wire::Cache(framed), Errand::Try { cargo, until, .. }) => {
-                let words = command(cargo, told(shared, cargo, *until));
+            Wire::Cache(framed) => framed.send(&Frame::command([b"INFO", b"load"])).await,
+            Wire::Origin(framed) => framed.send(Request::get("/health/live".into())).await,
+        }
+    }
+
+    /// `tell`: for how many milliseconds the attempt will be waited for.
+    async fn write_attempt(&mut self, cargo: &Cargo, tell: u64) -> std::io::Result<()> {
+        match &mut self.wire {
+            Wire::Cache(framed) => {
+                let words = command(cargo, tell);
                 match &cargo.upload {
                     Some(upload) => {
                         resp::encode_beginning(&words, upload.length, framed.write_buffer_mut())?;
@@ -383,11 +400,8 @@
                     None => framed.send(&Frame::Array(words)).await,
                 }
             }
-            (Wire::Origin(framed), Errand::Probe { .. }) => {
-                framed.send(Request::get("/health/live".into())).await
-            }
-            (Wire::Origin(framed), Errand::Try { cargo, until, .. }) => {
-                let labels = labels(&cargo.labels, told(shared, cargo, *until));
+            Wire::Origin(framed) => {
+                let labels = labels(&cargo.labels, tell);
                 framed.send(request(cargo, &labels)).await
             }
         }
@@ -512,13 +526,13 @@
     read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
 }
 
-/// A try as a cache node reads it: all as it came, but for how long this proxy waits. Without a value that is
-/// still to come.
-pub fn command(cargo: &Cargo, left: Duration) -> Vec<Frame> {
+/// An attempt as a cache node reads it: all as it came, but for how many milliseconds it will be waited for. Without a
+/// value that is still to come.
+pub fn command(cargo: &Cargo, tell: u64) -> Vec<Frame> {
     let word: &'static [u8] = if cargo.write { b"C.SET" } else { b"C.GET" };
     let mut words = Vec::with_capacity(5);
     words.extend([Bytes::from_static(word), cargo.key.clone(), cargo.id.clone()].map(Frame::Bulk));
-    words.push(Frame::Bulk(Bytes::copy_from_slice(&labels(&cargo.labels, left))));
+    words.push(Frame::Bulk(Bytes::copy_from_slice(&labels(&cargo.labels, tell))));
     if cargo.write && cargo.upload.is_none() {
         words.push(Frame::Bulk(cargo.value.clone()));
     }
@@ -529,12 +543,12 @@
 type Labels = SmallVec<[u8; 256]>;
 
 /// The labels as they came, with `d` as what is left, in milliseconds: put at its place, or at the end.
-pub fn labels(came: &[u8], left: Duration) -> Labels {
-    let (left, mut told) = (left.as_millis().max(1), false);
+pub fn labels(came: &[u8], tell: u64) -> Labels {
+    let mut told = false;
     let mut own = [0; LEFT];
     let free = {
         let mut free = &mut own[..];
-        let _ = write!(free, "d={left}");
+        let _ = write!(free, "d={tell}");
         free.len()
     };
     let own = &own[..LEFT - free];
@@ -554,13 +568,6 @@
     labels
 }
 
-/// How long a try tells its node that it will be waited for: no longer than the client will, also where this proxy does.
-/// Guards nodes, the origin among them, from work for those who have left.
-fn told(shared: &Shared, cargo: &Cargo, until: Instant) -> Duration {
-    let client = Duration::from_nanos(cargo.ends.saturating_sub(shared.clock.now()));
-    until.saturating_duration_since(Instant::now()).min(client)
-}
-
 /// A try as the origin reads it, with the labels that go to it.
 pub fn request<'a>(cargo: &'a Cargo, labels: &'a [u8]) -> Request<'a> {
     Request {
--- a/crates/proxy/tests/proxy/endings.rs
+++ b/crates/proxy/tests/proxy/endings.rs
@@ -68,7 +68,7 @@
     }
 
     /// From now on connections come up; what they bring is written down, and reads get answers.
-    fn let_in(self, trace: Trace) {
+    pub fn let_in(self, trace: Trace) {
         let Late { listener, _filling, .. } = self;
         tokio::spawn(async move {
             let _filling = _filling;
@@ -89,7 +89,7 @@
 }
 
 /// From now on this node is where connections come up late.
-async fn move_node(world: &World, uid: &str, model: &str, late: &Late) {
+pub async fn move_node(world: &World, uid: &str, model: &str, late: &Late) {
     let moved = target(uid, &late.address.to_string(), model, "active");
     world.tell.send(json!({"rev": 42, "all": false, "targets": [moved]}).to_string()).await.unwrap();
     world.discovery.until("index=42").await;
@@ -521,7 +521,7 @@
     let cargo = |id: &'static str| {
         let [key, id, labels] = ["hit", id, "c=read"].map(|word| Bytes::from_static(word.as_bytes()));
         let (client, value) = (Arc::downgrade(&here), Bytes::new());
-        Arc::new(Cargo { at: 0, ends: 0, client, write: false, key, id, labels, value, upload: None })
+        Arc::new(Cargo { at: 0, ends: u64::MAX, client, write: false, key, id, labels, value, upload: None })
     };
     let until = Instant::now() + Duration::from_secs(3);
     let errand = |xchg, id, recall| Errand::Try { xchg, try_no: 0, cargo: cargo(id), until, recall };
--- a/crates/proxy/tests/proxy/fleet.rs
+++ b/crates/proxy/tests/proxy/fleet.rs
@@ -82,7 +82,7 @@
         .assert_eq(&format!("{one}; {two}"));
     let later = hello("harbour", "a").speaking(7, 9);
     let (one, _) = met(later, hello("harbour", "b")).await;
-    expect!["refused: a#1 is: speaks links 7 to 9, not 1 to 2"].assert_eq(&one);
+    expect!["refused: a#1 is: speaks links 7 to 9, not 1 to 3"].assert_eq(&one);
     // One that speaks more, and this too, is understood; and one of before the carrier, whoever dials.
     let (one, _) = met(hello("harbour", "a").speaking(1, 9), hello("harbour", "b")).await;
     expect!["met b#1"].assert_eq(&one);
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -14,6 +14,7 @@
 mod operations;
 mod phases;
 mod restart;
+mod told;
 mod wire;
 
 use bytes::BytesMut;
@@ -32,16 +33,24 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
-/// What a stand-in saw, and how many answers it holds back until told (for keys with `held`).
+/// What a stand-in saw, how many answers it holds back until told (for keys with `held`), and what attempts told it.
 #[derive(Clone)]
-pub struct Trace(Arc<Mutex<String>>, Arc<Semaphore>);
+pub struct Trace(Arc<Mutex<String>>, Arc<Semaphore>, Arc<Mutex<Vec<Told>>>);
+
+/// How long an attempt told its server that it would be waited for, and when that came.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub id: String,
+    pub millis: Option<u64>,
+    pub at: Instant,
+}
 
 impl Default for Trace {
     fn default() -> Trace {
-        Trace(Arc::default(), Arc::new(Semaphore::new(0)))
+        Trace(Arc::default(), Arc::new(Semaphore::new(0)), Arc::default())
     }
 }
 
@@ -54,6 +63,17 @@
         self.0.lock().unwrap().clone()
     }
 
+    /// An attempt came with these labels.
+    fn attempt(&self, id: &str, labels: &str) {
+        let millis = labels.split(',').filter_map(|label| label.strip_prefix("d=")?.parse().ok()).next_back();
+        self.2.lock().unwrap().push(Told { id: id.into(), millis, at: Instant::now() });
+    }
+
+    /// What attempts told so far.
+    pub fn told(&self) -> Vec<Told> {
+        self.2.lock().unwrap().clone()
+    }
+
     /// Lets so many held answers go.
     pub fn release(&self, answers: usize) {
         self.1.add_permits(answers);
@@ -323,6 +343,9 @@
         };
         let key = word(1);
         let line = format!("{number}: {} {key} {} {}", word(0), word(2), labels(&word(3)));
+        if !key.is_empty() {
+            trace.attempt(&word(2), &word(3));
+        }
         trace.line(line.trim_end());
         let array = |first| Frame::Array(vec![first, Frame::Null, Frame::Null]);
         let reply = match key.split('-').next().unwrap_or_default() {
@@ -420,6 +443,7 @@
         let key = first.split('/').nth(1).unwrap_or_default();
         // Of a late one `d` is written down as it came.
         let told = field("X-Labels: ").to_string();
+        trace.attempt(field("X-Txn: "), &told);
         let told = if key.starts_with("late") { told } else { labels(&told) };
         trace.line(format!("{number}: {first} {} {told} {body}", field("X-Txn: ")).trim_end());
         let (status, header) = match key.split('-').nth(1).unwrap_or_default() {
--- a/crates/proxy/tests/proxy/wire.rs
+++ b/crates/proxy/tests/proxy/wire.rs
@@ -8,7 +8,6 @@
 use pumicebay::resp::{self, Frame, Resp};
 use std::fmt::Debug;
 use std::sync::Weak;
-use std::time::Duration;
 use tokio_util::codec::{Decoder, Encoder};
 
 /// What a codec makes of these bytes: the same whether they come at once or one by one.
@@ -153,12 +152,12 @@
         value: "VALUE".into(),
     };
     let mut buffer = BytesMut::new();
-    for left in [Duration::from_micros(123_999), Duration::ZERO] {
-        Resp.encode(&Frame::Array(command(&cargo(false), left)), &mut buffer).unwrap();
+    for tell in [123, 1] {
+        Resp.encode(&Frame::Array(command(&cargo(false), tell)), &mut buffer).unwrap();
     }
-    Resp.encode(&Frame::Array(command(&cargo(true), Duration::from_millis(9))), &mut buffer).unwrap();
+    Resp.encode(&Frame::Array(command(&cargo(true), 9)), &mut buffer).unwrap();
     for write in [false, true] {
-        let told = labels(&cargo(write).labels, Duration::from_millis(9));
+        let told = labels(&cargo(write).labels, 9);
         Http::new(0).encode(request(&cargo(write), &told), &mut buffer).unwrap();
     }
     Http::new(0).encode(Request::get(http::path(b"a-b._~%?#")), &mut buffer).unwrap();
