Lab: the auditor counts what attempts tell their servers, and breaks on too much

Change: stand-ins read d and X-Labels, seats of virtual time tell by the core's own function, and the auditor holds both against the client's own clock: over 50 ms beyond what is left breaks rule 1, as does an attempt that tells nothing. Counted by first and further attempts, with the worst, in the table and the JSON.

--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -2,6 +2,7 @@
 //! Whoever plays a day tells it what was taken, sent, run, answered and told, in any order within a second
 //! or so; each exchange is judged once, some time after its overall timeout.
 
+use crate::time_told::TimeTold;
 use hashbrown::HashMap;
 use pumicebay_model::registry::State;
 use pumicebay_model::spec::{Effect, Nodes, Scenario, Scope};
@@ -47,6 +48,8 @@
     route: usize,
     taken: Nanos,
     deadline: Nanos,
+    /// Until when its client waits, by the client's own clock.
+    client_ends: Nanos,
     answers: Vec<(Nanos, Final)>,
     sent: Vec<Sent>,
     /// When tries were over, and at which node.
@@ -97,6 +100,7 @@
     line: VecDeque<(Nanos, u64)>,
     /// What each proxy was told of a node, and when.
     told: HashMap<(usize, usize), Vec<(Nanos, State)>>,
+    pub time_told: TimeTold,
     pub broken: Vec<Broken>,
     pub counts: [u64; 5],
     judged: u64,
@@ -124,6 +128,7 @@
             records: HashMap::new(),
             line: VecDeque::new(),
             told: HashMap::new(),
+            time_told: TimeTold::default(),
             broken: Vec::new(),
             counts: [0; 5],
             judged: 0,
@@ -137,6 +142,7 @@
             route,
             taken: at,
             deadline,
+            client_ends: deadline,
             answers: Vec::new(),
             sent: Vec::new(),
             overs: Vec::new(),
@@ -164,6 +170,31 @@
         }
     }
 
+    /// Until when its client waits, where that is not the deadline.
+    pub fn client_waits_until(&mut self, xchg: u64, until: Nanos) {
+        if let Some(record) = self.records.get_mut(&xchg) {
+            record.client_ends = until;
+        }
+    }
+
+    /// The attempt that was sent last told its server that it would be waited for so long; `None` where it told nothing.
+    pub fn told_time(&mut self, at: Nanos, xchg: u64, node: Option<usize>, told: Option<Nanos>) {
+        let Some(record) = self.records.get(&xchg) else { return };
+        let left = record.client_ends.saturating_sub(at);
+        let too_much = told.map_or(Nanos::MAX, |told| told.saturating_sub(left));
+        let further = record.sent.len() > 1;
+        if !self.time_told.add(further, too_much, self.slack) {
+            return;
+        }
+        let what = match told {
+            Some(_) => {
+                format!("told its server {:.3} s more than its client had left", too_much as f64 / 1e9)
+            }
+            None => "told its server no time".into(),
+        };
+        self.breaks(1, xchg, node, at, what);
+    }
+
     /// A try at this node is over, as far as its proxy can know.
     pub fn over(&mut self, at: Nanos, xchg: u64, node: Option<usize>) {
         if let Some(record) = self.records.get_mut(&xchg) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod stats;
 pub mod sweep;
 pub mod tally;
+pub mod time_told;
 pub mod virt;
 pub mod world;
--- a/crates/lab/src/real/fleet.rs
+++ b/crates/lab/src/real/fleet.rs
@@ -222,13 +222,15 @@
 
     // ---- Tries ------------------------------------------------------------------------------------
 
-    /// A try has come to a stand-in: what is known of its exchange, one-way delay, and whether it gets here.
-    pub fn came(&self, xchg: u64, node: usize) -> Option<(Wish, Nanos, bool)> {
+    /// A try has come to a stand-in and told it how long it will be waited for: what is known of its exchange, one-way
+    /// delay, and whether it gets here.
+    pub fn came(&self, xchg: u64, node: usize, told: Option<Nanos>) -> Option<(Wish, Nanos, bool)> {
         let mut inner = self.lock();
         let cache = (node < self.origin()).then_some(node);
         let now = inner.desk.now;
         inner.desk.tally.tries += 1;
         inner.desk.auditor.sent(now, xchg, cache);
+        inner.desk.auditor.told_time(now, xchg, cache, told);
         let (wish, proxy) = inner.out.get(&xchg).map(|out| (out.wish, out.proxy))?;
         let zones = self.day.nodes.zones;
         let Inner { network, rng, .. } = &mut *inner;
@@ -357,6 +359,13 @@
         inner.out.insert(xchg, Out { wish: *wish, proxy, missed: Vec::new() });
     }
 
+    /// Its client has written its last byte, and waits so long from now on.
+    pub fn asked(&self, xchg: u64, patience: Nanos) {
+        let mut inner = self.lock();
+        let until = inner.desk.now + patience;
+        inner.desk.auditor.client_waits_until(xchg, until);
+    }
+
     pub fn final_answer(&self, xchg: u64, answer: Final, sound: bool) {
         let mut inner = self.lock();
         let now = inner.desk.now;
--- a/crates/lab/src/real/load.rs
+++ b/crates/lab/src/real/load.rs
@@ -134,7 +134,9 @@
         sleep(delay).await;
         self.fleet.taken(xchg, wish, proxy, patience);
         let words = self.words(wish, xchg, retry);
-        let carried = timeout(Duration::from_nanos(patience + LISTENS), self.carry(proxy, &words)).await;
+        let carried =
+            timeout(Duration::from_nanos(patience + LISTENS), self.carry(proxy, xchg, patience, &words))
+                .await;
         let ended = carried.unwrap_or(Ended::Lost);
         match &ended {
             Ended::Answer(frame) => self.answered(xchg, frame),
@@ -181,10 +183,11 @@
 
     /// Over a connection that is kept, or a new one. One that a proxy closed between two requests is replaced
     /// once.
-    async fn carry(&self, proxy: usize, words: &Frame) -> Ended {
+    async fn carry(&self, proxy: usize, xchg: u64, patience: Nanos, words: &Frame) -> Ended {
+        let asked = || self.fleet.asked(xchg, patience);
         let kept = self.idle[proxy].lock().unwrap_or_else(std::sync::PoisonError::into_inner).pop();
         if let Some(mut wire) = kept
-            && let Some(frame) = ask(&mut wire, words).await
+            && let Some(frame) = ask(&mut wire, words, asked).await
         {
             self.keep(proxy, wire);
             return Ended::Answer(frame);
@@ -194,7 +197,7 @@
         };
         let _ = stream.set_nodelay(true);
         let mut wire = Framed::new(stream, Resp);
-        match ask(&mut wire, words).await {
+        match ask(&mut wire, words, asked).await {
             Some(frame) => {
                 self.keep(proxy, wire);
                 Ended::Answer(frame)
@@ -216,8 +219,9 @@
     }
 }
 
-/// One command and its answer; none where the connection ended first.
-async fn ask(wire: &mut Wire, words: &Frame) -> Option<Frame> {
+/// One command and its answer; none where the connection ended first. `asked` hears when it is written.
+async fn ask(wire: &mut Wire, words: &Frame, asked: impl Fn()) -> Option<Frame> {
     wire.send(words).await.ok()?;
+    asked();
     wire.next().await?.ok()
 }
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -115,7 +115,7 @@
 
 fn finish(mut auditor: Auditor, tally: &Tally, seed: u64) -> Results {
     auditor.finish();
-    tally.results("pumicebay", "real", seed, &auditor.broken, auditor.counts)
+    tally.results("pumicebay", "real", seed, &auditor)
 }
 
 /// The auditor's slack on sockets.
--- a/crates/lab/src/real/stand_ins.rs
+++ b/crates/lab/src/real/stand_ins.rs
@@ -123,11 +123,12 @@
     fleet: &Fleet,
     node: usize,
     xchg: u64,
+    told: Option<u64>,
     gone: impl Future<Output = ()>,
 ) -> Option<(Verdict, Bytes)> {
     let mut this = Try { fleet, xchg, node, job: None, open: true };
     let carried = async {
-        let Some((wish, delay, reaches)) = fleet.came(xchg, node) else {
+        let Some((wish, delay, reaches)) = fleet.came(xchg, node, told) else {
             // Its client is gone: the request is already over.
             return Some((Verdict::Busy, Bytes::new()));
         };
@@ -179,7 +180,8 @@
                         std::future::pending::<()>().await;
                     }
                 };
-                match work(fleet, node, xchg, gone).await {
+                let told = words.get(3).and_then(|labels| told(labels));
+                match work(fleet, node, xchg, told, gone).await {
                     None => return,
                     Some((Verdict::Spoilt, _)) => {
                         let _ = framed.get_mut().write_all(b"*3\r\n$what?\r\n").await;
@@ -215,6 +217,13 @@
     u64::from_str_radix(std::str::from_utf8(word).ok()?, 16).ok()
 }
 
+/// How long an attempt tells that it will be waited for, in nanoseconds.
+fn told(labels: &[u8]) -> Option<Nanos> {
+    let mut labels = std::str::from_utf8(labels).ok()?.split(',');
+    let told = labels.find_map(|label| label.strip_prefix("d="))?;
+    Some(millis(told.parse().ok()?))
+}
+
 async fn serve_origin(fleet: &Fleet, node: usize, stream: TcpStream) {
     let mut framed = Framed::new(stream, Server);
     let mut ahead: Option<Asked> = None;
@@ -235,7 +244,8 @@
                     std::future::pending::<()>().await;
                 }
             };
-            match work(fleet, node, xchg, gone).await {
+            let told = asked.header("x-labels").and_then(told);
+            match work(fleet, node, xchg, told, gone).await {
                 None => return,
                 Some((Verdict::Done, value)) => Answer { status: 200, header: None, body: value },
                 Some((Verdict::Busy, _)) => {
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -1,6 +1,7 @@
 //! What a run gives: the JSON schema, described in `docs/experiments.md`, and the table for a terminal.
 
 use crate::audit::Broken;
+use crate::time_told::TimeTold;
 use serde::Serialize;
 use std::fmt::Write;
 
@@ -40,6 +41,8 @@
     pub load: Load,
     pub recovery: Vec<Recovery>,
     pub seconds: Vec<Second>,
+    /// What attempts told their servers of the time that clients had left.
+    pub time_told: TimeTold,
     /// How often each was broken: values that were not made for their exchange first, then rules 1 to 4.
     pub rules_broken: [u64; 5],
     pub broken: Vec<Broken>,
@@ -143,6 +146,11 @@
                 seconds.map_or("not back by the end".into(), |seconds| format!("back after {seconds:.0} s"));
             line(format!("  {at:>5.1} s {fault}: lowest second {lowest:.3}, {back}"));
         }
+        let TimeTold { first, first_too_much, further, further_too_much, worst_ms } = self.time_told;
+        line(format!(
+            "  told more time than was left: {first_too_much} of {first} first attempts, {further_too_much} of \
+             {further} further ones, at most {worst_ms} ms more"
+        ));
         let [values, one, two, three, four] = self.rules_broken;
         line(if self.rules_kept() {
             "  rules: all four kept".into()
--- a/crates/lab/src/seat.rs
+++ b/crates/lab/src/seat.rs
@@ -3,7 +3,9 @@
 
 use crate::policy::{self, Boxed};
 use hashbrown::HashMap;
+use pumicebay_core::policy::deadline::time_to_tell;
 use pumicebay_core::{Ask, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+use pumicebay_model::millis;
 use pumicebay_model::network::Network;
 use pumicebay_model::registry::{Entry, State};
 use pumicebay_model::seeds::{Rng, mix, rng};
@@ -57,6 +59,8 @@
         node: Node,
         sent: Nanos,
         epoch: Option<u64>,
+        /// How long it tells the node that it will be waited for.
+        told: Nanos,
     },
     /// Gives up a try by closing its connection.
     Cancel {
@@ -133,10 +137,14 @@
 enum Timer {
     Woke(u64),
     Overdue(Xchg, usize),
+    /// Hardly any time was left: it was not begun.
+    NotBegun(Xchg, usize),
 }
 
 struct Open {
     answered: bool,
+    /// Until when its client waits, as far as this proxy knows.
+    client_ends: Nanos,
     /// The node of each try that is out.
     tries: Vec<Option<Node>>,
 }
@@ -203,11 +211,15 @@
         let Some(open) = self.open.get_mut(&xchg) else { return };
         let try_no = open.tries.len();
         open.tries.push(Some(node));
+        let Some(told) = time_to_tell(self.now, self.now + timeout, open.client_ends) else {
+            return self.timer(self.now, Timer::NotBegun(xchg, try_no));
+        };
+        let told = millis(told as f64);
         let epoch = self.connection(node);
         let one_way = self.delay(node);
         // A new connection is there and back before it carries anything.
         let takes = if epoch.is_some() { one_way } else { 3 * one_way };
-        self.post(takes, ToWorld::Try { xchg, try_no, node, sent: self.now, epoch });
+        self.post(takes, ToWorld::Try { xchg, try_no, node, sent: self.now, epoch, told });
         self.timer(self.now + timeout, Timer::Overdue(xchg, try_no));
     }
 
@@ -306,6 +318,7 @@
                 match policy.host().due.remove(&order) {
                     Some(Timer::Woke(token)) => policy.woke(at, token),
                     Some(Timer::Overdue(xchg, try_no)) => self.overdue(at, xchg, try_no),
+                    Some(Timer::NotBegun(xchg, try_no)) => self.not_begun(at, xchg, try_no),
                     None => {}
                 }
             }
@@ -338,7 +351,8 @@
         policy.host().now = now;
         match what {
             ToSeat::Arrived { xchg, ask } => {
-                policy.host().open.insert(xchg, Open { answered: false, tries: Vec::new() });
+                let client_ends = now.saturating_add(ask.grace);
+                policy.host().open.insert(xchg, Open { answered: false, client_ends, tries: Vec::new() });
                 policy.arrived(now, xchg, ask);
             }
             ToSeat::Back { xchg, try_no, outcome, epoch, value } => {
@@ -416,6 +430,16 @@
         policy.ended(now, xchg, try_no, Outcome::Overdue, over);
     }
 
+    fn not_begun(&mut self, now: Nanos, xchg: Xchg, try_no: usize) {
+        let Some(policy) = &mut self.policy else { return };
+        let Some(open) = policy.host().open.get_mut(&xchg) else { return };
+        let taken_out = open.tries.get_mut(try_no).and_then(Option::take).is_some();
+        let over = open.answered;
+        if taken_out {
+            policy.ended(now, xchg, try_no, Outcome::Unsent, over);
+        }
+    }
+
     fn reset(&mut self, now: Nanos, node: Node) {
         let Some(policy) = &mut self.policy else { return };
         let acts = policy.host();
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -1,6 +1,6 @@
 //! Counts a day as it is played, and works out its results.
 
-use crate::audit::Broken;
+use crate::audit::Auditor;
 use crate::results::{Group, Latency, Load, Recovery, Results, SCHEMA, Second};
 use hdrhistogram::Histogram;
 use pumicebay_model::spec::Scenario;
@@ -131,14 +131,8 @@
         }
     }
 
-    pub fn results(
-        &self,
-        policy: &str,
-        clock: &str,
-        seed: u64,
-        broken: &[Broken],
-        counts: [u64; 5],
-    ) -> Results {
+    /// What the day came to, by these counts and by its auditor.
+    pub fn results(&self, policy: &str, clock: &str, seed: u64, auditor: &Auditor) -> Results {
         let day = &self.day;
         let per_wish = |count: u64| count as f64 / self.all.wishes.max(1) as f64;
         let reads = (self.hits + self.misses).max(1) as f64;
@@ -186,8 +180,9 @@
             load: self.load(),
             recovery: day.fault.iter().map(|fault| self.recovery(fault)).collect(),
             seconds: self.seconds.iter().enumerate().map(second).collect(),
-            rules_broken: counts,
-            broken: broken.to_vec(),
+            time_told: auditor.time_told,
+            rules_broken: auditor.counts,
+            broken: auditor.broken.clone(),
         }
     }
 
--- a/crates/lab/src/virt.rs
+++ b/crates/lab/src/virt.rs
@@ -24,7 +24,7 @@
 /// Plays the day; `progress` hears how much of it is over, between 0 and 1.
 pub fn play(day: &Scenario, policy: &str, seed: u64, progress: &(dyn Fn(f64) + Sync)) -> Result<Results> {
     let (auditor, tally) = run(day, policy, seed, progress)?;
-    Ok(tally.results(policy, "virtual", seed, &auditor.broken, auditor.counts))
+    Ok(tally.results(policy, "virtual", seed, &auditor))
 }
 
 pub fn run(
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -364,6 +364,7 @@
         let at = now + self.core.network.delay(&mut self.client_rng, 0, 0);
         self.core.tally.exchanges += 1;
         self.core.auditor.taken(at, xchg, proxy, wish.route, at + timeout);
+        self.core.auditor.client_waits_until(xchg, now + timeout);
         self.core.tell(proxy, at, ToSeat::Arrived { xchg, ask });
         self.core.at(now + timeout + traffic::LISTENS, Event::TimedOut(xchg));
         self.xchgs.insert(xchg, Cx { wish: number, proxy, sent: now, missed: Vec::new() });
@@ -433,8 +434,10 @@
 
     fn did(&mut self, proxy: usize, what: ToWorld) {
         match what {
-            ToWorld::Try { xchg, try_no, node, sent, epoch } => {
+            ToWorld::Try { xchg, try_no, node, sent, epoch, told } => {
                 self.tried(At { proxy, node }, job_of(xchg, try_no), sent, epoch);
+                let cache = self.core.cache(node);
+                self.core.auditor.told_time(sent, xchg, cache, Some(told));
             }
             ToWorld::Cancel { xchg, try_no, node, sent } => {
                 let job = job_of(xchg, try_no);
--- a/crates/lab/tests/lab/audit.rs
+++ b/crates/lab/tests/lab/audit.rs
@@ -2,6 +2,7 @@
 
 use crate::day;
 use pumicebay_lab::audit::{Auditor, Final};
+use pumicebay_lab::time_told::TimeTold;
 use pumicebay_model::registry::State;
 
 const MS: u64 = 1_000_000;
@@ -219,3 +220,36 @@
     assert_eq!(fell(|_| 4000), 0, "by then it bears more than a hundred");
     assert_eq!(fell(|_| 11_000), 0, "warm");
 }
+
+/// What an attempt tells counts against its client's own clock: a first one and a further one, within what measuring is
+/// off by and past it, and one that tells nothing.
+#[test]
+fn no_attempt_tells_more_time_than_its_client_has_left() {
+    let told = |first: Option<u64>, further: Option<u64>| {
+        let mut time_told = TimeTold::default();
+        let broken = judged(READ, |auditor| {
+            auditor.client_waits_until(1, 900 * MS);
+            for (at, told) in [(100, first), (400, further)] {
+                auditor.sent(at * MS, 1, Some(0));
+                auditor.told_time(at * MS, 1, Some(0), told.map(|told| told * MS));
+                auditor.over((at + 100) * MS, 1, Some(0));
+            }
+            auditor.answered(600 * MS, 1, Final::Served, true);
+            time_told = auditor.time_told;
+        });
+        (time_told, broken)
+    };
+    let (counted, broken) = told(Some(850), Some(550));
+    let within = TimeTold { first: 1, further: 1, worst_ms: 50, ..TimeTold::default() };
+    assert_eq!((counted, broken), (within, vec![]));
+    let (counted, broken) = told(Some(851), Some(700));
+    assert_eq!((counted.first_too_much, counted.further_too_much, counted.worst_ms), (1, 1, 200));
+    assert_eq!(
+        broken,
+        [
+            "1: told its server 0.051 s more than its client had left",
+            "1: told its server 0.200 s more than its client had left"
+        ]
+    );
+    assert_eq!(told(Some(1), None).1, ["1: told its server no time"]);
+}
--- a/crates/lab/tests/lab/sockets.rs
+++ b/crates/lab/tests/lab/sockets.rs
@@ -77,6 +77,10 @@
     assert!(results.notes.is_empty(), "{:?}", results.notes);
     assert!(results.share > 0.8, "{}", results.table());
     assert!(results.hit_rate > 0.5 && results.fetches_per_second > 1.0);
+    // Nobody was told more time than a client had left, and further attempts were among those looked at.
+    let told = results.time_told;
+    assert!(told.first > 300 && told.further > 30, "{told:?}");
+    assert_eq!((told.first_too_much, told.further_too_much), (0, 0), "{told:?}");
 }
 
 #[test]
