The decisions are split into modules by matter under crates/core/src/policy

Change: moved by script, with no change of behaviour: events, membership, placement, origin, attempts, queueing, health, limits and the time told; balance.rs keeps the state and its constructors.

--- /dev/null
+++ b/crates/core/src/policy/origin.rs
@@ -0,0 +1,77 @@
+//! Fetches from the origin: one a key, bounded by what the origin bears, the worthiest first. Misses must not
+//! stop it.
+
+use crate::balance::Balance;
+use crate::fetches::Fetch;
+use crate::fleet::Finder;
+use crate::host::{Host, Nanos, Node, Xchg};
+use crate::policy::{ENOUGH, ORIGIN_PATIENCE, QUICK, SAVED, SECOND};
+use crate::state::Cache;
+
+/// Fetches in flight for each cache of the fleet, while nothing is measured and once it is.
+const ORIGIN_FEW: [f64; 2] = [1.8, 1.3];
+/// As `QUICK`, where the origin can't stop from too much.
+const ORIGIN_QUICK: f64 = 1.5;
+
+impl<H: Host, F: Finder> Balance<H, F> {
+    pub(crate) fn wait_for_fetch(&mut self, xchg: Xchg) {
+        let cx = &self.xchgs[&xchg];
+        self.fetches.wait(cx.ask.key, xchg, cx.worth);
+        self.hold(xchg, ORIGIN_PATIENCE);
+    }
+
+    /// One fetch a key, the others wait for it; past the origin's bound a fetch waits in line.
+    pub(crate) fn ask_origin(&mut self, xchg: Xchg) {
+        let Some(origin) = self.origin.filter(|&node| self.may_take(&self.xchgs[&xchg], node)) else {
+            return self.conclude(xchg);
+        };
+        let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
+        let (key, worth) = (cx.ask.key, cx.worth);
+        if let (Some(key), Some(fills), false) = (key, cx.missed(), cx.fetching) {
+            if self.fetches.get(Some(key)).is_some() {
+                return self.wait_for_fetch(xchg);
+            }
+            cx.fetching = true;
+            self.fetches.start(key, Fetch { by: xchg, fills, worth, waiting: Vec::new() });
+        }
+        if self.origin_fits(xchg) {
+            return self.send(xchg, origin);
+        }
+        self.fetches.line_up(key, xchg, worth);
+        let wait = self.hold(xchg, ORIGIN_PATIENCE);
+        self.shorten_line(origin, wait);
+    }
+
+    /// The line is no longer than the origin's rate times what the exchange waits: the least worthy is shed.
+    fn shorten_line(&mut self, origin: Node, wait: Nanos) {
+        let most = self.nodes.caches[origin].flow.answers.rate(self.now) * wait as f64 / SECOND as f64;
+        if self.fetches.in_line() as f64 > most.max(2.0)
+            && let Some(xchg) = self.fetches.least_worthy()
+        {
+            self.conclude(xchg);
+        }
+    }
+
+    pub(crate) fn serve_line(&mut self) {
+        while let Some(xchg) = self.fetches.worthiest().filter(|&xchg| self.origin_fits(xchg)) {
+            self.fetches.take_worthiest();
+            self.ask_origin(xchg);
+        }
+    }
+
+    /// Guards the origin in the same way; a proxy's part below one is one fetch now and then.
+    pub(crate) fn origin_fits(&self, xchg: Xchg) -> bool {
+        let Some(Cache { flow, .. }) = self.origin.map(|node| &self.nodes.caches[node]) else { return false };
+        let reserve = if self.surplus(self.xchgs[&xchg].ask.tenant) { SAVED - 1.0 } else { 0.0 };
+        flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved - reserve)
+    }
+
+    /// Guards an origin that stops when asked for too much: more than its part only while quicker still.
+    pub(crate) fn origin_few(&self, node: Node) -> f64 {
+        let flow = &self.nodes.caches[node].flow;
+        let known = usize::from(flow.minute.least_mean(self.now, ENOUGH).is_some());
+        let quick = if self.rules.origin_falls { QUICK } else { ORIGIN_QUICK };
+        let took = flow.answers.mean(self.now).unwrap_or(0.0);
+        ORIGIN_FEW[known] * self.more(took, quick) * (self.serving() / self.fleet)
+    }
+}
