A list of 1,100 nodes serves from one process; caps of lists under 1,024 are raised

Change: 4,096 nodes and 1,024 proxies on sockets, 4,096 arrivals. The proxy itself has no cap on listed nodes. Left as they are, since they are no lists of servers or of proxies that serve: 64 control machines, 64 probes remembered, queues.

--- a/crates/carrier/src/sums.rs
+++ b/crates/carrier/src/sums.rs
@@ -16,7 +16,7 @@
 /// How long it is carried up that one has arrived: longer than its old parent, which may notice late, has it as lost.
 const ARRIVED: Nanos = 75 * SECOND;
 /// Arrivals remembered at once, the newest.
-const ARRIVALS: usize = 256;
+const ARRIVALS: usize = 4096;
 
 /// A member whose link was lost.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -24,8 +24,8 @@
 /// What times may be off by on a busy machine, for the auditor.
 const SLACK: f64 = 50.0;
 /// The most that a day may ask of sockets; beyond it use virtual time.
-const MOST_NODES: usize = 200;
-const MOST_PROXIES: usize = 16;
+const MOST_NODES: usize = 4096;
+const MOST_PROXIES: usize = 1024;
 /// How late the load generator may be, for one in a hundred wishes, before the run is not usable.
 pub const LATE_MS: f64 = 20.0;
 /// From when all is ready until the day begins.
--- a/crates/proxy/tests/proxy/endings.rs
+++ b/crates/proxy/tests/proxy/endings.rs
@@ -224,6 +224,29 @@
     }
 }
 
+/// A client that sends its command and closes within one long silence of the proxy's: both are heard together after it.
+#[tokio::test]
+async fn a_client_sends_and_leaves_amid_one_long_turn() {
+    for connected in [true, false] {
+        let world = patient_world(&[]).await;
+        let mut client = std::net::TcpStream::connect(world.address).unwrap();
+        if connected {
+            world.until_counted("clients_accepted 1").await;
+            sleep(ROUND * 4).await;
+        }
+        let words = ["C.GET", "hit", "id-left", "c=read,d=60000"];
+        let command = words.map(|word| format!("${}\r\n{word}\r\n", word.len())).concat();
+        std::io::Write::write_all(&mut client, format!("*4\r\n{command}").as_bytes()).unwrap();
+        drop(client);
+        std::thread::sleep(3 * SOON);
+        for _ in 0..10 {
+            sleep(ROUND).await;
+        }
+        never_seen(&world).await;
+        assert_eq!(count(&world, "clients_accepted"), 1);
+    }
+}
+
 /// Clients wait for others, and leave all at once amid the turn in which these are answered: what that turn asked for
 /// in their place is not begun.
 #[tokio::test]
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -14,6 +14,7 @@
 mod operations;
 mod phases;
 mod restart;
+mod size;
 mod told;
 mod wire;
 
--- /dev/null
+++ b/crates/proxy/tests/proxy/size.rs
@@ -0,0 +1,55 @@
+//! A list as long as those of the largest deployments.
+
+use crate::{Trace, World, cache_node, target};
+use serde_json::{Value as Json, json};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+
+/// Where a node of this number is called; one listener takes what comes for all.
+fn address(number: usize, port: u16) -> String {
+    format!("127.{}.{}.{}:{port}", 1 + number / 40_000, number / 200 % 200, 1 + number % 200)
+}
+
+fn list(revision: u64, nodes: usize, port: u16, origin: &Json) -> Json {
+    let node = |number| target(&format!("s-{number:05}"), &address(number, port), "node", "active");
+    let targets: Vec<Json> = (0..nodes).map(node).chain([origin.clone()]).collect();
+    json!({"rev": revision, "all": true, "targets": targets})
+}
+
+/// Stand-ins for any number of cache nodes: which of them took a connection.
+async fn nodes() -> (u16, Arc<Mutex<BTreeSet<SocketAddr>>>) {
+    let listener = TcpListener::bind("0.0.0.0:0").await.unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let called: Arc<Mutex<BTreeSet<SocketAddr>>> = Arc::default();
+    let seen = called.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            seen.lock().unwrap().insert(stream.local_addr().unwrap());
+            tokio::spawn(cache_node(stream, Trace::default(), 0));
+        }
+    });
+    (port, called)
+}
+
+/// One process serves from 1,024 nodes, and from 1,100 once these are listed.
+#[tokio::test]
+async fn a_thousand_nodes_are_listed_and_serve() {
+    let (port, called) = nodes().await;
+    let world = World::start(&[]).await;
+    let origin = world.json["known"]["targets"][1].clone();
+    for (revision, count, asked, least) in [(42, 1024, 3000, 900), (43, 1100, 3000, 1000)] {
+        world.tell.send(list(revision, count, port, &origin).to_string()).await.unwrap();
+        // The stand-in of the world's own is known too, and the origin.
+        world.until_counted(&format!("nodes_known {}", count + 2)).await;
+        let mut client = world.client().await;
+        for number in 0..asked {
+            let (key, id) = (format!("hit-{revision}-{number}"), format!("id-{revision}-{number}"));
+            let reply = client.ask(&["C.GET", &key, &id, "c=read,d=3000"]).await;
+            assert_eq!(reply, format!("{key}: value of {id}\n"));
+        }
+        let nodes = called.lock().unwrap().len();
+        assert!(nodes >= least, "{nodes} of {count} nodes were asked for {asked} keys");
+    }
+}
