Replication of maintenance orders: decisions, merge laws and schedules under faults

crates/replication, free of I/O, clock and chance: orders by slot (node and lease), vectors with single orders beyond them, transfers in parts within a byte budget, horizon of dropped orders, peers drawn by chance, paced disk. In a schedule of three replicas the one that had been cut off alone ended the other two's orders by its horizon. Instead what a peer's vector covers and its slots lack has ended; what nobody else had seen stays, and is listed. Found by the schedules on the way, each mended at its cause: a peer that refused a part was held to cover it; orders of a transfer that broke off were covered by no vector, so nobody sent them on; a refused transfer was sent again without a pause. Test: laws by proptest, the circle, schedules.rs with six planted faults found.

--- /dev/null
+++ b/crates/replication/src/planted.rs
@@ -0,0 +1,55 @@
+//! Faults planted on purpose, to see that the tests find them. In a build without the feature nothing is planted and
+//! nothing is asked.
+
+pub use now::{plant, planted};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Fault {
+    /// A sender's vector is taken with the first of several parts.
+    VectorWithFirstPart = 1,
+    /// Orders of one lease are compared by time before their tokens.
+    TimeBeforeToken,
+    /// An order that puts a node back removes the one before it and is not kept itself.
+    NoTombstones,
+    /// A replica that was away for longer than dropped orders are kept keeps what had ended meanwhile.
+    KeepsStaleCopy,
+    /// A process that restarts goes on under the origin that it had, from its first version.
+    ReusesOrigin,
+    /// Stamps from far in the future are taken.
+    AcceptsFuture,
+}
+
+impl Fault {
+    pub const ALL: [Fault; 6] = [
+        Fault::VectorWithFirstPart,
+        Fault::TimeBeforeToken,
+        Fault::NoTombstones,
+        Fault::KeepsStaleCopy,
+        Fault::ReusesOrigin,
+        Fault::AcceptsFuture,
+    ];
+}
+
+#[cfg(feature = "planted")]
+mod now {
+    std::thread_local!(static PLANTED: std::cell::Cell<u8> = const { std::cell::Cell::new(0) });
+
+    /// Plants this fault, or none, for this thread.
+    pub fn plant(fault: Option<super::Fault>) {
+        PLANTED.set(fault.map_or(0, |fault| fault as u8));
+    }
+
+    pub fn planted(fault: super::Fault) -> bool {
+        PLANTED.get() == fault as u8
+    }
+}
+
+#[cfg(not(feature = "planted"))]
+mod now {
+    pub fn plant(_fault: Option<super::Fault>) {}
+
+    pub const fn planted(_fault: super::Fault) -> bool {
+        false
+    }
+}
