Replication on the fleet's links: drain and undrain reach every proxy of a group

Cause: an order of maintenance was one call a proxy and one file a proxy; a proxy that was down or cut off served on at a node under repair. Change: proxy/src/fleet/replication carries the decisions out on links of their own address (frames since version 3), with the copy on disk; bans.rs gives each call as an order and carries out what holds by all of them, so the present call at a proxy enters the map. pumicebay fleet drain, undrain and orders; /status shows copy, peers and differences. Off without fleet.replication. Test: proxy/replication.rs, four: orders under and without a lease over four proxies, proxies away with each kind of folder, what is no frame or none of the group, wrong keys.

--- a/crates/proxy/src/bans.rs
+++ b/crates/proxy/src/bans.rs
@@ -2,12 +2,14 @@
 //! process that serves beside this one, or comes after it, keeps the same bans: whoever is called writes, both look.
 
 use crate::desk::{Desk, Whose};
+use crate::fleet::replication::handle::{Handle, NotGiven, Order, Ordered};
 use pumicebay_accord::{Fences, Passage, Token};
+use pumicebay_replication::{Lease, Refusal, Service, Stamp};
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 /// A file's name is this, which has the version, and the `uid` in hex.
@@ -28,6 +30,10 @@
 #[derive(Debug, PartialEq, Eq)]
 pub enum Asked {
     Done,
+    /// It holds here, and goes on to the others of the group under this stamp.
+    Ordered(Stamp),
+    /// An order under a lease stands against it.
+    Refused(String),
     Unknown,
     Origin,
     /// It came under this lease, which has gone on to this token.
@@ -35,6 +41,21 @@
     Failed(String),
 }
 
+impl Asked {
+    /// What became of a call about this node, in words.
+    pub fn words(&self, who: &str, out: bool) -> String {
+        match self {
+            Asked::Done | Asked::Ordered(_) if out => format!("{who} gets nothing more"),
+            Asked::Done | Asked::Ordered(_) => format!("{who} is back"),
+            Asked::Unknown => format!("no cache node {who:?} is known"),
+            Asked::Origin => format!("{who} is the origin, not a cache node"),
+            Asked::Late(lease, token) => format!("{lease} has gone on to token {token}"),
+            Asked::Refused(why) => format!("{who}: {why}"),
+            Asked::Failed(error) => format!("{who}: could not be kept: {error}"),
+        }
+    }
+}
+
 /// An id, whether it goes out, the lease and token that the caller acts under, and where the answer is awaited.
 pub struct Call {
     uid: String,
@@ -73,6 +94,14 @@
     pub out: BTreeSet<String>,
     /// What calls under leases brought.
     pub fences: Fences,
+    /// Where orders are replicated: the way to the replica, and what holds by all orders.
+    pub replication: Option<Replication>,
+}
+
+/// What is replicated of maintenance.
+pub struct Replication {
+    pub handle: Handle,
+    pub ordered: watch::Receiver<Ordered>,
 }
 
 impl Bans {
@@ -88,6 +117,7 @@
                     }
                     None => return,
                 },
+                ordered = ordered(&mut self.replication) => self.carry_out(ordered).await,
                 _ = look.tick() => self.look().await,
             }
         }
@@ -101,6 +131,7 @@
             Whose::Nobody => return Asked::Unknown,
             Whose::Origin => return Asked::Origin,
         }
+        let order_lease = under.clone().map(|(name, token)| Lease { name, token });
         // Who held the lease before, and was stopped in the middle of its work, must not undo the next one's.
         if let Some((lease, token)) = under {
             match self.fence(&lease, token) {
@@ -110,13 +141,37 @@
                 Err(error) => return Asked::Failed(error.to_string()),
             }
         }
+        let given = match &self.replication {
+            Some(replication) => match replication.give(&uid, out, order_lease).await {
+                Ok(stamp) => Some(stamp),
+                Err(refused) => return refused,
+            },
+            None => None,
+        };
         // Kept before it acts: a successor that starts now must find it.
         if let Err(error) = self.keep(&uid, out) {
             tracing::error!("maintenance: {uid}: {error}");
             return Asked::Failed(error.to_string());
         }
         self.tell(uid, out).await;
-        Asked::Done
+        given.map_or(Asked::Done, Asked::Ordered)
+    }
+
+    /// Carries out what holds by the orders of the group.
+    async fn carry_out(&mut self, ordered: Ordered) {
+        for (uid, service) in ordered.services {
+            let out = service == Service::Out;
+            if self.out.contains(&uid) == out {
+                continue;
+            }
+            if let Err(error) = self.keep(&uid, out) {
+                tracing::error!("maintenance: {uid} is not kept over a restart: {error}");
+            }
+            self.tell(uid, out).await;
+        }
+        if let Some(replication) = &self.replication {
+            replication.handle.applied(ordered.revision);
+        }
     }
 
     /// Whether a call under this token may act; if so it is on disk before it does, as the lease goes on over a loss of
@@ -176,6 +231,33 @@
     }
 }
 
+impl Replication {
+    /// Gives an order, or says why not.
+    async fn give(&self, uid: &str, out: bool, lease: Option<Lease>) -> Result<Stamp, Asked> {
+        let service = if out { Service::Out } else { Service::In };
+        let name = lease.as_ref().map(|lease| lease.name.clone()).unwrap_or_default();
+        let order = Order { node: uid.into(), service, lease };
+        self.handle.give(order).await.map_err(|not_given| match not_given {
+            NotGiven::Refused(Refusal::Late { token }) => Asked::Late(name, token),
+            NotGiven::Refused(refusal) => Asked::Refused(refusal.to_string()),
+            NotGiven::NotOnDisk => {
+                Asked::Failed("it holds and goes on to the others, but is not on this disk".into())
+            }
+            NotGiven::Ended => Asked::Failed("the proxy ends".into()),
+        })
+    }
+}
+
+/// What holds by the orders, once that has changed.
+async fn ordered(replication: &mut Option<Replication>) -> Ordered {
+    if let Some(replication) = replication
+        && replication.ordered.changed().await.is_ok()
+    {
+        return replication.ordered.borrow_and_update().clone();
+    }
+    std::future::pending().await
+}
+
 /// What a process finds when it starts: the nodes that are out, and those put back for less than this time.
 pub fn found(folder: &Path, cold: Duration) -> std::io::Result<(BTreeSet<String>, BTreeSet<String>)> {
     let fresh = |uid: &String| {
--- a/crates/proxy/src/fleet/command.rs
+++ b/crates/proxy/src/fleet/command.rs
@@ -4,6 +4,7 @@
 use crate::fleet::carrier::command as carrier;
 use crate::fleet::config::FleetConfig;
 use crate::fleet::me::{FleetClock, Me, draw, incarnation};
+use crate::fleet::replication::command as replication;
 use crate::fleet::wire::{Frame, Hello, Link, Role, Status};
 use crate::fleet::{run, start_command, store};
 use anyhow::{Context, Result, bail, ensure};
@@ -43,6 +44,11 @@
   unset SCOPE NAME [--wait SECONDS]
                               takes that away again
   changes [--json]            the newest version, where it is not in force and why; exit code 3 unless it is everywhere
+  drain NODE [--wait SECONDS], undrain NODE [--wait SECONDS]
+                              takes a cache node, by its uid, out of service at all proxies of the replication group, or
+                              puts it back; under the lease of fleet run, where that starts it. Exit code 0: given, and
+                              with --wait it holds at all; 3: not at all, who lacks it is listed; 1: refused
+  orders [--json]             what each proxy of the group knows; exit code 3 unless all know the same
   replace VOTER [NEW]         gives VOTER's seat to NEW, one of the spares or a voter, whose folder must be new
 
 FILE is by default what $PROXY_CONFIG names.";
@@ -121,6 +127,9 @@
             ("status", []) => return status(&config, self.json).await,
             ("found", []) => return found(&config, self.from.as_deref(), self.wait).await,
             ("trust", [name]) => return trust(&config, name).await,
+            ("drain", [node]) => return replication::order(config, node, true, self.waits()?).await,
+            ("undrain", [node]) => return replication::order(config, node, false, self.waits()?).await,
+            ("orders", []) => return replication::orders(config, self.json).await,
             ("changes", []) => return carrier::changes(&config, self.json).await,
             ("set", [scope, name, file]) => {
                 return carrier::change(&config, scope, name, Some(file), self.waits()?).await;
--- a/crates/proxy/src/fleet/config.rs
+++ b/crates/proxy/src/fleet/config.rs
@@ -1,6 +1,7 @@
 //! The section `fleet` of the configuration. Every message names the key.
 
 use crate::fleet::carrier::config::{CarrierConfig, Part};
+use crate::fleet::replication::config::ReplicationConfig;
 use crate::sound::sound;
 use anyhow::{Context, Result, bail, ensure};
 use serde_json::Value as Json;
@@ -22,6 +23,7 @@
     "links",
     "clock-ppm",
     "carrier",
+    "replication",
 ];
 /// A quartz clock is good to some 100 millionths; a stepped or virtual one is worse.
 const DRIFT_PPM: u64 = 10_000;
@@ -54,6 +56,8 @@
     pub clock_ppm: i64,
     /// How changes of configuration reach this process, if they do.
     pub carrier: Option<Arc<CarrierConfig>>,
+    /// How orders of maintenance reach this process, if they do.
+    pub replication: Option<Arc<ReplicationConfig>>,
 }
 
 impl FleetConfig {
@@ -121,6 +125,7 @@
             links: number("links", LINKS, 1 << 16)? as usize,
             clock_ppm: fleet.get("clock-ppm").and_then(Json::as_i64).unwrap_or(0),
             carrier: carrier.map(Arc::new),
+            replication: ReplicationConfig::parse(json, name)?.map(Arc::new),
         }))
     }
 
@@ -155,8 +160,10 @@
         };
         let carrier =
             self.carrier.as_ref().map_or(String::new(), |carrier| format!("; {}", carrier.summary(name)));
+        let replication =
+            self.replication.as_ref().map_or(String::new(), |section| format!("; {}", section.summary()));
         let (fleet, voters, drift) = (&self.name, self.voters.len(), self.drift_ppm);
-        format!("fleet {fleet}: {role}, {voters} voters, drift {drift} ppm{carrier}")
+        format!("fleet {fleet}: {role}, {voters} voters, drift {drift} ppm{carrier}{replication}")
     }
 }
 
--- a/crates/proxy/src/fleet/inbound.rs
+++ b/crates/proxy/src/fleet/inbound.rs
@@ -88,6 +88,8 @@
                 Frame::Answer(_) | Frame::Taken(_) | Frame::StatusIs(_) => {}
                 Frame::Up(_) | Frame::Down(_) | Frame::Offer(..) | Frame::Offered(..) => {}
                 Frame::Carrier | Frame::CarrierIs(_) => {}
+                Frame::Replicate(_) | Frame::Order(_) | Frame::Ordered(_) => {}
+                Frame::Replication | Frame::ReplicationIs(_) => {}
             },
             Some(answer) = answered.recv() => link.send(&answer).await?,
             frame = passed.recv(), if role == Role::Proxy => if let Ok(frame) = frame {
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -6,7 +6,8 @@
 //! | --- | --- |
 //! | `config.rs` | the section `fleet`, read and checked |
 //! | `wire.rs` | frames, the hello, which versions understand each other |
-//! | `store.rs` | a voter's disk: one file, synced, with a checksum and a lock |
+//! | `sealed.rs` | files of the program's own: synced, with a checksum and a lock |
+//! | `store.rs` | a voter's disk |
 //! | `me.rs` | who a process is to the others, and its clock |
 //! | `door.rs` | the way to the voter for all other files |
 //! | `seat.rs` | the voter: an actor that owns the `Voter` and its disk |
@@ -17,6 +18,7 @@
 //! | `probes.rs` | one process probes a node that is down for all of its zone |
 //! | `lease.rs` | one lease held for as long as it is wanted |
 //! | `carrier/` | changes of configuration to all processes, and back what is in force |
+//! | `replication/` | orders of maintenance to all processes of a group |
 //! | `command.rs`, `run.rs` | `pumicebay fleet ...` |
 
 pub mod asker;
@@ -30,7 +32,9 @@
 pub mod outbound;
 pub mod prober;
 pub mod probes;
+pub mod replication;
 pub mod run;
+pub mod sealed;
 pub mod seat;
 pub mod store;
 pub mod wire;
--- /dev/null
+++ b/crates/proxy/src/fleet/replication/actor.rs
@@ -0,0 +1,298 @@
+//! The replica's actor: it owns the replica and drives it with the fleet's clock and the machine's.
+
+use crate::fleet::me::{Me, draw};
+use crate::fleet::replication::config::ReplicationConfig;
+use crate::fleet::replication::handle::{Event, Handle, Order, Ordered};
+use crate::fleet::replication::{Parts, disk, links};
+use crate::fleet::wire::Frame;
+use pumicebay_replication::{
+    Entry, Host, Kept, LinkId, Message, Now, Origin, Refusal, Replica, Report, Service, Stamp, Status, Terms,
+};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_blocking;
+use tokio::time::{Instant, sleep_until};
+
+/// A stamp may be so far ahead of this machine's clock.
+const MOST_AHEAD: u64 = 60 * 1_000_000_000;
+/// In one part of a transfer.
+const PART_BYTES: usize = 1024;
+/// Events taken together before the clock is looked at again.
+const BATCH: usize = 64;
+/// The replica is looked at this often at the least, in nanoseconds.
+const LOOK: u64 = 1_000_000_000;
+
+enum Act {
+    Dial(String),
+    Send(LinkId, Message),
+    Close(LinkId),
+    Apply(String, Service),
+    Keep(Kept),
+    Report(Report),
+}
+
+/// What the replica asks for, in its order.
+struct Acts {
+    acts: VecDeque<Act>,
+    random: oorandom::Rand64,
+}
+
+impl Host for Acts {
+    fn dial(&mut self, peer: &str) {
+        self.acts.push_back(Act::Dial(peer.into()));
+    }
+    fn send(&mut self, link: LinkId, message: Message) {
+        self.acts.push_back(Act::Send(link, message));
+    }
+    fn close(&mut self, link: LinkId) {
+        self.acts.push_back(Act::Close(link));
+    }
+    fn apply(&mut self, node: &str, service: Service) {
+        self.acts.push_back(Act::Apply(node.into(), service));
+    }
+    fn keep(&mut self, kept: Kept) {
+        self.acts.push_back(Act::Keep(kept));
+    }
+    fn report(&mut self, report: Report) {
+        self.acts.push_back(Act::Report(report));
+    }
+    fn chance(&mut self) -> f64 {
+        self.random.rand_float()
+    }
+}
+
+/// An order whose giver waits until it is on disk.
+struct Waiting {
+    stamp: Stamp,
+    on_disk: oneshot::Sender<()>,
+}
+
+struct Actor {
+    me: Me,
+    config: Arc<ReplicationConfig>,
+    handle: Handle,
+    replica: Replica,
+    acts: Acts,
+    links: HashMap<LinkId, mpsc::Sender<Message>>,
+    ordered: Ordered,
+    tell: watch::Sender<Ordered>,
+    keep: Option<watch::Sender<Option<Kept>>>,
+    waiting: Vec<Waiting>,
+}
+
+fn unix() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64
+}
+
+/// Runs as long as the process lives.
+pub async fn run(
+    me: Me,
+    config: Arc<ReplicationConfig>,
+    parts: Parts,
+    keep: Option<watch::Sender<Option<Kept>>>,
+) {
+    let kept = match config.folder.clone() {
+        Some(folder) => {
+            let name = me.who.name.clone();
+            spawn_blocking(move || disk::read(&folder, &name)).await.ok().flatten()
+        }
+        None => None,
+    };
+    let now = Now { steady: me.clock.now(), unix: unix() };
+    if let Some(kept) = &kept {
+        let age = now.unix.saturating_sub(kept.as_of) as f64 / 1e9;
+        tracing::info!("replication: starts with {} orders as of {age:.1} s ago", kept.entries.len());
+    }
+    let random = oorandom::Rand64::new(u128::from(draw()));
+    let mut acts = Acts { acts: VecDeque::new(), random };
+    let terms = Terms {
+        me: Origin { name: me.who.name.clone(), incarnation: draw() },
+        peers: config.peers.keys().filter(|name| **name != me.who.name).cloned().collect(),
+        links: config.links,
+        retention: config.retention.as_nanos() as u64,
+        most_ahead: MOST_AHEAD,
+        bytes_per_second: config.bytes_per_second,
+        part_bytes: PART_BYTES,
+    };
+    let replica = Replica::start(now, terms, kept, &mut acts);
+    let Parts { handle, mut events, tell, .. } = parts;
+    let mut actor = Actor {
+        me,
+        config,
+        handle,
+        replica,
+        acts,
+        links: HashMap::new(),
+        ordered: Ordered::default(),
+        tell,
+        keep,
+        waiting: Vec::new(),
+    };
+    actor.carry_out();
+    loop {
+        let due = actor.due();
+        tokio::select! {
+            event = events.recv() => match event {
+                Some(event) => {
+                    actor.take(event);
+                    for _ in 1..BATCH {
+                        let Ok(event) = events.try_recv() else { break };
+                        actor.take(event);
+                    }
+                }
+                None => return,
+            },
+            () = sleep_until(due) => {}
+        }
+        actor.tick();
+    }
+}
+
+impl Actor {
+    fn now(&self) -> Now {
+        Now { steady: self.me.clock.now(), unix: unix() }
+    }
+
+    fn due(&self) -> Instant {
+        let due = self.replica.due().min(self.me.clock.now() + LOOK);
+        Instant::now() + self.me.clock.until(due)
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        self.replica.tick(now, &mut self.acts);
+        self.carry_out();
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::LinkUp { link, peer, dialled, mailbox } => {
+                self.links.insert(link, mailbox);
+                self.replica.link_up(now, link, &peer, dialled, &mut self.acts);
+            }
+            Event::Heard { link, message } if self.links.contains_key(&link) => {
+                self.replica.heard(now, link, message, &mut self.acts);
+            }
+            Event::LinkDown { link } if self.links.remove(&link).is_some() => {
+                self.replica.link_down(now, link, &mut self.acts);
+            }
+            // Of a link that was closed here.
+            Event::Heard { .. } | Event::LinkDown { .. } => {}
+            Event::DialFailed => self.replica.dial_failed(now, &mut self.acts),
+            Event::Kept(kept) => self.kept(now, &kept),
+            Event::Give { order, answer, on_disk } => self.give(now, order, answer, on_disk),
+            Event::Status { answer } => {
+                let status = Frame::ReplicationIs(Box::new(self.status(now)));
+                let _ = answer.try_send(status);
+            }
+            Event::Show { answer } => _ = answer.send(self.status(now)),
+        }
+        self.carry_out();
+    }
+
+    fn give(
+        &mut self,
+        now: Now,
+        order: Order,
+        answer: oneshot::Sender<Result<Stamp, Refusal>>,
+        on_disk: oneshot::Sender<()>,
+    ) {
+        let Order { node, service, lease } = order;
+        let given = self.replica.give(now, &node, service, lease, &mut self.acts);
+        let stamp = given.map(|Entry { order, .. }| order.stamp);
+        match (&stamp, &self.keep) {
+            (Ok(stamp), Some(_)) => self.waiting.push(Waiting { stamp: stamp.clone(), on_disk }),
+            // Without a disk memory has to do.
+            _ => _ = on_disk.send(()),
+        }
+        let _ = answer.send(stamp);
+    }
+
+    fn kept(&mut self, now: Now, kept: &Kept) {
+        let written = |waiting: &mut Waiting| kept.vector.covers(&waiting.stamp);
+        for Waiting { on_disk, .. } in self.waiting.extract_if(.., written) {
+            let _ = on_disk.send(());
+        }
+        self.waiting.retain(|waiting| !waiting.on_disk.is_closed());
+        self.replica.kept(now, &mut self.acts);
+    }
+
+    /// What it shows of itself: what holds counts once it is carried out.
+    fn status(&self, now: Now) -> Status {
+        let mut status = self.replica.status(now);
+        if self.handle.last_applied() < self.ordered.revision {
+            status.vector = Default::default();
+        }
+        status
+    }
+
+    /// What was asked for, until nothing more is.
+    fn carry_out(&mut self) {
+        let mut changed = false;
+        while let Some(act) = self.acts.acts.pop_front() {
+            match act {
+                Act::Dial(peer) => links::dial(&self.me, &self.config, &self.handle, &peer),
+                Act::Send(link, message) => self.send(link, message),
+                Act::Close(link) => _ = self.links.remove(&link),
+                Act::Apply(node, service) => {
+                    tracing::info!("replication: {node} is {service:?} of service");
+                    self.ordered.services.insert(node, service);
+                    changed = true;
+                }
+                // Where there is no disk nothing comes back, and nothing more is to be kept.
+                Act::Keep(kept) => {
+                    if let Some(keep) = &self.keep {
+                        keep.send_replace(Some(kept));
+                    }
+                }
+                Act::Report(report) => log(&report),
+            }
+        }
+        if changed {
+            self.ordered.revision += 1;
+            self.tell.send_replace(self.ordered.clone());
+        }
+    }
+
+    fn send(&mut self, link: LinkId, message: Message) {
+        let full = |mailbox: &mpsc::Sender<Message>| mailbox.try_send(message).is_err();
+        if self.links.get(&link).is_some_and(full) {
+            // It does not read: as good as gone.
+            self.links.remove(&link);
+            let now = self.now();
+            self.replica.link_down(now, link, &mut self.acts);
+        }
+    }
+}
+
+fn log(report: &Report) {
+    match report {
+        Report::Future { entry, ahead } => tracing::error!(
+            "replication: an order of {} for {} is {:.1} s ahead of this clock, refused",
+            entry.order.stamp.origin.name,
+            entry.slot.node,
+            *ahead as f64 / 1e9
+        ),
+        Report::Conflict { entry } => tracing::error!(
+            "replication: one stamp with two contents, a copied disk or corruption: {} for {}",
+            entry.order.stamp.origin.name,
+            entry.slot.node
+        ),
+        Report::WasAway { peer, ended } => {
+            tracing::warn!("replication: this copy was away; {ended} orders had ended according to {peer}");
+        }
+        Report::Doubtful { entry } => tracing::warn!(
+            "replication: {} of service for {} by {} is older than ended orders are remembered; it holds, look at it",
+            match entry.order.service {
+                Service::Out => "out",
+                Service::In => "in",
+            },
+            entry.slot.node,
+            entry.order.stamp.origin.name
+        ),
+        Report::NotUsed { why } => tracing::error!("replication: the copy on disk is not used: {why}"),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/fleet/replication/links.rs
@@ -0,0 +1,194 @@
+//! Replication's links: peers that are dialled, peers and commands that call. Each is a task with a small mailbox; one that
+//! does not read, or says nothing, ends, and nobody waits for it.
+
+use crate::bans::{Asked, Maintenance};
+use crate::fleet::me::Me;
+use crate::fleet::replication::config::ReplicationConfig;
+use crate::fleet::replication::handle::{Event, Handle};
+use crate::fleet::wire::{BEAT, Frame, Hello, Link, OrderAnswer, OrderCall, REPLICATION, Role};
+use crate::listen::listen;
+use anyhow::{Context, Result, ensure};
+use pumicebay_replication::{LinkId, Message};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// What waits for a peer: a part, its answer, summaries. One whose mailbox is full does not read.
+const MAILBOX: usize = 32;
+/// Answers that wait for a command.
+const ANSWERS: usize = 16;
+/// Links that are taken at a time, commands included.
+const MOST_TAKEN: usize = 128;
+const CONNECT: Duration = Duration::from_secs(1);
+const NO_ROOM: Duration = Duration::from_millis(20);
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Accepts as long as the process lives; an address that another process still has is tried again.
+pub async fn accept(
+    me: Me,
+    config: Arc<ReplicationConfig>,
+    handle: Handle,
+    maintenance: Maintenance,
+    at: SocketAddr,
+) {
+    let mut warned = false;
+    let listener = loop {
+        match listen("fleet.replication.listen", at) {
+            Ok(listener) => break listener,
+            Err(error) if !std::mem::replace(&mut warned, true) => tracing::warn!("replication: {error:#}"),
+            Err(_) => {}
+        }
+        sleep(AGAIN).await;
+    };
+    tracing::info!("replication: peers call at {at}");
+    let room = Arc::new(Semaphore::new(MOST_TAKEN));
+    loop {
+        let place = room.clone().acquire_owned().await;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!("replication: {error}");
+                sleep(NO_ROOM).await;
+                continue;
+            }
+        };
+        let (me, config) = (me.clone(), config.clone());
+        let (handle, maintenance) = (handle.clone(), maintenance.clone());
+        tokio::spawn(async move {
+            if let Err(error) = serve(&me, &config, &handle, &maintenance, stream).await {
+                tracing::info!("replication: a link ends: {error:#}");
+            }
+            drop(place);
+        });
+    }
+}
+
+fn hello(me: &Me) -> Hello {
+    Hello::new(&me.config.name, &me.who, Role::Proxy, None)
+}
+
+async fn serve(
+    me: &Me,
+    config: &ReplicationConfig,
+    handle: &Handle,
+    maintenance: &Maintenance,
+    stream: TcpStream,
+) -> Result<()> {
+    let (link, other) = Link::take(stream, async || hello(me)).await?;
+    let name = other.who.name.clone();
+    ensure!(link.speaks() >= REPLICATION, "{name} speaks links up to {}, not {REPLICATION}", link.speaks());
+    if other.role == Role::Command {
+        // Commands come and go.
+        if let Err(error) = command(handle, maintenance, link).await {
+            tracing::debug!("replication: {name}: {error:#}");
+        }
+        return Ok(());
+    }
+    ensure!(name != me.who.name, "{name} calls itself: two processes of one name, or a copied configuration");
+    ensure!(config.peers.contains_key(&name), "{name} is not among fleet.replication.peers");
+    talk(handle, link, &name, false).await.with_context(|| format!("peer {name}"))
+}
+
+/// Dials a peer; that it came to nothing is said too.
+pub fn dial(me: &Me, config: &ReplicationConfig, handle: &Handle, peer: &str) {
+    let (me, handle, peer) = (me.clone(), handle.clone(), peer.to_string());
+    let at = config.peers.get(&peer).copied();
+    tokio::spawn(async move {
+        match dialled(&me, &peer, at).await {
+            Ok(link) => {
+                if let Err(error) = talk(&handle, link, &peer, true).await {
+                    tracing::info!("replication: link to {peer} lost: {error:#}");
+                }
+            }
+            Err(error) => {
+                tracing::debug!("replication: no link to {peer}: {error:#}");
+                handle.say(Event::DialFailed).await;
+            }
+        }
+    });
+}
+
+async fn dialled(me: &Me, peer: &str, at: Option<SocketAddr>) -> Result<Link> {
+    let at = at.context("fleet.replication.peers has no such process")?;
+    let stream = timeout(CONNECT, TcpStream::connect(at)).await.context("no connection in time")??;
+    let (link, other) = Link::dial(stream, &hello(me)).await?;
+    ensure!(other.who.name == peer, "at {at} is {}", other.who);
+    ensure!(link.speaks() >= REPLICATION, "speaks links up to {}, not {REPLICATION}", link.speaks());
+    Ok(link)
+}
+
+/// Carries what both ends say, until one ends it.
+async fn talk(handle: &Handle, mut link: Link, peer: &str, dialled: bool) -> Result<()> {
+    let (mailbox, mut to_send) = mpsc::channel(MAILBOX);
+    let number = handle.new_link();
+    handle.say(Event::LinkUp { link: number, peer: peer.into(), dialled, mailbox }).await;
+    let ended = carry(handle, &mut link, number, &mut to_send).await;
+    handle.say(Event::LinkDown { link: number }).await;
+    ended
+}
+
+async fn carry(
+    handle: &Handle,
+    link: &mut Link,
+    number: LinkId,
+    to_send: &mut mpsc::Receiver<Message>,
+) -> Result<()> {
+    let mut beat = Instant::now();
+    loop {
+        let frame = tokio::select! {
+            frame = link.next() => match frame? {
+                Frame::Replicate(message) => {
+                    handle.say(Event::Heard { link: number, message: *message }).await;
+                    continue;
+                }
+                Frame::Bye => return Ok(()),
+                _ => continue,
+            },
+            message = to_send.recv() => match message {
+                Some(message) => Frame::Replicate(Box::new(message)),
+                None => {
+                    link.send(&Frame::Bye).await?;
+                    return Ok(());
+                }
+            },
+            () = sleep_until(beat) => Frame::Beat(None),
+        };
+        link.send(&frame).await?;
+        beat = Instant::now() + BEAT;
+    }
+}
+
+/// What a command asks for.
+async fn command(handle: &Handle, maintenance: &Maintenance, mut link: Link) -> Result<()> {
+    let (answers, mut answered) = mpsc::channel(ANSWERS);
+    let mut beat = Instant::now();
+    loop {
+        let frame = tokio::select! {
+            frame = link.next() => match frame? {
+                Frame::Replication => {
+                    handle.say(Event::Status { answer: answers.clone() }).await;
+                    continue;
+                }
+                Frame::Order(call) => Frame::Ordered(Box::new(ordered(maintenance, *call).await)),
+                Frame::Bye => return Ok(()),
+                _ => continue,
+            },
+            Some(frame) = answered.recv() => frame,
+            () = sleep_until(beat) => Frame::Beat(None),
+        };
+        link.send(&frame).await?;
+        beat = Instant::now() + BEAT;
+    }
+}
+
+/// A command's order goes the way of an operator's call at this proxy.
+async fn ordered(maintenance: &Maintenance, call: OrderCall) -> OrderAnswer {
+    let OrderCall { node, out, under } = call;
+    match maintenance.ask(node.clone(), out, under).await {
+        Asked::Ordered(stamp) => OrderAnswer::Given(stamp),
+        other => OrderAnswer::Refused(other.words(&node, out)),
+    }
+}
--- a/crates/proxy/src/fleet/wire.rs
+++ b/crates/proxy/src/fleet/wire.rs
@@ -8,6 +8,7 @@
     Answer, Ask, Holder, LARGEST, Message, Name, Nanos, Record, Seen, Shared, Standing, Store, Token,
 };
 use pumicebay_carrier::{Change, Down, Outcome, Sum, Up, Version};
+use pumicebay_replication::{Message as Replicated, Stamp, Status as ReplicationStatus};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -20,6 +21,8 @@
 pub const NEWEST: u16 = 3;
 /// Since when the carrier's frames are spoken in their present form: those of version 2 number no links.
 pub const CARRIER: u16 = 3;
+/// Since when those of replication are.
+pub const REPLICATION: u16 = 3;
 /// A record and what goes with it.
 const LONGEST: usize = LARGEST + 16 * 1024;
 /// How long a hello may take, and a frame to leave.
@@ -121,6 +124,34 @@
     /// Asks a control machine what it knows of changes; also its answer to an offer where another publishes.
     Carrier,
     CarrierIs(Box<CarrierStatus>),
+    // Since version 3:
+    /// What two replicas say to each other.
+    Replicate(Box<Replicated>),
+    /// A command's order of maintenance, and what became of it.
+    Order(Box<OrderCall>),
+    Ordered(Box<OrderAnswer>),
+    /// Asks a replica what it knows.
+    Replication,
+    ReplicationIs(Box<ReplicationStatus>),
+}
+
+/// An order of maintenance as a command gives it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OrderCall {
+    /// The node's `uid`.
+    pub node: String,
+    /// Out of service, or back.
+    pub out: bool,
+    /// The lease and token that it is given under.
+    pub under: Option<(String, Token)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum OrderAnswer {
+    /// It holds at the process that answers, under this stamp.
+    Given(Stamp),
+    /// Why it was not given.
+    Refused(String),
 }
 
 /// What a control machine shows of the carrier.
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -4,6 +4,7 @@
 
 use crate::bans::{Asked, LONGEST_LEASE, Maintenance};
 use crate::fleet::carrier::actor::Told;
+use crate::fleet::replication::handle::Handle;
 use crate::http::{Call, Calls, Word};
 use crate::phases::{Phase, Watch};
 use crate::room::{Room, Spare};
@@ -25,6 +26,8 @@
 const LINGER_BYTES: u64 = 64 * 1024;
 /// How long a call waits for a proxy that is about to serve.
 const STARTING: Duration = Duration::from_millis(700);
+/// How long the replica may take to tell of itself.
+const STATUS: Duration = Duration::from_millis(200);
 /// The pause after a connection could not be accepted.
 const NO_ROOM: Duration = Duration::from_millis(20);
 
@@ -33,6 +36,8 @@
 pub struct Operator {
     pub watch: Watch,
     pub maintenance: Maintenance,
+    /// The replica of maintenance orders, where there is one.
+    pub replication: Option<Handle>,
     /// How old the configuration is that came by the carrier, where there is one.
     pub carrier: Option<tokio::sync::watch::Receiver<Told>>,
 }
@@ -90,6 +95,29 @@
 }
 
 impl Operator {
+    /// What a process that serves says of itself.
+    async fn serving(&self) -> String {
+        let mut words = "serving".to_string();
+        if let Some(carrier) = &self.carrier {
+            words += &format!(", carrier: {}", *carrier.borrow());
+        }
+        let status = match &self.replication {
+            Some(handle) => timeout(STATUS, handle.show()).await.ok().flatten(),
+            None => None,
+        };
+        if let Some(status) = status {
+            let age = status
+                .age
+                .map_or("nothing heard yet".into(), |age| format!("as of {:.1} s ago", age as f64 / 1e9));
+            let (linked, differing, out) = (status.linked.len(), status.differing.len(), status.out.len());
+            words += &format!(
+                ", replication: {} orders {age}, {out} nodes out, {linked} peers linked, {differing} differ",
+                status.orders
+            );
+        }
+        words
+    }
+
     /// The answer to a call: 2xx is yes, all else no with a line that says why.
     pub async fn answer(&self, call: Call) -> Word {
         let method = match call.path.as_str() {
@@ -102,13 +130,7 @@
         }
         if method == "GET" {
             return match self.watch.now() {
-                Phase::Serving | Phase::Draining => Word(
-                    200,
-                    match &self.carrier {
-                        Some(carrier) => format!("serving, carrier: {}", *carrier.borrow()),
-                        None => "serving".into(),
-                    },
-                ),
+                Phase::Serving | Phase::Draining => Word(200, self.serving().await),
                 phase => Word(503, format!("takes no clients: {phase:?}")),
             };
         }
@@ -144,13 +166,13 @@
             return Word(503, "has no list yet, call again".into());
         }
         let out = call.path == "/maintenance/enter";
-        match self.maintenance.ask(who.clone(), out, under).await {
-            Asked::Done if out => Word(200, format!("{who} gets nothing more")),
-            Asked::Done => Word(200, format!("{who} is back")),
-            Asked::Unknown => Word(404, format!("no cache node {who:?} is known")),
-            Asked::Origin => Word(409, format!("{who} is the origin, not a cache node")),
-            Asked::Late(lease, token) => Word(409, format!("{lease} has gone on to token {token}")),
-            Asked::Failed(error) => Word(500, format!("{who}: could not be kept: {error}")),
-        }
+        let asked = self.maintenance.ask(who.clone(), out, under).await;
+        let status = match &asked {
+            Asked::Done | Asked::Ordered(_) => 200,
+            Asked::Unknown => 404,
+            Asked::Origin | Asked::Late(..) | Asked::Refused(_) => 409,
+            Asked::Failed(_) => 500,
+        };
+        Word(status, asked.words(&who, out))
     }
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -1,13 +1,14 @@
 //! Puts the actors together and runs them through the phases.
 
-use crate::bans::{self, Bans};
+use crate::bans::{self, Bans, Replication};
 use crate::clients::{self, Front};
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::counters::Counters;
 use crate::desk::Desk;
 use crate::fleet::carrier::{self, apply};
-use crate::fleet::{self, asker::Asker};
+use crate::fleet::replication::handle::Channels;
+use crate::fleet::{self, asker::Asker, replication};
 use crate::heir::{Heir, Seat};
 use crate::list::{self, List};
 use crate::listen::listen;
@@ -146,8 +147,20 @@
         let door_at = operator.as_ref().map(TcpListener::local_addr).transpose()?;
         let has_carrier = config.fleet.as_ref().is_some_and(|fleet| fleet.carrier.is_some());
         let (tell, told) = has_carrier.then(|| watch::channel(carrier::actor::Told::default())).unzip();
-        if let Some(listener) = operator {
+        let me = config.fleet.as_ref().map(|section| fleet::me::Me::new(&config.name, section.clone()));
+        let replicated = me.as_ref().and_then(|me| me.config.replication.clone());
+        if operator.is_some() || replicated.is_some() {
             let (maintenance, calls) = bans::maintenance();
+            let (handle, replication) = match (&me, replicated) {
+                (Some(me), Some(section)) => {
+                    let Channels { handle, events, tell, ordered } = replication::handle::channels();
+                    let maintenance = maintenance.clone();
+                    let parts = replication::Parts { handle: handle.clone(), events, tell, maintenance };
+                    actors.spawn(replication::start(me, section, parts));
+                    (Some(handle.clone()), Some(Replication { handle, ordered }))
+                }
+                _ => (None, None),
+            };
             let (watch, folder) = (shared.watch.clone(), config.folder.clone());
             let cold = Duration::from_nanos(config.settings.time("cold", 0));
             let (out, back) = match folder.as_deref().map(|folder| bans::found(folder, cold)) {
@@ -164,10 +177,12 @@
                 module.maintained(clock.now(), uid, false);
             }
             let fences = Fences::default();
-            actors.spawn(Bans { desk: desk.clone(), folder, out, fences }.run(calls));
-            actors.spawn(operator::accept(Operator { watch, maintenance, carrier: told }, listener));
+            actors.spawn(Bans { desk: desk.clone(), folder, out, fences, replication }.run(calls));
+            if let Some(listener) = operator {
+                let operator = Operator { watch, maintenance, replication: handle, carrier: told };
+                actors.spawn(operator::accept(operator, listener));
+            }
         }
-        let me = config.fleet.as_ref().map(|section| fleet::me::Me::new(&config.name, section.clone()));
         let fleet = me.as_ref().filter(|me| me.config.asks_voters(&config.name)).map(|me| {
             let (prober, probes) = fleet::prober::door();
             module.probes_by(prober);
--- a/crates/proxy/tests/proxy/carrier.rs
+++ b/crates/proxy/tests/proxy/carrier.rs
@@ -31,7 +31,7 @@
 }
 
 /// An address below those that the kernel gives out: nobody else takes it between now and its use.
-fn free() -> String {
+pub fn free() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
         let number = std::process::id().wrapping_mul(61).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -13,6 +13,7 @@
 mod nodes;
 mod operations;
 mod phases;
+mod replication;
 mod restart;
 mod size;
 mod told;
--- a/crates/proxy/tests/proxy/told.rs
+++ b/crates/proxy/tests/proxy/told.rs
@@ -109,10 +109,10 @@
 async fn what_waits_for_others_tells_what_is_left() {
     let ordered = ("/settings/routes/0/keep-order", json!(true));
     let one_of_many = ("/settings/fleet-size", json!(300));
-    let rows: [(Option<(&str, Json)>, &[&str], &str, usize); 3] = [
-        (None, &["miss-held"], "miss-held", 2),
-        (Some(ordered), &["held-1"], "held-1", 1),
-        (Some(one_of_many), &["miss-held", "held-1"], "held-2", 1),
+    let rows = [
+        (None, vec!["miss-held"], "miss-held", 2),
+        (Some(ordered), vec!["held-1"], "held-1", 1),
+        (Some(one_of_many), vec!["miss-held", "held-1"], "held-2", 1),
     ];
     for (set, holds, key, attempts) in rows {
         let objective = ("/settings/routes/0/latency-objective-us", json!(10_000_000));
