--- a/crates/proxy/tests/proxy/endings.rs
+++ b/crates/proxy/tests/proxy/endings.rs
@@ -347,6 +347,35 @@
     expect!["origin's id-1\n"].assert_eq(&reply);
 }
 
+/// The same where the drain comes by a whole list as a watch's answer, and by another discovery right after a new
+/// configuration.
+#[tokio::test]
+async fn a_node_drains_by_a_whole_list_and_right_after_a_reload() {
+    for reload in [false, true] {
+        let mut world = patient_world(&[]).await;
+        let late = Late::start().await;
+        move_node(&world, "s-cache", "node", &late).await;
+        let mut client = world.client().await;
+        client.send(&["C.GET", "hit", "id-1", "c=read,d=60000"]).await;
+        world.until_counted("tries_sent 1").await;
+        let leaving = target("s-cache", &late.address.to_string(), "node", "leaving");
+        let origin = world.json["known"]["targets"][1].clone();
+        let whole = json!({"rev": 50, "all": true, "targets": [leaving, origin]}).to_string();
+        if reload {
+            let (moved, tell) = world.move_discovery().await;
+            moved.until("instances HTTP").await;
+            tell.send(whole).await.unwrap();
+        } else {
+            world.tell.send(whole).await.unwrap();
+        }
+        world.until_counted("tries_taken_back 1").await;
+        late.let_in(world.cache.clone());
+        let reply = client.reply().await;
+        nothing_is_left(&world).await;
+        assert_eq!((world.cache.text().as_str(), reply.as_str()), ("", "origin's id-1\n"), "reload {reload}");
+    }
+}
+
 #[tokio::test]
 async fn a_client_leaves_while_its_try_waits_for_room_among_the_connections() {
     let world = World::start_with(&patient(&[]), |config| config.upstream = 1).await;
--- a/crates/proxy/tests/proxy/told.rs
+++ b/crates/proxy/tests/proxy/told.rs
@@ -203,6 +203,26 @@
     within(&all(&world), asked, PATIENCE, 1);
 }
 
+/// A command comes in pieces: its client's time counts from its last byte, no sooner and no later.
+#[tokio::test]
+async fn a_command_in_pieces_counts_from_its_last_byte() {
+    let world = World::start(&[]).await;
+    let mut client = world.client().await;
+    let command = get("miss", "c=read,d=3000");
+    let (first, last) = command.split_at(command.len() - 1);
+    for byte in first {
+        client.0.get_mut().write_all(&[*byte]).await.unwrap();
+        sleep(KEPT / first.len() as u32).await;
+    }
+    client.0.get_mut().write_all(last).await.unwrap();
+    let asked = Instant::now();
+    assert_eq!(client.reply().await, "origin's id-kept\n");
+    within(&all(&world), asked, PATIENCE, 2);
+    // The last attempt has all that is left.
+    let told = world.origin.told()[0].millis.unwrap();
+    assert!(told + KEPT.as_millis() as u64 / 2 > PATIENCE, "told {told} ms of {PATIENCE}");
+}
+
 /// The proxy has no turn for a while: another task of its thread holds it up.
 #[tokio::test]
 async fn a_command_that_came_while_the_thread_was_held_up_tells_what_is_left() {
