Lab: a policy whose learned sets outlive a restart, and builds whose proxies replicate

Cause: what replicated placement could give at most was not known; what idle replication costs requests neither. Change: pumicebay+sets keeps a killed proxy's table for its next process; compare takes PATH+replication.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -80,6 +80,16 @@
         balance
     }
 
+    /// The learned sets of keys, which are empty here from now on.
+    pub fn take_sets(&mut self) -> Table {
+        std::mem::replace(&mut self.table, Table::new(TABLE_KEYS, UNPICKED))
+    }
+
+    /// Sets that were learned elsewhere, in place of those here. Members that serve no more drop out as they are looked at.
+    pub fn put_sets(&mut self, sets: Table) {
+        self.table = sets;
+    }
+
     /// Time has passed.
     pub(crate) fn at(&mut self, now: Nanos) {
         self.now = now;
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -29,20 +29,24 @@
 }
 
 /// Plays the scenario on sockets with each build and seed, one day after another; `self` is the lab's own. `+fleet` after
-/// one has its proxies be a fleet.
+/// one has its proxies be a fleet, `+replication` one that replicates too.
 pub fn builds(scenario: &Scenario, proxies: &[String], seeds: u64) -> Result<Vec<Vec<Results>>> {
     let progress = Progress::new(&scenario.name, proxies.len() * seeds as usize);
     let mut days: Vec<Vec<Results>> = proxies.iter().map(|_| Vec::new()).collect();
     // Seed by seed, so that what the machine does meanwhile meets all builds alike.
     for seed in 0..seeds {
         for (proxy, played) in proxies.iter().zip(&mut days) {
+            let (proxy, replication) = match proxy.strip_suffix("+replication") {
+                Some(proxy) => (proxy, true),
+                None => (proxy.as_str(), scenario.proxies.replication),
+            };
             let (proxy, fleet) = match proxy.strip_suffix("+fleet") {
                 Some(proxy) => (proxy, true),
-                None => (proxy.as_str(), scenario.proxies.fleet),
+                None => (proxy, scenario.proxies.fleet || replication),
             };
             let path = (proxy != "self").then(|| PathBuf::from(proxy));
             let mut day = scenario.clone();
-            day.proxies.fleet = fleet;
+            (day.proxies.fleet, day.proxies.replication) = (fleet, replication);
             ensure!(!fleet || day.proxies.count >= 3, "+fleet: expected three proxies or more");
             played.push(real::play(&day, scenario.seed + seed, path.as_ref(), &|_| {})?);
             progress.step();
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -1,6 +1,7 @@
 //! The interface that the decisions have, so that others can stand in their place.
 
 use anyhow::{Context, Result, ensure};
+use pumicebay_core::table::Table;
 use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Settings, Xchg};
 
 /// What a policy is told, each by a call of its own; it acts through its host.
@@ -14,6 +15,11 @@
     fn list_failed(&mut self, now: Nanos);
     fn probed(&mut self, node: Node, outcome: Outcome);
     fn host(&mut self) -> &mut H;
+    /// The learned sets of keys, where it has any.
+    fn take_sets(&mut self) -> Option<Table> {
+        None
+    }
+    fn put_sets(&mut self, _sets: Table) {}
 }
 
 impl<H: Host + Send> Policy<H> for Balance<H> {
@@ -44,10 +50,19 @@
     fn host(&mut self) -> &mut H {
         &mut self.host
     }
+    fn take_sets(&mut self) -> Option<Table> {
+        Some(Balance::take_sets(self))
+    }
+    fn put_sets(&mut self, sets: Table) {
+        Balance::put_sets(self, sets);
+    }
 }
 
+/// The project's own, whose learned sets outlive a restart of their proxy: the most that placement replicated between
+/// proxies could give.
+pub const KEEPS_SETS: &str = "pumicebay+sets";
 /// The policies by name: the project's own, and the baselines.
-pub const NAMES: &[&str] = &["pumicebay", "random", "two", "rendezvous", "bounded", "careless"];
+pub const NAMES: &[&str] = &["pumicebay", KEEPS_SETS, "random", "two", "rendezvous", "bounded", "careless"];
 
 /// A policy's name and the salt of its own chance: `two#1` is `two` with other draws on the same day, which
 /// tells how large the noise is.
@@ -70,7 +85,7 @@
 ) -> Option<Boxed<H>> {
     use crate::baselines::{Baseline, Choice};
     let choice = match name {
-        "pumicebay" => return Some(Box::new(Balance::new(host, settings, seed, now))),
+        "pumicebay" | KEEPS_SETS => return Some(Box::new(Balance::new(host, settings, seed, now))),
         "random" => Choice::Random,
         "two" => Choice::LeastOfTwo,
         "rendezvous" => Choice::Rendezvous,
--- a/crates/lab/src/real/process.rs
+++ b/crates/lab/src/real/process.rs
@@ -32,6 +32,8 @@
 
 struct Proxy {
     address: SocketAddr,
+    /// Where it takes links of replication, if it does.
+    replicates: Option<SocketAddr>,
     /// Where it takes the fleet's links, if it votes.
     votes: Option<SocketAddr>,
     config: PathBuf,
@@ -68,6 +70,7 @@
         for number in 0..day.proxies.count {
             proxies.push(Proxy {
                 address: free()?,
+                replicates: day.proxies.replication.then(free).transpose()?,
                 votes: (day.proxies.fleet && number < VOTERS).then(free).transpose()?,
                 config: folder.path().join(format!("p{}.json", number + 1)),
                 child: None,
@@ -101,7 +104,15 @@
             .filter_map(|(number, proxy)| Some((format!("p{number}"), json!(proxy.votes?.to_string()))))
             .collect();
         let folder = self.folder.path().join(format!("d{}", number + 1));
-        json!({"name": "lab", "voters": voters, "folder": folder})
+        let mut section = json!({"name": "lab", "voters": voters, "folder": folder});
+        let peers: serde_json::Map<_, _> = (1..)
+            .zip(&self.proxies)
+            .filter_map(|(number, proxy)| Some((format!("p{number}"), json!(proxy.replicates?.to_string()))))
+            .collect();
+        if !peers.is_empty() {
+            section["replication"] = json!({"peers": peers, "folder": folder.join("replica")});
+        }
+        section
     }
 
     fn spawn(&mut self, number: usize, fleet: &SharedFleet) -> Result<()> {
--- a/crates/lab/src/seat.rs
+++ b/crates/lab/src/seat.rs
@@ -4,6 +4,7 @@
 use crate::policy::{self, Boxed};
 use hashbrown::HashMap;
 use pumicebay_core::policy::deadline::time_to_tell;
+use pumicebay_core::table::Table;
 use pumicebay_core::{Ask, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
 use pumicebay_model::millis;
 use pumicebay_model::network::Network;
@@ -280,6 +281,8 @@
     number: usize,
     rules: Rules,
     policy: Option<Boxed<Acts>>,
+    /// What a policy that is killed had learned, where that outlives it.
+    kept_sets: Option<Table>,
     inbox: BinaryHeap<Due<ToSeat>>,
     /// What it did, since last taken.
     out: Vec<(Nanos, ToWorld)>,
@@ -287,7 +290,7 @@
 
 impl Seat {
     pub fn new(rules: Rules, number: usize) -> Seat {
-        Seat { number, rules, policy: None, inbox: BinaryHeap::new(), out: Vec::new() }
+        Seat { number, rules, policy: None, kept_sets: None, inbox: BinaryHeap::new(), out: Vec::new() }
     }
 
     pub fn mail(&mut self, at: Nanos, order: u64, what: ToSeat) {
@@ -364,7 +367,8 @@
             ToSeat::Probed { node, outcome } => policy.probed(node, outcome),
             ToSeat::Kill => {
                 self.collect();
-                self.policy = None;
+                let sets = self.policy.take().and_then(|mut policy| policy.take_sets());
+                self.kept_sets = sets.filter(|_| self.rules.policy == policy::KEEPS_SETS);
             }
             ToSeat::Start { .. } => {}
         }
@@ -388,6 +392,9 @@
         };
         let seed = mix(seed ^ mix(self.number as u64 ^ life << 32)).wrapping_add(*salt);
         self.policy = policy::make(policy, acts, settings.clone(), seed, now);
+        if let (Some(policy), Some(sets)) = (&mut self.policy, self.kept_sets.take()) {
+            policy.put_sets(sets);
+        }
     }
 
     fn listed(&mut self, now: Nanos, whole: bool, entries: &[Entry]) {
--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec.rs
@@ -64,6 +64,8 @@
         ends_seconds: f64 = 8.0,
         /// On sockets: whether they are a fleet, of which the first three vote.
         fleet: bool = false,
+        /// Whether they replicate orders of maintenance, too.
+        replication: bool = false,
     }
 }
 
@@ -257,6 +259,11 @@
             "proxies.fleet",
             "expected three proxies or more",
         );
+        need(
+            !self.proxies.replication || self.proxies.fleet,
+            "proxies.replication",
+            "expected proxies.fleet beside it",
+        );
         need((1..=100_000).contains(&self.nodes.count), "nodes.count", "expected 1 to 100000");
         need(self.nodes.zones > 0, "nodes.zones", "expected 1 or more");
         need(self.nodes.cores > 0, "nodes.cores", "expected 1 or more");
