--- a/crates/core/benches/decide.rs
+++ b/crates/core/benches/decide.rs
@@ -1,12 +1,12 @@
 //! What a decision costs by the number of nodes: `cargo bench -p pumicebay-core --bench decide`.
 //!
 //! One proxy with a host that only notes its sends, Zipf-like keys of which the nodes hold all, half as many
-//! exchanges in flight as there are nodes, at most 2,000, and time that passes at 20,000 exchanges a second.
+//! requests in flight as there are nodes, at most 2,000, and time that passes at 20,000 requests a second.
 //! Ticks count. Prints the mean, the longest turn (one call from outside) and heap allocations, each for one
-//! exchange from its arrival to its outcome.
+//! request from its arrival to its outcome.
 
 use pumicebay_core::settings::Value;
-use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Zipf};
@@ -25,17 +25,17 @@
 
 #[derive(Default)]
 struct Sends {
-    sent: Vec<(Xchg, Node)>,
+    sent: Vec<(RequestId, Node)>,
     wakes: VecDeque<Nanos>,
 }
 
 impl Host for Sends {
-    fn send(&mut self, xchg: Xchg, node: Node, _timeout: Nanos) {
-        self.sent.push((xchg, node));
+    fn send(&mut self, id: RequestId, node: Node, _timeout: Nanos) {
+        self.sent.push((id, node));
     }
-    fn shed(&mut self, _xchg: Xchg, _pause: Nanos) {}
-    fn error(&mut self, _xchg: Xchg) {}
-    fn forget(&mut self, _xchg: Xchg) {}
+    fn shed(&mut self, _xchg: RequestId, _pause: Nanos) {}
+    fn error(&mut self, _xchg: RequestId) {}
+    fn forget(&mut self, _xchg: RequestId) {}
     fn wake(&mut self, at: Nanos, token: u64) {
         if token == 0 {
             self.wakes.push_back(at);
@@ -69,7 +69,7 @@
     settings
 }
 
-/// What happens beside the exchanges.
+/// What happens beside the requests.
 #[derive(Clone, Copy, PartialEq)]
 enum Day {
     Calm,
@@ -101,14 +101,14 @@
     let (mut spent, mut longest, mut flaps) = (Duration::ZERO, Duration::ZERO, 0);
     let warm = exchanges;
     let mut region = Region::new(ALLOCATOR);
-    for xchg in 1..=warm + exchanges {
+    for id in 1..=warm + exchanges {
         now += GAP;
         let key = match day {
-            Day::OneOff => xchg.wrapping_mul(0x9e37_79b9_7f4a_7c15),
-            Day::HotKey if xchg % 4 == 0 => 7,
+            Day::OneOff => id.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            Day::HotKey if id % 4 == 0 => 7,
             _ => (zipf.sample(&mut rng) as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15),
         };
-        if xchg == warm + 1 {
+        if id == warm + 1 {
             (spent, longest) = (Duration::ZERO, Duration::ZERO);
             region = Region::new(ALLOCATOR);
         }
@@ -131,11 +131,11 @@
             turn(&mut balance, &mut |balance| balance.listed(now, node, listed(node, standing)));
         }
         let ask = Ask { key: Some(key), grace: 2 * SECOND, ..Ask::default() };
-        turn(&mut balance, &mut |balance| balance.arrived(now, xchg, ask));
+        turn(&mut balance, &mut |balance| balance.arrived(now, id, ask));
         out.extend(balance.host.sent.drain(..));
         while out.len() > most {
-            let Some((xchg, _)) = out.pop_front() else { break };
-            turn(&mut balance, &mut |balance| balance.ended(now, xchg, 0, Outcome::Completed, true));
+            let Some((id, _)) = out.pop_front() else { break };
+            turn(&mut balance, &mut |balance| balance.ended(now, id, 0, Outcome::Completed, true));
             out.extend(balance.host.sent.drain(..));
         }
     }
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -8,10 +8,10 @@
 
 use crate::fetches::Fetches;
 use crate::fleet::{Finder, Fleet, Indexed};
-use crate::host::{Host, Nanos, Node, Xchg};
+use crate::host::{Host, Nanos, Node, RequestId};
 use crate::policy::{REPORT_LAST, TABLE_KEYS, TICK, UNPICKED};
 use crate::settings::Settings;
-use crate::state::{Cx, Flow, Kinds, Pace, Route, Rules, Scratch, Tenants};
+use crate::state::{Flow, Kinds, Pace, RequestState, Route, Rules, Scratch, Tenants};
 use crate::table::Table;
 use crate::turns::Turns;
 use hashbrown::HashMap;
@@ -32,9 +32,9 @@
     pub(crate) all: Flow,
     pub(crate) origin: Option<Node>,
     pub(crate) table: Table,
-    pub(crate) xchgs: HashMap<Xchg, Cx>,
+    pub(crate) requests: HashMap<RequestId, RequestState>,
     pub(crate) fetches: Fetches,
-    pub(crate) queue: Vec<Xchg>,
+    pub(crate) queue: Vec<RequestId>,
     pub turns: Turns,
     pub(crate) tenants: Tenants,
     pub(crate) pace: Pace,
@@ -65,7 +65,7 @@
             all: Flow::default(),
             origin: None,
             table: Table::new(TABLE_KEYS, UNPICKED),
-            xchgs: HashMap::new(),
+            requests: HashMap::new(),
             fetches: Fetches::default(),
             queue: Vec::new(),
             turns: Turns::default(),
--- a/crates/core/src/classes.rs
+++ b/crates/core/src/classes.rs
@@ -1,4 +1,4 @@
-//! Nodes by their load in whole exchanges: the least loaded are those of the first class that has any. A node
+//! Nodes by their load in whole requests: the least loaded are those of the first class that has any. A node
 //! changes its class at the cost of two bits and a step through the few loads there are.
 
 use crate::host::Node;
--- a/crates/core/src/fetches.rs
+++ b/crates/core/src/fetches.rs
@@ -1,24 +1,24 @@
 //! The keys that are being fetched from the origin, who waits for each, and the line of fetches that
 //! have not begun, sorted by what their answers are worth and then by age.
 
-use crate::host::{Node, Xchg};
+use crate::host::{Node, RequestId};
 use hashbrown::HashMap;
 use std::collections::BTreeSet;
 
 #[derive(Default)]
 pub struct Fetches {
     by_key: HashMap<u64, Fetch>,
-    line: BTreeSet<(u64, Xchg)>,
+    line: BTreeSet<(u64, RequestId)>,
 }
 
 pub struct Fetch {
     /// Who fetches it.
-    pub by: Xchg,
+    pub by: RequestId,
     /// The node that will hold the key.
     pub fills: Node,
     /// What the answer is worth to all who wait for it.
     pub worth: u64,
-    pub waiting: Vec<Xchg>,
+    pub waiting: Vec<RequestId>,
 }
 
 impl Fetches {
@@ -35,10 +35,10 @@
         self.get(key).map(|fetch| fetch.fills)
     }
 
-    pub fn wait(&mut self, key: Option<u64>, xchg: Xchg, worth: u64) {
+    pub fn wait(&mut self, key: Option<u64>, id: RequestId, worth: u64) {
         let Some(fetch) = key.and_then(|key| self.by_key.get_mut(&key)) else { return };
         let in_line = self.line.remove(&(fetch.worth, fetch.by));
-        fetch.waiting.push(xchg);
+        fetch.waiting.push(id);
         fetch.worth += worth;
         if in_line {
             self.line.insert((fetch.worth, fetch.by));
@@ -49,17 +49,17 @@
         self.by_key.remove(&key)
     }
 
-    /// What the answer is worth to all who wait if this exchange fetches, else to itself.
-    fn worth(&self, key: Option<u64>, xchg: Xchg, own: u64) -> u64 {
-        self.get(key).filter(|fetch| fetch.by == xchg).map_or(own, |fetch| fetch.worth)
+    /// What the answer is worth to all who wait if this request fetches, else to itself.
+    fn worth(&self, key: Option<u64>, id: RequestId, own: u64) -> u64 {
+        self.get(key).filter(|fetch| fetch.by == id).map_or(own, |fetch| fetch.worth)
     }
 
-    pub fn line_up(&mut self, key: Option<u64>, xchg: Xchg, own: u64) {
-        self.line.insert((self.worth(key, xchg, own), xchg));
+    pub fn line_up(&mut self, key: Option<u64>, id: RequestId, own: u64) {
+        self.line.insert((self.worth(key, id, own), id));
     }
 
-    pub fn leave_line(&mut self, key: Option<u64>, xchg: Xchg, own: u64) {
-        self.line.remove(&(self.worth(key, xchg, own), xchg));
+    pub fn leave_line(&mut self, key: Option<u64>, id: RequestId, own: u64) {
+        self.line.remove(&(self.worth(key, id, own), id));
     }
 
     pub fn in_line(&self) -> usize {
@@ -67,8 +67,8 @@
     }
 
     /// The one whose answer is worth most, of those the latest.
-    pub fn worthiest(&self) -> Option<Xchg> {
-        self.line.last().map(|&(_, xchg)| xchg)
+    pub fn worthiest(&self) -> Option<RequestId> {
+        self.line.last().map(|&(_, id)| id)
     }
 
     pub fn take_worthiest(&mut self) {
@@ -76,7 +76,7 @@
     }
 
     /// The one whose answer is worth least, of those the oldest.
-    pub fn least_worthy(&self) -> Option<Xchg> {
-        self.line.first().map(|&(_, xchg)| xchg)
+    pub fn least_worthy(&self) -> Option<RequestId> {
+        self.line.first().map(|&(_, id)| id)
     }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,5 +1,5 @@
 //! The nodes as this proxy knows them, with what is kept as they change so that nothing walks over all of them:
-//! who can take an exchange by load, the sum of loads, who is aside, and when time alone changes any of it.
+//! who can take a request by load, the sum of loads, who is aside, and when time alone changes any of it.
 //! There are no choices here.
 
 use crate::classes::Classes;
@@ -37,7 +37,7 @@
     pub ties: usize,
 }
 
-/// Finds the least loaded of all that take exchanges. The project's own is [`Indexed`]; tests have one that walks.
+/// Finds the least loaded of all that take requests. The project's own is [`Indexed`]; tests have one that walks.
 pub trait Finder: Default {
     fn put(&mut self, node: Node, place: Option<Place>);
     /// Of all that these do not name.
@@ -209,7 +209,7 @@
         }
     }
 
-    /// A try goes there; a cold node then rests for this proxy until that time.
+    /// An attempt goes there; a cold node then rests for this proxy until that time.
     pub fn send(&mut self, node: Node, rests: Option<Nanos>) {
         let now = self.now;
         self.change(node, |cache| {
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -4,22 +4,22 @@
 pub type Nanos = u64;
 /// A cache node, or the origin.
 pub type Node = usize;
-/// An exchange: one client try that a proxy has accepted and owes one final answer.
-pub type Xchg = u64;
+/// A request: one client attempt that a proxy has accepted and owes one final answer.
+pub type RequestId = u64;
 
 /// The acts that the decisions can ask for. Each takes effect at once, in the order of the calls.
 pub trait Host {
-    /// Starts the exchange's next upstream try; the tries of an exchange count from 0.
-    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos);
-    /// Takes back the exchange's try unless its last byte has been sent: it then ends as `Unsent`. A host whose
-    /// tries go out at once has none to take back.
-    fn recall(&mut self, _xchg: Xchg) {}
+    /// Starts the request's next upstream attempt; the attempts of a request count from 0.
+    fn send(&mut self, id: RequestId, node: Node, timeout: Nanos);
+    /// Takes back the request's attempt unless its last byte has been sent: it then ends as `Unsent`. A host whose
+    /// attempts go out at once has none to take back.
+    fn recall(&mut self, _xchg: RequestId) {}
     /// Final answer: the client may safely come back, after `pause` where it heeds that.
-    fn shed(&mut self, xchg: Xchg, pause: Nanos);
+    fn shed(&mut self, id: RequestId, pause: Nanos);
     /// Final answer without any promise.
-    fn error(&mut self, xchg: Xchg);
-    /// The exchange has its answer and no try is out: its number will not be used again.
-    fn forget(&mut self, xchg: Xchg);
+    fn error(&mut self, id: RequestId);
+    /// The request has its answer and no attempt is out: its number will not be used again.
+    fn forget(&mut self, id: RequestId);
     /// Asks for `Balance::woke` with this token at that time.
     fn wake(&mut self, at: Nanos, token: u64);
     /// Asks for `Balance::probed`.
@@ -31,7 +31,7 @@
     fn log(&mut self, line: &str);
 }
 
-/// An exchange as the client asked for it.
+/// A request as the client asked for it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Ask {
     pub route: usize,
@@ -56,13 +56,13 @@
 /// What a node says that it holds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Held {
-    /// Exchanges waiting and in work.
+    /// Requests waiting and in work.
     InFlight(f64),
-    /// Exchanges waiting alone.
+    /// Requests waiting alone.
     Waiting(f64),
 }
 
-/// How an upstream try ended.
+/// How an upstream attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Completed,
@@ -88,12 +88,12 @@
         matches!(self, Outcome::Completed | Outcome::Missed)
     }
 
-    /// Whether the try may run yet, though nobody waits for it.
+    /// Whether the attempt may run yet, though nobody waits for it.
     pub fn may_still_run(self) -> bool {
         matches!(self, Outcome::Overdue | Outcome::Severed | Outcome::Withdrawn)
     }
 
-    /// Whether this outcome proves that the try had no effect.
+    /// Whether this outcome proves that the attempt had no effect.
     pub fn never_ran(self) -> bool {
         use Outcome::{Missed, Rejected, Saturated, Unreachable, Unsent};
         matches!(self, Saturated | Unreachable | Unsent | Missed | Rejected)
@@ -151,7 +151,7 @@
     }
 }
 
-/// Whether an exchange of a route may run again, the strictest last.
+/// Whether a request of a route may run again, the strictest last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Repeat {
     Retriable,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,5 +15,5 @@
 pub mod turns;
 
 pub use balance::Balance;
-pub use host::{Ask, Held, Host, Listed, Nanos, Node, Outcome, Standing, Xchg};
+pub use host::{Ask, Held, Host, Listed, Nanos, Node, Outcome, RequestId, Standing};
 pub use settings::Settings;
--- a/crates/core/src/policy/events.rs
+++ b/crates/core/src/policy/events.rs
@@ -2,61 +2,67 @@
 
 use crate::balance::Balance;
 use crate::fleet::Finder;
-use crate::host::{Ask, Host, Nanos, Outcome, Xchg};
+use crate::host::{Ask, Host, Nanos, Outcome, RequestId};
 use crate::policy::TICK;
-use crate::state::Cx;
+use crate::state::RequestState;
 use smallvec::SmallVec;
 
 /// Requests count from 1.
 const TICK_TOKEN: u64 = 0;
 
 impl<H: Host, F: Finder> Balance<H, F> {
-    pub fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
+    pub fn arrived(&mut self, now: Nanos, id: RequestId, ask: Ask) {
         self.at(now);
         self.pace.asked.add(now, ask.work());
         let route = self.route(ask.route);
-        let cx = Cx::new(ask, route, now, self.worth(&ask, &route));
-        cx.ordered().into_iter().for_each(|key| self.turns.enter(key, xchg));
-        self.xchgs.insert(xchg, cx);
-        self.place(xchg);
+        let request = RequestState::new(ask, route, now, self.worth(&ask, &route));
+        request.ordered().into_iter().for_each(|key| self.turns.enter(key, id));
+        self.requests.insert(id, request);
+        self.place(id);
     }
 
-    /// A try ended; `over` says that its exchange has its final answer.
-    pub fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, outcome: Outcome, over: bool) {
+    /// An attempt ended; `over` says that its request has its final answer.
+    pub fn ended(&mut self, now: Nanos, id: RequestId, attempt: usize, outcome: Outcome, over: bool) {
         self.at(now);
-        let Some(cx) = self.xchgs.get_mut(&xchg) else { return };
-        let Some(this) = cx.end(try_no, outcome, over) else { return };
-        let (over, held, late) = (cx.over, cx.held(), (now >= cx.ends()).then_some(cx.route.objective));
-        let rests = cx.ordered().filter(|_| outcome.may_still_run());
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(this) = request.end(attempt, outcome, over) else { return };
+        let (over, held, late) =
+            (request.over, request.held(), (now >= request.ends()).then_some(request.route.objective));
+        let rests = request.ordered().filter(|_| outcome.may_still_run());
         rests.into_iter().for_each(|key| self.turns.rest(key, now + self.rules.turn_gap));
         // Served here, it was no fault of its own that it failed elsewhere.
-        let blamed = if outcome.serves() { cx.blamed() } else { SmallVec::new() };
+        let blamed = if outcome.serves() { request.blamed() } else { SmallVec::new() };
         self.learn(this.node, this.sent, outcome, late);
         blamed.into_iter().for_each(|node| self.blame(node, Outcome::Errored));
         if over {
-            self.settle(xchg);
+            self.finish(id);
         } else if held {
-            self.again(xchg, this.node, outcome);
+            self.again(id, this.node, outcome);
         }
         self.serve_line();
         let queue = std::mem::take(&mut self.queue);
         self.place_all(queue);
     }
 
-    pub fn under_way(&mut self, xchg: Xchg) {
-        self.xchgs.get_mut(&xchg).into_iter().for_each(|cx| cx.under_way = true);
+    pub fn under_way(&mut self, id: RequestId) {
+        self.requests.get_mut(&id).into_iter().for_each(|request| request.under_way = true);
     }
 
-    pub fn dropped(&mut self, now: Nanos, xchg: Xchg) {
+    pub fn dropped(&mut self, now: Nanos, id: RequestId) {
         self.at(now);
-        self.xchgs.contains_key(&xchg).then(|| self.settle(xchg));
+        self.requests.contains_key(&id).then(|| self.finish(id));
     }
 
     pub fn woke(&mut self, now: Nanos, token: u64) {
         self.at(now);
-        match self.xchgs.get(&token).filter(|cx| !cx.over).map(|cx| (cx.until, cx.waits)) {
+        match self
+            .requests
+            .get(&token)
+            .filter(|request| !request.over)
+            .map(|request| (request.until, request.waits))
+        {
             _ if token == TICK_TOKEN => self.tick(),
-            Some((until, _)) if now >= until => self.conclude(token),
+            Some((until, _)) if now >= until => self.give_up(token),
             Some((_, true)) => self.place(token),
             _ => {}
         }
--- a/crates/core/src/policy/health.rs
+++ b/crates/core/src/policy/health.rs
@@ -11,7 +11,8 @@
 /// Failures beyond the answers since, of the whole fleet, that set a node aside; probes that bring it back.
 const FAILURES: f64 = 9.0;
 const PROBES: usize = 2;
-/// A node that let a first try run out counts as refusing for FEW of this proxy's asks, no longer than this.
+/// A node that let a first attempt run out counts as refusing for FEW of this proxy's asks, no longer than
+/// this.
 const SLOW_LAST: Nanos = 10 * SECOND;
 
 impl<H: Host, F: Finder> Balance<H, F> {
@@ -34,7 +35,7 @@
         SECOND as f64 * work / usual / (normal * part).max(1.0 / self.fleet)
     }
 
-    /// A node's process is new. Guards it from the first exchanges of many proxies at once.
+    /// A node's process is new. Guards it from the first requests of many proxies at once.
     pub(crate) fn cool(&mut self, node: Node) {
         let pause = self.pause(node, self.pace.asked.mean(self.now).unwrap_or(1.0));
         let until = self.now + (pause * f64::from(self.rng.rand_float())) as Nanos;
@@ -54,9 +55,9 @@
             match outcome {
                 _ if outcome.serves() => cache.failures = cache.failures.saturating_sub(1),
                 Outcome::Saturated => cache.refuses_until = until,
-                // An error may be the exchange's own: others must show that it is not.
+                // An error may be the request's own: others must show that it is not.
                 Outcome::Errored | Outcome::Withdrawn | Outcome::Unsent | Outcome::Rejected => {}
-                // Slow while its exchange has time left; else a failure if tries waited for an objective in
+                // Slow while its request has time left; else a failure if attempts waited for an objective in
                 // vain.
                 Outcome::Overdue if late.is_none() => cache.refuses_until = until,
                 Outcome::Overdue if cache.owes_since > sent || Some(cache.waited) < late => {}
@@ -74,7 +75,7 @@
     }
 
     /// Guards against nodes that fail quickly: their empty queues would attract load. Where no probe may
-    /// bring them back, they count as refusing for a while. Without a second try errors show nothing.
+    /// bring them back, they count as refusing for a while. Without a second attempt errors show nothing.
     pub(crate) fn blame(&mut self, node: Node, outcome: Outcome) {
         let (probes, slow, enough) =
             (self.rules.probes, self.for_asks(FEW), (FAILURES / self.fleet).max(1.0));
--- a/crates/core/src/policy/limits.rs
+++ b/crates/core/src/policy/limits.rs
@@ -50,9 +50,9 @@
             self.pace.turn = (self.pace.turn + 1) % count;
             let node = self.pace.turn;
             self.measure_node(node);
-            // Guards memory. Past the last mention in any set or exchange, another may have the number.
+            // Guards memory. Past the last mention in any set or request, another may have the number.
             let done = self.nodes.caches[node].done(self.now, UNPICKED);
-            if done && !self.xchgs.values().any(|cx| cx.tried(node)) {
+            if done && !self.requests.values().any(|request| request.tried(node)) {
                 self.nodes.forget(node);
                 self.host.dismiss(node);
             }
--- a/crates/core/src/policy/membership.rs
+++ b/crates/core/src/policy/membership.rs
@@ -3,10 +3,10 @@
 
 use crate::balance::Balance;
 use crate::fleet::Finder;
-use crate::host::{Host, Listed, Nanos, Node, Xchg};
+use crate::host::{Host, Listed, Nanos, Node, RequestId};
 use crate::policy::{SECOND, TICK};
 use crate::settings::Settings;
-use crate::state::{Route, Rules, Try};
+use crate::state::{Attempt, Route, Rules};
 use std::collections::BTreeSet;
 
 /// The longest wait before discovery is asked again.
@@ -36,9 +36,13 @@
     /// Takes back what is not yet on its way to nodes that get nothing new: guards rule 3 from sends that
     /// wait.
     fn recall(&mut self) {
-        let unready = |t: &Try| t.out && !self.nodes.caches[t.node].ready();
-        let back = self.xchgs.iter().filter(|(_, cx)| cx.tries.iter().any(unready)).map(|(&xchg, _)| xchg);
-        back.collect::<BTreeSet<Xchg>>().into_iter().for_each(|xchg| self.host.recall(xchg));
+        let unready = |t: &Attempt| t.out && !self.nodes.caches[t.node].ready();
+        let back = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.attempts.iter().any(unready))
+            .map(|(&id, _)| id);
+        back.collect::<BTreeSet<RequestId>>().into_iter().for_each(|id| self.host.recall(id));
     }
 
     /// Operators take a node out of service or put it back, as one that started now, whatever the list tells:
@@ -54,7 +58,7 @@
         self.cool(node);
     }
 
-    /// Other routes from now on, under the numbers they had; open exchanges keep theirs. For a while clients
+    /// Other routes from now on, under the numbers they had; open requests keep theirs. For a while clients
     /// mean either, and the stricter binds: guards from an effect that may no longer come twice.
     pub fn retuned(&mut self, now: Nanos, settings: &Settings) {
         self.at(now);
@@ -69,7 +73,7 @@
         if let Some(before) = before.get(at).filter(|_| self.now < *until) {
             route.repeat = route.repeat.max(before.repeat);
             route.window = route.window.min(before.window);
-            route.most_tries = route.most_tries.min(before.most_tries);
+            route.most_attempts = route.most_attempts.min(before.most_attempts);
             route.ordered |= before.ordered;
         }
         route
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -26,8 +26,8 @@
 pub(crate) const FEW: f64 = 9.0;
 /// Answers are quick below the shortest objective over this: the least room is then so many times as large.
 pub(crate) const QUICK: f64 = 3.0;
-/// Exchanges that unused room adds up to at most: a part below one is one now and then.
+/// Requests that unused room adds up to at most: a part below one is one now and then.
 pub(crate) const SAVED: f64 = 3.0;
-/// What an exchange waits for room, a shed client to come back, or a fetch to begin: its objective over this.
+/// What a request waits for room, a shed client to come back, or a fetch to begin: its objective over this.
 pub(crate) const PATIENCE: u64 = 8;
 pub(crate) const ORIGIN_PATIENCE: u64 = 3;
--- a/crates/core/src/policy/origin.rs
+++ b/crates/core/src/policy/origin.rs
@@ -4,7 +4,7 @@
 use crate::balance::Balance;
 use crate::fetches::Fetch;
 use crate::fleet::Finder;
-use crate::host::{Host, Nanos, Node, Xchg};
+use crate::host::{Host, Nanos, Node, RequestId};
 use crate::policy::{ENOUGH, ORIGIN_PATIENCE, QUICK, SAVED, SECOND};
 use crate::state::Cache;
 
@@ -14,55 +14,55 @@
 const ORIGIN_QUICK: f64 = 1.5;
 
 impl<H: Host, F: Finder> Balance<H, F> {
-    pub(crate) fn wait_for_fetch(&mut self, xchg: Xchg) {
-        let cx = &self.xchgs[&xchg];
-        self.fetches.wait(cx.ask.key, xchg, cx.worth);
-        self.hold(xchg, ORIGIN_PATIENCE);
+    pub(crate) fn wait_for_fetch(&mut self, id: RequestId) {
+        let request = &self.requests[&id];
+        self.fetches.wait(request.ask.key, id, request.worth);
+        self.hold(id, ORIGIN_PATIENCE);
     }
 
     /// One fetch a key, the others wait for it; past the origin's bound a fetch waits in line.
-    pub(crate) fn ask_origin(&mut self, xchg: Xchg) {
-        let Some(origin) = self.origin.filter(|&node| self.may_take(&self.xchgs[&xchg], node)) else {
-            return self.conclude(xchg);
+    pub(crate) fn ask_origin(&mut self, id: RequestId) {
+        let Some(origin) = self.origin.filter(|&node| self.may_take(&self.requests[&id], node)) else {
+            return self.give_up(id);
         };
-        let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
-        let (key, worth) = (cx.ask.key, cx.worth);
-        if let (Some(key), Some(fills), false) = (key, cx.missed(), cx.fetching) {
+        let request = self.requests.get_mut(&id).expect("placed requests are known");
+        let (key, worth) = (request.ask.key, request.worth);
+        if let (Some(key), Some(fills), false) = (key, request.missed(), request.fetching) {
             if self.fetches.get(Some(key)).is_some() {
-                return self.wait_for_fetch(xchg);
+                return self.wait_for_fetch(id);
             }
-            cx.fetching = true;
-            self.fetches.start(key, Fetch { by: xchg, fills, worth, waiting: Vec::new() });
+            request.fetching = true;
+            self.fetches.start(key, Fetch { by: id, fills, worth, waiting: Vec::new() });
         }
-        if self.origin_fits(xchg) {
-            return self.send(xchg, origin);
+        if self.origin_fits(id) {
+            return self.send(id, origin);
         }
-        self.fetches.line_up(key, xchg, worth);
-        let wait = self.hold(xchg, ORIGIN_PATIENCE);
+        self.fetches.line_up(key, id, worth);
+        let wait = self.hold(id, ORIGIN_PATIENCE);
         self.shorten_line(origin, wait);
     }
 
-    /// The line is no longer than the origin's rate times what the exchange waits: the least worthy is shed.
+    /// The line is no longer than the origin's rate times what the request waits: the least worthy is shed.
     fn shorten_line(&mut self, origin: Node, wait: Nanos) {
         let most = self.nodes.caches[origin].flow.answers.rate(self.now) * wait as f64 / SECOND as f64;
         if self.fetches.in_line() as f64 > most.max(2.0)
-            && let Some(xchg) = self.fetches.least_worthy()
+            && let Some(id) = self.fetches.least_worthy()
         {
-            self.conclude(xchg);
+            self.give_up(id);
         }
     }
 
     pub(crate) fn serve_line(&mut self) {
-        while let Some(xchg) = self.fetches.worthiest().filter(|&xchg| self.origin_fits(xchg)) {
+        while let Some(id) = self.fetches.worthiest().filter(|&id| self.origin_fits(id)) {
             self.fetches.take_worthiest();
-            self.ask_origin(xchg);
+            self.ask_origin(id);
         }
     }
 
     /// Guards the origin in the same way; a proxy's part below one is one fetch now and then.
-    pub(crate) fn origin_fits(&self, xchg: Xchg) -> bool {
+    pub(crate) fn origin_fits(&self, id: RequestId) -> bool {
         let Some(Cache { flow, .. }) = self.origin.map(|node| &self.nodes.caches[node]) else { return false };
-        let reserve = if self.surplus(self.xchgs[&xchg].ask.tenant) { SAVED - 1.0 } else { 0.0 };
+        let reserve = if self.surplus(self.requests[&id].ask.tenant) { SAVED - 1.0 } else { 0.0 };
         flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved - reserve)
     }
 
--- a/crates/core/src/policy/queueing.rs
+++ b/crates/core/src/policy/queueing.rs
@@ -2,67 +2,67 @@
 
 use crate::balance::Balance;
 use crate::fleet::Finder;
-use crate::host::{Ask, Host, Nanos, Node, Xchg};
+use crate::host::{Ask, Host, Nanos, Node, RequestId};
 use crate::policy::{ORIGIN_PATIENCE, PATIENCE, SAVED, SECOND};
-use crate::state::{Cx, Route, Tenant};
+use crate::state::{RequestState, Route, Tenant};
 
 /// How much more than its part of the traffic a proxy may see.
 const UNEVEN: f64 = 1.5;
 
 impl<H: Host, F: Finder> Balance<H, F> {
-    /// Whether those of its key that came first, or the key's rest, keep the exchange from going: guards the
+    /// Whether those of its key that came first, or the key's rest, keep the request from going: guards the
     /// order of effects on a key. What can't be first as soon as a fetch would begin is given up at once.
-    pub(crate) fn waits_for_turn(&mut self, xchg: Xchg) -> bool {
-        let cx = &self.xchgs[&xchg];
-        let Some(key) = cx.ordered().filter(|_| cx.tries.is_empty()) else { return false };
-        let (before, rests) = (self.turns.before(key, xchg), self.turns.rests_until(key));
+    pub(crate) fn waits_for_turn(&mut self, id: RequestId) -> bool {
+        let request = &self.requests[&id];
+        let Some(key) = request.ordered().filter(|_| request.attempts.is_empty()) else { return false };
+        let (before, rests) = (self.turns.before(key, id), self.turns.rests_until(key));
         let waits = before > 0 || self.now < rests;
-        let last = cx.arrived + cx.route.objective / ORIGIN_PATIENCE;
+        let last = request.arrived + request.route.objective / ORIGIN_PATIENCE;
         // Writes go to the origin.
         let took = self.origin.and_then(|node| self.nodes.caches[node].flow.answers.mean(self.now));
         let turns = (before as f64 * took.unwrap_or(self.kinds.usual) * SECOND as f64) as Nanos;
-        self.xchgs.get_mut(&xchg).expect("placed exchanges are known").waits = waits;
+        self.requests.get_mut(&id).expect("placed requests are known").waits = waits;
         if waits && self.now.max(rests) + turns > last {
-            self.conclude(xchg);
+            self.give_up(id);
         } else if waits {
-            self.hold(xchg, ORIGIN_PATIENCE);
+            self.hold(id, ORIGIN_PATIENCE);
             // Behind others it is placed again when those are over.
-            (before == 0).then(|| self.host.wake(rests, xchg));
+            (before == 0).then(|| self.host.wake(rests, id));
         }
         waits
     }
 
-    /// Holds an exchange with nothing out, for this part of its objective since it arrived; then it is shed.
-    pub(crate) fn hold(&mut self, xchg: Xchg, part: u64) -> Nanos {
-        let cx = self.xchgs.get_mut(&xchg).expect("held exchanges are known");
-        let patience = cx.route.objective / part;
-        cx.until = (cx.arrived + patience.min(cx.ask.grace)).max(self.now);
-        self.host.wake(cx.until, xchg);
+    /// Holds a request with nothing out, for this part of its objective since it arrived; then it is shed.
+    pub(crate) fn hold(&mut self, id: RequestId, part: u64) -> Nanos {
+        let request = self.requests.get_mut(&id).expect("waiting requests are known");
+        let patience = request.route.objective / part;
+        request.until = (request.arrived + patience.min(request.ask.grace)).max(self.now);
+        self.host.wake(request.until, id);
         patience
     }
 
     /// No cache has room: surplus is shed. Within quota the origin serves if it has room; else the
-    /// exchange waits, in a queue so short (rate times time) that waits mostly end in an answer.
-    pub(crate) fn wait_for_room(&mut self, xchg: Xchg) {
-        let Cx { arrived, ask, route, .. } = &self.xchgs[&xchg];
+    /// request waits, in a queue so short (rate times time) that waits mostly end in an answer.
+    pub(crate) fn wait_for_room(&mut self, id: RequestId) {
+        let RequestState { arrived, ask, route, .. } = &self.requests[&id];
         let patience = route.objective / PATIENCE;
         let rate = self.all.answers.rate(self.now);
         if self.surplus(ask.tenant) || self.now - arrived >= patience {
-            self.conclude(xchg);
-        } else if self.origin_fits(xchg) {
-            self.ask_origin(xchg);
+            self.give_up(id);
+        } else if self.origin_fits(id) {
+            self.ask_origin(id);
         } else if self.queue.len() as f64 >= (rate * patience as f64 / SECOND as f64).max(1.0) {
-            self.conclude(xchg);
+            self.give_up(id);
         } else {
-            self.hold(xchg, PATIENCE);
-            self.queue.push(xchg);
+            self.hold(id, PATIENCE);
+            self.queue.push(id);
         }
     }
 
-    pub(crate) fn place_all(&mut self, xchgs: Vec<Xchg>) {
-        for xchg in xchgs {
-            if self.xchgs.get(&xchg).is_some_and(Cx::held) {
-                self.place(xchg);
+    pub(crate) fn place_all(&mut self, requests: Vec<RequestId>) {
+        for id in requests {
+            if self.requests.get(&id).is_some_and(RequestState::held) {
+                self.place(id);
             }
         }
     }
@@ -76,11 +76,11 @@
     /// Guards nodes that lose capacity when crowded; little or shrunk room is rounded down, since the odd one
     /// more from each proxy is many. Guards large fleets, with one from each at every node: all caches are
     /// bounded together, and what room was saved goes first to tenants that had little of their part.
-    pub(crate) fn fits(&self, xchg: Xchg, node: Node) -> bool {
+    pub(crate) fn fits(&self, id: RequestId, node: Node) -> bool {
         let (here, all) = (&self.nodes.caches[node].flow, &self.all);
         let little = here.room < 2.0 || here.squeeze < 1.0;
         let room = if little { here.room.floor().max(1.0) } else { here.room };
-        let had = (self.part_had(self.xchgs[&xchg].ask.tenant) / UNEVEN).min(1.0);
+        let had = (self.part_had(self.requests[&id].ask.tenant) / UNEVEN).min(1.0);
         let in_all = (all.room + all.saved - SAVED * had).max(1.0);
         (here.in_flight as f64) < room && all.in_flight as f64 + 1.0 <= in_all
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -21,7 +21,7 @@
     pub rests_until: Nanos,
     /// Since when it owes an answer without having given one.
     pub owes_since: Nanos,
-    /// How long tries have waited for it in vain since its last sign of life.
+    /// How long attempts have waited for it in vain since its last sign of life.
     pub waited: Nanos,
     /// Until when it counts as refusing.
     pub refuses_until: Nanos,
@@ -34,7 +34,7 @@
     pub banned: bool,
 }
 
-/// Exchanges in flight at a node, or at all caches together, and their answers.
+/// Requests in flight at a node, or at all caches together, and their answers.
 #[derive(Clone, Debug)]
 pub struct Flow {
     pub in_flight: usize,
@@ -43,7 +43,7 @@
     pub minute: Ring<20>,
     /// Seconds in flight, lately.
     held: Ring<8>,
-    /// Tries that came to nothing for want of room or of time, lately.
+    /// Attempts that came to nothing for want of room or of time, lately.
     lost: Ring<8>,
     /// The part of its room that is left while answers take far longer than they can.
     pub squeeze: f64,
@@ -83,7 +83,7 @@
         self.in_flight += 1;
     }
 
-    /// Saves room that was not used, by exchanges that would have gone through it, or spends what was.
+    /// Saves room that was not used, by requests that would have gone through it, or spends what was.
     fn save(&mut self, now: Nanos) {
         let past = now.saturating_sub(self.saved_at) as f64 / SECOND as f64;
         let through = past / self.answers.mean(now).unwrap_or(1.0).max(1e-3);
@@ -234,7 +234,7 @@
         self.flow.start(now);
     }
 
-    /// Where it tells its queue alone, this proxy's own exchanges count as in work.
+    /// Where it tells its queue alone, this proxy's own requests count as in work.
     pub fn report(&mut self, now: Nanos, held: Held) {
         let own = self.flow.in_flight;
         let in_flight = match held {
@@ -256,7 +256,7 @@
         }
     }
 
-    /// Exchanges in flight here: as it reported plus own sends since, else own. What is too old is forgotten by
+    /// Requests in flight here: as it reported plus own sends since, else own. What is too old is forgotten by
     /// whoever keeps the time.
     pub fn whole_load(&self) -> u64 {
         let own = self.flow.in_flight;
@@ -310,14 +310,14 @@
     }
 }
 
-/// An exchange that is not wholly over: it awaits its final answer, or outcomes of its tries.
+/// A request that is not wholly over: it awaits its final answer, or outcomes of its attempts.
 #[derive(Clone, Debug)]
-pub struct Cx {
+pub struct RequestState {
     pub ask: Ask,
-    /// Its route as it was when the exchange arrived, whatever became of the settings since.
+    /// Its route as it was when the request arrived, whatever became of the settings since.
     pub route: Route,
     pub arrived: Nanos,
-    pub tries: SmallVec<[Try; 2]>,
+    pub attempts: SmallVec<[Attempt; 2]>,
     /// Has its final answer.
     pub over: bool,
     /// The answer has begun to stream.
@@ -326,14 +326,14 @@
     pub fetching: bool,
     /// What its answer is worth.
     pub worth: u64,
-    /// How long it is held at most, and how long its client waits once a try is out.
+    /// How long it is held at most, and how long its client waits once an attempt is out.
     pub until: Nanos,
     /// Waits until those of its key that were taken before it are over.
     pub waits: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Try {
+pub struct Attempt {
     pub node: Node,
     pub sent: Nanos,
     pub out: bool,
@@ -343,13 +343,13 @@
     pub may_have_run: bool,
 }
 
-impl Cx {
+impl RequestState {
     pub fn new(ask: Ask, route: Route, now: Nanos, worth: u64) -> Self {
-        Cx {
+        RequestState {
             ask,
             route,
             arrived: now,
-            tries: SmallVec::new(),
+            attempts: SmallVec::new(),
             over: false,
             under_way: false,
             fetching: false,
@@ -360,7 +360,7 @@
     }
 
     pub fn start(&mut self, now: Nanos, node: Node) {
-        self.tries.push(Try {
+        self.attempts.push(Attempt {
             node,
             sent: now,
             out: true,
@@ -370,9 +370,9 @@
         });
     }
 
-    /// Notes how a try ended; nothing for one that is not out.
-    pub fn end(&mut self, try_no: usize, outcome: Outcome, over: bool) -> Option<Try> {
-        let this = self.tries.get_mut(try_no).filter(|t| t.out)?;
+    /// Notes how an attempt ended; nothing for one that is not out.
+    pub fn end(&mut self, attempt: usize, outcome: Outcome, over: bool) -> Option<Attempt> {
+        let this = self.attempts.get_mut(attempt).filter(|t| t.out)?;
         self.over |= over;
         this.out = false;
         this.missed = outcome == Outcome::Missed;
@@ -381,11 +381,11 @@
         Some(*this)
     }
 
-    /// Until when its last try is discarded where an earlier one ran; for ever where it need not be. Guards rule 2
+    /// Until when its last attempt is discarded where an earlier one ran; for ever where it need not be. Guards rule 2
     /// from a repeat that waits to go out: it goes out within the window or not at all.
     pub fn discarded_until(&self) -> Nanos {
         let earlier =
-            self.tries.split_last().and_then(|(_, earlier)| earlier.iter().find(|t| t.may_have_run));
+            self.attempts.split_last().and_then(|(_, earlier)| earlier.iter().find(|t| t.may_have_run));
         match (self.route.repeat, earlier) {
             (Repeat::Deduped(_), Some(first)) => first.sent + self.route.window,
             _ => Nanos::MAX,
@@ -393,33 +393,33 @@
     }
 
     pub fn tried(&self, node: Node) -> bool {
-        self.tries.iter().any(|t| t.node == node)
+        self.attempts.iter().any(|t| t.node == node)
     }
 
     /// The nodes that were tried, by number, each once.
     pub fn nodes(&self, into: &mut Vec<Node>) {
         into.clear();
-        into.extend(self.tries.iter().map(|t| t.node));
+        into.extend(self.attempts.iter().map(|t| t.node));
         into.sort_unstable();
         into.dedup();
     }
 
-    /// The nodes of tries that ended in errors; each is named once.
+    /// The nodes of attempts that ended in errors; each is named once.
     pub fn blamed(&mut self) -> SmallVec<[Node; 2]> {
-        let errored = |t: &mut Try| std::mem::take(&mut t.errored).then_some(t.node);
-        self.tries.iter_mut().filter_map(errored).collect()
+        let errored = |t: &mut Attempt| std::mem::take(&mut t.errored).then_some(t.node);
+        self.attempts.iter_mut().filter_map(errored).collect()
     }
 
     pub fn errors(&self) -> usize {
-        self.tries.iter().filter(|t| t.errored).count()
+        self.attempts.iter().filter(|t| t.errored).count()
     }
 
     pub fn may_have_run(&self) -> bool {
-        self.tries.iter().any(|t| t.may_have_run)
+        self.attempts.iter().any(|t| t.may_have_run)
     }
 
     pub fn out(&self) -> usize {
-        self.tries.iter().filter(|t| t.out).count()
+        self.attempts.iter().filter(|t| t.out).count()
     }
 
     /// The key whose order it keeps.
@@ -438,11 +438,11 @@
 
     /// The first node that lacked the key: the origin's answer will be kept there.
     pub fn missed(&self) -> Option<Node> {
-        self.tries.iter().find(|t| t.missed).map(|t| t.node)
+        self.attempts.iter().find(|t| t.missed).map(|t| t.node)
     }
 }
 
-/// The settings that hold for all routes, as the decisions look them up for each exchange.
+/// The settings that hold for all routes, as the decisions look them up for each request.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
     pub cold: Nanos,
@@ -457,7 +457,7 @@
     pub probes: bool,
     /// The list must be asked for.
     pub asks_list: bool,
-    /// How long a key rests after a try that may still run.
+    /// How long a key rests after an attempt that may still run.
     pub turn_gap: Nanos,
 }
 
@@ -485,8 +485,8 @@
     pub repeat: Repeat,
     pub window: Nanos,
     pub payoff: f64,
-    pub most_tries: usize,
-    /// Its exchanges of one key run one at a time, in the order in which they were taken.
+    pub most_attempts: usize,
+    /// Its requests of one key run one at a time, in the order in which they were taken.
     pub ordered: bool,
     /// No longer in the settings: kept for clients that still name it.
     pub dropped: bool,
@@ -518,7 +518,7 @@
             },
             window: settings.time(&name("window"), 0),
             payoff: settings.number(&name("payoff"), 1.0),
-            most_tries: settings.number("most_tries", 1.0) as usize,
+            most_attempts: settings.number("most_tries", 1.0) as usize,
             ordered: settings.flag(&name("ordered")),
             dropped: settings.flag(&name("dropped")),
         }
--- a/crates/core/src/turns.rs
+++ b/crates/core/src/turns.rs
@@ -1,7 +1,7 @@
-//! The lines of exchanges that keep their order: one a key, in the order in which they were taken. A line is gone once
+//! The lines of requests that keep their order: one a key, in the order in which they were taken. A line is gone once
 //! nobody stands in it and its key's rest is over.
 
-use crate::host::{Nanos, Xchg};
+use crate::host::{Nanos, RequestId};
 use hashbrown::HashMap;
 use std::collections::VecDeque;
 
@@ -14,20 +14,20 @@
 
 #[derive(Debug, Default)]
 struct Line {
-    waiting: VecDeque<Xchg>,
-    /// Until when a try that ended may still run.
+    waiting: VecDeque<RequestId>,
+    /// Until when an attempt that ended may still run.
     rests_until: Nanos,
 }
 
 impl Turns {
-    pub fn enter(&mut self, key: u64, xchg: Xchg) {
-        self.lines.entry(key).or_default().waiting.push_back(xchg);
+    pub fn enter(&mut self, key: u64, id: RequestId) {
+        self.lines.entry(key).or_default().waiting.push_back(id);
     }
 
     /// How many stand before this one.
-    pub fn before(&self, key: u64, xchg: Xchg) -> usize {
+    pub fn before(&self, key: u64, id: RequestId) -> usize {
         let line = self.lines.get(&key);
-        line.and_then(|line| line.waiting.iter().position(|&other| other == xchg)).unwrap_or(0)
+        line.and_then(|line| line.waiting.iter().position(|&other| other == id)).unwrap_or(0)
     }
 
     pub fn rests_until(&self, key: u64) -> Nanos {
@@ -40,10 +40,10 @@
         self.rests.push_back((until, key));
     }
 
-    /// Takes an exchange out of its line: who is first then, if it was.
-    pub fn leave(&mut self, now: Nanos, key: u64, xchg: Xchg) -> Option<Xchg> {
+    /// Takes a request out of its line: who is first then, if it was.
+    pub fn leave(&mut self, now: Nanos, key: u64, id: RequestId) -> Option<RequestId> {
         let line = self.lines.get_mut(&key)?;
-        let place = line.waiting.iter().position(|&other| other == xchg)?;
+        let place = line.waiting.iter().position(|&other| other == id)?;
         line.waiting.remove(place);
         let next = line.waiting.front().copied().filter(|_| place == 0);
         self.tidy(key, now);
--- a/crates/core/tests/balance/failures.rs
+++ b/crates/core/tests/balance/failures.rs
@@ -8,9 +8,9 @@
 #[test]
 fn a_node_that_fails_quickly_is_set_aside_until_it_answers_probes() {
     let mut rig = rig(2, "retriable", &[("most_tries", Value::Number(1.0)), ("fleet", Value::Number(3.0))]);
-    for xchg in 1..=6 {
-        rig.arrive_for(xchg, xchg);
-        rig.end(xchg, 0, Outcome::Unreachable);
+    for id in 1..=6 {
+        rig.arrive_for(id, id);
+        rig.end(id, 0, Outcome::Unreachable);
     }
     rig.pass(100 * MS);
     for node in [1, 2, 1, 2] {
@@ -18,7 +18,7 @@
     }
     rig.note("both are back");
     rig.now += SECOND;
-    (31..=34).for_each(|xchg| rig.arrive_for(xchg, xchg));
+    (31..=34).for_each(|id| rig.arrive_for(id, id));
     rig.check(expect![[r#"
         1 to node 1, 1 shed, 2 to node 2, 2 shed, 3 to node 2, 3 shed, 4 to node 2
         log: node 2 aside: 3 failures, last Unreachable
@@ -35,14 +35,14 @@
 #[test]
 fn a_node_that_fails_two_times_in_three_is_set_aside() {
     let mut rig = rig(2, "retriable", &[("fleet", Value::Number(3.0))]);
-    for xchg in 1..=24 {
-        rig.arrive_for(xchg, xchg);
+    for id in 1..=24 {
+        rig.arrive_for(id, id);
         // Node 1 fails what others then serve.
-        let first = rig.balance.host.0.trim_end().ends_with(&format!("{xchg} to node 1"));
-        let fails = first && xchg % 3 != 0;
-        rig.end(xchg, 0, if fails { Outcome::Errored } else { Outcome::Completed });
+        let first = rig.balance.host.0.trim_end().ends_with(&format!("{id} to node 1"));
+        let fails = first && id % 3 != 0;
+        rig.end(id, 0, if fails { Outcome::Errored } else { Outcome::Completed });
         if fails {
-            rig.end(xchg, 1, Outcome::Completed);
+            rig.end(id, 1, Outcome::Completed);
         }
     }
     rig.check(expect![[r#"
@@ -52,21 +52,21 @@
     "#]]);
 }
 
-/// Exchanges that fail anywhere set all nodes aside at poznan-depot and strykow-yard, and were tried at one after
+/// Requests that fail anywhere set all nodes aside at poznan-depot and strykow-yard, and were tried at one after
 /// another. They say nothing about a node; one that fails by itself among them is still found.
 #[test]
 fn what_fails_anywhere_blames_no_node_and_ends_after_two() {
     let mut rig = rig(4, "retriable", &[("fleet", Value::Number(9.0))]);
-    for xchg in 1..=6 {
-        rig.arrive_for(xchg, xchg);
-        rig.end(xchg, 0, Outcome::Errored);
-        rig.end(xchg, 1, Outcome::Errored);
+    for id in 1..=6 {
+        rig.arrive_for(id, id);
+        rig.end(id, 0, Outcome::Errored);
+        rig.end(id, 1, Outcome::Errored);
     }
     rig.note("one that another node serves, and one that another lacks");
-    for (xchg, outcome) in [(7, Outcome::Completed), (8, Outcome::Missed)] {
-        rig.arrive_for(xchg, xchg);
-        rig.end(xchg, 0, Outcome::Errored);
-        rig.end(xchg, 1, outcome);
+    for (id, outcome) in [(7, Outcome::Completed), (8, Outcome::Missed)] {
+        rig.arrive_for(id, id);
+        rig.end(id, 0, Outcome::Errored);
+        rig.end(id, 1, outcome);
     }
     rig.check(expect![[r#"
         1 to node 1, 1 to node 4, 1 shed, 2 to node 3, 2 to node 2, 2 shed, 3 to node 4, 3 to node 2, 3 shed, 4 to node 3, 4 to node 2, 4 shed, 5 to node 2, 5 to node 4, 5 shed, 6 to node 1, 6 to node 4, 6 shed
@@ -110,18 +110,18 @@
     ];
     let mut rig = rig(1, "retriable", &tenants);
     rig.ask.tenant = Some(0);
-    for xchg in 1..=5 {
-        rig.arrive(xchg);
-        rig.end(xchg, 0, Outcome::Completed);
+    for id in 1..=5 {
+        rig.arrive(id);
+        rig.end(id, 0, Outcome::Completed);
     }
     rig.pass(SECOND);
     rig.note("tenant 0 had its part; the node is full");
     rig.ask.tenant = Some(1);
-    (31..=34).for_each(|xchg| rig.arrive(xchg));
+    (31..=34).for_each(|id| rig.arrive(id));
     rig.ask.tenant = Some(0);
     rig.arrive(35);
     rig.ask.tenant = Some(1);
-    (36..=41).for_each(|xchg| rig.arrive(xchg));
+    (36..=41).for_each(|id| rig.arrive(id));
     rig.note("40 and 41 waited for room");
     rig.end(31, 0, Outcome::Completed);
     rig.check(expect![[r#"
@@ -150,7 +150,7 @@
     expect!["[100, 200, 400, 900, 1900, 3300, 5200, 3000] ms"].assert_eq(&format!("{waits:?} ms"));
 }
 
-/// One exchange from each of many proxies at every node was a crowd, and one fetch from each at the origin.
+/// One request from each of many proxies at every node was a crowd, and one fetch from each at the origin.
 #[test]
 fn many_proxies_have_little_in_flight_over_all_caches_and_at_the_origin() {
     let mut rig = rig(6, "retriable", &[("fleet", Value::Number(60.0))]);
@@ -164,14 +164,14 @@
     "#]]);
 }
 
-/// One of many proxies never had two exchanges at a node at once: the sets of hot keys did not grow.
+/// One of many proxies never had two requests at a node at once: the sets of hot keys did not grow.
 #[test]
 fn a_hot_key_spreads_though_each_of_many_proxies_sees_little_of_it() {
     let mut rig = rig(6, "retriable", &[("fleet", Value::Number(60.0))]);
-    for xchg in 1..=16 {
-        rig.arrive(xchg);
+    for id in 1..=16 {
+        rig.arrive(id);
         rig.pass(200 * MS);
-        rig.end(xchg, 0, Outcome::Completed);
+        rig.end(id, 0, Outcome::Completed);
         rig.pass(100 * MS);
     }
     rig.check(expect![[r#"
@@ -185,16 +185,16 @@
     let mut all = String::new();
     for (fleet, took) in [(2.0, 10 * MS), (10.0, 10 * MS), (2.0, 400 * MS)] {
         let mut rig = rig(1, "retriable", &[("fleet", Value::Number(fleet))]);
-        for xchg in 1..=40 {
-            rig.arrive(xchg);
-            rig.now += if xchg > 20 { took } else { 10 * MS };
-            rig.end(xchg, 0, Outcome::Completed);
+        for id in 1..=40 {
+            rig.arrive(id);
+            rig.now += if id > 20 { took } else { 10 * MS };
+            rig.end(id, 0, Outcome::Completed);
             rig.balance.woke(rig.now, 0);
         }
         rig.balance.host.0.clear();
         rig.balance.listed_all(&[1]);
         rig.note(&format!("fleet of {fleet}, the last answers in {} ms", took / MS));
-        (41..=46).for_each(|xchg| rig.arrive(xchg));
+        (41..=46).for_each(|id| rig.arrive(id));
         all += &format!("{}\n", rig.balance.host.0);
     }
     expect![[r#"
@@ -224,8 +224,8 @@
     rig.pass(SECOND);
     rig.note("10 s");
     rig.balance.listed(rig.now, 1, listed(8));
-    for xchg in 2..5 {
-        rig.arrive(xchg);
+    for id in 2..5 {
+        rig.arrive(id);
     }
     rig.end(2, 0, Outcome::Completed);
     rig.balance.listed(rig.now, 1, Listed { standing: Standing::Gone, ..listed(8) });
@@ -250,10 +250,10 @@
     rig.now += SECOND / 2;
     rig.end(1, 0, Outcome::Overdue);
     rig.end(1, 1, Outcome::Completed);
-    for xchg in 2..=4 {
+    for id in 2..=4 {
         rig.pass(2 * SECOND);
-        rig.arrive(xchg);
-        rig.end(xchg, 0, Outcome::Completed);
+        rig.arrive(id);
+        rig.end(id, 0, Outcome::Completed);
     }
     assert_eq!(rig.balance.host.1, [SECOND / 2, 3 * SECOND / 2, SECOND / 2, SECOND / 2, SECOND / 2]);
     rig.check(expect![[r#"
@@ -270,10 +270,10 @@
     rig.arrive(1);
     rig.end(1, 0, Outcome::Errored);
     rig.end(1, 1, Outcome::Completed);
-    for xchg in 2..=5 {
+    for id in 2..=5 {
         rig.pass(3 * SECOND);
-        rig.arrive_for(xchg, 100 + xchg);
-        rig.end(xchg, 0, Outcome::Completed);
+        rig.arrive_for(id, 100 + id);
+        rig.end(id, 0, Outcome::Completed);
     }
     rig.check(expect![[r#"
         1 to node 1, 1 to node 2, 2 to node 2, 3 to node 2, 4 to node 2, 5 to node 1
@@ -293,18 +293,18 @@
             ("tenant.1.quota", Value::Number(60.0)),
         ],
     );
-    for xchg in 1..=200 {
-        rig.ask.tenant = Some(xchg as usize % 2);
-        rig.arrive_for(xchg, xchg % 7);
+    for id in 1..=200 {
+        rig.ask.tenant = Some(id as usize % 2);
+        rig.arrive_for(id, id % 7);
         rig.now += 10 * MS;
-        rig.end(xchg, 0, Outcome::Completed);
-        if xchg % 10 == 0 {
+        rig.end(id, 0, Outcome::Completed);
+        if id % 10 == 0 {
             rig.balance.woke(rig.now, 0);
         }
     }
     rig.note("fifty times its part of both quotas; now as much at once as there are caches");
     let before = rig.balance.host.0.len();
-    (301..=308).for_each(|xchg| rig.arrive_for(xchg, xchg));
+    (301..=308).for_each(|id| rig.arrive_for(id, id));
     assert!(!rig.balance.host.0[..before].contains("shed"));
     rig.balance.host.0.drain(..before);
     rig.check(expect![[r#"
@@ -377,16 +377,16 @@
     .assert_eq(&format!("{:?}\n", &counts[1..]));
 }
 
-/// Where all nodes were slow every first try was cut, and each cut was a miss and a fetch more.
+/// Where all nodes were slow every first attempt was cut, and each cut was a miss and a fetch more.
 #[test]
 fn first_tries_are_not_cut_while_hits_are_slow() {
     let mut given = Vec::new();
     for took in [100, 400] {
         let mut rig = rig(4, "retriable", &[]);
-        for xchg in 1..=10 {
-            rig.arrive_for(xchg, xchg);
+        for id in 1..=10 {
+            rig.arrive_for(id, id);
             rig.now += took * MS;
-            rig.end(xchg, 0, Outcome::Completed);
+            rig.end(id, 0, Outcome::Completed);
             rig.balance.woke(rig.now, 0);
         }
         rig.arrive(11);
@@ -395,18 +395,18 @@
     assert_eq!(given, [500, 2000]);
 }
 
-/// At gdansk-port a third of all tries were turned away as full: a refusal counted for 100 ms, while one of fifty
+/// At gdansk-port a third of all attempts were turned away as full: a refusal counted for 100 ms, while one of fifty
 /// proxies asks a node every few seconds, and so found the same node full each time.
 #[test]
 fn a_refusal_counts_until_this_proxy_would_ask_the_node_again() {
     let mut rig = rig(4, "retriable", &[]);
     // One answer a second, from one of four nodes: each is asked every four seconds.
-    for xchg in 1..=8 {
-        rig.arrive_for(xchg, xchg);
-        rig.end(xchg, 0, Outcome::Completed);
+    for id in 1..=8 {
+        rig.arrive_for(id, id);
+        rig.end(id, 0, Outcome::Completed);
         rig.pass(SECOND);
     }
-    let key = |rig: &mut crate::rig::Rig, xchg: u64| rig.arrive_for(xchg, 1);
+    let key = |rig: &mut crate::rig::Rig, id: u64| rig.arrive_for(id, 1);
     rig.note("its node is full");
     key(&mut rig, 9);
     rig.end(9, 0, Outcome::Saturated);
@@ -430,9 +430,9 @@
 #[test]
 fn a_fetch_waits_a_third_of_its_objective() {
     let mut rig = rig(1, "retriable", &[]);
-    for xchg in [1, 2] {
-        rig.arrive(xchg);
-        rig.end(xchg, 0, Outcome::Missed);
+    for id in [1, 2] {
+        rig.arrive(id);
+        rig.end(id, 0, Outcome::Missed);
     }
     for ms in [332, 2] {
         rig.note(&format!("{ms} ms later"));
--- a/crates/core/tests/balance/fleet.rs
+++ b/crates/core/tests/balance/fleet.rs
@@ -1,4 +1,4 @@
-//! What one proxy of hundreds may conclude from the little that it sees: the days of a full fleet.
+//! What one proxy of hundreds may give_up from the little that it sees: the days of a full fleet.
 
 use crate::rig::{MS, Rig, SECOND, listed, rig};
 use expect_test::expect;
@@ -9,17 +9,17 @@
     rig(caches, "retriable", &[("fleet", Value::Number(300.0))])
 }
 
-/// How long each try was given, in milliseconds.
+/// How long each attempt was given, in milliseconds.
 fn given(rig: &Rig) -> String {
     let times: Vec<u64> = rig.balance.host.1.iter().map(|time| time / MS).collect();
     format!("{times:?}")
 }
 
-/// An exchange whose client waits 100 ms of an objective of a second, in vain.
-fn in_vain(rig: &mut Rig, xchg: u64) {
-    rig.arrive(xchg);
+/// A request whose client waits 100 ms of an objective of a second, in vain.
+fn in_vain(rig: &mut Rig, id: u64) {
+    rig.arrive(id);
     rig.pass(100 * MS);
-    rig.end(xchg, 0, Outcome::Overdue);
+    rig.end(id, 0, Outcome::Overdue);
 }
 
 /// On `join+mass` clients gave up after 129 ms, and each of 300 proxies set a crowded node aside after one time-out:
@@ -28,11 +28,11 @@
 fn hasty_clients_time_outs_set_no_node_aside_but_silence_for_an_objective_does() {
     let mut rig = of_300(1);
     rig.ask.grace = 100 * MS;
-    (1..=8).for_each(|xchg| in_vain(&mut rig, xchg));
+    (1..=8).for_each(|id| in_vain(&mut rig, id));
     rig.note("a sign of life, then ten in vain");
     rig.arrive(9);
     rig.end(9, 0, Outcome::Completed);
-    (10..=19).for_each(|xchg| in_vain(&mut rig, xchg));
+    (10..=19).for_each(|id| in_vain(&mut rig, id));
     rig.check(expect![[r#"
         1 to node 1, 1 shed, 2 to node 1, 2 shed, 3 to node 1, 3 shed, 4 to node 1, 4 shed, 5 to node 1, 5 shed, 6 to node 1, 6 shed, 7 to node 1, 7 shed, 8 to node 1, 8 shed
         -- a sign of life, then ten in vain
@@ -42,7 +42,7 @@
     "#]]);
 }
 
-/// A node that is dead is left after one exchange that waited long enough, as ever.
+/// A node that is dead is left after one request that waited long enough, as ever.
 #[test]
 fn a_node_that_is_silent_for_an_objective_is_left_after_one_exchange() {
     let mut rig = of_300(4);
@@ -76,7 +76,7 @@
 }
 
 /// On `join+mass` half of what the origin did for hasty clients came too late for them, was thrown away, and was asked
-/// for again by their next try.
+/// for again by their next attempt.
 #[test]
 fn a_fetch_outlives_its_client_and_those_who_come_next_wait_for_it() {
     let mut rig = of_300(4);
@@ -134,7 +134,7 @@
     expect!["[100, 100]"].assert_eq(&given(&rig));
 }
 
-/// On `join+mass` most tries were turned away; each refusal then counted for ten seconds, so that every proxy passed over
+/// On `join+mass` most attempts were turned away; each refusal then counted for ten seconds, so that every proxy passed over
 /// other nodes and asked for keys where they were not.
 #[test]
 fn a_refusal_among_many_counts_for_a_moment_only() {
@@ -142,15 +142,15 @@
     rig.arrive(1);
     rig.note("one answer, eight refusals");
     rig.end(1, 0, Outcome::Completed);
-    for xchg in 2..=5 {
-        rig.arrive(xchg);
-        (0..2).for_each(|try_no| rig.end(xchg, try_no, Outcome::Saturated));
+    for id in 2..=5 {
+        rig.arrive(id);
+        (0..2).for_each(|attempt| rig.end(id, attempt, Outcome::Saturated));
     }
     rig.note("a fifth of a second later both members are asked");
     rig.pass(200 * MS);
-    for xchg in 6..=11 {
-        rig.arrive(xchg);
-        rig.end(xchg, 0, Outcome::Completed);
+    for id in 6..=11 {
+        rig.arrive(id);
+        rig.end(id, 0, Outcome::Completed);
     }
     rig.check(expect![[r#"
         1 to node 1
@@ -173,13 +173,13 @@
             rig.balance.listed(rig.now, node, Listed { started: rig.now, ..listed(node) });
         }
         // Answers take too long for more than the least room.
-        for xchg in 101..=104 {
-            rig.arrive_for(xchg, xchg);
+        for id in 101..=104 {
+            rig.arrive_for(id, id);
             rig.pass(400 * MS);
-            rig.end(xchg, 0, Outcome::Completed);
+            rig.end(id, 0, Outcome::Completed);
         }
         rig.balance.host.0.clear();
-        (1..=60).for_each(|xchg| rig.arrive_for(xchg, xchg));
+        (1..=60).for_each(|id| rig.arrive_for(id, id));
         counts.push(rig.balance.host.0.matches("to node").count());
     }
     expect!["[23, 14]"].assert_eq(&format!("{counts:?}"));
--- a/crates/core/tests/balance/operations.rs
+++ b/crates/core/tests/balance/operations.rs
@@ -9,10 +9,10 @@
 fn a_node_out_of_service_gets_nothing_whatever_is_listed_until_it_is_put_back() {
     let mut rig = rig(2, "retriable", &[]);
     let (one, two) = (listed(1).identity, listed(2).identity);
-    for (xchg, node) in [(1, one), (2, two)] {
+    for (id, node) in [(1, one), (2, two)] {
         rig.balance.maintained(rig.now, node, true);
         rig.balance.maintained(rig.now, node, true);
-        rig.arrive(xchg);
+        rig.arrive(id);
     }
     rig.note(
         "listed as draining, as gone, and as new: it stays out, and so does one that comes under its number",
@@ -26,10 +26,10 @@
     rig.note("back, though it was never listed since: it counts as cold and gets its part");
     rig.balance.maintained(rig.now, one, false);
     rig.balance.maintained(rig.now, one, false);
-    for xchg in 4..8 {
+    for id in 4..8 {
         rig.pass(2 * SECOND);
-        rig.arrive(xchg);
-        rig.end(xchg, 0, Outcome::Completed);
+        rig.arrive(id);
+        rig.end(id, 0, Outcome::Completed);
     }
     rig.check(expect![[r#"
         log: node 1 out of service
@@ -48,9 +48,9 @@
 #[test]
 fn failures_before_a_maintenance_are_forgotten_after_it() {
     let mut rig = rig(1, "retriable", &[]);
-    for xchg in 1..6 {
-        rig.arrive(xchg);
-        rig.end(xchg, 0, Outcome::Severed);
+    for id in 1..6 {
+        rig.arrive(id);
+        rig.end(id, 0, Outcome::Severed);
     }
     rig.balance.maintained(rig.now, listed(1).identity, true);
     rig.pass(SECOND);
@@ -84,13 +84,13 @@
     rig.arrive(1);
     rig.balance.retuned(rig.now, &settings(&[("non_retriable", 1000), ("retriable", 500)], 2.0));
     rig.note("taken before: as it was, tried three times and more");
-    for try_no in 0..3 {
-        rig.end(1, try_no, Outcome::Severed);
+    for attempt in 0..3 {
+        rig.end(1, attempt, Outcome::Severed);
     }
     rig.note("the route has become non-retriable");
     rig.arrive(2);
     rig.end(2, 0, Outcome::Severed);
-    rig.note("a new route, two tries at most");
+    rig.note("a new route, two attempts at most");
     rig.ask.route = 1;
     rig.arrive(3);
     rig.end(3, 0, Outcome::Unreachable);
@@ -110,7 +110,7 @@
         1 to node 1, 1 to node 2, 1 to node 3
         -- the route has become non-retriable
         2 to node 1, 2 error
-        -- a new route, two tries at most
+        -- a new route, two attempts at most
         3 to node 4, 3 to node 1, 3 shed
         -- back to retriable: clients may still mean the route that was not
         4 to node 1, 4 error
--- a/crates/core/tests/balance/order.rs
+++ b/crates/core/tests/balance/order.rs
@@ -1,10 +1,10 @@
-//! Exchanges of routes that keep order: one at a time a key, in the order in which they were taken.
+//! Requests of routes that keep order: one at a time a key, in the order in which they were taken.
 
 use crate::rig::{MS, SECOND, listed, rig};
 use expect_test::expect;
 use proptest::prelude::*;
 use pumicebay_core::settings::Value;
-use pumicebay_core::{Ask, Balance, Host, Nanos, Node, Outcome, Settings, Xchg};
+use pumicebay_core::{Ask, Balance, Host, Nanos, Node, Outcome, RequestId, Settings};
 use std::collections::{BTreeMap, BTreeSet};
 
 fn ordered() -> [(&'static str, Value); 3] {
@@ -20,7 +20,7 @@
 fn exchanges_of_one_key_go_one_by_one_and_the_key_rests_after_a_lost_try() {
     let mut rig = rig(2, "non_retriable", &ordered());
     rig.ask.write = true;
-    (1..=3).for_each(|xchg| rig.arrive(xchg));
+    (1..=3).for_each(|id| rig.arrive(id));
     rig.note("another key, and none, are free");
     rig.arrive_for(4, 8);
     rig.ask.key = None;
@@ -63,10 +63,10 @@
     rig.arrive(1);
     rig.now += 400 * MS;
     rig.end(1, 0, Outcome::Completed);
-    (2..=6).for_each(|xchg| rig.arrive(xchg));
+    (2..=6).for_each(|id| rig.arrive(id));
     rig.note("400 ms each, a third of the objective of 2 s: one may stand behind the first");
     rig.now += SECOND;
-    (2..=6).for_each(|xchg| rig.balance.woke(rig.now, xchg));
+    (2..=6).for_each(|id| rig.balance.woke(rig.now, id));
     rig.check(expect![[r#"
         1 to origin, 2 to origin, 4 shed, 5 shed, 6 shed
         -- 400 ms each, a third of the objective of 2 s: one may stand behind the first
@@ -76,25 +76,25 @@
 
 #[derive(Default)]
 struct Acts {
-    sent: Vec<Xchg>,
-    over: BTreeSet<Xchg>,
+    sent: Vec<RequestId>,
+    over: BTreeSet<RequestId>,
     wakes: BTreeSet<(Nanos, u64)>,
 }
 
 impl Host for Acts {
-    fn send(&mut self, xchg: Xchg, _node: Node, _timeout: Nanos) {
-        self.sent.push(xchg);
+    fn send(&mut self, id: RequestId, _node: Node, _timeout: Nanos) {
+        self.sent.push(id);
     }
-    fn shed(&mut self, xchg: Xchg, _pause: Nanos) {
-        assert!(self.over.insert(xchg), "{xchg} answered twice");
+    fn shed(&mut self, id: RequestId, _pause: Nanos) {
+        assert!(self.over.insert(id), "{id} answered twice");
     }
-    fn error(&mut self, xchg: Xchg) {
-        assert!(self.over.insert(xchg), "{xchg} answered twice");
+    fn error(&mut self, id: RequestId) {
+        assert!(self.over.insert(id), "{id} answered twice");
     }
     fn wake(&mut self, at: Nanos, token: u64) {
         self.wakes.insert((at, token));
     }
-    fn forget(&mut self, _xchg: Xchg) {}
+    fn forget(&mut self, _xchg: RequestId) {}
     fn probe(&mut self, _node: Node) {}
     fn dismiss(&mut self, _node: Node) {}
     fn follow(&mut self) {}
@@ -105,9 +105,9 @@
 struct World {
     balance: Balance<Acts>,
     now: Nanos,
-    keys: BTreeMap<Xchg, (u64, bool)>,
-    /// Tries by exchange: how many, and which are out.
-    tries: BTreeMap<Xchg, (usize, BTreeSet<usize>)>,
+    keys: BTreeMap<RequestId, (u64, bool)>,
+    /// Attempts by request: how many, and which are out.
+    attempts: BTreeMap<RequestId, (usize, BTreeSet<usize>)>,
     rests: BTreeMap<u64, Nanos>,
 }
 
@@ -128,42 +128,42 @@
         let now = 100 * SECOND;
         let mut balance = Balance::new(Acts::default(), settings, 1, now);
         (0..4).for_each(|node| balance.listed(now, node, listed(node)));
-        let (keys, tries, rests) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        World { balance, now, keys, tries, rests }
+        let (keys, attempts, rests) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        World { balance, now, keys, attempts, rests }
     }
 
-    /// Looks at each try that was sent since.
+    /// Looks at each attempt that was sent since.
     fn check(&mut self) {
-        for xchg in std::mem::take(&mut self.balance.host.sent) {
-            let (key, ordered) = self.keys[&xchg];
-            let (count, out) = self.tries.entry(xchg).or_default();
+        for id in std::mem::take(&mut self.balance.host.sent) {
+            let (key, ordered) = self.keys[&id];
+            let (count, out) = self.attempts.entry(id).or_default();
             out.insert(*count);
             *count += 1;
             let first = *count == 1;
             if !ordered {
                 continue;
             }
-            for (&earlier, _) in self.keys.range(..xchg).filter(|(_, other)| **other == (key, true)) {
+            for (&earlier, _) in self.keys.range(..id).filter(|(_, other)| **other == (key, true)) {
                 let over = self.balance.host.over.contains(&earlier);
-                let out = self.tries.get(&earlier).is_some_and(|(_, out)| !out.is_empty());
-                assert!(over && !out, "{xchg} sent while {earlier} of its key is not over");
+                let out = self.attempts.get(&earlier).is_some_and(|(_, out)| !out.is_empty());
+                assert!(over && !out, "{id} sent while {earlier} of its key is not over");
             }
             let rested = self.rests.get(&key).is_none_or(|until| self.now >= *until);
-            assert!(!first || rested, "{xchg} sent while its key rests");
+            assert!(!first || rested, "{id} sent while its key rests");
         }
     }
 
-    fn end(&mut self, xchg: Xchg, try_no: usize, outcome: Outcome) {
-        self.tries.get_mut(&xchg).unwrap().1.remove(&try_no);
-        let (key, ordered) = self.keys[&xchg];
+    fn end(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
+        self.attempts.get_mut(&id).unwrap().1.remove(&attempt);
+        let (key, ordered) = self.keys[&id];
         if ordered && matches!(outcome, Outcome::Overdue | Outcome::Severed | Outcome::Withdrawn) {
             self.rests.insert(key, self.now + GAP);
         }
         if outcome == Outcome::Completed {
-            self.balance.host.over.insert(xchg);
+            self.balance.host.over.insert(id);
         }
-        let over = self.balance.host.over.contains(&xchg);
-        self.balance.ended(self.now, xchg, try_no, outcome, over);
+        let over = self.balance.host.over.contains(&id);
+        self.balance.ended(self.now, id, attempt, outcome, over);
         self.check();
     }
 
@@ -178,8 +178,8 @@
         self.now = until;
     }
 
-    fn out(&self) -> Vec<(Xchg, usize)> {
-        self.tries.iter().flat_map(|(&xchg, (_, out))| out.iter().map(move |&no| (xchg, no))).collect()
+    fn out(&self) -> Vec<(RequestId, usize)> {
+        self.attempts.iter().flat_map(|(&id, (_, out))| out.iter().map(move |&no| (id, no))).collect()
     }
 }
 
@@ -214,26 +214,26 @@
                 }
                 4..8 => {
                     let out = world.out();
-                    if let Some(&(xchg, try_no)) = out.get(pick % out.len().max(1)) {
-                        world.end(xchg, try_no, OUTCOMES[other]);
+                    if let Some(&(id, attempt)) = out.get(pick % out.len().max(1)) {
+                        world.end(id, attempt, OUTCOMES[other]);
                     }
                 }
                 8 if last > 0 => {
-                    let xchg = 1 + pick as u64 % last;
-                    if world.balance.host.over.insert(xchg) {
-                        world.balance.dropped(world.now, xchg);
+                    let id = 1 + pick as u64 % last;
+                    if world.balance.host.over.insert(id) {
+                        world.balance.dropped(world.now, id);
                         world.check();
                     }
                 }
                 _ => world.pass((1 + pick as u64) * 20 * MS),
             }
         }
-        while let Some((xchg, try_no)) = world.out().first().copied() {
-            world.end(xchg, try_no, Outcome::Overdue);
+        while let Some((id, attempt)) = world.out().first().copied() {
+            world.end(id, attempt, Outcome::Overdue);
         }
         world.pass(10 * SECOND);
-        while let Some((xchg, try_no)) = world.out().first().copied() {
-            world.end(xchg, try_no, Outcome::Overdue);
+        while let Some((id, attempt)) = world.out().first().copied() {
+            world.end(id, attempt, Outcome::Overdue);
         }
         world.pass(10 * SECOND);
         prop_assert_eq!(world.balance.host.over.len() as u64, last);
--- a/crates/core/tests/balance/path.rs
+++ b/crates/core/tests/balance/path.rs
@@ -5,7 +5,7 @@
 #[test]
 fn a_key_is_seeded_then_its_set_grows_past_t() {
     let mut rig = rig(4, "retriable", &[]);
-    (1..=7).for_each(|xchg| rig.arrive(xchg));
+    (1..=7).for_each(|id| rig.arrive(id));
     rig.note("four in flight were more than T and another cache joined; now the less loaded of both serves");
     rig.arrive(8);
     rig.check(expect![[r#"
--- a/crates/core/tests/balance/plain.rs
+++ b/crates/core/tests/balance/plain.rs
@@ -7,7 +7,7 @@
 use pumicebay_core::settings::Value;
 use pumicebay_core::state::Cache;
 use pumicebay_core::table::rendezvous;
-use pumicebay_core::{Ask, Balance, Held, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+use pumicebay_core::{Ask, Balance, Held, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing};
 
 const MS: Nanos = 1_000_000;
 const SECOND: Nanos = 1000 * MS;
@@ -26,7 +26,7 @@
 }
 
 impl Walk {
-    /// Every node that takes an exchange, with the load it counts as, and where it stands among its ties.
+    /// Every node that takes a request, with the load it counts as, and where it stands among its ties.
     fn takers(view: View<'_>, mean: f64, not: &[Node]) -> Vec<(f64, (bool, u64), Node)> {
         let mut all = Vec::new();
         for (node, cache) in view.caches.iter().enumerate() {
@@ -80,30 +80,30 @@
     }
 }
 
-/// Writes down all acts, and keeps the tries that are out.
+/// Writes down all acts, and keeps the attempts that are out.
 #[derive(Default)]
 struct Notes {
     acts: Vec<String>,
-    out: Vec<(Xchg, usize, Node)>,
-    tries: std::collections::BTreeMap<Xchg, usize>,
+    out: Vec<(RequestId, usize, Node)>,
+    attempts: std::collections::BTreeMap<RequestId, usize>,
     wakes: Vec<(Nanos, u64)>,
 }
 
 impl Host for Notes {
-    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
-        let tries = self.tries.entry(xchg).or_default();
-        self.out.push((xchg, *tries, node));
-        *tries += 1;
-        self.acts.push(format!("{xchg} to {node} within {timeout}"));
+    fn send(&mut self, id: RequestId, node: Node, timeout: Nanos) {
+        let attempts = self.attempts.entry(id).or_default();
+        self.out.push((id, *attempts, node));
+        *attempts += 1;
+        self.acts.push(format!("{id} to {node} within {timeout}"));
     }
-    fn shed(&mut self, xchg: Xchg, pause: Nanos) {
-        self.acts.push(format!("{xchg} shed {pause}"));
+    fn shed(&mut self, id: RequestId, pause: Nanos) {
+        self.acts.push(format!("{id} shed {pause}"));
     }
-    fn error(&mut self, xchg: Xchg) {
-        self.acts.push(format!("{xchg} error"));
+    fn error(&mut self, id: RequestId) {
+        self.acts.push(format!("{id} error"));
     }
-    fn forget(&mut self, xchg: Xchg) {
-        self.acts.push(format!("{xchg} forgotten"));
+    fn forget(&mut self, id: RequestId) {
+        self.acts.push(format!("{id} forgotten"));
     }
     fn wake(&mut self, at: Nanos, token: u64) {
         self.wakes.push((at, token));
@@ -182,7 +182,7 @@
 struct Proxy<F: Finder> {
     balance: Balance<Notes, F>,
     now: Nanos,
-    last: Xchg,
+    last: RequestId,
     nodes: usize,
 }
 
@@ -209,12 +209,12 @@
             }
             Step::Ends { which, outcome: draw } if !self.balance.host.out.is_empty() => {
                 let place = which % self.balance.host.out.len();
-                let (xchg, try_no, node) = self.balance.host.out.swap_remove(place);
+                let (id, attempt, node) = self.balance.host.out.swap_remove(place);
                 let outcome = match outcome(draw) {
                     Outcome::Missed if node == ORIGIN => Outcome::Completed,
                     outcome => outcome,
                 };
-                self.balance.ended(now, xchg, try_no, outcome, outcome == Outcome::Completed);
+                self.balance.ended(now, id, attempt, outcome, outcome == Outcome::Completed);
             }
             Step::Ends { .. } => {}
             Step::List { node, standing, fresh } => {
--- a/crates/core/tests/balance/rig.rs
+++ b/crates/core/tests/balance/rig.rs
@@ -2,14 +2,14 @@
 
 use expect_test::Expect;
 use pumicebay_core::settings::Value;
-use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing};
 
 pub const MS: Nanos = 1_000_000;
 pub const SECOND: Nanos = 1000 * MS;
 /// The origin's index in every test; the caches are 1, 2, 3 ...
 pub const ORIGIN: Node = 0;
 
-/// What was asked for, and the time that each try was given.
+/// What was asked for, and the time that each attempt was given.
 #[derive(Default)]
 pub struct Trace(pub String, pub Vec<Nanos>);
 
@@ -27,22 +27,22 @@
 }
 
 impl Host for Trace {
-    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
+    fn send(&mut self, id: RequestId, node: Node, timeout: Nanos) {
         self.1.push(timeout);
         let name = if node == ORIGIN { "origin".into() } else { format!("node {node}") };
-        self.act(format!("{xchg} to {name}"));
+        self.act(format!("{id} to {name}"));
     }
-    fn recall(&mut self, xchg: Xchg) {
-        self.act(format!("{xchg} taken back"));
+    fn recall(&mut self, id: RequestId) {
+        self.act(format!("{id} taken back"));
     }
-    fn shed(&mut self, xchg: Xchg, pause: Nanos) {
+    fn shed(&mut self, id: RequestId, pause: Nanos) {
         let back = if pause > 0 { format!(" for {} ms", pause / MS) } else { String::new() };
-        self.act(format!("{xchg} shed{back}"));
+        self.act(format!("{id} shed{back}"));
     }
-    fn error(&mut self, xchg: Xchg) {
-        self.act(format!("{xchg} error"));
+    fn error(&mut self, id: RequestId) {
+        self.act(format!("{id} error"));
     }
-    fn forget(&mut self, _xchg: Xchg) {}
+    fn forget(&mut self, _xchg: RequestId) {}
     fn wake(&mut self, _at: Nanos, _token: u64) {}
     fn probe(&mut self, node: Node) {
         self.act(format!("probe node {node}"));
@@ -107,16 +107,16 @@
 }
 
 impl Rig {
-    pub fn arrive(&mut self, xchg: Xchg) {
-        self.balance.arrived(self.now, xchg, self.ask);
+    pub fn arrive(&mut self, id: RequestId) {
+        self.balance.arrived(self.now, id, self.ask);
     }
 
-    pub fn arrive_for(&mut self, xchg: Xchg, key: u64) {
-        self.balance.arrived(self.now, xchg, Ask { key: Some(key), ..self.ask });
+    pub fn arrive_for(&mut self, id: RequestId, key: u64) {
+        self.balance.arrived(self.now, id, Ask { key: Some(key), ..self.ask });
     }
 
-    pub fn end(&mut self, xchg: Xchg, try_no: usize, outcome: Outcome) {
-        self.balance.ended(self.now, xchg, try_no, outcome, outcome == Outcome::Completed);
+    pub fn end(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
+        self.balance.ended(self.now, id, attempt, outcome, outcome == Outcome::Completed);
     }
 
     pub fn pass(&mut self, span: Nanos) {
--- a/crates/core/tests/balance/rules.rs
+++ b/crates/core/tests/balance/rules.rs
@@ -70,7 +70,7 @@
     .assert_eq(&all);
 }
 
-/// The repeat may wait for its connection, so it ends with the window; a first try has all its time.
+/// The repeat may wait for its connection, so it ends with the window; a first attempt has all its time.
 #[test]
 fn rule_2_a_repeat_that_waits_goes_out_within_the_window() {
     let mut rig = rig(4, "deduped", &[]);
@@ -101,19 +101,19 @@
     "#]]);
 }
 
-/// Many proxies' first exchanges at once would push a cold node over; many new nodes shrank the part of each.
+/// Many proxies' first requests at once would push a cold node over; many new nodes shrank the part of each.
 #[test]
 fn rule_4_a_cold_node_gets_its_part_of_normal_work() {
     let more = [("start_capacity", Value::Number(0.2)), ("fleet", Value::Number(100.0))];
     let (mut rig, mut sent) = (rig(3, "retriable", &more), Vec::new());
-    for xchg in 1..=120 {
-        if xchg == 21 {
+    for id in 1..=120 {
+        if id == 21 {
             (3..9).for_each(|n| rig.balance.listed(rig.now, n, Listed { started: rig.now, ..listed(n) }));
         }
-        rig.arrive_for(xchg, xchg);
-        rig.end(xchg, 0, Outcome::Completed);
+        rig.arrive_for(id, id);
+        rig.end(id, 0, Outcome::Completed);
         rig.pass(100 * MS);
-        sent.push(if rig.balance.host.0.contains(&format!("{xchg} to node 3")) { "x" } else { "." });
+        sent.push(if rig.balance.host.0.contains(&format!("{id} to node 3")) { "x" } else { "." });
     }
     expect![".x.x......xx....xxx...........x..........x...........x........x........x..................x.....x..x.......x....x......."].assert_eq(&sent.concat());
 }
@@ -158,13 +158,13 @@
 fn rule_4_no_heavy_exchange_to_a_cold_node() {
     let mut rig = rig(2, "retriable", &[]);
     rig.ask = Ask { key: None, hint: Some(10 * MS), ..rig.ask };
-    (1..=2).for_each(|xchg| rig.arrive(xchg));
+    (1..=2).for_each(|id| rig.arrive(id));
     rig.pass(100 * MS);
     rig.balance.listed(rig.now, 3, Listed { started: rig.now, ..listed(3) });
     rig.ask.hint = Some(500 * MS);
-    (3..=5).for_each(|xchg| rig.arrive(xchg));
+    (3..=5).for_each(|id| rig.arrive(id));
     rig.ask.hint = Some(5 * MS);
-    (6..=7).for_each(|xchg| rig.arrive(xchg));
+    (6..=7).for_each(|id| rig.arrive(id));
     rig.check(expect![[r#"
         1 to node 1, 2 to node 2
         log: node 3 cold: one exchange in 2.0 s at first
--- a/crates/core/tests/steady.rs
+++ b/crates/core/tests/steady.rs
@@ -1,7 +1,7 @@
 //! A hit in the steady state allocates nothing, in a test program of its own: allocations of all threads count.
 
 use pumicebay_core::settings::Value;
-use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
 
@@ -15,12 +15,12 @@
 }
 
 impl Host for Quiet {
-    fn send(&mut self, _xchg: Xchg, node: Node, _timeout: Nanos) {
+    fn send(&mut self, _xchg: RequestId, node: Node, _timeout: Nanos) {
         self.last = Some(node);
     }
-    fn shed(&mut self, _xchg: Xchg, _pause: Nanos) {}
-    fn error(&mut self, _xchg: Xchg) {}
-    fn forget(&mut self, _xchg: Xchg) {}
+    fn shed(&mut self, _xchg: RequestId, _pause: Nanos) {}
+    fn error(&mut self, _xchg: RequestId) {}
+    fn forget(&mut self, _xchg: RequestId) {}
     fn wake(&mut self, _at: Nanos, _token: u64) {}
     fn probe(&mut self, _node: Node) {}
     fn dismiss(&mut self, _node: Node) {}
@@ -44,16 +44,16 @@
             balance.listed(now, node, listed);
         }
         let mut allocated = 0;
-        // Exchanges for fifty keys, four at once, with ticks; what came before is the warm-up.
+        // Requests for fifty keys, four at once, with ticks; what came before is the warm-up.
         for round in 0..20_000u64 {
             let region = Region::new(ALLOCATOR);
             now += SECOND / 10_000;
-            for xchg in 4 * round + 1..=4 * round + 4 {
-                let ask = Ask { key: Some(xchg % 50), grace: SECOND, ..Ask::default() };
-                balance.arrived(now, xchg, ask);
+            for id in 4 * round + 1..=4 * round + 4 {
+                let ask = Ask { key: Some(id % 50), grace: SECOND, ..Ask::default() };
+                balance.arrived(now, id, ask);
             }
-            for xchg in 4 * round + 1..=4 * round + 4 {
-                balance.ended(now, xchg, 0, Outcome::Completed, true);
+            for id in 4 * round + 1..=4 * round + 4 {
+                balance.ended(now, id, 0, Outcome::Completed, true);
             }
             if round % 1000 == 0 {
                 balance.woke(now, 0);
--- a/crates/lab/src/baselines.rs
+++ b/crates/lab/src/baselines.rs
@@ -7,7 +7,7 @@
 use pumicebay_core::host::{Repeat, Scope};
 use pumicebay_core::state::Route;
 use pumicebay_core::table::rendezvous;
-use pumicebay_core::{Ask, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+use pumicebay_core::{Ask, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing};
 
 /// How much more than the mean a node may have in flight under bounded load.
 const BOUND: f64 = 1.25;
@@ -51,7 +51,7 @@
     asks_list: bool,
     nodes: Vec<(Listed, usize)>,
     origin: Option<Node>,
-    xchgs: HashMap<Xchg, Cx>,
+    xchgs: HashMap<RequestId, Cx>,
     follow_at: Nanos,
 }
 
@@ -92,7 +92,7 @@
         (count > 0).then(|| among[self.rng.rand_range(0..count) as usize])
     }
 
-    fn choose(&mut self, xchg: Xchg) -> Option<Node> {
+    fn choose(&mut self, xchg: RequestId) -> Option<Node> {
         let cx = &self.xchgs[&xchg];
         let (among, key) = (self.candidates(cx), cx.ask.key.unwrap_or(xchg));
         let rank = |node: &Node| rendezvous(key, self.nodes[*node].0.identity);
@@ -112,7 +112,7 @@
         }
     }
 
-    fn place(&mut self, now: Nanos, xchg: Xchg) {
+    fn place(&mut self, now: Nanos, xchg: RequestId) {
         let cx = &self.xchgs[&xchg];
         let missed = |t: &Try| !t.may_have_run && Some(t.node) != self.origin;
         let to_origin = cx.ask.write || cx.tries.last().is_some_and(missed);
@@ -124,7 +124,7 @@
     }
 
     /// Rule 2, which the careless one does not know.
-    fn may_send(&self, now: Nanos, xchg: Xchg, node: Node) -> bool {
+    fn may_send(&self, now: Nanos, xchg: RequestId, node: Node) -> bool {
         let cx = &self.xchgs[&xchg];
         if cx.tries.len() >= self.most_tries || now >= cx.ends {
             return false;
@@ -141,14 +141,14 @@
         })
     }
 
-    fn send(&mut self, now: Nanos, xchg: Xchg, node: Node) {
+    fn send(&mut self, now: Nanos, xchg: RequestId, node: Node) {
         let cx = self.xchgs.get_mut(&xchg).expect("placed exchanges are known");
         cx.tries.push(Try { node, sent: now, out: true, may_have_run: true });
         self.nodes[node].1 += 1;
         self.host.send(xchg, node, cx.ends - now);
     }
 
-    fn conclude(&mut self, xchg: Xchg) {
+    fn conclude(&mut self, xchg: RequestId) {
         let cx = self.xchgs.get_mut(&xchg).expect("concluded exchanges are known");
         cx.over = true;
         let ran = cx.tries.iter().any(|t| t.may_have_run);
@@ -161,7 +161,7 @@
         self.settle(xchg);
     }
 
-    fn settle(&mut self, xchg: Xchg) {
+    fn settle(&mut self, xchg: RequestId) {
         let cx = &self.xchgs[&xchg];
         if cx.over && !cx.tries.iter().any(|t| t.out) {
             self.xchgs.remove(&xchg);
@@ -171,12 +171,12 @@
 }
 
 impl<H: Host + Send> Policy<H> for Baseline<H> {
-    fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
+    fn arrived(&mut self, now: Nanos, xchg: RequestId, ask: Ask) {
         self.xchgs.insert(xchg, Cx { ask, ends: now + ask.grace, tries: Vec::new(), over: false });
         self.place(now, xchg);
     }
 
-    fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, outcome: Outcome, over: bool) {
+    fn ended(&mut self, now: Nanos, xchg: RequestId, try_no: usize, outcome: Outcome, over: bool) {
         let Some(cx) = self.xchgs.get_mut(&xchg) else { return };
         let Some(this) = cx.tries.get_mut(try_no).filter(|t| t.out) else { return };
         this.out = false;
@@ -195,7 +195,7 @@
         }
     }
 
-    fn dropped(&mut self, _now: Nanos, xchg: Xchg) {
+    fn dropped(&mut self, _now: Nanos, xchg: RequestId) {
         if let Some(cx) = self.xchgs.get_mut(&xchg) {
             cx.over = true;
             self.settle(xchg);
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -2,13 +2,13 @@
 
 use anyhow::{Context, Result, ensure};
 use pumicebay_core::table::Table;
-use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, Settings, Xchg};
+use pumicebay_core::{Ask, Balance, Host, Listed, Nanos, Node, Outcome, RequestId, Settings};
 
 /// What a policy is told, each by a call of its own; it acts through its host.
 pub trait Policy<H: Host>: Send {
-    fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask);
-    fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, outcome: Outcome, over: bool);
-    fn dropped(&mut self, now: Nanos, xchg: Xchg);
+    fn arrived(&mut self, now: Nanos, xchg: RequestId, ask: Ask);
+    fn ended(&mut self, now: Nanos, xchg: RequestId, try_no: usize, outcome: Outcome, over: bool);
+    fn dropped(&mut self, now: Nanos, xchg: RequestId);
     fn woke(&mut self, now: Nanos, token: u64);
     fn listed(&mut self, now: Nanos, node: Node, listed: Listed);
     fn listed_all(&mut self, named: &[Node]);
@@ -23,13 +23,13 @@
 }
 
 impl<H: Host + Send> Policy<H> for Balance<H> {
-    fn arrived(&mut self, now: Nanos, xchg: Xchg, ask: Ask) {
+    fn arrived(&mut self, now: Nanos, xchg: RequestId, ask: Ask) {
         Balance::arrived(self, now, xchg, ask);
     }
-    fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, outcome: Outcome, over: bool) {
+    fn ended(&mut self, now: Nanos, xchg: RequestId, try_no: usize, outcome: Outcome, over: bool) {
         Balance::ended(self, now, xchg, try_no, outcome, over);
     }
-    fn dropped(&mut self, now: Nanos, xchg: Xchg) {
+    fn dropped(&mut self, now: Nanos, xchg: RequestId) {
         Balance::dropped(self, now, xchg);
     }
     fn woke(&mut self, now: Nanos, token: u64) {
--- a/crates/lab/src/seat.rs
+++ b/crates/lab/src/seat.rs
@@ -5,7 +5,7 @@
 use hashbrown::HashMap;
 use pumicebay_core::policy::deadline::time_to_tell;
 use pumicebay_core::table::Table;
-use pumicebay_core::{Ask, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+use pumicebay_core::{Ask, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing};
 use pumicebay_model::millis;
 use pumicebay_model::network::Network;
 use pumicebay_model::registry::{Entry, State};
@@ -18,16 +18,16 @@
 #[derive(Clone, Debug)]
 pub enum ToSeat {
     Arrived {
-        xchg: Xchg,
+        xchg: RequestId,
         ask: Ask,
     },
     /// What came of a try; `epoch` is the node's incarnation, and `value` the exchange it was made for.
     Back {
-        xchg: Xchg,
+        xchg: RequestId,
         try_no: usize,
         outcome: Outcome,
         epoch: u64,
-        value: Xchg,
+        value: RequestId,
     },
     /// The node's process died: its connections break.
     Reset {
@@ -55,7 +55,7 @@
 pub enum ToWorld {
     /// `epoch` is that of the connection; none for a new one.
     Try {
-        xchg: Xchg,
+        xchg: RequestId,
         try_no: usize,
         node: Node,
         sent: Nanos,
@@ -65,14 +65,14 @@
     },
     /// Gives up a try by closing its connection.
     Cancel {
-        xchg: Xchg,
+        xchg: RequestId,
         try_no: usize,
         node: Node,
         sent: Nanos,
     },
     /// A try's connection broke.
     Severed {
-        xchg: Xchg,
+        xchg: RequestId,
         try_no: usize,
         node: Node,
         sent: Nanos,
@@ -83,22 +83,22 @@
         epoch: u64,
     },
     Served {
-        xchg: Xchg,
+        xchg: RequestId,
         sent: Nanos,
-        value: Xchg,
+        value: RequestId,
     },
     Shed {
-        xchg: Xchg,
+        xchg: RequestId,
         sent: Nanos,
         pause: Nanos,
     },
     Errored {
-        xchg: Xchg,
+        xchg: RequestId,
         sent: Nanos,
     },
     /// There is no process to take it.
     Refused {
-        xchg: Xchg,
+        xchg: RequestId,
     },
     Probe {
         node: Node,
@@ -137,9 +137,9 @@
 
 enum Timer {
     Woke(u64),
-    Overdue(Xchg, usize),
+    Overdue(RequestId, usize),
     /// Hardly any time was left: it was not begun.
-    NotBegun(Xchg, usize),
+    NotBegun(RequestId, usize),
 }
 
 struct Open {
@@ -160,7 +160,7 @@
     idle_limit: Nanos,
     /// By node: when each idle connection was last used, and its epoch.
     idle: Vec<VecDeque<(Nanos, u64)>>,
-    open: HashMap<Xchg, Open>,
+    open: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(Nanos, u64)>>,
     /// What the timers are for, by their order.
     due: HashMap<u64, Timer>,
@@ -202,13 +202,13 @@
     }
 
     /// Whether the exchange still awaits its answer, which it now has.
-    fn answer(&mut self, xchg: Xchg) -> bool {
+    fn answer(&mut self, xchg: RequestId) -> bool {
         self.open.get_mut(&xchg).is_some_and(|open| !std::mem::replace(&mut open.answered, true))
     }
 }
 
 impl Host for Acts {
-    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
+    fn send(&mut self, xchg: RequestId, node: Node, timeout: Nanos) {
         let Some(open) = self.open.get_mut(&xchg) else { return };
         let try_no = open.tries.len();
         open.tries.push(Some(node));
@@ -224,21 +224,21 @@
         self.timer(self.now + timeout, Timer::Overdue(xchg, try_no));
     }
 
-    fn shed(&mut self, xchg: Xchg, pause: Nanos) {
+    fn shed(&mut self, xchg: RequestId, pause: Nanos) {
         if self.answer(xchg) {
             let delay = self.client_delay();
             self.post(delay, ToWorld::Shed { xchg, sent: self.now, pause });
         }
     }
 
-    fn error(&mut self, xchg: Xchg) {
+    fn error(&mut self, xchg: RequestId) {
         if self.answer(xchg) {
             let delay = self.client_delay();
             self.post(delay, ToWorld::Errored { xchg, sent: self.now });
         }
     }
 
-    fn forget(&mut self, xchg: Xchg) {
+    fn forget(&mut self, xchg: RequestId) {
         self.open.remove(&xchg);
     }
 
@@ -410,7 +410,7 @@
     }
 
     /// An outcome counts if its try is still out; a connection that is sound is kept.
-    fn back(&mut self, now: Nanos, xchg: Xchg, try_no: usize, outcome: Outcome, came: (u64, Xchg)) {
+    fn back(&mut self, now: Nanos, xchg: RequestId, try_no: usize, outcome: Outcome, came: (u64, RequestId)) {
         let Some(policy) = &mut self.policy else { return };
         let acts = policy.host();
         let Some(open) = acts.open.get_mut(&xchg) else { return };
@@ -426,7 +426,7 @@
         policy.ended(now, xchg, try_no, outcome, over);
     }
 
-    fn overdue(&mut self, now: Nanos, xchg: Xchg, try_no: usize) {
+    fn overdue(&mut self, now: Nanos, xchg: RequestId, try_no: usize) {
         let Some(policy) = &mut self.policy else { return };
         let acts = policy.host();
         let Some(open) = acts.open.get_mut(&xchg) else { return };
@@ -437,7 +437,7 @@
         policy.ended(now, xchg, try_no, Outcome::Overdue, over);
     }
 
-    fn not_begun(&mut self, now: Nanos, xchg: Xchg, try_no: usize) {
+    fn not_begun(&mut self, now: Nanos, xchg: RequestId, try_no: usize) {
         let Some(policy) = &mut self.policy else { return };
         let Some(open) = policy.host().open.get_mut(&xchg) else { return };
         let taken_out = open.tries.get_mut(try_no).and_then(Option::take).is_some();
@@ -451,7 +451,7 @@
         let Some(policy) = &mut self.policy else { return };
         let acts = policy.host();
         acts.idle[node].clear();
-        let mut broken: Vec<(Xchg, usize)> = Vec::new();
+        let mut broken: Vec<(RequestId, usize)> = Vec::new();
         for (&xchg, open) in &acts.open {
             let tries = open.tries.iter().enumerate().filter(|(_, at)| **at == Some(node));
             broken.extend(tries.map(|(try_no, _)| (xchg, try_no)));
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -6,7 +6,7 @@
 use crate::tally::{End, Tally};
 use hashbrown::HashMap;
 use pumicebay_core::table::rendezvous;
-use pumicebay_core::{Ask, Nanos, Node, Outcome, Xchg};
+use pumicebay_core::{Ask, Nanos, Node, Outcome, RequestId};
 use pumicebay_model::faults::{Change, absent, timeline};
 use pumicebay_model::network::Network;
 use pumicebay_model::node::CacheNode;
@@ -28,7 +28,7 @@
 const SWEEP: Nanos = SECOND;
 
 /// A try's number at its node.
-fn job_of(xchg: Xchg, try_no: usize) -> JobId {
+fn job_of(xchg: RequestId, try_no: usize) -> JobId {
     xchg * TRIES + (try_no as u64).min(TRIES - 1)
 }
 
@@ -41,8 +41,8 @@
     /// A node that fell over comes back.
     Back(Node),
     Again(u64, usize),
-    TimedOut(Xchg),
-    Cut(Xchg, Nanos),
+    TimedOut(RequestId),
+    Cut(RequestId, Nanos),
     Sweep,
 }
 
@@ -168,9 +168,9 @@
     traffic: Traffic,
     next_wish: Option<Wish>,
     wishes: HashMap<u64, Wanted>,
-    xchgs: HashMap<Xchg, Cx>,
+    xchgs: HashMap<RequestId, Cx>,
     last_wish: u64,
-    last_xchg: Xchg,
+    last_xchg: RequestId,
     client_rng: Rng,
     retry_rng: Rng,
 }
@@ -371,7 +371,7 @@
     }
 
     /// An exchange ended for its client; it may ask again.
-    fn ended(&mut self, xchg: Xchg, end: End, pause: Nanos) {
+    fn ended(&mut self, xchg: RequestId, end: End, pause: Nanos) {
         let Some(cx) = self.xchgs.remove(&xchg) else { return };
         let Some(wanted) = self.wishes.get_mut(&cx.wish) else { return };
         let served = matches!(end, End::Served(_));
@@ -396,7 +396,7 @@
     }
 
     /// The connection was refused: another proxy is asked at once, until all were.
-    fn refused(&mut self, xchg: Xchg) {
+    fn refused(&mut self, xchg: RequestId) {
         let now = self.core.now;
         self.core.auditor.lost(now, xchg);
         self.core.tally.refused += 1;
@@ -412,7 +412,7 @@
         }
     }
 
-    fn answered(&mut self, xchg: Xchg, sent: Nanos, answer: Final, sound: bool, pause: Nanos) {
+    fn answered(&mut self, xchg: RequestId, sent: Nanos, answer: Final, sound: bool, pause: Nanos) {
         self.core.auditor.answered(sent, xchg, answer, sound);
         let Some(cx) = self.xchgs.get(&xchg) else { return };
         debug_assert!(cx.sent <= sent);
@@ -546,7 +546,7 @@
     }
 
     /// The origin has answered: where it was missed a copy is kept, and what was written drops all copies.
-    fn fetched(&mut self, xchg: Xchg, asked: bool) {
+    fn fetched(&mut self, xchg: RequestId, asked: bool) {
         self.core.tally.served(self.core.now, None);
         let Some(cx) = self.xchgs.get(&xchg) else { return };
         let wish = self.wishes[&cx.wish].wish;
@@ -756,7 +756,7 @@
         let now = self.core.now;
         self.proxies[proxy].follows = false;
         let open = self.xchgs.iter().filter(|(_, cx)| cx.proxy == proxy).map(|(&xchg, _)| xchg);
-        let mut open: Vec<Xchg> = open.collect();
+        let mut open: Vec<RequestId> = open.collect();
         open.sort_unstable();
         // After all that it has still answered.
         let reset = now + 2 * self.core.network.least() + millis(5.0);
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -13,7 +13,7 @@
 use crate::tuning::Routes;
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
-use pumicebay_core::{Ask, Nanos, Xchg};
+use pumicebay_core::{Ask, Nanos, RequestId};
 use pumicebay_names::{NANOS, identity};
 use std::collections::VecDeque;
 use std::io::ErrorKind;
@@ -166,7 +166,7 @@
 
 enum Reply {
     Ready(Frame),
-    Waiting(Xchg, oneshot::Receiver<Answer>),
+    Waiting(RequestId, oneshot::Receiver<Answer>),
 }
 
 /// A reply as it is to be sent.
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -9,7 +9,7 @@
 use crate::serve::Shared;
 use bytes::Bytes;
 use hashbrown::{HashMap, HashSet};
-use pumicebay_core::{Ask, Balance, Held, Host, Listed, Nanos, Node, Outcome, Settings, Standing, Xchg};
+use pumicebay_core::{Ask, Balance, Held, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing};
 use pumicebay_names::identity;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -83,9 +83,9 @@
 }
 
 enum Event {
-    Arrived(Xchg, Ask, Arc<Cargo>, oneshot::Sender<Answer>),
-    Dropped(Xchg),
-    Ended(Xchg, usize, Node, Back),
+    Arrived(RequestId, Ask, Arc<Cargo>, oneshot::Sender<Answer>),
+    Dropped(RequestId),
+    Ended(RequestId, usize, Node, Back),
     Probed(Node, Back),
     Listed(bool, Vec<Named>),
     ListFailed,
@@ -105,18 +105,18 @@
     }
 
     /// Takes an exchange; its final answer comes by the channel.
-    pub async fn arrive(&self, ask: Ask, cargo: Cargo) -> (Xchg, oneshot::Receiver<Answer>) {
+    pub async fn arrive(&self, ask: Ask, cargo: Cargo) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, answered) = oneshot::channel();
         let xchg = self.last.fetch_add(1, Ordering::Relaxed) + 1;
         self.post(Event::Arrived(xchg, ask, Arc::new(cargo), answer)).await;
         (xchg, answered)
     }
 
-    pub async fn dropped(&self, xchg: Xchg) {
+    pub async fn dropped(&self, xchg: RequestId) {
         self.post(Event::Dropped(xchg)).await;
     }
 
-    pub async fn ended(&self, xchg: Xchg, try_no: usize, node: Node, back: Back) {
+    pub async fn ended(&self, xchg: RequestId, try_no: usize, node: Node, back: Back) {
         self.post(Event::Ended(xchg, try_no, node, back)).await;
     }
 
@@ -153,12 +153,12 @@
     /// By number; a number without a node is given to the next.
     nodes: Vec<Option<Known>>,
     uids: HashMap<String, Node>,
-    open: HashMap<Xchg, Open>,
+    open: HashMap<RequestId, Open>,
     /// The ids of the exchanges that await their answers.
     ids: HashSet<Bytes>,
     timers: BinaryHeap<Reverse<(Nanos, u64)>>,
     /// Tries that could not be sent, and probes, to be reported once the decisions have returned.
-    unsent: Vec<(Xchg, usize, Node)>,
+    unsent: Vec<(RequestId, usize, Node)>,
     unprobed: Vec<Node>,
     /// The fleet's way to probe, where there is one: then one process probes for many.
     prober: Option<Prober>,
@@ -313,7 +313,7 @@
         }
     }
 
-    fn ended(&mut self, now: Nanos, xchg: Xchg, try_no: usize, node: Node, back: Back) {
+    fn ended(&mut self, now: Nanos, xchg: RequestId, try_no: usize, node: Node, back: Back) {
         let acts = &mut self.balance.host;
         let counters = acts.shared.counters.clone();
         counters.tried(back.outcome);
@@ -374,7 +374,7 @@
         if due { self.timers.pop() } else { None }
     }
 
-    fn take_answer(&mut self, xchg: Xchg) -> Option<oneshot::Sender<Answer>> {
+    fn take_answer(&mut self, xchg: RequestId) -> Option<oneshot::Sender<Answer>> {
         let open = self.open.get_mut(&xchg)?;
         let answer = open.answer.take()?;
         self.ids.remove(&open.cargo.id);
@@ -421,7 +421,7 @@
 }
 
 impl Host for Acts {
-    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
+    fn send(&mut self, xchg: RequestId, node: Node, timeout: Nanos) {
         let until = self.shared.clock.instant(self.shared.clock.now() + timeout);
         let Some(open) = self.open.get_mut(&xchg) else { return };
         let try_no = open.tries;
@@ -439,25 +439,25 @@
         }
     }
 
-    fn recall(&mut self, xchg: Xchg) {
+    fn recall(&mut self, xchg: RequestId) {
         self.open.get(&xchg).into_iter().for_each(|open| open.recall.cancel());
     }
 
-    fn shed(&mut self, xchg: Xchg, pause: Nanos) {
+    fn shed(&mut self, xchg: RequestId, pause: Nanos) {
         if let Some(answer) = self.take_answer(xchg) {
             self.shared.counters.exchanges_shed.add();
             let _ = answer.send(Answer::Shed(pause));
         }
     }
 
-    fn error(&mut self, xchg: Xchg) {
+    fn error(&mut self, xchg: RequestId) {
         if let Some(answer) = self.take_answer(xchg) {
             self.shared.counters.exchanges_errored.add();
             let _ = answer.send(Answer::Errored);
         }
     }
 
-    fn forget(&mut self, xchg: Xchg) {
+    fn forget(&mut self, xchg: RequestId) {
         self.open.remove(&xchg);
     }
 
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -15,7 +15,7 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::{SinkExt, StreamExt};
 use pumicebay_core::policy::deadline::time_to_tell;
-use pumicebay_core::{Held, Nanos, Node, Outcome, Xchg};
+use pumicebay_core::{Held, Nanos, Node, Outcome, RequestId};
 use pumicebay_names as names;
 use smallvec::SmallVec;
 use socket2::SockRef;
@@ -50,7 +50,7 @@
 pub enum Errand {
     /// `recall` takes it back: if its last byte isn't sent by then, it never is.
     Try {
-        xchg: Xchg,
+        xchg: RequestId,
         try_no: usize,
         cargo: Arc<Cargo>,
         until: Instant,
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -3,7 +3,7 @@
 use crate::wire::{Entry, Fields, Wire, outcome};
 use anyhow::{Context, Result, bail, ensure};
 use hashbrown::HashMap;
-use pumicebay_core::{Ask, Balance, Listed, Nanos, Node, Standing, Xchg};
+use pumicebay_core::{Ask, Balance, Listed, Nanos, Node, RequestId, Standing};
 use pumicebay_names::{self as names, NANOS, identity};
 use serde_json::Value as Json;
 use std::collections::BTreeMap;
@@ -18,7 +18,7 @@
     origin_kind: Option<String>,
     /// The names of a load report's figures.
     columns: Vec<String>,
-    last: Xchg,
+    last: RequestId,
 }
 
 impl Instance {
@@ -166,7 +166,7 @@
         Ok(())
     }
 
-    fn xchg(&self, fields: &Fields) -> Result<Option<Xchg>> {
+    fn xchg(&self, fields: &Fields) -> Result<Option<RequestId>> {
         Ok(self.balance.host.xchgs.get(fields.get::<&str>(1)?).copied())
     }
 
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -2,7 +2,7 @@
 
 use anyhow::{Context, Result};
 use hashbrown::HashMap;
-use pumicebay_core::{Host, Nanos, Node, Outcome, Xchg};
+use pumicebay_core::{Host, Nanos, Node, Outcome, RequestId};
 use pumicebay_names::NANOS;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -54,8 +54,8 @@
     pub proxy: u64,
     pub out: String,
     pub addresses: Vec<String>,
-    pub xchgs: HashMap<String, Xchg>,
-    pub tids: HashMap<Xchg, String>,
+    pub xchgs: HashMap<String, RequestId>,
+    pub tids: HashMap<RequestId, String>,
 }
 
 impl Wire {
@@ -70,22 +70,22 @@
 }
 
 impl Host for Wire {
-    fn send(&mut self, xchg: Xchg, node: Node, timeout: Nanos) {
+    fn send(&mut self, xchg: RequestId, node: Node, timeout: Nanos) {
         let (tid, address) = (Self::text(&self.tids[&xchg]), Self::text(&self.addresses[node]));
         self.act("Try", format_args!(",{tid},{},{address}", timeout.div_ceil(NANOS)));
     }
 
-    fn shed(&mut self, xchg: Xchg, pause: Nanos) {
+    fn shed(&mut self, xchg: RequestId, pause: Nanos) {
         let tid = Self::text(&self.tids[&xchg]);
         self.act("Busy", format_args!(",{tid},{}", pause / NANOS));
     }
 
-    fn error(&mut self, xchg: Xchg) {
+    fn error(&mut self, xchg: RequestId) {
         let tid = Self::text(&self.tids[&xchg]);
         self.act("GiveUp", format_args!(",{tid}"));
     }
 
-    fn forget(&mut self, xchg: Xchg) {
+    fn forget(&mut self, xchg: RequestId) {
         if let Some(tid) = self.tids.remove(&xchg) {
             self.xchgs.remove(&tid);
         }
