--- a/crates/proxy/tests/cost.rs
+++ b/crates/proxy/tests/cost.rs
@@ -120,7 +120,11 @@
 
 /// All allocations of a proxy's life, in which it serves so many exchanges one after another.
 fn allocations(key: &str, size: usize, exchanges: usize) -> u64 {
-    let config = parse(&configuration(size, key == "busy")).expect("a sound configuration");
+    allocations_of(&configuration(size, key == "busy"), key, size, exchanges)
+}
+
+fn allocations_of(configuration: &Json, key: &str, size: usize, exchanges: usize) -> u64 {
+    let config = parse(configuration).expect("a sound configuration");
     let (tell, told) = channel();
     let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
     let proxy = thread::spawn(move || {
@@ -168,6 +172,58 @@
     many.saturating_sub(few) as f64 / (MANY - FEW) as f64
 }
 
+/// Of a hit at a proxy that has links to two others for orders of maintenance, of which there are none.
+fn cost_beside_replication(size: usize) -> f64 {
+    // The voters are down; the group's links are up.
+    let group = |names: [&str; 3]| {
+        Json::Object(names.map(|name| (name.to_string(), json!(free()))).into_iter().collect())
+    };
+    let peers = group(["p1", "p2", "p3"]);
+    let section = json!({"name": "f", "voters": group(["v1", "v2", "v3"]), "replication": {"peers": peers}});
+    let of_name = |name: &str| {
+        let mut configuration = configuration(size, false);
+        configuration["name"] = json!(name);
+        configuration["fleet"] = section.clone();
+        configuration
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let (others, (stop, stopped)) = (["p2", "p3"].map(of_name), std::sync::mpsc::channel::<()>());
+    let serving = thread::spawn(move || {
+        runtime.block_on(async {
+            for other in others {
+                let config = parse(&other).expect("a sound configuration");
+                let proxy = Proxy::start(config, Arc::new(Counters::default())).await.expect("a proxy");
+                let (_keep, fresh) = tokio::sync::mpsc::channel(1);
+                tokio::spawn(async move { proxy.run(std::future::pending(), fresh).await });
+            }
+            while stopped.try_recv() == Err(std::sync::mpsc::TryRecvError::Empty) {
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        });
+    });
+    let own = of_name("p1");
+    let (few, many) = (allocations_of(&own, "hit", size, FEW), allocations_of(&own, "hit", size, MANY));
+    drop(stop);
+    serving.join().expect("others that end");
+    many.saturating_sub(few) as f64 / (MANY - FEW) as f64
+}
+
+/// An address that nobody listens at.
+fn free() -> String {
+    TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a free port").to_string()
+}
+
+#[test]
+fn links_between_proxies_cost_an_exchange_nothing() {
+    let baseline = std::fs::read_to_string(BASELINE).expect("a baseline");
+    let baseline: Json = serde_json::from_str(&baseline).expect("a baseline that can be read");
+    let (name, _, size) = KINDS[0];
+    let measured = [(name.to_string(), cost_beside_replication(size))];
+    println!("{measured:?}");
+    let grown = grown(&baseline, &measured);
+    assert!(grown.is_empty(), "{}", grown.join("\n"));
+}
+
 /// What has grown past the baseline.
 fn grown(baseline: &Json, measured: &[(String, f64)]) -> Vec<String> {
     let line = |(name, now): &(String, f64)| {
--- a/crates/proxy/tests/proxy/operations.rs
+++ b/crates/proxy/tests/proxy/operations.rs
@@ -371,7 +371,7 @@
 }
 
 /// A process that takes clients from the socket that the test holds, as the platform does.
-async fn process(
+pub async fn process(
     world: &World,
     socket: &std::net::TcpListener,
     folder: &Folder,
--- a/crates/proxy/tests/proxy/told.rs
+++ b/crates/proxy/tests/proxy/told.rs
@@ -3,11 +3,15 @@
 
 use crate::cli::{File, program};
 use crate::endings::{Late, move_node};
-use crate::operations::Folder;
+use crate::operations::{Folder, process};
 use crate::{Told, Trace, World, configuration, target};
+use pumicebay::arrival::stamp;
+use pumicebay::heir::Seat;
 use pumicebay_core::policy::deadline::time_to_tell;
+use pumicebay_names::identity;
 use serde_json::{Value as Json, json};
 use std::io::{Read, Write};
+use std::os::unix::fs::PermissionsExt;
 use std::process::Stdio;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -287,7 +291,7 @@
 fn a_request_older_than_its_process_tells_what_is_left() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    assert!(pumicebay::arrival::stamp(&socket));
+    assert!(stamp(&socket));
     let mut client = std::net::TcpStream::connect(socket.local_addr().unwrap()).unwrap();
     client.write_all(&get("miss", "c=read,d=3000")).unwrap();
     let asked = Instant::now();
@@ -314,3 +318,57 @@
     assert_eq!(reply.unwrap(), *b"$16\r");
     within(&all(&world), asked, PATIENCE, 2);
 }
+
+/// A write that may have run is sent again where copies are discarded, within their window.
+#[tokio::test]
+async fn a_resend_in_the_window_tells_what_is_left() {
+    let world = World::start(&[("/settings/routes/1/effect", json!("by_key"))]).await;
+    let mut client = world.client().await;
+    let command = "*5\r\n$5\r\nC.SET\r\n$6\r\nx-mute\r\n$7\r\nid-kept\r\n$12\r\nc=put,d=3000\r\n$1\r\nv\r\n";
+    client.0.get_mut().write_all(command.as_bytes()).await.unwrap();
+    let asked = Instant::now();
+    let reply = client.reply().await;
+    assert!(reply.starts_with("-BUSY"), "{reply}");
+    within(&all(&world), asked, PATIENCE, 4);
+}
+
+/// A connection goes over to the process that takes this one's place, with a command that lies in it unread, whole or in
+/// part.
+#[tokio::test]
+async fn a_request_handed_over_tells_what_is_left() {
+    let world = World::start(&[]).await;
+    let folder = Folder::new("told-handed-over");
+    let own = folder.0.join(format!("pumicebay-{:016x}", identity("n0")));
+    std::fs::create_dir(&own).unwrap();
+    std::fs::set_permissions(&own, std::fs::Permissions::from_mode(0o700)).unwrap();
+    let old = Seat::take(&own).unwrap();
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    assert!(stamp(&socket));
+    let command = get("miss", "c=read,d=3000");
+    let mut waiting = Vec::new();
+    for read_before in [0, 20] {
+        let mut client = std::net::TcpStream::connect(socket.local_addr().unwrap()).unwrap();
+        let (mut stream, _) = socket.accept().unwrap();
+        client.write_all(&command[..read_before]).unwrap();
+        let mut read = vec![0; read_before];
+        stream.read_exact(&mut read).unwrap();
+        client.write_all(&command[read_before..]).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        waiting.push((client, tokio::net::TcpStream::from_std(stream).unwrap(), read));
+    }
+    let asked = Instant::now();
+    sleep(KEPT).await;
+    let list = Some(world.json["known"].clone());
+    let (mut new, _) = process(&world, &socket, &folder, "told-handed-over", list).await;
+    for (mut client, stream, read) in waiting {
+        old.heir().expect("another process").pass(&stream, &read, true).await.unwrap();
+        drop(stream);
+        let reply = tokio::task::spawn_blocking(move || {
+            let mut reply = [0; 4];
+            client.read_exact(&mut reply).map(|()| reply)
+        });
+        assert_eq!(reply.await.unwrap().unwrap(), *b"$16\r");
+    }
+    tokio::task::spawn_blocking(move || new.stop()).await.unwrap();
+    within(&all(&world), asked, PATIENCE, 4);
+}
