--- a/crates/lab/tests/lab/main.rs
+++ b/crates/lab/tests/lab/main.rs
@@ -1,6 +1,7 @@
 //! The lab itself: its auditor, its checker of histories, its virtual days, its scenarios' errors, and real days cut short.
 
 mod audit;
+mod crowds;
 mod history;
 mod scenarios;
 mod sockets;
