--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -62,7 +62,7 @@
 /// proxies could give.
 pub const KEEPS_SETS: &str = "pumicebay+sets";
 /// The policies by name: the project's own, and the baselines.
-pub const NAMES: &[&str] = &["pumicebay", KEEPS_SETS, "random", "two", "rendezvous", "bounded", "careless"];
+pub const NAMES: &[&str] = &["pumicebay", "random", "two", "rendezvous", "bounded", "careless", KEEPS_SETS];
 
 /// A policy's name and the salt of its own chance: `two#1` is `two` with other draws on the same day, which
 /// tells how large the noise is.
