Fleet: one loop accepts links of voters, the carrier and replication

Cause: the loop (address tried again, room, a task a link) stood in inbound.rs, carrier/links.rs and replication/links.rs. Change: accept.rs, which all three call. Addresses, room and lines of the log as before.

--- a/crates/proxy/src/fleet/carrier/links.rs
+++ b/crates/proxy/src/fleet/carrier/links.rs
@@ -1,19 +1,18 @@
 //! The carrier's links: children that call, the parent that is dialled, commands. Each is a task with a small mailbox; one
 //! that does not read, or says nothing, ends, and nobody waits for it.
 
+use crate::fleet::accept::Acceptor;
 use crate::fleet::carrier::door::{Door, Event};
 use crate::fleet::me::Me;
 use crate::fleet::wire::{BEAT, CARRIER, Frame, Hello, Link, Role};
-use crate::listen::listen;
 use anyhow::{Context, Result, ensure};
 use pumicebay_carrier::{Child, Down, Up};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// What waits for a child: one part of a difference and some pulses. One whose mailbox is full does not read.
 const DOWNS: usize = 8;
@@ -23,40 +22,20 @@
 /// Links beyond those of proxies: other control machines, relays, those that are told that there is no room, commands.
 const SPARE: usize = 256;
 const CONNECT: Duration = Duration::from_secs(1);
-const NO_ROOM: Duration = Duration::from_millis(20);
-const AGAIN: Duration = Duration::from_millis(200);
 
-/// Accepts as long as the process lives; an address that another process still has is tried again.
+/// Accepts as long as the process lives.
 pub async fn accept(me: Me, door: Door, at: SocketAddr, children: usize) {
-    let mut warned = false;
-    let listener = loop {
-        match listen("fleet.carrier.listen", at) {
-            Ok(listener) => break listener,
-            Err(error) if !std::mem::replace(&mut warned, true) => tracing::warn!("carrier: {error:#}"),
-            Err(_) => {}
-        }
-        sleep(AGAIN).await;
-    };
-    tracing::info!("carrier: children call at {at}");
-    let room = Arc::new(Semaphore::new(children.saturating_add(SPARE).min(Semaphore::MAX_PERMITS)));
-    for number in 1.. {
-        let place = room.clone().acquire_owned().await;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!("carrier: {error}");
-                sleep(NO_ROOM).await;
-                continue;
-            }
-        };
+    let most = children.saturating_add(SPARE);
+    let acceptor = Acceptor { part: "carrier", key: "fleet.carrier.listen", callers: "children", at, most };
+    let serve = |stream, number| {
         let (me, door) = (me.clone(), door.clone());
-        tokio::spawn(async move {
+        async move {
             if let Err(error) = serve(&me, &door, stream, number).await {
                 tracing::info!("carrier: a link ends: {error:#}");
             }
-            drop(place);
-        });
-    }
+        }
+    };
+    acceptor.run(serve).await;
 }
 
 fn hello(me: &Me) -> Hello {
--- a/crates/proxy/src/fleet/inbound.rs
+++ b/crates/proxy/src/fleet/inbound.rs
@@ -1,52 +1,31 @@
 //! Who calls a voter: other voters, proxies, commands. Each link is a task; one that does not read, or says nothing, ends.
 
+use crate::fleet::accept::Acceptor;
 use crate::fleet::door::{Door, Event};
 use crate::fleet::me::Me;
 use crate::fleet::wire::{BEAT, Frame, Hello, Link, Role};
-use crate::listen::listen;
 use anyhow::{Context, Result};
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, mpsc};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
 
 /// Answers that wait on a link.
 const ANSWERS: usize = 64;
-const NO_ROOM: Duration = Duration::from_millis(20);
-const AGAIN: Duration = Duration::from_millis(200);
 
-/// Accepts as long as the process lives; an address that another process still has is tried again.
+/// Accepts as long as the process lives.
 pub async fn accept(me: Me, door: Door, at: SocketAddr) {
-    let mut warned = false;
-    let listener = loop {
-        match listen("fleet.listen", at) {
-            Ok(listener) => break listener,
-            Err(error) if !std::mem::replace(&mut warned, true) => tracing::warn!("fleet: {error:#}"),
-            Err(_) => {}
-        }
-        sleep(AGAIN).await;
-    };
-    tracing::info!("fleet: voters and askers call at {at}");
-    let room = std::sync::Arc::new(Semaphore::new(me.config.links));
-    loop {
-        let place = room.clone().acquire_owned().await;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!("fleet: {error}");
-                sleep(NO_ROOM).await;
-                continue;
-            }
-        };
+    let most = me.config.links;
+    let acceptor = Acceptor { part: "fleet", key: "fleet.listen", callers: "voters and askers", at, most };
+    let serve = |stream, _| {
         let (me, door) = (me.clone(), door.clone());
-        tokio::spawn(async move {
+        async move {
             if let Err(error) = serve(&me, &door, stream).await {
                 tracing::debug!("fleet: a link ends: {error:#}");
             }
-            drop(place);
-        });
-    }
+        }
+    };
+    acceptor.run(serve).await;
 }
 
 async fn serve(me: &Me, door: &Door, stream: TcpStream) -> Result<()> {
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 //! | `me.rs` | who a process is to the others, and its clock |
 //! | `door.rs` | the way to the voter for all other files |
 //! | `seat.rs` | the voter: an actor that owns the `Voter` and its disk |
+//! | `accept.rs` | takes links, with room for so many |
 //! | `inbound.rs` | who calls a voter |
 //! | `outbound.rs` | the links that a process keeps to the voters; beats, reconnects |
 //! | `asker.rs` | asks voters until one answers |
@@ -21,6 +22,7 @@
 //! | `replication/` | orders of maintenance to all processes of a group |
 //! | `command.rs`, `run.rs` | `pumicebay fleet ...` |
 
+pub mod accept;
 pub mod asker;
 pub mod carrier;
 pub mod command;
--- a/crates/proxy/src/fleet/replication/links.rs
+++ b/crates/proxy/src/fleet/replication/links.rs
@@ -2,19 +2,19 @@
 //! does not read, or says nothing, ends, and nobody waits for it.
 
 use crate::bans::{Asked, Maintenance};
+use crate::fleet::accept::Acceptor;
 use crate::fleet::me::Me;
 use crate::fleet::replication::config::ReplicationConfig;
 use crate::fleet::replication::handle::{Event, Handle};
 use crate::fleet::wire::{BEAT, Frame, Hello, Link, OrderAnswer, OrderCall, REPLICATION, Role};
-use crate::listen::listen;
 use anyhow::{Context, Result, ensure};
 use pumicebay_replication::{LinkId, Message};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, mpsc};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// What waits for a peer: a part, its answer, summaries. One whose mailbox is full does not read.
 const MAILBOX: usize = 32;
@@ -23,10 +23,8 @@
 /// Links that are taken at a time, commands included.
 const MOST_TAKEN: usize = 128;
 const CONNECT: Duration = Duration::from_secs(1);
-const NO_ROOM: Duration = Duration::from_millis(20);
-const AGAIN: Duration = Duration::from_millis(200);
 
-/// Accepts as long as the process lives; an address that another process still has is tried again.
+/// Accepts as long as the process lives.
 pub async fn accept(
     me: Me,
     config: Arc<ReplicationConfig>,
@@ -34,36 +32,18 @@
     maintenance: Maintenance,
     at: SocketAddr,
 ) {
-    let mut warned = false;
-    let listener = loop {
-        match listen("fleet.replication.listen", at) {
-            Ok(listener) => break listener,
-            Err(error) if !std::mem::replace(&mut warned, true) => tracing::warn!("replication: {error:#}"),
-            Err(_) => {}
-        }
-        sleep(AGAIN).await;
-    };
-    tracing::info!("replication: peers call at {at}");
-    let room = Arc::new(Semaphore::new(MOST_TAKEN));
-    loop {
-        let place = room.clone().acquire_owned().await;
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!("replication: {error}");
-                sleep(NO_ROOM).await;
-                continue;
-            }
-        };
+    let key = "fleet.replication.listen";
+    let acceptor = Acceptor { part: "replication", key, callers: "peers", at, most: MOST_TAKEN };
+    let serve = |stream, _| {
         let (me, config) = (me.clone(), config.clone());
         let (handle, maintenance) = (handle.clone(), maintenance.clone());
-        tokio::spawn(async move {
+        async move {
             if let Err(error) = serve(&me, &config, &handle, &maintenance, stream).await {
                 tracing::info!("replication: a link ends: {error:#}");
             }
-            drop(place);
-        });
-    }
+        }
+    };
+    acceptor.run(serve).await;
 }
 
 fn hello(me: &Me) -> Hello {
