Fleet: commands call a process by one piece, and links connect in one place

Cause: three commands had each their own call and ask, and the connect with its time stood in six places. Change: call.rs; Link::connect and Link::ensure_speaks.

--- a/crates/proxy/src/fleet/carrier/command.rs
+++ b/crates/proxy/src/fleet/carrier/command.rs
@@ -1,23 +1,19 @@
 //! `pumicebay fleet set`, `unset` and `changes`: what operators ask of the carrier, by way of the control machine that
 //! publishes.
 
+use crate::fleet::call::{ANSWERS, Called};
 use crate::fleet::carrier::actor::scope;
 use crate::fleet::carrier::config::CarrierConfig;
 use crate::fleet::config::FleetConfig;
-use crate::fleet::me::incarnation;
-use crate::fleet::wire::{BEAT, CARRIER, CarrierStatus, Frame, Hello, Link, Role};
+use crate::fleet::wire::{CARRIER, CarrierStatus, Frame};
 use anyhow::{Context, Result, bail, ensure};
-use pumicebay_accord::Holder;
 use pumicebay_carrier::{Change, Exception, Outcome, Version, Why};
 use serde_json::{Value as Json, json};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep};
 
-const CONNECT: Duration = Duration::from_secs(1);
-const ANSWERS: Duration = Duration::from_secs(2);
 /// How long a publisher is looked for, and how long one may take to settle an offer.
 const PATIENCE: Duration = Duration::from_secs(8);
 const SETTLES: Duration = Duration::from_secs(15);
@@ -28,47 +24,16 @@
 /// Not known, or not in force everywhere.
 const NOT_YET: u8 = 3;
 
-struct Called(Link);
-
-impl Called {
-    async fn call(fleet: &FleetConfig, at: SocketAddr) -> Result<Called> {
-        let who = Holder { name: "command".into(), incarnation: incarnation() };
-        let stream = timeout(CONNECT, TcpStream::connect(at)).await.context("no connection in time")??;
-        let (link, _) = Link::dial(stream, &Hello::new(&fleet.name, &who, Role::Command, None)).await?;
-        ensure!(link.speaks() >= CARRIER, "speaks links up to {}, not {CARRIER}", link.speaks());
-        Ok(Called(link))
-    }
-
-    /// Sends a frame and gives the first that is wanted of what comes back; the link is kept up meanwhile.
-    async fn ask<T>(
-        &mut self,
-        frame: Frame,
-        patience: Duration,
-        wanted: impl Fn(Frame) -> Option<T>,
-    ) -> Result<T> {
-        self.0.send(&frame).await?;
-        let until = Instant::now() + patience;
-        let mut beat = interval(BEAT);
-        beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                frame = timeout_at(until, self.0.next()) => {
-                    if let Some(answer) = wanted(frame.context("no answer in time")??) {
-                        return Ok(answer);
-                    }
-                }
-                _ = beat.tick() => self.0.send(&Frame::Beat(None)).await?,
-            }
-        }
-    }
+async fn call(fleet: &FleetConfig, at: SocketAddr) -> Result<Called> {
+    Called::call_speaking(fleet, at, CARRIER).await
+}
 
-    async fn status(&mut self) -> Result<CarrierStatus> {
-        self.ask(Frame::Carrier, ANSWERS, |frame| match frame {
-            Frame::CarrierIs(status) => Some(*status),
-            _ => None,
-        })
-        .await
-    }
+async fn ask_status(called: &mut Called) -> Result<CarrierStatus> {
+    let wanted = |frame| match frame {
+        Frame::CarrierIs(status) => Some(*status),
+        _ => None,
+    };
+    called.ask(Frame::Carrier, ANSWERS, wanted).await
 }
 
 fn carrier(fleet: &FleetConfig) -> Result<&CarrierConfig> {
@@ -86,15 +51,15 @@
     loop {
         for (name, at) in &carrier.control {
             let asked = async {
-                let mut called = Called::call(fleet, *at).await?;
-                let status = called.status().await?;
+                let mut called = call(fleet, *at).await?;
+                let status = ask_status(&mut called).await?;
                 let publishes = status.publisher.clone();
                 let Some(other) = publishes.filter(|other| *other != status.name) else {
                     return Ok((called, status));
                 };
                 let at = carrier.called(&other).with_context(|| format!("{other} is no control machine"))?;
-                let mut called = Called::call(fleet, at).await.with_context(|| other.clone())?;
-                let status = called.status().await.with_context(|| other.clone())?;
+                let mut called = call(fleet, at).await.with_context(|| other.clone())?;
+                let status = ask_status(&mut called).await.with_context(|| other.clone())?;
                 anyhow::Ok((called, status))
             };
             match asked.await {
@@ -204,7 +169,7 @@
                     return Ok(ExitCode::from(NOT_YET));
                 }
                 sleep(AGAIN).await;
-                match called.status().await {
+                match ask_status(&mut called).await {
                     Ok(newer) if newer.publisher.as_ref() == Some(&newer.name) => status = newer,
                     _ => break,
                 }
--- a/crates/proxy/src/fleet/carrier/links.rs
+++ b/crates/proxy/src/fleet/carrier/links.rs
@@ -8,11 +8,10 @@
 use anyhow::{Context, Result, ensure};
 use pumicebay_carrier::{Child, Down, Up};
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 /// What waits for a child: one part of a difference and some pulses. One whose mailbox is full does not read.
 const DOWNS: usize = 8;
@@ -21,7 +20,6 @@
 const ANSWERS: usize = 16;
 /// Links beyond those of proxies: other control machines, relays, those that are told that there is no room, commands.
 const SPARE: usize = 256;
-const CONNECT: Duration = Duration::from_secs(1);
 
 /// Accepts as long as the process lives.
 pub async fn accept(me: Me, door: Door, at: SocketAddr, children: usize) {
@@ -165,10 +163,9 @@
     up: &mut bool,
 ) -> Result<()> {
     let at = at.context("fleet.carrier has no such control machine or relay")?;
-    let stream = timeout(CONNECT, TcpStream::connect(at)).await.context("no connection in time")??;
-    let (mut link, other) = Link::dial(stream, &hello(me)).await?;
+    let (mut link, other) = Link::connect(at, &hello(me)).await?;
     ensure!(other.who.name == name, "at {at} is {}", other.who);
-    ensure!(link.speaks() >= CARRIER, "speaks links up to {}, not {CARRIER}", link.speaks());
+    link.ensure_speaks(CARRIER)?;
     door.say(Event::ParentUp(number)).await;
     *up = true;
     tracing::info!("carrier: parent is {}", other.who);
--- a/crates/proxy/src/fleet/command.rs
+++ b/crates/proxy/src/fleet/command.rs
@@ -1,25 +1,24 @@
 //! `pumicebay fleet ...`: what operators ask of a fleet. Each command reads a configuration's section `fleet` alone.
 
 use crate::fleet::asker::Asker;
+use crate::fleet::call::{ANSWERS, Called};
 use crate::fleet::carrier::command as carrier;
 use crate::fleet::config::FleetConfig;
 use crate::fleet::me::{FleetClock, Me, draw, incarnation};
 use crate::fleet::replication::command as replication;
-use crate::fleet::wire::{Frame, Hello, Link, Role, Status};
+use crate::fleet::wire::{Frame, Hello, Status};
 use crate::fleet::{run, start_command, store};
 use anyhow::{Context, Result, bail, ensure};
 use lexopt::prelude::*;
 use pumicebay_accord::{Holder, Lease, Member, Record, Reply, Seen, Shared, Want, outlasted};
 use serde_json::{Value as Json, json};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 pub const HELP: &str = "\
 usage: pumicebay fleet COMMAND [--config FILE]
@@ -53,8 +52,6 @@
 
 FILE is by default what $PROXY_CONFIG names.";
 
-const CONNECT: Duration = Duration::from_secs(1);
-const ANSWERS: Duration = Duration::from_secs(2);
 /// How long a command waits for a majority.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -200,41 +197,13 @@
     }
 }
 
-/// A voter by its own link, for what no record says.
-struct Called {
-    link: Link,
-    hello: Hello,
-}
-
-async fn call(config: &FleetConfig, at: SocketAddr) -> Result<Called> {
-    let who = Holder { name: "command".into(), incarnation: incarnation() };
-    let stream = timeout(CONNECT, TcpStream::connect(at)).await.context("no connection in time")??;
-    let (link, hello) = Link::dial(stream, &Hello::new(&config.name, &who, Role::Command, None)).await?;
-    Ok(Called { link, hello })
-}
-
-impl Called {
-    /// Sends a frame and gives the first that is wanted of what comes back.
-    async fn ask<T>(&mut self, frame: Frame, wanted: impl Fn(Frame) -> Option<T>) -> Result<T> {
-        self.link.send(&frame).await?;
-        let answer = async {
-            loop {
-                if let Some(answer) = wanted(self.link.next().await?) {
-                    return Ok(answer);
-                }
-            }
-        };
-        timeout(ANSWERS, answer).await.context("no answer in time")?
-    }
-}
-
 async fn found(config: &FleetConfig, from: Option<&Path>, wait: Option<f64>) -> Result<ExitCode> {
     let survived = from.map(|file| survivor(file, &config.name)).transpose()?;
     let wait = wait.map(|wait| seconds("--wait", wait)).transpose()?;
     ensure!(wait.is_none() || survived.is_some(), "--wait: only with --from");
     let (mut called, mut voters) = (Vec::new(), Vec::new());
     for (name, at) in &config.voters {
-        let one = call(config, *at).await.with_context(|| format!("voter {name} at {at}"))?;
+        let one = Called::call(config, *at).await.with_context(|| format!("voter {name} at {at}"))?;
         let disk = one
             .hello
             .voter
@@ -261,8 +230,10 @@
         }
     };
     for one in &mut called {
-        let taken =
-            one.ask(Frame::Found(record.clone()), taken).await.with_context(|| one_name(&one.hello))?;
+        let taken = one
+            .ask(Frame::Found(record.clone()), ANSWERS, taken)
+            .await
+            .with_context(|| one_name(&one.hello))?;
         ensure!(taken, "{} took another founding; empty all folders and begin again", one_name(&one.hello));
     }
     println!("founded {} with {} voters", config.name, called.len());
@@ -280,9 +251,9 @@
 
 /// An operator's word for a voter that waits for others who are gone for good.
 async fn trust(config: &FleetConfig, name: &str) -> Result<ExitCode> {
-    let taken = call(config, config.called(name)?)
+    let taken = Called::call(config, config.called(name)?)
         .await?
-        .ask(Frame::Trust, taken)
+        .ask(Frame::Trust, ANSWERS, taken)
         .await
         .with_context(|| format!("voter {name}"))?;
     ensure!(taken, "{name} has nothing to be trusted with: see pumicebay fleet status");
@@ -303,7 +274,7 @@
 async fn replace(asker: &Asker, out: &str, new: &str) -> Result<ExitCode> {
     let config = &asker.me.config;
     let at = config.called(new)?;
-    let hello = call(config, at).await.with_context(|| format!("{new} at {at}"))?.hello;
+    let hello = Called::call(config, at).await.with_context(|| format!("{new} at {at}"))?.hello;
     let disk = hello.voter.with_context(|| format!("{new} does not vote, or its disk is not open"))?;
     let record = read(asker).await?;
     // Asked again after an answer that was lost.
@@ -326,7 +297,7 @@
                     Frame::StatusIs(status) => Some(*status),
                     _ => None,
                 };
-                call(&config, at).await?.ask(Frame::Status, wanted).await
+                Called::call(&config, at).await?.ask(Frame::Status, ANSWERS, wanted).await
             };
             (name, asked.await)
         });
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -20,10 +20,12 @@
 //! | `lease.rs` | one lease held for as long as it is wanted |
 //! | `carrier/` | changes of configuration to all processes, and back what is in force |
 //! | `replication/` | orders of maintenance to all processes of a group |
+//! | `call.rs` | a command's link to one process |
 //! | `command.rs`, `run.rs` | `pumicebay fleet ...` |
 
 pub mod accept;
 pub mod asker;
+pub mod call;
 pub mod carrier;
 pub mod command;
 pub mod config;
--- a/crates/proxy/src/fleet/outbound.rs
+++ b/crates/proxy/src/fleet/outbound.rs
@@ -4,19 +4,17 @@
 use crate::fleet::door::{Door, Event};
 use crate::fleet::me::{Me, draw};
 use crate::fleet::wire::{BEAT, Frame, Hello, Link, Role};
-use anyhow::{Context, Result};
+use anyhow::Result;
 use pumicebay_accord::{Answer, Name};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 const MAILBOX: usize = 256;
 const ANSWERS: usize = 256;
-const CONNECT: Duration = Duration::from_secs(1);
 /// The first and the longest time until a link is dialled again; the actual one is by chance up to it.
 const AGAIN: Duration = Duration::from_millis(100);
 const AGAIN_MOST: Duration = Duration::from_secs(3);
@@ -105,10 +103,8 @@
     }
 
     async fn link(&self, mailbox: &mut mpsc::Receiver<Frame>, up: &watch::Sender<bool>) -> Result<()> {
-        let stream =
-            timeout(CONNECT, TcpStream::connect(self.at)).await.context("no connection in time")??;
         let hello = Hello::new(&self.me.config.name, &self.me.who, self.role, self.disk());
-        let (mut link, other) = Link::dial(stream, &hello).await?;
+        let (mut link, other) = Link::connect(self.at, &hello).await?;
         let who = other.who.clone();
         self.heard(&who, other.voter);
         up.send_replace(true);
--- a/crates/proxy/src/fleet/replication/command.rs
+++ b/crates/proxy/src/fleet/replication/command.rs
@@ -1,26 +1,22 @@
 //! `pumicebay fleet drain`, `undrain` and `orders`: what operators order of all proxies of a group, and what each knows of
 //! it. Any proxy of the group takes an order; that it holds at the others is asked of each of them.
 
+use crate::fleet::call::{ANSWERS, Called};
 use crate::fleet::config::FleetConfig;
-use crate::fleet::me::incarnation;
 use crate::fleet::replication::config::ReplicationConfig;
-use crate::fleet::wire::{Frame, Hello, Link, OrderAnswer, OrderCall, REPLICATION, Role};
-use anyhow::{Context, Result, bail, ensure};
-use pumicebay_accord::{Holder, Token};
+use crate::fleet::wire::{Frame, OrderAnswer, OrderCall, REPLICATION};
+use anyhow::{Context, Result, bail};
+use pumicebay_accord::Token;
 use pumicebay_replication::{Stamp, Status};
 use serde_json::{Value as Json, json};
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BTreeSet};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
-const CONNECT: Duration = Duration::from_secs(1);
-const ANSWERS: Duration = Duration::from_secs(2);
 /// Proxies that are asked at a time.
 const TOGETHER: usize = 64;
 const AGAIN: Duration = Duration::from_millis(100);
@@ -30,27 +26,6 @@
 /// Why a proxy is not known to hold an order.
 type Missing = BTreeMap<String, String>;
 
-async fn call(fleet: &FleetConfig, at: SocketAddr) -> Result<Link> {
-    let who = Holder { name: "command".into(), incarnation: incarnation() };
-    let stream = timeout(CONNECT, TcpStream::connect(at)).await.context("no connection in time")??;
-    let (link, _) = Link::dial(stream, &Hello::new(&fleet.name, &who, Role::Command, None)).await?;
-    ensure!(link.speaks() >= REPLICATION, "speaks links up to {}, not {REPLICATION}", link.speaks());
-    Ok(link)
-}
-
-/// Sends a frame and gives the first that is wanted of what comes back.
-async fn ask<T>(link: &mut Link, frame: Frame, wanted: impl Fn(Frame) -> Option<T>) -> Result<T> {
-    link.send(&frame).await?;
-    let answer = async {
-        loop {
-            if let Some(answer) = wanted(link.next().await?) {
-                return Ok(answer);
-            }
-        }
-    };
-    timeout(ANSWERS, answer).await.context("no answer in time")?
-}
-
 fn section(fleet: &FleetConfig) -> Result<&ReplicationConfig> {
     fleet.replication.as_deref().context("fleet.replication: missing; nothing is replicated in this fleet")
 }
@@ -103,14 +78,14 @@
 async fn give(fleet: &FleetConfig, call: &OrderCall) -> Result<Stamp> {
     let mut why = "no proxy of the group answers".to_string();
     for (name, at) in &section(fleet)?.peers {
-        let mut link = match self::call(fleet, *at).await {
-            Ok(link) => link,
+        let mut called = match Called::call_speaking(fleet, *at, REPLICATION).await {
+            Ok(called) => called,
             Err(error) => {
                 why = format!("{name}: {error:#}");
                 continue;
             }
         };
-        let answer = ask(&mut link, Frame::Order(Box::new(call.clone())), |frame| match frame {
+        let answer = called.ask(Frame::Order(Box::new(call.clone())), ANSWERS, |frame| match frame {
             Frame::Ordered(answer) => Some(*answer),
             _ => None,
         });
@@ -132,12 +107,12 @@
         asked.spawn(async move {
             let _place = room.acquire().await;
             let status = async {
-                let mut link = call(&fleet, at).await?;
-                ask(&mut link, Frame::Replication, |frame| match frame {
+                let wanted = |frame| match frame {
                     Frame::ReplicationIs(status) => Some(*status),
                     _ => None,
-                })
-                .await
+                };
+                let mut called = Called::call_speaking(&fleet, at, REPLICATION).await?;
+                called.ask(Frame::Replication, ANSWERS, wanted).await
             };
             (name, status.await)
         });
@@ -155,7 +130,7 @@
 /// `pumicebay fleet orders`: what each proxy knows.
 pub async fn orders(fleet: Arc<FleetConfig>, as_json: bool) -> Result<ExitCode> {
     let (statuses, missing) = everybody(&fleet).await?;
-    let digests: std::collections::BTreeSet<u64> = statuses.values().map(|status| status.digest).collect();
+    let digests: BTreeSet<u64> = statuses.values().map(|status| status.digest).collect();
     let equal = digests.len() <= 1 && missing.is_empty();
     if as_json {
         println!("{:#}", json!({"equal": equal, "proxies": shown(&statuses), "unreachable": missing}));
--- a/crates/proxy/src/fleet/replication/links.rs
+++ b/crates/proxy/src/fleet/replication/links.rs
@@ -11,10 +11,9 @@
 use pumicebay_replication::{LinkId, Message};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 /// What waits for a peer: a part, its answer, summaries. One whose mailbox is full does not read.
 const MAILBOX: usize = 32;
@@ -22,7 +21,6 @@
 const ANSWERS: usize = 16;
 /// Links that are taken at a time, commands included.
 const MOST_TAKEN: usize = 128;
-const CONNECT: Duration = Duration::from_secs(1);
 
 /// Accepts as long as the process lives.
 pub async fn accept(
@@ -93,10 +91,9 @@
 
 async fn dialled(me: &Me, peer: &str, at: Option<SocketAddr>) -> Result<Link> {
     let at = at.context("fleet.replication.peers has no such process")?;
-    let stream = timeout(CONNECT, TcpStream::connect(at)).await.context("no connection in time")??;
-    let (link, other) = Link::dial(stream, &hello(me)).await?;
+    let (link, other) = Link::connect(at, &hello(me)).await?;
     ensure!(other.who.name == peer, "at {at} is {}", other.who);
-    ensure!(link.speaks() >= REPLICATION, "speaks links up to {}, not {REPLICATION}", link.speaks());
+    link.ensure_speaks(REPLICATION)?;
     Ok(link)
 }
 
--- a/crates/proxy/src/fleet/wire.rs
+++ b/crates/proxy/src/fleet/wire.rs
@@ -10,6 +10,7 @@
 use pumicebay_carrier::{Change, Down, Outcome, Sum, Up, Version};
 use pumicebay_replication::{Message as Replicated, Stamp, Status as ReplicationStatus};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -25,6 +26,8 @@
 pub const REPLICATION: u16 = 3;
 /// A record and what goes with it.
 const LONGEST: usize = LARGEST + 16 * 1024;
+/// How long a connection may take to come up.
+const CONNECT: Duration = Duration::from_secs(1);
 /// How long a hello may take, and a frame to leave.
 const HELLO: Duration = Duration::from_secs(2);
 const SEND: Duration = Duration::from_secs(2);
@@ -222,6 +225,12 @@
 }
 
 impl Link {
+    /// Connects and says hello; the other end's hello, or why there is none.
+    pub async fn connect(at: SocketAddr, hello: &Hello) -> Result<(Link, Hello)> {
+        let stream = timeout(CONNECT, TcpStream::connect(at)).await.context("no connection in time")??;
+        Link::dial(stream, hello).await
+    }
+
     /// Says hello first; the other end's hello, or why there is none.
     pub async fn dial(stream: TcpStream, hello: &Hello) -> Result<(Link, Hello)> {
         stream.set_nodelay(true)?;
@@ -266,6 +275,12 @@
         self.2
     }
 
+    /// An error where an end does not speak this version of links.
+    pub fn ensure_speaks(&self, version: u16) -> Result<()> {
+        ensure!(self.speaks() >= version, "speaks links up to {}, not {version}", self.speaks());
+        Ok(())
+    }
+
     /// A peer that does not read loses its link; nobody waits for it any longer.
     pub async fn send(&mut self, frame: &Frame) -> Result<()> {
         let bytes = Bytes::from(postcard::to_stdvec(frame)?);
