Fleet: one loop drives the actors of the carrier and of replication

Cause: the loop (events in batches, then the clock) stood in both actors. Change: drive.rs with a trait of three methods; both actors implement it. The voter's actor syncs its disk in its loop and keeps its own.

--- a/crates/proxy/src/fleet/carrier/actor.rs
+++ b/crates/proxy/src/fleet/carrier/actor.rs
@@ -7,6 +7,7 @@
 use crate::fleet::carrier::door::{Door, Event};
 use crate::fleet::carrier::links::{Parent, dial};
 use crate::fleet::carrier::publish;
+use crate::fleet::drive::{self, drive};
 use crate::fleet::me::{Me, draw};
 use crate::fleet::wire::{CarrierStatus, Frame};
 use pumicebay_accord::{Held, Reply};
@@ -19,15 +20,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 const PART_BYTES: usize = 4096;
 /// Between control machines.
 const CONTROL_PART_BYTES: usize = 48 * 1024;
 const CONTROL_BYTES_PER_SECOND: u64 = 1_000_000;
 const NAMED: usize = 16;
-/// Events taken together before the clock is looked at again.
-const BATCH: usize = 64;
 /// How often what is told of its age is renewed, at the least.
 const LOOK: Nanos = 500_000_000;
 /// From this age on a process says that what it has may be old.
@@ -165,7 +164,7 @@
     config: Arc<CarrierConfig>,
     kept: Option<Kept>,
     ways: Ways,
-    mut events: mpsc::Receiver<Event>,
+    events: mpsc::Receiver<Event>,
 ) {
     let random = oorandom::Rand64::new(u128::from(draw()));
     let mut acts = Acts { acts: VecDeque::new(), random };
@@ -189,29 +188,11 @@
         started,
     };
     actor.carry_out();
-    loop {
-        let due = actor.due();
-        tokio::select! {
-            event = events.recv() => match event {
-                Some(event) => {
-                    actor.take(event);
-                    for _ in 1..BATCH {
-                        let Ok(event) = events.try_recv() else { break };
-                        actor.take(event);
-                    }
-                }
-                None => return,
-            },
-            () = sleep_until(due) => {}
-        }
-        actor.tick();
-    }
+    drive(actor, events).await;
 }
 
-impl Actor {
-    fn now(&self) -> Nanos {
-        self.me.clock.now()
-    }
+impl drive::Actor for Actor {
+    type Event = Event;
 
     fn due(&self) -> Instant {
         let publisher = self.publisher.as_ref().map_or(Nanos::MAX, |(publisher, _)| publisher.due());
@@ -282,6 +263,12 @@
         self.carry_out();
         self.tell(now);
     }
+}
+
+impl Actor {
+    fn now(&self) -> Nanos {
+        self.me.clock.now()
+    }
 
     /// What was asked for, until nothing more is.
     fn carry_out(&mut self) {
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! | `sealed.rs` | files of the program's own: synced, with a checksum and a lock |
 //! | `store.rs` | a voter's disk |
 //! | `me.rs` | who a process is to the others, and its clock |
+//! | `drive.rs` | runs an actor that owns a state machine |
 //! | `door.rs` | the way to the voter for all other files |
 //! | `seat.rs` | the voter: an actor that owns the `Voter` and its disk |
 //! | `accept.rs` | takes links, with room for so many |
@@ -30,6 +31,7 @@
 pub mod command;
 pub mod config;
 pub mod door;
+pub mod drive;
 pub mod inbound;
 pub mod lease;
 pub mod me;
--- a/crates/proxy/src/fleet/replication/actor.rs
+++ b/crates/proxy/src/fleet/replication/actor.rs
@@ -1,5 +1,6 @@
 //! The replica's actor: it owns the replica and drives it with the fleet's clock and the machine's.
 
+use crate::fleet::drive::{self, drive};
 use crate::fleet::me::{Me, draw};
 use crate::fleet::replication::config::ReplicationConfig;
 use crate::fleet::replication::handle::{Event, Handle, Order, Ordered};
@@ -13,14 +14,12 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_blocking;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 /// A stamp may be so far ahead of this machine's clock.
 const MOST_AHEAD: u64 = 60 * 1_000_000_000;
 /// In one part of a transfer.
 const PART_BYTES: usize = 1024;
-/// Events taken together before the clock is looked at again.
-const BATCH: usize = 64;
 /// The replica is looked at this often at the least, in nanoseconds.
 const LOOK: u64 = 1_000_000_000;
 
@@ -117,7 +116,7 @@
         part_bytes: PART_BYTES,
     };
     let replica = Replica::start(now, terms, kept, &mut acts);
-    let Parts { handle, mut events, tell, .. } = parts;
+    let Parts { handle, events, tell, .. } = parts;
     let mut actor = Actor {
         me,
         config,
@@ -131,41 +130,17 @@
         waiting: Vec::new(),
     };
     actor.carry_out();
-    loop {
-        let due = actor.due();
-        tokio::select! {
-            event = events.recv() => match event {
-                Some(event) => {
-                    actor.take(event);
-                    for _ in 1..BATCH {
-                        let Ok(event) = events.try_recv() else { break };
-                        actor.take(event);
-                    }
-                }
-                None => return,
-            },
-            () = sleep_until(due) => {}
-        }
-        actor.tick();
-    }
+    drive(actor, events).await;
 }
 
-impl Actor {
-    fn now(&self) -> Now {
-        Now { steady: self.me.clock.now(), unix: unix() }
-    }
+impl drive::Actor for Actor {
+    type Event = Event;
 
     fn due(&self) -> Instant {
         let due = self.replica.due().min(self.me.clock.now() + LOOK);
         Instant::now() + self.me.clock.until(due)
     }
 
-    fn tick(&mut self) {
-        let now = self.now();
-        self.replica.tick(now, &mut self.acts);
-        self.carry_out();
-    }
-
     fn take(&mut self, event: Event) {
         let now = self.now();
         match event {
@@ -193,6 +168,18 @@
         self.carry_out();
     }
 
+    fn tick(&mut self) {
+        let now = self.now();
+        self.replica.tick(now, &mut self.acts);
+        self.carry_out();
+    }
+}
+
+impl Actor {
+    fn now(&self) -> Now {
+        Now { steady: self.me.clock.now(), unix: unix() }
+    }
+
     fn give(
         &mut self,
         now: Now,
