Fleet: links of the carrier and of replication are carried by one loop

Cause: five loops with the same three arms (a frame, what waits, a beat) stood in carrier/links.rs and replication/links.rs. Change: Link::hear gives the next frame and meanwhile sends what waits, and beats; the link keeps when it sent last, its fields have names.

--- a/crates/proxy/src/fleet/carrier/links.rs
+++ b/crates/proxy/src/fleet/carrier/links.rs
@@ -4,14 +4,13 @@
 use crate::fleet::accept::Acceptor;
 use crate::fleet::carrier::door::{Door, Event};
 use crate::fleet::me::Me;
-use crate::fleet::wire::{BEAT, CARRIER, Frame, Hello, Link, Role};
+use crate::fleet::wire::{CARRIER, Frame, Hello, Link, Role};
 use anyhow::{Context, Result, ensure};
 use pumicebay_carrier::{Child, Down, Up};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep_until};
 
 /// What waits for a child: one part of a difference and some pulses. One whose mailbox is full does not read.
 const DOWNS: usize = 8;
@@ -65,59 +64,31 @@
     number: Child,
     mut mailbox: mpsc::Receiver<Down>,
 ) -> Result<()> {
-    let mut beat = Instant::now();
-    loop {
-        let said = tokio::select! {
-            frame = link.next() => match frame? {
-                Frame::Up(up) => {
-                    if let Up::Subscribe { who, .. } = &*up {
-                        let who = &who.member;
-                        let same = who.name == other.who.name && who.incarnation == other.who.incarnation;
-                        ensure!(same, "subscribes as {}, and said hello as {}", who.name, other.who);
-                    }
-                    door.say(Event::ChildSaid(number, *up)).await;
-                    continue;
-                }
-                Frame::Bye => return Ok(()),
-                _ => continue,
-            },
-            down = mailbox.recv() => match down {
-                Some(down) => Frame::Down(Box::new(down)),
-                None => {
-                    link.send(&Frame::Bye).await?;
-                    return Ok(());
-                }
-            },
-            () = sleep_until(beat) => Frame::Beat(None),
-        };
-        link.send(&said).await?;
-        beat = Instant::now() + BEAT;
+    let said = |down| Frame::Down(Box::new(down));
+    while let Some(frame) = link.hear(&mut mailbox, said).await? {
+        let Frame::Up(up) = frame else { continue };
+        if let Up::Subscribe { who, .. } = &*up {
+            let who = &who.member;
+            let same = who.name == other.who.name && who.incarnation == other.who.incarnation;
+            ensure!(same, "subscribes as {}, and said hello as {}", who.name, other.who);
+        }
+        door.say(Event::ChildSaid(number, *up)).await;
     }
+    Ok(())
 }
 
 async fn command(door: &Door, link: &mut Link) -> Result<()> {
     let (answers, mut answered) = mpsc::channel(ANSWERS);
-    let mut beat = Instant::now();
-    loop {
-        let said = tokio::select! {
-            frame = link.next() => match frame? {
-                Frame::Offer(number, changes) => {
-                    door.say(Event::Offer(number, changes, answers.clone())).await;
-                    continue;
-                }
-                Frame::Carrier => {
-                    door.say(Event::Status(answers.clone())).await;
-                    continue;
-                }
-                Frame::Bye => return Ok(()),
-                _ => continue,
-            },
-            Some(frame) = answered.recv() => frame,
-            () = sleep_until(beat) => Frame::Beat(None),
-        };
-        link.send(&said).await?;
-        beat = Instant::now() + BEAT;
+    while let Some(frame) = link.hear(&mut answered, |frame| frame).await? {
+        match frame {
+            Frame::Offer(number, changes) => {
+                door.say(Event::Offer(number, changes, answers.clone())).await;
+            }
+            Frame::Carrier => _ = door.say(Event::Status(answers.clone())).await,
+            _ => {}
+        }
     }
+    Ok(())
 }
 
 /// The link to a parent, or the dial to one: it ends with this.
@@ -169,24 +140,11 @@
     door.say(Event::ParentUp(number)).await;
     *up = true;
     tracing::info!("carrier: parent is {}", other.who);
-    let mut beat = Instant::now();
-    loop {
-        let said = tokio::select! {
-            frame = link.next() => match frame? {
-                Frame::Down(down) => {
-                    door.say(Event::ParentSaid(number, *down)).await;
-                    continue;
-                }
-                Frame::Bye => return Ok(()),
-                _ => continue,
-            },
-            said = mailbox.recv() => match said {
-                Some(said) => Frame::Up(Box::new(said)),
-                None => return Ok(()),
-            },
-            () = sleep_until(beat) => Frame::Beat(None),
-        };
-        link.send(&said).await?;
-        beat = Instant::now() + BEAT;
+    let said = |up| Frame::Up(Box::new(up));
+    while let Some(frame) = link.hear(&mut mailbox, said).await? {
+        if let Frame::Down(down) = frame {
+            door.say(Event::ParentSaid(number, *down)).await;
+        }
     }
+    Ok(())
 }
--- a/crates/proxy/src/fleet/replication/links.rs
+++ b/crates/proxy/src/fleet/replication/links.rs
@@ -6,14 +6,13 @@
 use crate::fleet::me::Me;
 use crate::fleet::replication::config::ReplicationConfig;
 use crate::fleet::replication::handle::{Event, Handle};
-use crate::fleet::wire::{BEAT, Frame, Hello, Link, OrderAnswer, OrderCall, REPLICATION, Role};
+use crate::fleet::wire::{Frame, Hello, Link, OrderAnswer, OrderCall, REPLICATION, Role};
 use anyhow::{Context, Result, ensure};
 use pumicebay_replication::{LinkId, Message};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until};
 
 /// What waits for a peer: a part, its answer, summaries. One whose mailbox is full does not read.
 const MAILBOX: usize = 32;
@@ -102,63 +101,40 @@
     let (mailbox, mut to_send) = mpsc::channel(MAILBOX);
     let number = handle.new_link();
     handle.say(Event::LinkUp { link: number, peer: peer.into(), dialled, mailbox }).await;
-    let ended = carry(handle, &mut link, number, &mut to_send).await;
+    let ended = pass_on(handle, &mut link, number, &mut to_send).await;
     handle.say(Event::LinkDown { link: number }).await;
     ended
 }
 
-async fn carry(
+async fn pass_on(
     handle: &Handle,
     link: &mut Link,
     number: LinkId,
     to_send: &mut mpsc::Receiver<Message>,
 ) -> Result<()> {
-    let mut beat = Instant::now();
-    loop {
-        let frame = tokio::select! {
-            frame = link.next() => match frame? {
-                Frame::Replicate(message) => {
-                    handle.say(Event::Heard { link: number, message: *message }).await;
-                    continue;
-                }
-                Frame::Bye => return Ok(()),
-                _ => continue,
-            },
-            message = to_send.recv() => match message {
-                Some(message) => Frame::Replicate(Box::new(message)),
-                None => {
-                    link.send(&Frame::Bye).await?;
-                    return Ok(());
-                }
-            },
-            () = sleep_until(beat) => Frame::Beat(None),
-        };
-        link.send(&frame).await?;
-        beat = Instant::now() + BEAT;
+    let said = |message| Frame::Replicate(Box::new(message));
+    while let Some(frame) = link.hear(to_send, said).await? {
+        if let Frame::Replicate(message) = frame {
+            handle.say(Event::Heard { link: number, message: *message }).await;
+        }
     }
+    Ok(())
 }
 
 /// What a command asks for.
 async fn command(handle: &Handle, maintenance: &Maintenance, mut link: Link) -> Result<()> {
     let (answers, mut answered) = mpsc::channel(ANSWERS);
-    let mut beat = Instant::now();
-    loop {
-        let frame = tokio::select! {
-            frame = link.next() => match frame? {
-                Frame::Replication => {
-                    handle.say(Event::Status { answer: answers.clone() }).await;
-                    continue;
-                }
-                Frame::Order(call) => Frame::Ordered(Box::new(ordered(maintenance, *call).await)),
-                Frame::Bye => return Ok(()),
-                _ => continue,
-            },
-            Some(frame) = answered.recv() => frame,
-            () = sleep_until(beat) => Frame::Beat(None),
-        };
-        link.send(&frame).await?;
-        beat = Instant::now() + BEAT;
+    while let Some(frame) = link.hear(&mut answered, |frame| frame).await? {
+        match frame {
+            Frame::Replication => _ = handle.say(Event::Status { answer: answers.clone() }).await,
+            Frame::Order(call) => {
+                let answer = ordered(maintenance, *call).await;
+                link.send(&Frame::Ordered(Box::new(answer))).await?;
+            }
+            _ => {}
+        }
     }
+    Ok(())
 }
 
 /// A command's order goes the way of an operator's call at this proxy.
--- a/crates/proxy/src/fleet/wire.rs
+++ b/crates/proxy/src/fleet/wire.rs
@@ -13,7 +13,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// The versions of these frames that this program speaks. A later program that adds frames raises the newest, and sends
@@ -216,9 +217,16 @@
     Refused(String),
 }
 
-/// A link that is up, when it was heard last, as who waits for a frame may be called away again and again, and the newest
-/// version that both ends speak.
-pub struct Link(Framed<TcpStream, LengthDelimitedCodec>, Instant, u16);
+/// A link that is up.
+pub struct Link {
+    framed: Framed<TcpStream, LengthDelimitedCodec>,
+    /// When it was heard last: who waits for a frame may be called away again and again.
+    heard: Instant,
+    /// When something was sent last.
+    sent: Instant,
+    /// The newest version that both ends speak.
+    speaks: u16,
+}
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_framed(stream)
@@ -247,7 +255,7 @@
             }
         };
         let other = timeout(HELLO, talk).await.context("no hello in time")??;
-        Ok((Link(framed, Instant::now(), NEWEST.min(other.newest)), other))
+        Ok((Link::up(framed, &other), other))
     }
 
     /// Hears the other end's hello and answers it with one's own.
@@ -267,12 +275,17 @@
             refused.map(|()| other)
         };
         let other = timeout(HELLO, talk).await.context("no hello in time")??;
-        Ok((Link(framed, Instant::now(), NEWEST.min(other.newest)), other))
+        Ok((Link::up(framed, &other), other))
+    }
+
+    fn up(framed: Framed<TcpStream, LengthDelimitedCodec>, other: &Hello) -> Link {
+        let now = Instant::now();
+        Link { framed, heard: now, sent: now, speaks: NEWEST.min(other.newest) }
     }
 
     /// The newest version that both ends speak.
     pub fn speaks(&self) -> u16 {
-        self.2
+        self.speaks
     }
 
     /// An error where an end does not speak this version of links.
@@ -284,15 +297,42 @@
     /// A peer that does not read loses its link; nobody waits for it any longer.
     pub async fn send(&mut self, frame: &Frame) -> Result<()> {
         let bytes = Bytes::from(postcard::to_stdvec(frame)?);
-        timeout(SEND, self.0.send(bytes)).await.context("does not read")??;
+        timeout(SEND, self.framed.send(bytes)).await.context("does not read")??;
+        self.sent = Instant::now();
         Ok(())
     }
 
+    /// What the other end says next, `None` at its end; meanwhile what waits goes out in these frames, and beats
+    /// where nothing does. A mailbox that is closed ends the link in order.
+    pub async fn hear<M>(
+        &mut self,
+        waits: &mut mpsc::Receiver<M>,
+        framed: impl Fn(M) -> Frame,
+    ) -> Result<Option<Frame>> {
+        loop {
+            let beat = self.sent + BEAT;
+            let frame = tokio::select! {
+                frame = self.next() => match frame? {
+                    Frame::Bye => return Ok(None),
+                    frame => return Ok(Some(frame)),
+                },
+                message = waits.recv() => match message {
+                    Some(message) => framed(message),
+                    None => return self.send(&Frame::Bye).await.map(|()| None),
+                },
+                () = sleep_until(beat) => Frame::Beat(None),
+            };
+            self.send(&frame).await?;
+        }
+    }
+
     /// The next frame; an error also after silence.
     pub async fn next(&mut self) -> Result<Frame> {
-        let bytes =
-            timeout_at(self.1 + SILENT, self.0.next()).await.context("silent")?.context("closed")??;
-        self.1 = Instant::now();
+        let bytes = timeout_at(self.heard + SILENT, self.framed.next())
+            .await
+            .context("silent")?
+            .context("closed")??;
+        self.heard = Instant::now();
         postcard::from_bytes(&bytes).context("a frame that can't be read")
     }
 }
