Replication: a tick reckons its digest once, not once a link

Cause: serve hashed the whole vector for each link at each event, though nothing in it changes the copy. Change: tick gives the digest to all. One comment is wrapped.

--- a/crates/replication/src/map.rs
+++ b/crates/replication/src/map.rs
@@ -86,7 +86,8 @@
         map
     }
 
-    /// Joins an order that came, and covers it if it is taken or known. `now` is Unix time; an order that puts a node back expires after `retention`.
+    /// Joins an order that came, and covers it if it is taken or known. `now` is Unix time; an order that puts a node back
+    /// expires after `retention`.
     pub fn join(&mut self, now: Nanos, entry: &Entry, most_ahead: Nanos, retention: Nanos) -> Joined {
         let joined = self.join_order(now, entry, most_ahead, retention);
         if !matches!(joined, Joined::Future | Joined::Full) {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -243,8 +243,9 @@
             }
         }
         self.dial(now, host);
+        let digest = self.digest();
         for id in self.links.keys().copied().collect::<Vec<_>>() {
-            self.serve(now, id, host);
+            self.serve(now, id, digest, host);
         }
         self.keep(now, host);
     }
--- a/crates/replication/src/replica/sending.rs
+++ b/crates/replication/src/replica/sending.rs
@@ -18,9 +18,8 @@
 pub(super) const RESEND: Nanos = 5 * SECOND;
 
 impl Replica {
-    /// Says on a link what is to be said there now.
-    pub(super) fn serve(&mut self, now: Now, id: LinkId, host: &mut impl Host) {
-        let own = self.digest();
+    /// Says on a link what is to be said there now; `own` is this replica's digest.
+    pub(super) fn serve(&mut self, now: Now, id: LinkId, own: u64, host: &mut impl Host) {
         let Some(link) = self.links.get_mut(&id) else { return };
         let stalled = |in_flight: &InFlight| now.steady >= in_flight.since + STALLED;
         if link.in_flight.as_ref().is_some_and(stalled) {
