Replication: Unix time and spans from where they are defined

Cause: the actor had its own reading of Unix time beside me.rs, and spans in digits. Change: me::unix serves incarnations and replication; MOST_AHEAD and LOOK are made of SECOND. No behaviour changes.

--- a/crates/proxy/src/fleet/me.rs
+++ b/crates/proxy/src/fleet/me.rs
@@ -36,9 +36,14 @@
     std::hash::RandomState::new().build_hasher().finish().max(1)
 }
 
+/// Unix time by the machine's clock.
+pub fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 /// A number that is higher at each start, as long as the machine's clock does not go back.
 pub fn incarnation() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+    unix().as_micros() as u64
 }
 
 /// Who this process is to the others.
--- a/crates/proxy/src/fleet/replication/actor.rs
+++ b/crates/proxy/src/fleet/replication/actor.rs
@@ -1,27 +1,27 @@
 //! The replica's actor: it owns the replica and drives it with the fleet's clock and the machine's.
 
 use crate::fleet::drive::{self, drive};
-use crate::fleet::me::{Me, draw};
+use crate::fleet::me::{Me, draw, unix};
 use crate::fleet::replication::config::ReplicationConfig;
 use crate::fleet::replication::handle::{Event, Handle, Order, Ordered};
 use crate::fleet::replication::{Parts, disk, links};
 use crate::fleet::wire::Frame;
 use pumicebay_replication::{
-    Entry, Host, Kept, LinkId, Message, Now, Origin, Refusal, Replica, Report, Service, Stamp, Status, Terms,
+    Entry, Host, Kept, LinkId, Message, Nanos, Now, Origin, Refusal, Replica, Report, SECOND, Service, Stamp,
+    Status, Terms,
 };
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_blocking;
 use tokio::time::Instant;
 
 /// A stamp may be so far ahead of this machine's clock.
-const MOST_AHEAD: u64 = 60 * 1_000_000_000;
+const MOST_AHEAD: Nanos = 60 * SECOND;
 /// In one part of a transfer.
 const PART_BYTES: usize = 1024;
-/// The replica is looked at this often at the least, in nanoseconds.
-const LOOK: u64 = 1_000_000_000;
+/// The replica is looked at this often at the least.
+const LOOK: Nanos = SECOND;
 
 enum Act {
     Dial(String),
@@ -81,8 +81,9 @@
     waiting: Vec<Waiting>,
 }
 
-fn unix() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64
+/// By both clocks.
+fn now(me: &Me) -> Now {
+    Now { steady: me.clock.now(), unix: unix().as_nanos() as u64 }
 }
 
 /// Runs as long as the process lives.
@@ -99,7 +100,7 @@
         }
         None => None,
     };
-    let now = Now { steady: me.clock.now(), unix: unix() };
+    let now = now(&me);
     if let Some(kept) = &kept {
         let age = now.unix.saturating_sub(kept.as_of) as f64 / 1e9;
         tracing::info!("replication: starts with {} orders as of {age:.1} s ago", kept.entries.len());
@@ -142,7 +143,7 @@
     }
 
     fn take(&mut self, event: Event) {
-        let now = self.now();
+        let now = now(&self.me);
         match event {
             Event::LinkUp { link, peer, dialled, mailbox } => {
                 self.links.insert(link, mailbox);
@@ -169,17 +170,13 @@
     }
 
     fn tick(&mut self) {
-        let now = self.now();
+        let now = now(&self.me);
         self.replica.tick(now, &mut self.acts);
         self.carry_out();
     }
 }
 
 impl Actor {
-    fn now(&self) -> Now {
-        Now { steady: self.me.clock.now(), unix: unix() }
-    }
-
     fn give(
         &mut self,
         now: Now,
@@ -249,7 +246,7 @@
         if self.links.get(&link).is_some_and(full) {
             // It does not read: as good as gone.
             self.links.remove(&link);
-            let now = self.now();
+            let now = now(&self.me);
             self.replica.link_down(now, link, &mut self.acts);
         }
     }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -27,4 +27,5 @@
 /// Whole nanoseconds.
 pub type Nanos = u64;
 const MILLISECOND: Nanos = 1_000_000;
-const SECOND: Nanos = 1_000 * MILLISECOND;
+/// One second.
+pub const SECOND: Nanos = 1_000 * MILLISECOND;
