Replication: one host notes down what a replica asks for

Cause: the actor and the package's tests had each the same Act, Acts and Host. Change: acts.rs in the package, as accord has; both use it, with the same draws from the same seeds.

--- a/crates/proxy/src/fleet/replication/actor.rs
+++ b/crates/proxy/src/fleet/replication/actor.rs
@@ -7,10 +7,10 @@
 use crate::fleet::replication::{Parts, disk, links};
 use crate::fleet::wire::Frame;
 use pumicebay_replication::{
-    Entry, Host, Kept, LinkId, Message, Nanos, Now, Origin, Refusal, Replica, Report, SECOND, Service, Stamp,
-    Status, Terms,
+    Act, Acts, Entry, Kept, LinkId, Message, Nanos, Now, Origin, Refusal, Replica, Report, SECOND, Service,
+    Stamp, Status, Terms,
 };
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_blocking;
@@ -23,45 +23,6 @@
 /// The replica is looked at this often at the least.
 const LOOK: Nanos = SECOND;
 
-enum Act {
-    Dial(String),
-    Send(LinkId, Message),
-    Close(LinkId),
-    Apply(String, Service),
-    Keep(Kept),
-    Report(Report),
-}
-
-/// What the replica asks for, in its order.
-struct Acts {
-    acts: VecDeque<Act>,
-    random: oorandom::Rand64,
-}
-
-impl Host for Acts {
-    fn dial(&mut self, peer: &str) {
-        self.acts.push_back(Act::Dial(peer.into()));
-    }
-    fn send(&mut self, link: LinkId, message: Message) {
-        self.acts.push_back(Act::Send(link, message));
-    }
-    fn close(&mut self, link: LinkId) {
-        self.acts.push_back(Act::Close(link));
-    }
-    fn apply(&mut self, node: &str, service: Service) {
-        self.acts.push_back(Act::Apply(node.into(), service));
-    }
-    fn keep(&mut self, kept: Kept) {
-        self.acts.push_back(Act::Keep(kept));
-    }
-    fn report(&mut self, report: Report) {
-        self.acts.push_back(Act::Report(report));
-    }
-    fn chance(&mut self) -> f64 {
-        self.random.rand_float()
-    }
-}
-
 /// An order whose giver waits until it is on disk.
 struct Waiting {
     stamp: Stamp,
@@ -105,8 +66,7 @@
         let age = now.unix.saturating_sub(kept.as_of) as f64 / 1e9;
         tracing::info!("replication: starts with {} orders as of {age:.1} s ago", kept.entries.len());
     }
-    let random = oorandom::Rand64::new(u128::from(draw()));
-    let mut acts = Acts { acts: VecDeque::new(), random };
+    let mut acts = Acts::new(draw());
     let terms = Terms {
         me: Origin { name: me.who.name.clone(), incarnation: draw() },
         peers: config.peers.keys().filter(|name| **name != me.who.name).cloned().collect(),
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -5,6 +5,7 @@
 //! Each process drives a [`Replica`]: one method for each thing that can happen, which acts by calls to its [`Host`].
 //! Replication is eventually consistent: it must never be leaned on by a rule that needs something to be true at once.
 
+mod acts;
 mod link;
 mod map;
 mod message;
@@ -15,6 +16,7 @@
 mod status;
 mod vector;
 
+pub use acts::{Act, Acts};
 pub use link::LinkId;
 pub use map::{Joined, Kept, Map};
 pub use message::{Knowledge, Message, Part, Summary};
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -18,51 +18,6 @@
 /// A play that calls replicas more often than this has one that asks for it without end.
 const MOST_TICKS: u64 = 2_000_000;
 
-#[derive(Debug)]
-pub enum Act {
-    Dial(String),
-    Send(LinkId, Message),
-    Close(LinkId),
-    Apply(String, Service),
-    Keep(Kept),
-    Report(Report),
-}
-
-pub struct Acts {
-    pub acts: Vec<Act>,
-    pub random: oorandom::Rand64,
-}
-
-impl Acts {
-    pub fn new(seed: u64) -> Acts {
-        Acts { acts: Vec::new(), random: oorandom::Rand64::new(u128::from(seed)) }
-    }
-}
-
-impl Host for Acts {
-    fn dial(&mut self, peer: &str) {
-        self.acts.push(Act::Dial(peer.into()));
-    }
-    fn send(&mut self, link: LinkId, message: Message) {
-        self.acts.push(Act::Send(link, message));
-    }
-    fn close(&mut self, link: LinkId) {
-        self.acts.push(Act::Close(link));
-    }
-    fn apply(&mut self, node: &str, service: Service) {
-        self.acts.push(Act::Apply(node.into(), service));
-    }
-    fn keep(&mut self, kept: Kept) {
-        self.acts.push(Act::Keep(kept));
-    }
-    fn report(&mut self, report: Report) {
-        self.acts.push(Act::Report(report));
-    }
-    fn chance(&mut self) -> f64 {
-        self.random.rand_float()
-    }
-}
-
 /// The rule for two orders of one slot, written once more: by token, time, out of service, origin and number.
 pub fn rank(order: &Order) -> (u64, Nanos, Service, Stamp) {
     (order.token, order.stamp.time, order.service, order.stamp.clone())
