--- a/crates/lab/tests/lab/crowds.rs
+++ b/crates/lab/tests/lab/crowds.rs
@@ -1,11 +1,9 @@
 //! Real days with more proxies than nodes: what none of them does alone, all may do together.
 
-use crate::{alone, day};
-use pumicebay_lab::real;
+use crate::day;
+use crate::sockets::{self, LAB, ROUTES};
 use pumicebay_lab::results::Results;
-use std::path::PathBuf;
-
-const LAB: &str = env!("CARGO_BIN_EXE_pumicebay-lab");
+use std::path::Path;
 
 fn play(faults: &str) -> Results {
     let day = day(&format!(
@@ -22,22 +20,11 @@
         [clients]
         rate = 400
         keys = 2000
-        [[route]]
-        name = "read"
-        share = 0.9
-        objective_ms = 500
-        [[route]]
-        name = "put"
-        share = 0.1
-        effect = "non_retriable"
-        write = true
-        objective_ms = 800
-        timeout_ms = 1500
         {faults}
+        {ROUTES}
     "#
     ));
-    let _alone = alone();
-    let results = real::play(&day, day.seed, Some(&PathBuf::from(LAB)), &|_| {}).expect("a day that plays");
+    let results = sockets::play(&day, Path::new(LAB)).expect("a day that plays");
     println!("{}", results.table());
     assert!(results.rules_kept(), "{:?}", results.broken);
     assert!(results.notes.is_empty(), "{:?}", results.notes);
--- a/crates/lab/tests/lab/sockets.rs
+++ b/crates/lab/tests/lab/sockets.rs
@@ -8,9 +8,9 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
-const LAB: &str = env!("CARGO_BIN_EXE_pumicebay-lab");
+pub const LAB: &str = env!("CARGO_BIN_EXE_pumicebay-lab");
 
-fn play(day: &Scenario, proxy: &Path) -> anyhow::Result<Results> {
+pub fn play(day: &Scenario, proxy: &Path) -> anyhow::Result<Results> {
     let _alone = alone();
     real::play(day, day.seed, Some(&proxy.to_path_buf()), &|_| {})
 }
@@ -37,9 +37,24 @@
     keys = 100
 "#;
 
+/// Reads that may be sent again, and writes that may not.
+pub const ROUTES: &str = r#"
+    [[route]]
+    name = "read"
+    share = 0.9
+    objective_ms = 500
+    [[route]]
+    name = "put"
+    share = 0.1
+    effect = "non_retriable"
+    write = true
+    objective_ms = 800
+    timeout_ms = 1500
+"#;
+
 #[test]
 fn a_first_day_cut_to_five_seconds() {
-    let day = day(r#"
+    let text = r#"
         seconds = 5
         warm_up_seconds = 1
         [proxies]
@@ -51,17 +66,6 @@
         [clients]
         rate = 100
         keys = 500
-        [[route]]
-        name = "read"
-        share = 0.9
-        objective_ms = 500
-        [[route]]
-        name = "put"
-        share = 0.1
-        effect = "non_retriable"
-        write = true
-        objective_ms = 800
-        timeout_ms = 1500
         [[fault]]
         kind = "crash"
         at = 2
@@ -71,8 +75,8 @@
         kind = "kill_proxy"
         at = 3
         proxies = ["p2"]
-    "#);
-    let results = play(&day, Path::new(LAB)).expect("a day that plays");
+    "#;
+    let results = play(&day(&(text.to_string() + ROUTES)), Path::new(LAB)).expect("a day that plays");
     assert!(results.rules_kept(), "{:?}", results.broken);
     assert!(results.notes.is_empty(), "{:?}", results.notes);
     assert!(results.share > 0.8, "{}", results.table());
