Counters and logs: reasons of refusals, long turns, late timers, memory, fetches and their bound

Change: the decisions name the reason of each request they give up; counters by reason, with and without attempts; gauges of fetches, serving caches, memory, the longest turn and the latest timer; long turns and each eighth of the memory limit in the log; GET /counters at the operators' door; PROXY_LOG=debug has each attempt by request id. Measured: 139 tests of the proxy and 54 of the decisions pass; the new one fails without the reason in the counters.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -29,6 +29,68 @@
     /// Asks discovery for changes from now on.
     fn follow(&mut self);
     fn log(&mut self, line: &str);
+    /// The request is given up for this reason, after so many attempts; its final answer was asked for just before.
+    fn given_up(&mut self, _id: RequestId, _reason: GiveUp, _attempts: usize) {}
+}
+
+/// Why a request is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GiveUp {
+    /// Those of its key that were taken before it would keep it for too long.
+    KeyBusy,
+    /// Its tenant has had more than its quota while there was no room.
+    OverQuota,
+    /// There was no room, and none in the wait queue.
+    QueueFull,
+    /// It waited for room, for its key or for a fetch for as long as it may.
+    WaitedTooLong,
+    /// Others are worth more than this one in the queue for the origin.
+    FetchQueueFull,
+    /// No node may be sent it: none is ready, or its attempts are used up.
+    NoNode,
+    /// The origin turned it away.
+    OriginBusy,
+    /// The host could not send its attempt.
+    NotSent,
+    /// Its answer broke off after the client had some of it.
+    BrokeOff,
+    /// Its client waits no longer.
+    OutOfTime,
+}
+
+impl GiveUp {
+    /// All of them, in the order of their numbers.
+    pub const ALL: [GiveUp; 10] = {
+        use GiveUp::*;
+        [
+            KeyBusy,
+            OverQuota,
+            QueueFull,
+            WaitedTooLong,
+            FetchQueueFull,
+            NoNode,
+            OriginBusy,
+            NotSent,
+            BrokeOff,
+            OutOfTime,
+        ]
+    };
+
+    /// As counters and logs have it.
+    pub fn name(self) -> &'static str {
+        match self {
+            GiveUp::KeyBusy => "key_busy",
+            GiveUp::OverQuota => "over_quota",
+            GiveUp::QueueFull => "queue_full",
+            GiveUp::WaitedTooLong => "waited_too_long",
+            GiveUp::FetchQueueFull => "fetch_queue_full",
+            GiveUp::NoNode => "no_node",
+            GiveUp::OriginBusy => "origin_busy",
+            GiveUp::NotSent => "not_sent",
+            GiveUp::BrokeOff => "broke_off",
+            GiveUp::OutOfTime => "out_of_time",
+        }
+    }
 }
 
 /// A request as the client asked for it.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,9 +11,11 @@
 pub mod ring;
 pub mod settings;
 pub mod state;
+pub mod status;
 pub mod table;
 pub mod turns;
 
 pub use balance::Balance;
-pub use host::{Ask, Held, Host, Listed, Nanos, Node, Outcome, RequestId, Standing};
+pub use host::{Ask, GiveUp, Held, Host, Listed, Nanos, Node, Outcome, RequestId, Standing};
 pub use settings::Settings;
+pub use status::Status;
--- a/crates/core/src/policy/attempts.rs
+++ b/crates/core/src/policy/attempts.rs
@@ -3,7 +3,7 @@
 
 use crate::balance::Balance;
 use crate::fleet::Finder;
-use crate::host::{Host, Nanos, Node, Outcome, Repeat, RequestId};
+use crate::host::{GiveUp, Host, Nanos, Node, Outcome, Repeat, RequestId};
 use crate::policy::{PATIENCE, QUICK};
 use crate::state::{Attempt, RequestState};
 
@@ -51,9 +51,15 @@
     pub(crate) fn again(&mut self, id: RequestId, node: Node, outcome: Outcome) {
         let (request, at_origin) = (&self.requests[&id], Some(node) == self.origin);
         let unsent = outcome == Outcome::Unsent && self.nodes.caches[node].ready();
-        let lost = unsent || at_origin && outcome == Outcome::Saturated;
-        if lost || request.under_way || self.now >= request.ends() {
-            self.give_up(id);
+        let given_up = match () {
+            () if unsent => Some(GiveUp::NotSent),
+            () if at_origin && outcome == Outcome::Saturated => Some(GiveUp::OriginBusy),
+            () if request.under_way => Some(GiveUp::BrokeOff),
+            () if self.now >= request.ends() => Some(GiveUp::OutOfTime),
+            () => None,
+        };
+        if let Some(reason) = given_up {
+            self.give_up(id, reason);
         } else if at_origin || outcome == Outcome::Missed {
             self.ask_origin(id);
         } else {
@@ -90,13 +96,15 @@
     }
 
     /// The final answer, at once: shed where that is true, an error else. Guards from storms of retries.
-    pub(crate) fn give_up(&mut self, id: RequestId) {
+    pub(crate) fn give_up(&mut self, id: RequestId, reason: GiveUp) {
         let request = &self.requests[&id];
+        let attempts = request.attempts.len();
         let pause = if self.rules.pauses { request.route.objective / PATIENCE } else { 0 };
         match request.route.repeat.harmless(request.may_have_run()) && !request.under_way {
             true => self.host.shed(id, pause),
             false => self.host.error(id),
         }
+        self.host.given_up(id, reason, attempts);
         self.finish(id);
     }
 
--- a/crates/core/src/policy/events.rs
+++ b/crates/core/src/policy/events.rs
@@ -2,7 +2,7 @@
 
 use crate::balance::Balance;
 use crate::fleet::Finder;
-use crate::host::{Ask, Host, Nanos, Outcome, RequestId};
+use crate::host::{Ask, GiveUp, Host, Nanos, Outcome, RequestId};
 use crate::policy::TICK;
 use crate::state::RequestState;
 use smallvec::SmallVec;
@@ -62,7 +62,10 @@
             .map(|request| (request.until, request.waits))
         {
             _ if token == TICK_TOKEN => self.tick(),
-            Some((until, _)) if now >= until => self.give_up(token),
+            Some((until, _)) if now >= until => {
+                let sent = self.requests[&token].out() > 0;
+                self.give_up(token, if sent { GiveUp::OutOfTime } else { GiveUp::WaitedTooLong });
+            }
             Some((_, true)) => self.place(token),
             _ => {}
         }
--- a/crates/core/src/policy/origin.rs
+++ b/crates/core/src/policy/origin.rs
@@ -4,7 +4,7 @@
 use crate::balance::Balance;
 use crate::fetches::Fetch;
 use crate::fleet::Finder;
-use crate::host::{Host, Nanos, Node, RequestId};
+use crate::host::{GiveUp, Host, Nanos, Node, RequestId};
 use crate::policy::{ENOUGH, ORIGIN_PATIENCE, QUICK, SAVED, SECOND};
 use crate::state::Cache;
 
@@ -23,7 +23,7 @@
     /// One fetch a key, the others wait for it; past the origin's bound a fetch waits in line.
     pub(crate) fn ask_origin(&mut self, id: RequestId) {
         let Some(origin) = self.origin.filter(|&node| self.may_take(&self.requests[&id], node)) else {
-            return self.give_up(id);
+            return self.give_up(id, GiveUp::NoNode);
         };
         let request = self.requests.get_mut(&id).expect("placed requests are known");
         let (key, worth) = (request.ask.key, request.worth);
@@ -48,7 +48,7 @@
         if self.fetches.in_line() as f64 > most.max(2.0)
             && let Some(id) = self.fetches.least_worthy()
         {
-            self.give_up(id);
+            self.give_up(id, GiveUp::FetchQueueFull);
         }
     }
 
--- a/crates/core/src/policy/placement.rs
+++ b/crates/core/src/policy/placement.rs
@@ -4,7 +4,7 @@
 use crate::balance::Balance;
 use crate::fleet::Finder;
 use crate::groups::two_highest;
-use crate::host::{Ask, Host, Listed, Node, RequestId};
+use crate::host::{Ask, GiveUp, Host, Listed, Node, RequestId};
 use crate::policy::FEW;
 
 /// T is this multiple of the mean load over the ready caches, and no less than this proxy's part of FEW.
@@ -24,7 +24,7 @@
             Some(node) if self.fits(id, node) => self.serve(id, node),
             Some(_) => self.wait_for_room(id),
             None if self.origin.is_some() => self.ask_origin(id),
-            None => self.give_up(id),
+            None => self.give_up(id, GiveUp::NoNode),
         }
     }
 
--- a/crates/core/src/policy/queueing.rs
+++ b/crates/core/src/policy/queueing.rs
@@ -2,7 +2,7 @@
 
 use crate::balance::Balance;
 use crate::fleet::Finder;
-use crate::host::{Ask, Host, Nanos, Node, RequestId};
+use crate::host::{Ask, GiveUp, Host, Nanos, Node, RequestId};
 use crate::policy::{ORIGIN_PATIENCE, PATIENCE, SAVED, SECOND};
 use crate::state::{RequestState, Route, Tenant};
 
@@ -23,7 +23,7 @@
         let turns = (before as f64 * took.unwrap_or(self.kinds.usual) * SECOND as f64) as Nanos;
         self.requests.get_mut(&id).expect("placed requests are known").waits = waits;
         if waits && self.now.max(rests) + turns > last {
-            self.give_up(id);
+            self.give_up(id, GiveUp::KeyBusy);
         } else if waits {
             self.hold(id, ORIGIN_PATIENCE);
             // Behind others it is placed again when those are over.
@@ -47,12 +47,14 @@
         let RequestState { arrived, ask, route, .. } = &self.requests[&id];
         let patience = route.objective / PATIENCE;
         let rate = self.all.answers.rate(self.now);
-        if self.surplus(ask.tenant) || self.now - arrived >= patience {
-            self.give_up(id);
+        if self.surplus(ask.tenant) {
+            self.give_up(id, GiveUp::OverQuota);
+        } else if self.now - arrived >= patience {
+            self.give_up(id, GiveUp::WaitedTooLong);
         } else if self.origin_fits(id) {
             self.ask_origin(id);
         } else if self.queue.len() as f64 >= (rate * patience as f64 / SECOND as f64).max(1.0) {
-            self.give_up(id);
+            self.give_up(id, GiveUp::QueueFull);
         } else {
             self.hold(id, PATIENCE);
             self.queue.push(id);
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -6,6 +6,7 @@
 use crate::migrate::{self, Answers, OWN};
 use crate::resp::{Frame, Resp};
 use crate::serve::{self, Proxy};
+use crate::turns;
 use anyhow::{Context, Result, bail};
 use futures_util::{SinkExt, StreamExt};
 use lexopt::prelude::*;
@@ -15,6 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
+use tracing::level_filters::LevelFilter;
 use tracing_appender::non_blocking::NonBlockingBuilder;
 
 const HELP: &str = "\
@@ -31,7 +33,7 @@
   help               print this
 
 FILE is by default what $PROXY_CONFIG names; $PROXY_NAME, $PROXY_LISTEN, $PROXY_DISCOVERY and
-$PROXY_OPERATOR go before what it says; read again, FILE alone says where discovery is. ADDRESS is by default where
+$PROXY_OPERATOR go before what it says; $PROXY_LOG is what is logged, info or, with each request, debug; read again, FILE alone says where discovery is. ADDRESS is by default where
 that configuration listens.
 
 migrate --config FILE --output NEW [--dry-run] [--force]
@@ -143,17 +145,29 @@
     Ok(tokio::runtime::Builder::new_current_thread().enable_all().build()?)
 }
 
+/// What is logged: `$PROXY_LOG` names the level.
+fn log_level() -> Result<LevelFilter> {
+    let Some(level) = variable("PROXY_LOG") else { return Ok(LevelFilter::INFO) };
+    level
+        .parse()
+        .ok()
+        .with_context(|| format!("PROXY_LOG: expected error, warn, info or debug, found {level:?}"))
+}
+
 fn run(config: Config, file: String) -> Result<()> {
     // Lines that nobody reads are lost after a while, rather than wait for.
     let lossy = NonBlockingBuilder::default().buffered_lines_limit(LOG_LINES);
     let (log, _flush) = lossy.finish(std::io::stderr());
     let log = tracing_subscriber::fmt().with_writer(log).log_internal_errors(false);
-    log.with_ansi(false).with_target(false).init();
+    log.with_ansi(false).with_target(false).with_max_level(log_level()?).init();
     let counters = Arc::new(Counters::default());
     let runtime = runtime()?;
     let served = runtime.block_on(async {
-        let (stop, configs) =
-            (serve::signalled().await?, serve::reread(move || config::reread(&file, variable))?);
+        let noted = counters.clone();
+        let reread = move || {
+            turns::noted(&noted, || "reading the configuration".into(), || config::reread(&file, variable))
+        };
+        let (stop, configs) = (serve::signalled().await?, serve::reread(reread)?);
         Proxy::start(config, counters.clone()).await?.run(stop, configs).await
     });
     tracing::info!("counters: {}", counters.to_string().trim_end().replace('\n', ", "));
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -54,6 +54,8 @@
     /// The proxy's private folder, in which a process leaves what the one beside it or after it must know.
     pub folder: Option<PathBuf>,
     pub seed: u64,
+    /// The limit on memory, in units of 1,024 bytes.
+    pub memory_kb: u64,
     /// How many connections clients may hold here, and this proxy to nodes.
     pub clients: usize,
     pub upstream: usize,
@@ -122,6 +124,7 @@
     let memory = number(json, "/limits/memory_mb")?.unwrap_or(MEMORY_MB);
     let least = FEWEST_MEMORY_MB;
     ensure!(memory >= least, "limits.memory_mb: expected {least} or more, found {memory}");
+    let memory_kb = memory.saturating_mul(1024);
     let memory = usize::try_from(memory).unwrap_or(usize::MAX).saturating_mul(1 << 20);
     // Clients hold a third of all descriptors for requests.
     let used = (sockets + reserved) / 3 * 3 / 4;
@@ -146,6 +149,7 @@
         inherited: false,
         folder: None,
         seed: seed(json)?,
+        memory_kb,
         clients,
         used: used.min(clients),
         upstream: (sockets - clients_part(sockets)).min(memory / 4 / NODE_BYTES),
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -1,18 +1,20 @@
 //! Counts of what the proxy takes in, sends and answers, since its start.
 
-use pumicebay_core::Outcome;
+use crate::memory::Memory;
+use pumicebay_core::{GiveUp, Outcome, Status};
 use std::fmt::{Display, Formatter, Result};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 macro_rules! counters {
     ($($name:ident)*) => {
         #[derive(Debug, Default)]
-        pub struct Counters { $(pub $name: Counter,)* }
+        pub struct Counters { $(pub $name: Counter,)* pub given_up: GivenUp, pub gauges: Gauges }
 
         impl Display for Counters {
             fn fmt(&self, f: &mut Formatter<'_>) -> Result {
-                $(writeln!(f, "{} {}", stringify!($name), self.$name.0.load(Ordering::Relaxed))?;)*
-                Ok(())
+                $(writeln!(f, "{} {}", stringify!($name), self.$name.count())?;)*
+                write!(f, "{}{}", self.given_up, self.gauges)
             }
         }
     };
@@ -25,6 +27,94 @@
     pub fn add(&self) {
         self.0.fetch_add(1, Ordering::Relaxed);
     }
+
+    pub fn count(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Requests that were given up, by reason: those without any attempt, and those with some.
+#[derive(Debug, Default)]
+pub struct GivenUp {
+    unattempted: [Counter; GiveUp::ALL.len()],
+    attempted: [Counter; GiveUp::ALL.len()],
+}
+
+impl GivenUp {
+    pub fn add(&self, reason: GiveUp, attempts: usize) {
+        let counters = if attempts == 0 { &self.unattempted } else { &self.attempted };
+        counters[reason as usize].add();
+    }
+}
+
+impl Display for GivenUp {
+    fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        for (kind, counters) in [("unattempted", &self.unattempted), ("given_up", &self.attempted)] {
+            for reason in GiveUp::ALL {
+                writeln!(f, "{kind}_{} {}", reason.name(), counters[reason as usize].count())?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Values as they are now, or were at most.
+#[derive(Debug, Default)]
+pub struct Gauges {
+    caches_serving: AtomicU64,
+    caches_ejected: AtomicU64,
+    requests_open: AtomicU64,
+    attempts_out: AtomicU64,
+    fetches_out: AtomicU64,
+    fetches_bound_milli: AtomicU64,
+    fetches_queued: AtomicU64,
+    longest_turn_us: AtomicU64,
+    latest_timer_us: AtomicU64,
+}
+
+impl Gauges {
+    /// Takes what the decisions tell of themselves.
+    pub fn take(&self, status: &Status) {
+        let set = |gauge: &AtomicU64, value: usize| gauge.store(value as u64, Ordering::Relaxed);
+        set(&self.caches_serving, status.serving);
+        set(&self.caches_ejected, status.ejected);
+        set(&self.requests_open, status.requests);
+        set(&self.attempts_out, status.attempts);
+        set(&self.fetches_out, status.fetches);
+        set(&self.fetches_bound_milli, (status.fetches_bound * 1000.0) as usize);
+        set(&self.fetches_queued, status.fetches_queued);
+    }
+
+    /// The longest that one piece of work kept all others waiting.
+    pub fn turn(&self, took: Duration) {
+        self.longest_turn_us.fetch_max(took.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// The longest that a timer of the decisions rang after its time.
+    pub fn timer(&self, late: Duration) {
+        self.latest_timer_us.fetch_max(late.as_micros() as u64, Ordering::Relaxed);
+    }
+}
+
+impl Display for Gauges {
+    fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        let named = [
+            ("caches_serving", &self.caches_serving),
+            ("caches_ejected", &self.caches_ejected),
+            ("requests_open", &self.requests_open),
+            ("attempts_out", &self.attempts_out),
+            ("fetches_out", &self.fetches_out),
+            ("fetches_bound_milli", &self.fetches_bound_milli),
+            ("fetches_queued", &self.fetches_queued),
+            ("longest_turn_us", &self.longest_turn_us),
+            ("latest_timer_us", &self.latest_timer_us),
+        ];
+        for (name, gauge) in named {
+            writeln!(f, "{name} {}", gauge.load(Ordering::Relaxed))?;
+        }
+        let Some(Memory { resident_kb, peak_kb }) = Memory::now() else { return Ok(()) };
+        writeln!(f, "memory_resident_kb {resident_kb}\nmemory_peak_kb {peak_kb}")
+    }
 }
 
 counters! {
@@ -39,6 +129,7 @@
     probes_sent probes_failed
     nodes_known nodes_dismissed
     values_broken
+    turns_long timers_late cut_at_exit
     list_answers list_failures reloads reloads_failed
 }
 
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -5,6 +5,7 @@
 use crate::http::{Http, Request, Response};
 use crate::module::Named;
 use crate::serve::Shared;
+use crate::turns;
 use anyhow::{Context, Result, bail, ensure};
 use futures_util::{SinkExt, StreamExt};
 use oorandom::Rand32;
@@ -144,7 +145,13 @@
                 }
                 answer = self.next() => answer,
             };
-            match answer.and_then(|body| self.take(&body)) {
+            let counters = self.shared.counters.clone();
+            let taken = turns::noted(
+                &counters,
+                || "entries taken from the list".into(),
+                || answer.and_then(|body| self.take(&body)),
+            );
+            match taken {
                 Ok((whole, named)) => {
                     self.failed = None;
                     self.shared.door.listed(whole, named).await;
@@ -214,7 +221,9 @@
         if answer.last {
             self.connection = None;
         }
-        serde_json::from_slice(&answer.body).context("answer is no JSON")
+        let bytes = answer.body.len();
+        let parse = || serde_json::from_slice(&answer.body).context("answer is no JSON");
+        turns::noted(&self.shared.counters, || format!("reading a list of {bytes} bytes"), parse)
     }
 
     async fn exchange(&mut self, path: String) -> Result<Response> {
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -4,18 +4,23 @@
 use crate::desk::{Desk, Order, PROBE, Whose};
 use crate::fleet::prober::Prober;
 use crate::long::{Upload, Value};
+use crate::memory::MemoryWatch;
 use crate::node::{self, Errand};
 use crate::phases::Phase;
 use crate::serve::Shared;
+use crate::turns;
 use bytes::Bytes;
 use hashbrown::{HashMap, HashSet};
-use pumicebay_core::{Ask, Balance, Held, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing};
+use pumicebay_core::{
+    Ask, Balance, GiveUp, Held, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing,
+};
 use pumicebay_names::identity;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
@@ -24,6 +29,8 @@
 const ORDERS: usize = 64;
 /// As long as it takes to notice that no timer is set.
 const FAR: Nanos = 1_000_000_000;
+/// How often it is looked how much memory is in use.
+const MEMORY_EVERY: Nanos = 1_000_000_000;
 
 /// An exchange as it goes on to nodes; the value of a write is kept until its answer, no other.
 #[derive(Debug)]
@@ -91,6 +98,20 @@
     ListFailed,
 }
 
+impl Event {
+    /// For the log.
+    fn about(&self) -> &'static str {
+        match self {
+            Event::Arrived(..) => "a request that arrived",
+            Event::Dropped(..) => "a client that left",
+            Event::Ended(..) => "an attempt that ended",
+            Event::Probed(..) => "a probe that ended",
+            Event::Listed(..) => "entries of the list",
+            Event::ListFailed => "a list that did not come",
+        }
+    }
+}
+
 /// The way to the module for all other actors.
 #[derive(Clone)]
 pub struct Door {
@@ -144,6 +165,8 @@
 pub struct Module {
     balance: Balance<Acts>,
     mailbox: Mailbox,
+    memory: MemoryWatch,
+    memory_due: Nanos,
 }
 
 /// Carries out what the decisions ask for.
@@ -196,7 +219,8 @@
             prober: None,
         };
         let balance = Balance::new(acts, settings, config.seed, clock.now());
-        Module { balance, mailbox }
+        let memory = MemoryWatch::new(config.memory_kb);
+        Module { balance, mailbox, memory, memory_due: 0 }
     }
 
     /// From here on the fleet decides who probes.
@@ -215,7 +239,11 @@
                 Some(order) = self.mailbox.1.recv() => self.obey(order),
                 () = sleep_until(wake) => self.wake(),
                 event = self.mailbox.0.recv() => match event {
-                    Some(event) => self.handle(event),
+                    Some(event) => {
+                        let counters = self.balance.host.shared.counters.clone();
+                        let about = event.about();
+                        turns::noted(&counters, || about.to_string(), || self.handle(event));
+                    }
                     None => return,
                 },
             }
@@ -225,9 +253,16 @@
 
     fn wake(&mut self) {
         let now = self.balance.host.shared.clock.now();
-        while let Some(Reverse((_, token))) = self.balance.host.due(now) {
+        let counters = self.balance.host.shared.counters.clone();
+        while let Some(Reverse((at, token))) = self.balance.host.due(now) {
+            turns::timer(&counters, Duration::from_nanos(now.saturating_sub(at)));
             self.balance.woke(now, token);
         }
+        counters.gauges.take(&self.balance.status());
+        if self.memory_due <= now {
+            self.memory_due = now + MEMORY_EVERY;
+            self.memory.look();
+        }
     }
 
     fn obey(&mut self, order: Order) {
@@ -317,6 +352,10 @@
         let acts = &mut self.balance.host;
         let counters = acts.shared.counters.clone();
         counters.tried(back.outcome);
+        if let Some(open) = acts.open.get(&xchg) {
+            let (id, outcome) = (String::from_utf8_lossy(&open.cargo.id), back.outcome);
+            tracing::debug!("request {id}: attempt {try_no} at node {node} ended: {outcome:?}");
+        }
         // What the node says to the client itself is passed on.
         let answer = match (back.outcome, back.value) {
             (Outcome::Completed, value) => Some((&counters.exchanges_completed, Answer::Completed(value))),
@@ -436,6 +475,10 @@
             self.unsent.push((xchg, try_no, node));
         } else {
             self.shared.counters.tries_sent.add();
+            if let Some(open) = self.open.get(&xchg) {
+                let id = String::from_utf8_lossy(&open.cargo.id);
+                tracing::debug!("request {id}: attempt {try_no} to node {node}, {timeout} ns at most");
+            }
         }
     }
 
@@ -491,4 +534,12 @@
     fn log(&mut self, line: &str) {
         tracing::info!("{line}");
     }
+
+    fn given_up(&mut self, xchg: RequestId, reason: GiveUp, attempts: usize) {
+        self.shared.counters.given_up.add(reason, attempts);
+        if let Some(open) = self.open.get(&xchg) {
+            let (id, reason) = (String::from_utf8_lossy(&open.cargo.id), reason.name());
+            tracing::debug!("request {id}: given up after {attempts} attempts: {reason}");
+        }
+    }
 }
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -3,6 +3,7 @@
 //! the module.
 
 use crate::bans::{Asked, LONGEST_LEASE, Maintenance};
+use crate::counters::Counters;
 use crate::fleet::carrier::actor::Told;
 use crate::fleet::replication::handle::Handle;
 use crate::http::{Call, Calls, Word};
@@ -10,6 +11,7 @@
 use crate::room::{Room, Spare};
 use futures_util::{SinkExt, StreamExt};
 use serde_json::Value as Json;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
@@ -35,6 +37,7 @@
 #[derive(Clone)]
 pub struct Operator {
     pub watch: Watch,
+    pub counters: Arc<Counters>,
     pub maintenance: Maintenance,
     /// The replica of maintenance orders, where there is one.
     pub replication: Option<Handle>,
@@ -121,13 +124,16 @@
     /// The answer to a call: 2xx is yes, all else no with a line that says why.
     pub async fn answer(&self, call: Call) -> Word {
         let method = match call.path.as_str() {
-            "/status" => "GET",
+            "/status" | "/counters" => "GET",
             "/maintenance/enter" | "/maintenance/exit" => "POST",
             path => return Word(404, format!("no such call: {path:?}")),
         };
         if call.method != method {
             return Word(405, format!("{} wants {method}, found {:?}", call.path, call.method));
         }
+        if call.path == "/counters" {
+            return Word(200, self.counters.to_string());
+        }
         if method == "GET" {
             return match self.watch.now() {
                 Phase::Serving | Phase::Draining => Word(200, self.serving().await),
--- a/crates/proxy/src/phases.rs
+++ b/crates/proxy/src/phases.rs
@@ -1,5 +1,7 @@
 //! The proxy's phases, from start to exit. Every actor that acts on one holds a `Watch`.
 
+use crate::counters::Counters;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::yield_now;
@@ -26,18 +28,22 @@
 const CLOSING: Duration = Duration::from_millis(50);
 const LEAVING: Duration = Duration::from_millis(80);
 
-pub struct Phases(watch::Sender<Phase>);
+pub struct Phases(watch::Sender<Phase>, Arc<Counters>);
 
 #[derive(Clone)]
 pub struct Watch(watch::Receiver<Phase>);
 
 impl Default for Phases {
     fn default() -> Self {
-        Phases(watch::Sender::new(Phase::Starting))
+        Phases::new(Arc::default())
     }
 }
 
 impl Phases {
+    pub fn new(counters: Arc<Counters>) -> Self {
+        Phases(watch::Sender::new(Phase::Starting), counters)
+    }
+
     pub fn watch(&self) -> Watch {
         Watch(self.0.subscribe())
     }
@@ -60,6 +66,7 @@
             self.enter(Phase::Leaving);
             if tokio::time::timeout(LEAVING, clients.wait()).await.is_err() {
                 tracing::warn!("{} client connections cut at exit", clients.len());
+                (0..clients.len()).for_each(|_| self.1.cut_at_exit.add());
             }
         }
         self.enter(Phase::Stopped);
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -17,6 +17,7 @@
 use crate::phases::{Phase, Phases, Watch};
 use crate::room::Room;
 use crate::tuning::{Routes, Tuning};
+use crate::turns;
 use anyhow::{Context, Result, bail, ensure};
 use pumicebay_accord::Fences;
 use pumicebay_carrier::Resource;
@@ -104,7 +105,7 @@
             Some(laid) => (laid.config, laid.good),
             None => (file.clone(), Vec::new()),
         };
-        let (phases, config) = (Phases::default(), Arc::new(config));
+        let (phases, config) = (Phases::new(counters.clone()), Arc::new(config));
         tracing::info!("{}", config.summary().replace('\n', "; "));
         let (door, desk, mailbox) = module::door();
         let (follow, followed) = mpsc::channel(1);
@@ -179,7 +180,8 @@
             let fences = Fences::default();
             actors.spawn(Bans { desk: desk.clone(), folder, out, fences, replication }.run(calls));
             if let Some(listener) = operator {
-                let operator = Operator { watch, maintenance, replication: handle, carrier: told };
+                let counters = shared.counters.clone();
+                let operator = Operator { watch, counters, maintenance, replication: handle, carrier: told };
                 actors.spawn(operator::accept(operator, listener));
             }
         }
@@ -261,7 +263,9 @@
     /// Takes from a new configuration what can change while it serves; one that can't be read, or lacks what the
     /// last one had, changes nothing.
     async fn reload(&mut self, file: Result<Config>) {
-        match file.and_then(|file| config::keeps(&self.file.json, &file.json).map(|()| file)) {
+        let keeps = |file: Config| config::keeps(&self.file.json, &file.json).map(|()| file);
+        let what = || "checking a new configuration".into();
+        match turns::noted(&self.counters, what, || file.and_then(keeps)) {
             Ok(file) => {
                 self.file = file;
                 self.counters.reloads.add();
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -9,6 +9,7 @@
 mod endings;
 mod fleet;
 mod list;
+mod metrics;
 mod migrate;
 mod nodes;
 mod operations;
