Upstream: a task an attempt and one pool of connections, in place of a task a listed node

What callers saw: processes killed for memory, requests they held without an answer, with thousands of nodes. Change: upstream/: an attempt has a task that ends with it; connections of all nodes rest in one pool, swept by one task; want of room closes the one that rests longest. Why it works: nothing is left whose number is that of the list. The test of a mailbox tests the task in its place; its assertions are the same.

--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -65,6 +65,8 @@
     caches_ejected: AtomicU64,
     requests_open: AtomicU64,
     attempts_out: AtomicU64,
+    /// Connections to nodes without an attempt.
+    resting: AtomicU64,
     fetches_out: AtomicU64,
     fetches_bound_milli: AtomicU64,
     fetches_queued: AtomicU64,
@@ -74,12 +76,13 @@
 
 impl Gauges {
     /// Takes what the decisions tell of themselves.
-    pub fn take(&self, status: &Status) {
+    pub fn take(&self, status: &Status, resting: usize) {
         let set = |gauge: &AtomicU64, value: usize| gauge.store(value as u64, Ordering::Relaxed);
         set(&self.caches_serving, status.serving);
         set(&self.caches_ejected, status.ejected);
         set(&self.requests_open, status.requests);
         set(&self.attempts_out, status.attempts);
+        set(&self.resting, resting);
         set(&self.fetches_out, status.fetches);
         set(&self.fetches_bound_milli, (status.fetches_bound * 1000.0) as usize);
         set(&self.fetches_queued, status.fetches_queued);
@@ -103,6 +106,7 @@
             ("caches_ejected", &self.caches_ejected),
             ("requests_open", &self.requests_open),
             ("attempts_out", &self.attempts_out),
+            ("resting_connections", &self.resting),
             ("fetches_out", &self.fetches_out),
             ("fetches_bound_milli", &self.fetches_bound_milli),
             ("fetches_queued", &self.fetches_queued),
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -3,8 +3,8 @@
 use crate::clock::MILLIS;
 use crate::config::Config;
 use crate::http::{Http, Request, Response};
-use crate::module::Named;
-use crate::serve::Shared;
+use crate::messages::Named;
+use crate::shared::Shared;
 use crate::turns;
 use anyhow::{Context, Result, bail, ensure};
 use futures_util::{SinkExt, StreamExt};
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -1,167 +1,33 @@
 //! The module actor: the decisions, their mailbox, and the host that carries out what they ask for.
-//! Nothing here waits for anyone: a mailbox that is full makes a try unsent.
+//! Nothing here waits for anyone.
 
-use crate::desk::{Desk, Order, PROBE, Whose};
+use crate::desk::{Order, PROBE, Whose};
 use crate::fleet::prober::Prober;
-use crate::long::{Upload, Value};
+use crate::long::Value;
 use crate::memory::MemoryWatch;
-use crate::node::{self, Errand};
+use crate::messages::{Answer, Back, Cargo, Event, Mailbox, Named};
 use crate::phases::Phase;
-use crate::serve::Shared;
+use crate::shared::Shared;
 use crate::turns;
+use crate::upstream::attempt::{self, Errand, Target};
 use bytes::Bytes;
 use hashbrown::{HashMap, HashSet};
-use pumicebay_core::{
-    Ask, Balance, GiveUp, Held, Host, Listed, Nanos, Node, Outcome, RequestId, Settings, Standing,
-};
+use pumicebay_core::{Ask, Balance, GiveUp, Held, Host, Nanos, Node, Outcome, RequestId, Settings, Standing};
 use pumicebay_names::identity;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
-const MAILBOX: usize = 4096;
-const ORDERS: usize = 64;
 /// As long as it takes to notice that no timer is set.
 const FAR: Nanos = 1_000_000_000;
 /// How often it is looked how much memory is in use.
 const MEMORY_EVERY: Nanos = 1_000_000_000;
 
-/// An exchange as it goes on to nodes; the value of a write is kept until its answer, no other.
-#[derive(Debug)]
-pub struct Cargo {
-    /// When its last byte came.
-    pub at: Nanos,
-    /// Until when its client waits.
-    pub ends: Nanos,
-    /// Its client's connection, as long as it is there: tells of its end before the module hears of it.
-    pub client: Weak<()>,
-    pub write: bool,
-    pub key: Bytes,
-    pub id: Bytes,
-    /// The list of names and values as it came.
-    pub labels: Bytes,
-    pub value: Bytes,
-    /// The value instead, where it is long: as it comes.
-    pub upload: Option<Box<Upload>>,
-}
-
-impl Cargo {
-    pub fn client_has_left(&self) -> bool {
-        self.client.strong_count() == 0
-    }
-}
-
-/// The final answer to an exchange.
-#[derive(Debug)]
-pub enum Answer {
-    Completed(Value),
-    Shed(Nanos),
-    Errored,
-    /// The client's own fault, in words for it.
-    Rejected(Bytes),
-}
-
-/// A node as discovery names it.
-#[derive(Clone, Debug)]
-pub struct Named {
-    pub uid: String,
-    pub address: SocketAddr,
-    pub listed: Listed,
-}
-
-/// What came back for a try or a probe.
-#[derive(Debug)]
-pub struct Back {
-    pub outcome: Outcome,
-    pub value: Value,
-    pub held: Option<Held>,
-}
-
-impl From<Outcome> for Back {
-    fn from(outcome: Outcome) -> Back {
-        Back { outcome, value: Bytes::new().into(), held: None }
-    }
-}
-
-enum Event {
-    Arrived(RequestId, Ask, Arc<Cargo>, oneshot::Sender<Answer>),
-    Dropped(RequestId),
-    Ended(RequestId, usize, Node, Back),
-    Probed(Node, Back),
-    Listed(bool, Vec<Named>),
-    ListFailed,
-}
-
-impl Event {
-    /// For the log.
-    fn about(&self) -> &'static str {
-        match self {
-            Event::Arrived(..) => "a request that arrived",
-            Event::Dropped(..) => "a client that left",
-            Event::Ended(..) => "an attempt that ended",
-            Event::Probed(..) => "a probe that ended",
-            Event::Listed(..) => "entries of the list",
-            Event::ListFailed => "a list that did not come",
-        }
-    }
-}
-
-/// The way to the module for all other actors.
-#[derive(Clone)]
-pub struct Door {
-    mailbox: mpsc::Sender<Event>,
-    last: Arc<AtomicU64>,
-}
-
-impl Door {
-    async fn post(&self, event: Event) {
-        // The module ends only with the process.
-        let _ = self.mailbox.send(event).await;
-    }
-
-    /// Takes an exchange; its final answer comes by the channel.
-    pub async fn arrive(&self, ask: Ask, cargo: Cargo) -> (RequestId, oneshot::Receiver<Answer>) {
-        let (answer, answered) = oneshot::channel();
-        let xchg = self.last.fetch_add(1, Ordering::Relaxed) + 1;
-        self.post(Event::Arrived(xchg, ask, Arc::new(cargo), answer)).await;
-        (xchg, answered)
-    }
-
-    pub async fn dropped(&self, xchg: RequestId) {
-        self.post(Event::Dropped(xchg)).await;
-    }
-
-    pub async fn ended(&self, xchg: RequestId, try_no: usize, node: Node, back: Back) {
-        self.post(Event::Ended(xchg, try_no, node, back)).await;
-    }
-
-    pub async fn probed(&self, node: Node, back: Back) {
-        self.post(Event::Probed(node, back)).await;
-    }
-
-    pub async fn listed(&self, whole: bool, named: Vec<Named>) {
-        self.post(Event::Listed(whole, named)).await;
-    }
-
-    pub async fn list_failed(&self) {
-        self.post(Event::ListFailed).await;
-    }
-}
-
-/// The module's mailboxes.
-pub struct Mailbox(mpsc::Receiver<Event>, mpsc::Receiver<Order>);
-
-pub fn door() -> (Door, Desk, Mailbox) {
-    let ((mailbox, events), (orders, ordered)) = (mpsc::channel(MAILBOX), mpsc::channel(ORDERS));
-    (Door { mailbox, last: Arc::default() }, Desk(orders), Mailbox(events, ordered))
-}
-
 pub struct Module {
     balance: Balance<Acts>,
     mailbox: Mailbox,
@@ -191,7 +57,6 @@
     uid: String,
     address: SocketAddr,
     origin: bool,
-    actor: node::Mailbox,
 }
 
 struct Open {
@@ -258,7 +123,8 @@
             turns::timer(&counters, Duration::from_nanos(now.saturating_sub(at)));
             self.balance.woke(now, token);
         }
-        counters.gauges.take(&self.balance.status());
+        let resting = self.balance.host.shared.upstream.count();
+        counters.gauges.take(&self.balance.status(), resting);
         if self.memory_due <= now {
             self.memory_due = now + MEMORY_EVERY;
             self.memory.look();
@@ -420,7 +286,7 @@
         Some(answer)
     }
 
-    /// The index of a node, new ones the first that is free; each has an actor. None for one that left before
+    /// The index of a node, new ones the first that is free. None for one that left before
     /// it was known.
     fn node(&mut self, named: &Named) -> Option<Node> {
         let Named { uid, address, listed } = named;
@@ -437,25 +303,26 @@
         tracing::info!("node {node} is {uid} at {address}");
         self.shared.counters.nodes_known.add();
         self.uids.insert(uid.clone(), node);
-        let actor = node::start(&self.shared, node, listed.origin);
-        let known = Known { uid: uid.clone(), address: *address, origin: listed.origin, actor };
+        let known = Known { uid: uid.clone(), address: *address, origin: listed.origin };
         self.nodes.resize_with(self.nodes.len().max(node + 1), || None);
         self.nodes[node] = Some(known);
         Some(node)
     }
 
     fn send_probe(&self, node: Node) -> bool {
-        let sent = self.post(node, Errand::Probe { until: Instant::now() + PROBE });
+        let sent = self.begin(node, Errand::Probe { until: Instant::now() + PROBE });
         if sent {
             self.shared.counters.probes_sent.add();
         }
         sent
     }
 
-    /// Whether the node's actor took it: a full mailbox does not.
-    fn post(&self, node: Node, errand: Errand) -> bool {
-        let known = self.nodes[node].as_ref();
-        known.is_some_and(|known| known.actor.try_send((known.address, errand)).is_ok())
+    /// Begins it, unless the node is known no more.
+    fn begin(&self, node: Node, errand: Errand) -> bool {
+        let Some(known) = self.nodes[node].as_ref() else { return false };
+        let target = Target { node, address: known.address, origin: known.origin };
+        attempt::start(&self.shared, target, errand);
+        true
     }
 }
 
@@ -471,7 +338,7 @@
         let (cargo, recall) = (open.cargo.clone(), open.recall.clone());
         let errand = Errand::Try { xchg, try_no, cargo, until, recall };
         // Once the proxy leaves, nothing is sent any more.
-        if self.shared.watch.now() >= Phase::Leaving || !self.post(node, errand) {
+        if self.shared.watch.now() >= Phase::Leaving || !self.begin(node, errand) {
             self.unsent.push((xchg, try_no, node));
         } else {
             self.shared.counters.tries_sent.add();
@@ -523,6 +390,7 @@
             tracing::info!("node {node} is {uid} no more");
             self.shared.counters.nodes_dismissed.add();
             self.uids.remove(&uid);
+            self.shared.upstream.forget(node);
         }
     }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -12,12 +12,15 @@
 use crate::heir::{Heir, Seat};
 use crate::list::{self, List};
 use crate::listen::listen;
-use crate::module::{self, Door, Module};
+use crate::messages;
+use crate::module::Module;
 use crate::operator::{self, Operator};
 use crate::phases::{Phase, Phases, Watch};
 use crate::room::Room;
+use crate::shared::Shared;
 use crate::tuning::{Routes, Tuning};
 use crate::turns;
+use crate::upstream::pool::{self, Pool};
 use anyhow::{Context, Result, bail, ensure};
 use pumicebay_accord::Fences;
 use pumicebay_carrier::Resource;
@@ -45,24 +48,6 @@
 /// How long a process that takes over waits for the list: operators wait some seconds for its yes.
 const FIRST_LIST: Duration = Duration::from_millis(1500);
 
-/// What all actors share.
-#[derive(Clone)]
-pub struct Shared {
-    pub clock: Clock,
-    pub config: Arc<Config>,
-    pub counters: Arc<Counters>,
-    pub door: Door,
-    pub watch: Watch,
-    /// As of the last settings that were taken.
-    pub routes: watch::Receiver<Arc<Routes>>,
-    /// For connections to nodes.
-    pub upstream: Room,
-    /// For long answers of nodes that are on their way.
-    pub long: Arc<Semaphore>,
-    /// The process that takes over from this one, once it has.
-    pub heir: Arc<OnceLock<Heir>>,
-}
-
 /// A proxy that serves.
 pub struct Proxy {
     /// Where it listens.
@@ -107,7 +92,7 @@
         };
         let (phases, config) = (Phases::new(counters.clone()), Arc::new(config));
         tracing::info!("{}", config.summary().replace('\n', "; "));
-        let (door, desk, mailbox) = module::door();
+        let (door, desk, mailbox) = messages::door();
         let (follow, followed) = mpsc::channel(1);
         if let Some(folder) = &config.folder
             && let Err(error) = std::fs::create_dir_all(folder)
@@ -118,7 +103,7 @@
         // Both processes together hold no more than one may: this one begins with half.
         let takes_over = config.inherited && config.folder.as_deref().is_some_and(Seat::taken);
         let part = |whole: usize| if takes_over { whole.div_ceil(2) } else { whole };
-        let upstream = Room::new(part(config.upstream));
+        let upstream = Pool::new(part(config.upstream), config.idle, counters.clone());
         let long = Arc::new(Semaphore::new(part(config.long)));
         let ahead = Arc::new(Semaphore::new(part(config.ahead)));
         let mut tuning = Tuning::default();
@@ -232,6 +217,7 @@
             });
         }
         actors.spawn(keep_free(front.room.clone()));
+        actors.spawn(pool::sweep(shared.clone()));
         actors.spawn(clients::accept(front, listener));
         phases.enter(Phase::Serving);
         tracing::info!("listens on {address}");
--- a/crates/proxy/tests/proxy/endings.rs
+++ b/crates/proxy/tests/proxy/endings.rs
@@ -9,15 +9,18 @@
 use pumicebay::clients::{Front, accept};
 use pumicebay::clock::Clock;
 use pumicebay::config::{Config, parse};
+use pumicebay::counters::Counters;
 use pumicebay::heir::Seat;
 use pumicebay::list::List;
-use pumicebay::module::{Cargo, Mailbox, Module, door};
-use pumicebay::node::{self, Errand};
+use pumicebay::messages::{Cargo, Mailbox, door};
+use pumicebay::module::Module;
 use pumicebay::phases::{Phase, Phases};
 use pumicebay::resp::Frame;
 use pumicebay::room::Room;
-use pumicebay::serve::Shared;
+use pumicebay::shared::Shared;
 use pumicebay::tuning::Routes;
+use pumicebay::upstream::attempt::{self, Errand, Target};
+use pumicebay::upstream::pool::Pool;
 use serde_json::{Value as Json, json};
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -562,13 +565,13 @@
     expect!["origin's id-first\n"].assert_eq(&reply);
 }
 
-/// An errand that its actor has not begun when it is taken back.
+/// An attempt whose task has not run when it is taken back.
 #[tokio::test]
-async fn a_try_is_taken_back_in_the_mailbox_of_its_node() {
+async fn a_try_is_taken_back_before_its_task_runs() {
     let (shared, _phases, _mailbox) = shared();
     let (trace, counters) = (Trace::default(), shared.counters.clone());
     let address = crate::listen(trace.clone(), crate::cache_node).await;
-    let (node, recall) = (node::start(&shared, 0, false), CancellationToken::new());
+    let (target, recall) = (Target { node: 0, address, origin: false }, CancellationToken::new());
     let here = Arc::new(());
     let cargo = |id: &'static str| {
         let [key, id, labels] = ["hit", id, "c=read"].map(|word| Bytes::from_static(word.as_bytes()));
@@ -577,8 +580,8 @@
     };
     let until = Instant::now() + Duration::from_secs(3);
     let errand = |xchg, id, recall| Errand::Try { xchg, try_no: 0, cargo: cargo(id), until, recall };
-    node.try_send((address, errand(1, "id-left", recall.clone()))).ok().unwrap();
-    node.try_send((address, errand(2, "id-stays", CancellationToken::new()))).ok().unwrap();
+    attempt::start(&shared, target, errand(1, "id-left", recall.clone()));
+    attempt::start(&shared, target, errand(2, "id-stays", CancellationToken::new()));
     // Nothing else has run since: this task has not waited for anything.
     recall.cancel();
     trace.until("id-stays").await;
@@ -718,13 +721,14 @@
     let config = Arc::new(parse(&configuration(&[])).unwrap());
     let (phases, (door, _desk, mailbox)) = (Phases::default(), door());
     let (_, routes) = watch::channel(Arc::new(Routes::default()));
+    let counters = Arc::<Counters>::default();
     let shared = Shared {
         clock: Clock::start(),
-        counters: Arc::default(),
+        upstream: Pool::new(config.upstream, config.idle, counters.clone()),
+        counters,
         door,
         watch: phases.watch(),
         routes,
-        upstream: Room::new(config.upstream),
         long: Arc::new(Semaphore::new(config.long)),
         heir: Arc::default(),
         config,
--- a/crates/proxy/tests/proxy/nodes.rs
+++ b/crates/proxy/tests/proxy/nodes.rs
@@ -3,7 +3,7 @@
 use crate::World;
 use crate::endings::Late;
 use expect_test::expect;
-use pumicebay::node::quiet;
+use pumicebay::upstream::connection::quiet;
 use serde_json::json;
 use std::io::Write;
 use std::time::Duration;
--- a/crates/proxy/tests/proxy/wire.rs
+++ b/crates/proxy/tests/proxy/wire.rs
@@ -3,9 +3,9 @@
 use bytes::BytesMut;
 use expect_test::expect;
 use pumicebay::http::{self, Http, Request};
-use pumicebay::module::Cargo;
-use pumicebay::node::{answered, command, labels, probed, replied, request};
+use pumicebay::messages::Cargo;
 use pumicebay::resp::{self, Frame, Resp};
+use pumicebay::upstream::forms::{answered, command, labels, probed, replied, request};
 use std::fmt::Debug;
 use std::sync::Weak;
 use tokio_util::codec::{Decoder, Encoder};
@@ -227,7 +227,7 @@
         Frame::Array(vec![]),
         Frame::Null,
     ] {
-        let end = |back: anyhow::Result<pumicebay::module::Back>| match back {
+        let end = |back: anyhow::Result<pumicebay::messages::Back>| match back {
             Ok(back) => format!("{:?} {:?} {:?}", back.outcome, back.value, back.held),
             Err(error) => format!("garbage: {error}"),
         };
