Discovery: a list is read entry by entry and held once, handed over in parts

Cause: the list stood as trees of JSON in Config.json and Config.known, each twice (the file and what is in force), and in the list's actor: some 900 B a tree and node. A whole list was parsed, and handed to the decisions, in one turn. Change: discovery/: known is text until the start has read it; an answer's entries are borrowed from its text, read and handed over 128 at a time, with requests served in between; only a process that leaves a list for the next keeps its entries' text. Room for a long answer is given back. A new known without entries that can be read is followed by a call for the whole list.

--- a/crates/lab/tests/lab/stand_ins.rs
+++ b/crates/lab/tests/lab/stand_ins.rs
@@ -139,17 +139,15 @@
     let mut agent = Framed::new(stream, Http::new(64 * 1024));
     agent.send(Request::get("/registry/instances".into())).await.expect("a request sent");
     let whole = agent.next().await.expect("an answer").expect("that can be read");
-    let whole = serde_json::from_slice(&whole.body).expect("JSON");
-    let (version, all, named) = pumicebay::list::entries(&whole, &config).expect("a list");
+    let (version, all, named) = pumicebay::discovery::entries::entries(&whole.body, &config).expect("a list");
     assert!(all && named.len() == 3 && named[2].listed.origin);
     let watch = format!("/registry/instances?index={version}&wait=5000");
     agent.send(Request::get(watch)).await.expect("a request sent");
     fleet.changes(Change::Drain(1)).await;
     let changes = agent.next().await.expect("an answer").expect("that can be read");
-    let changes = serde_json::from_slice(&changes.body).expect("JSON");
-    let (later, all, named) = pumicebay::list::entries(&changes, &config).expect("a list");
+    let (later, all, named) = pumicebay::discovery::entries::entries(&changes.body, &config).expect("a list");
     assert!(later > version && !all);
-    assert_eq!((named[0].uid.as_str(), named[0].listed.standing), ("n2", Standing::Draining));
+    assert_eq!((&*named[0].uid, named[0].listed.standing), ("n2", Standing::Draining));
 }
 
 #[test]
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where the configuration is read, checked and given defaults. Every message names the key.
 
+use crate::discovery::known::Known;
 use crate::fleet::config::FleetConfig;
 use crate::long;
 use crate::operator::CALLERS;
@@ -11,7 +12,8 @@
 use pumicebay_core::state::Route;
 use pumicebay_names as names;
 use serde_json::Value as Json;
-use std::collections::BTreeSet;
+use serde_json::value::RawValue;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -37,6 +39,8 @@
     ("PROXY_DISCOVERY", "discovery"),
     ("PROXY_OPERATOR", "operator"),
 ];
+/// A list is no longer than this in bytes, and than an eighth of the memory.
+const LONGEST_LIST: usize = 16 * 1024 * 1024;
 const IDLE: Duration = Duration::from_secs(15);
 const CONNECT: Duration = Duration::from_millis(200);
 const KEYS: &[&str] =
@@ -65,10 +69,12 @@
     pub ahead: usize,
     /// How many long values may be on their way at a time.
     pub long: usize,
-    /// The list of nodes as this proxy last had it, in discovery's form.
-    pub known: Json,
+    /// The list of nodes as this proxy last had it.
+    pub known: Known,
+    /// The longest list that is read, in bytes of its text.
+    pub longest_list: usize,
     pub settings: Settings,
-    /// All of it, as it was read.
+    /// All of it, as it was read, but for the entries of `known`.
     pub json: Json,
     /// What the indices of the decisions stand for.
     pub tenants: Vec<String>,
@@ -93,13 +99,7 @@
 /// Reads the file at `path`; the platform's variables go before what it says.
 pub fn read(path: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
     let text = std::fs::read_to_string(path).with_context(|| format!("configuration {path}"))?;
-    let mut json: Json = serde_json::from_str(&text).with_context(|| format!("configuration {path}"))?;
-    for (name, key) in VARIABLES {
-        if let (Some(value), Some(object)) = (variable(name), json.as_object_mut()) {
-            object.insert((*key).into(), Json::String(value));
-        }
-    }
-    let config = parse(&json).with_context(|| format!("configuration {path}"))?;
+    let config = parse_text(&text, &variable).with_context(|| format!("configuration {path}"))?;
     let inherited = variable("PROXY_FD").is_some();
     // By the proxy's name, as others may have theirs in the same place.
     let own = format!("pumicebay-{:016x}", names::identity(&config.name));
@@ -107,7 +107,46 @@
     Ok(Config { inherited, folder, ..config })
 }
 
+/// Reads a configuration's text. The list in it never becomes a tree: it may be far longer than all the rest.
+fn parse_text(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
+    let Ok(fields) = serde_json::from_str::<BTreeMap<String, &RawValue>>(text) else {
+        return parse(&serde_json::from_str(text)?);
+    };
+    let (mut object, mut known) = (serde_json::Map::new(), Known::default());
+    for (name, value) in fields {
+        let value = if name == "known" {
+            let (list, outline) = Known::read(value.get())?;
+            known = list;
+            outline
+        } else {
+            serde_json::from_str(value.get())?
+        };
+        object.insert(name, value);
+    }
+    for (name, key) in VARIABLES {
+        if let Some(value) = variable(name) {
+            object.insert((*key).into(), Json::String(value));
+        }
+    }
+    build(Json::Object(object), known)
+}
+
+/// Reads a configuration that is a tree already.
+///
+/// # Errors
+/// Names the key that is missing or wrong.
 pub fn parse(json: &Json) -> Result<Config> {
+    let mut json = json.clone();
+    let mut known = Known::default();
+    if let Some(list) = json.get_mut("known") {
+        let (read, outline) = Known::read(&list.to_string())?;
+        (known, *list) = (read, outline);
+    }
+    build(json, known)
+}
+
+fn build(json: Json, known: Known) -> Result<Config> {
+    let json = &json;
     let Some(object) = json.as_object() else { bail!("expected an object") };
     // Names that begin with # are notes.
     for key in object.keys().filter(|key| !KEYS.contains(&key.as_str()) && !key.starts_with('#')) {
@@ -155,7 +194,8 @@
         upstream: (sockets - clients_part(sockets)).min(memory / 4 / NODE_BYTES),
         ahead: memory / 8 / LONGEST_BULK,
         long: memory / 8 / long::HELD,
-        known: known(json)?,
+        known,
+        longest_list: (memory / 8).min(LONGEST_LIST),
         json: json.clone(),
         tenants: names::list(wire, "/orgs", "/name"),
         zones: names::list(wire, "/failure-domains", ""),
@@ -291,14 +331,6 @@
     }
 }
 
-fn known(json: &Json) -> Result<Json> {
-    let known = json.get("known").cloned().unwrap_or_default();
-    ensure!(known.is_null() || known.is_object(), "known: expected an object, found {known}");
-    let targets = known.get("targets").unwrap_or(&Json::Null);
-    ensure!(targets.is_null() || targets.is_array(), "known.targets: expected a list, found {targets}");
-    Ok(known)
-}
-
 fn seed(json: &Json) -> Result<u64> {
     match json.get("seed") {
         None | Some(Json::Null) => Ok(0),
@@ -347,7 +379,7 @@
         let routes = Route::all(&self.settings);
         let routes: Vec<String> =
             names::list(&self.json, "/settings/routes", "/name").iter().zip(&routes).map(named).collect();
-        let known = self.known.get("targets").and_then(Json::as_array).map_or(0, Vec::len);
+        let known = self.known.count;
         let door = self.operator.map_or(String::new(), |door| format!(", operators at {door}"));
         let fleet = self.fleet.as_ref().map_or(String::new(), |fleet| format!("\n{}", fleet.summary(name)));
         format!(
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/discovery/list.rs
@@ -1,24 +1,23 @@
 //! The list actor: follows discovery by watches and hands its entries to the module.
 
-use crate::clock::MILLIS;
-use crate::config::Config;
+use crate::discovery::entries::{ListText, entries};
+use crate::discovery::left::{self, LeftList};
 use crate::http::{Http, Request, Response};
-use crate::messages::Named;
+use crate::messages::{ListPart, Named};
 use crate::shared::Shared;
 use crate::turns;
 use anyhow::{Context, Result, bail, ensure};
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use oorandom::Rand32;
-use pumicebay_core::{Listed, Standing};
-use pumicebay_names::identity;
-use serde_json::{Value as Json, json};
-use std::collections::BTreeMap;
 use std::future::pending;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::Path;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::codec::Framed;
 
@@ -34,12 +33,10 @@
 /// is for its connection, 0.5 s, and a margin of 0.5 s for the answer. At its longest, the call that hangs (3.5 s), half
 /// of what is left as a pause (0.75 s), the next call's connection (0.5 s) and a pause of 0.25 s come to it.
 const THIRD: Duration = Duration::from_secs(5);
-/// A list of many thousand nodes.
-const LONGEST: usize = 16 * 1024 * 1024;
-/// The file that a process leaves for the next one; its name has the version of its form.
-const LEFT: &str = "pumicebay-list-1";
-/// Beyond reason for what the list says of a node's size.
-const MOST_RATED: f64 = 1e6;
+/// Entries that are read and handed to the decisions in one piece.
+const PART: usize = 128;
+/// How much room for answers stays after a long one.
+const KEPT: usize = 64 * 1024;
 
 pub struct List {
     shared: Shared,
@@ -55,13 +52,15 @@
     began: Instant,
     failed: Option<Instant>,
     rng: Rand32,
-    /// All entries as they were told last, by `uid`; kept for the process after this one.
-    told: BTreeMap<String, Json>,
+    /// What is kept for a process after this one, where there is to be one.
+    left: Option<LeftList>,
 }
 
 impl List {
-    pub fn new(shared: Shared, follow: mpsc::Receiver<()>) -> Self {
-        let version = shared.config.known.get("rev").and_then(Json::as_u64);
+    /// Follows from this version of the list, which the decisions know already.
+    pub fn new(shared: Shared, follow: mpsc::Receiver<()>, version: Option<u64>) -> Self {
+        let folder = shared.config.folder.clone().filter(|_| shared.config.inherited);
+        let left = folder.map(LeftList::new);
         let (discovery, rng) = (shared.config.discovery, Rand32::new(shared.config.seed));
         List {
             shared,
@@ -74,7 +73,7 @@
             began: Instant::now(),
             failed: None,
             rng,
-            told: BTreeMap::new(),
+            left,
         }
     }
 
@@ -83,50 +82,80 @@
     pub async fn first(&mut self) -> Result<Vec<Named>> {
         self.version = None;
         let body = self.call().await?;
-        let (whole, named) = self.take(&body)?;
-        ensure!(whole, "asked for the whole list, got changes");
+        let list = self.read(&body)?;
+        ensure!(list.whole, "asked for the whole list, got changes");
+        let named = self.part(&list, 0..list.entries.len());
+        self.leave(&list);
         Ok(named)
     }
 
     /// What a process before this one was told last. Its version is not followed: discovery is asked anew.
     pub fn left(&mut self, folder: Option<&Path>) -> Result<Vec<Named>> {
-        let file = folder.context("no folder")?.join(LEFT);
-        // Guards the start from what is no list: a pipe is never read to its end, and a huge file not into memory.
-        let about = std::fs::metadata(&file)?;
-        ensure!(about.is_file() && about.len() <= LONGEST as u64, "no list: {} bytes", about.len());
-        let json: Json = serde_json::from_slice(&std::fs::read(file)?)?;
-        let (_, whole, named) = entries(&json, &self.shared.config)?;
+        let text = left::read(folder.context("no folder")?)?;
+        let (_, whole, named) = entries(&text, &self.shared.config)?;
         ensure!(whole, "not a whole list");
         Ok(named)
     }
 
-    /// Takes in an answer: whether it is whole, and its entries.
-    fn take(&mut self, body: &Json) -> Result<(bool, Vec<Named>)> {
-        let (version, whole, named) = entries(body, &self.shared.config)?;
-        if let Some(last) = self.version.take_if(|last| version < *last) {
+    /// Reads an answer, whose version counts from now on.
+    fn read<'a>(&mut self, body: &'a [u8]) -> Result<ListText<'a>> {
+        let list = ListText::read(body)?;
+        if let Some(last) = self.version.take_if(|last| list.version < *last) {
             // Guards rule 3 from an answer that is older than what was told: only one to a call for the whole list,
             // which is made anew, shows that discovery itself has gone back.
-            bail!("answers with version {version} after {last}");
+            bail!("answers with version {} after {last}", list.version);
         }
-        self.version = Some(version);
+        self.version = Some(list.version);
         self.shared.counters.list_answers.add();
-        if whole {
-            self.told.clear();
+        if let (true, Some(left)) = (list.whole, &mut self.left) {
+            left.clear();
         }
-        for target in body.get("targets").and_then(Json::as_array).into_iter().flatten() {
-            if let Some(uid) = target.get("uid").and_then(Json::as_str) {
-                self.told.insert(uid.into(), target.clone());
+        Ok(list)
+    }
+
+    /// Reads some entries of an answer.
+    fn part(&mut self, list: &ListText, range: Range<usize>) -> Vec<Named> {
+        let mut part = Vec::with_capacity(range.len());
+        for at in range {
+            let Some(named) = list.named(at, &self.shared.config) else { continue };
+            if let Some(left) = &mut self.left {
+                left.note(&named, list.entries[at]);
             }
+            part.push(named);
         }
-        self.told.retain(|_, target| target.get("state").and_then(Json::as_str) != Some("left"));
-        if self.shared.config.inherited
-            && !named.is_empty()
-            && let Some(folder) = &self.shared.config.folder
-            && let Err(error) = leave(folder, version, &self.told)
+        part
+    }
+
+    /// Leaves what was told for a process after this one.
+    fn leave(&self, list: &ListText) {
+        if let Some(left) = self.left.as_ref().filter(|_| !list.entries.is_empty())
+            && let Err(error) = left.write(list.version)
         {
             tracing::warn!("the list is not kept for a process after this one: {error}");
         }
-        Ok((whole, named))
+    }
+
+    /// Takes in an answer, some entries at a time: guards requests from waiting behind a long list.
+    async fn take(&mut self, body: &[u8]) -> Result<()> {
+        let counters = self.shared.counters.clone();
+        let what = || format!("reading a list of {} bytes", body.len());
+        let list = turns::noted(&counters, what, || self.read(body))?;
+        let (whole, entries) = (list.whole, list.entries.len());
+        let mut from = 0;
+        loop {
+            let to = (from + PART).min(entries);
+            let what = || format!("reading {} entries of the list", to - from);
+            let named = turns::noted(&counters, what, || self.part(&list, from..to));
+            let part = ListPart { named, whole, first: from == 0, last: to == entries };
+            self.shared.door.listed(part).await;
+            if to == entries {
+                break;
+            }
+            from = to;
+            yield_now().await;
+        }
+        turns::noted(&counters, || "leaving the list".into(), || self.leave(&list));
+        Ok(())
     }
 
     /// Follows discovery where it is now: a new address is asked for the whole list at once. What was told is
@@ -145,17 +174,12 @@
                 }
                 answer = self.next() => answer,
             };
-            let counters = self.shared.counters.clone();
-            let taken = turns::noted(
-                &counters,
-                || "entries taken from the list".into(),
-                || answer.and_then(|body| self.take(&body)),
-            );
+            let taken = match answer {
+                Ok(body) => self.take(&body).await,
+                Err(error) => Err(error),
+            };
             match taken {
-                Ok((whole, named)) => {
-                    self.failed = None;
-                    self.shared.door.listed(whole, named).await;
-                }
+                Ok(()) => self.failed = None,
                 Err(error) => {
                     self.shared.counters.list_failures.add();
                     (self.connection, self.due) = (None, false);
@@ -190,7 +214,7 @@
     }
 
     /// Calls again at once, but after a failure: then when the module says so, or the longest pause is over.
-    async fn next(&mut self) -> Result<Json> {
+    async fn next(&mut self) -> Result<Bytes> {
         if !self.due {
             let latest = self.latest;
             let over = async move {
@@ -211,7 +235,7 @@
         self.call().await
     }
 
-    async fn call(&mut self) -> Result<Json> {
+    async fn call(&mut self) -> Result<Bytes> {
         let (path, held) = match self.version {
             Some(version) => (format!("/registry/instances?index={version}&wait={}", HELD.as_millis()), HELD),
             None => ("/registry/instances".to_string(), Duration::ZERO),
@@ -221,9 +245,7 @@
         if answer.last {
             self.connection = None;
         }
-        let bytes = answer.body.len();
-        let parse = || serde_json::from_slice(&answer.body).context("answer is no JSON");
-        turns::noted(&self.shared.counters, || format!("reading a list of {bytes} bytes"), parse)
+        Ok(answer.body)
     }
 
     async fn exchange(&mut self, path: String) -> Result<Response> {
@@ -233,7 +255,7 @@
                 let stream = TcpStream::connect(self.discovery);
                 let stream = timeout(CONNECT, stream).await.context("not reached")?.context("not reached")?;
                 stream.set_nodelay(true)?;
-                Framed::new(stream, Http::new(LONGEST))
+                Framed::new(stream, Http::new(self.shared.config.longest_list))
             }
         };
         connection.send(Request::get(path)).await?;
@@ -241,61 +263,12 @@
         while answer.interim() {
             answer = connection.next().await.context("closed")??;
         }
+        // A whole list leaves no room of its size behind.
+        let room = connection.read_buffer_mut();
+        if room.capacity() > KEPT && room.is_empty() {
+            *room = BytesMut::new();
+        }
         self.connection = Some(connection);
         Ok(answer)
     }
 }
-
-/// Writes the list for a process after this one: beside the old file, then in its place.
-fn leave(folder: &Path, version: u64, told: &BTreeMap<String, Json>) -> std::io::Result<()> {
-    let targets: Vec<&Json> = told.values().collect();
-    let list = json!({"rev": version, "all": true, "targets": targets});
-    let new = folder.join(format!("{LEFT}.{}", std::process::id()));
-    std::fs::write(&new, list.to_string())?;
-    std::fs::rename(new, folder.join(LEFT))
-}
-
-/// Reads a list or its changes: its version, whether it is whole, and its entries. One that can't be read
-/// is left out with a line in the log.
-pub fn entries(json: &Json, config: &Config) -> Result<(u64, bool, Vec<Named>)> {
-    let version = json.get("rev").and_then(Json::as_u64).context("rev: expected a number")?;
-    let whole = json.get("all").and_then(Json::as_bool).context("all: expected true or false")?;
-    let targets = json.get("targets").and_then(Json::as_array).context("targets: expected a list")?;
-    let mut named = Vec::with_capacity(targets.len());
-    for target in targets {
-        match entry(target, config) {
-            Ok(entry) => named.push(entry),
-            Err(error) => tracing::warn!("discovery: entry left out: {error:#}"),
-        }
-    }
-    Ok((version, whole, named))
-}
-
-fn entry(target: &Json, config: &Config) -> Result<Named> {
-    let text = |key: &str| target.get(key).and_then(Json::as_str);
-    let number = |key: &str| target.get(key).and_then(Json::as_u64).unwrap_or(0);
-    let uid = text("uid").context("uid: expected a text")?;
-    let endpoint = text("endpoint").context("endpoint: expected a text")?;
-    let address: SocketAddr = endpoint.parse().with_context(|| format!("endpoint: {endpoint:?}"))?;
-    let standing = match text("state") {
-        Some("active") => Standing::Ready,
-        Some("leaving") => Standing::Draining,
-        Some("left") => Standing::Gone,
-        other => bail!("state: {other:?}"),
-    };
-    let zone = config.zones.iter().position(|zone| Some(zone.as_str()) == text("az"));
-    let origin = config.origin_kind.as_deref();
-    let model = config.kinds.iter().position(|kind| Some(kind.as_str()) == text("model"));
-    let rating = target.get("capacity_hint").and_then(Json::as_f64);
-    let listed = Listed {
-        identity: identity(uid),
-        zone: zone.unwrap_or(config.zones.len()),
-        cell: number("pod_group"),
-        standing,
-        started: number("boot_ms") * MILLIS,
-        origin: origin.is_some() && origin == text("model"),
-        kind: model.unwrap_or(config.kinds.len()),
-        rating: rating.filter(|rating| (0.0..MOST_RATED).contains(rating) && *rating > 0.0).unwrap_or(1.0),
-    };
-    Ok(Named { uid: uid.to_string(), address, listed })
-}
--- a/crates/proxy/src/fleet/carrier/apply.rs
+++ b/crates/proxy/src/fleet/carrier/apply.rs
@@ -75,7 +75,8 @@
     );
     ensure!(restart.is_empty(), "needs a restart, put it into the file: {}", restart.join(", "));
     // What the platform said and no JSON has.
-    Ok(Config { inherited: file.inherited, folder: file.folder.clone(), ..config })
+    let (inherited, folder, known) = (file.inherited, file.folder.clone(), file.known.clone());
+    Ok(Config { inherited, folder, known, ..config })
 }
 
 fn over(mut json: Json, resource: &Resource) -> Result<Json> {
--- a/crates/proxy/src/messages.rs
+++ b/crates/proxy/src/messages.rs
@@ -50,11 +50,21 @@
 /// A node as discovery names it.
 #[derive(Clone, Debug)]
 pub struct Named {
-    pub uid: String,
+    pub uid: Arc<str>,
     pub address: SocketAddr,
     pub listed: Listed,
 }
 
+/// Some entries of a list or of changes, in their order.
+#[derive(Clone, Debug)]
+pub struct ListPart {
+    pub named: Vec<Named>,
+    /// All nodes there are, once its last part has come.
+    pub whole: bool,
+    pub first: bool,
+    pub last: bool,
+}
+
 /// What came back for a try or a probe.
 #[derive(Debug)]
 pub struct Back {
@@ -74,7 +84,7 @@
     Dropped(RequestId),
     Ended(RequestId, usize, Node, Back),
     Probed(Node, Back),
-    Listed(bool, Vec<Named>),
+    Listed(ListPart),
     ListFailed,
 }
 
@@ -125,8 +135,8 @@
         self.post(Event::Probed(node, back)).await;
     }
 
-    pub async fn listed(&self, whole: bool, named: Vec<Named>) {
-        self.post(Event::Listed(whole, named)).await;
+    pub async fn listed(&self, part: ListPart) {
+        self.post(Event::Listed(part)).await;
     }
 
     pub async fn list_failed(&self) {
--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -5,7 +5,7 @@
 use crate::fleet::prober::Prober;
 use crate::long::Value;
 use crate::memory::MemoryWatch;
-use crate::messages::{Answer, Back, Cargo, Event, Mailbox, Named};
+use crate::messages::{Answer, Back, Cargo, Event, ListPart, Mailbox, Named};
 use crate::phases::Phase;
 use crate::shared::Shared;
 use crate::turns;
@@ -33,6 +33,8 @@
     mailbox: Mailbox,
     memory: MemoryWatch,
     memory_due: Nanos,
+    /// The nodes of a whole list as far as it has come.
+    whole: Vec<Node>,
 }
 
 /// Carries out what the decisions ask for.
@@ -41,7 +43,7 @@
     follow: mpsc::Sender<()>,
     /// By number; a number without a node is given to the next.
     nodes: Vec<Option<Known>>,
-    uids: HashMap<String, Node>,
+    uids: HashMap<Arc<str>, Node>,
     open: HashMap<RequestId, Open>,
     /// The ids of the exchanges that await their answers.
     ids: HashSet<Bytes>,
@@ -54,7 +56,7 @@
 }
 
 struct Known {
-    uid: String,
+    uid: Arc<str>,
     address: SocketAddr,
     origin: bool,
 }
@@ -85,7 +87,7 @@
         };
         let balance = Balance::new(acts, settings, config.seed, clock.now());
         let memory = MemoryWatch::new(config.memory_kb);
-        Module { balance, mailbox, memory, memory_due: 0 }
+        Module { balance, mailbox, memory, memory_due: 0, whole: Vec::new() }
     }
 
     /// From here on the fleet decides who probes.
@@ -136,7 +138,7 @@
         match order {
             Order::Whose(uid, answer) => {
                 let acts = &self.balance.host;
-                let known = acts.uids.get(&uid).and_then(|&node| acts.nodes[node].as_ref());
+                let known = acts.uids.get(&*uid).and_then(|&node| acts.nodes[node].as_ref());
                 let whose = |known: &Known| if known.origin { Whose::Origin } else { Whose::Cache };
                 let _ = answer.send(known.map_or(Whose::Nobody, whose));
             }
@@ -146,13 +148,13 @@
             }
             Order::Probe(uid) => {
                 let acts = &mut self.balance.host;
-                let sent = acts.uids.get(&uid).copied().is_some_and(|node| acts.send_probe(node));
+                let sent = acts.uids.get(&*uid).copied().is_some_and(|node| acts.send_probe(node));
                 if let Some(prober) = acts.prober.as_ref().filter(|_| !sent) {
                     prober.probed(&uid, false);
                 }
             }
             Order::Told(uid, answered) => {
-                if let Some(&node) = self.balance.host.uids.get(&uid) {
+                if let Some(&node) = self.balance.host.uids.get(&*uid) {
                     let outcome = if answered { Outcome::Completed } else { Outcome::Unreachable };
                     self.balance.probed(node, outcome);
                 }
@@ -209,7 +211,7 @@
                     _ => self.balance.probed(node, back.outcome),
                 }
             }
-            Event::Listed(whole, named) => self.listed(whole, named),
+            Event::Listed(part) => self.listed_part(part),
             Event::ListFailed => self.balance.list_failed(now),
         }
     }
@@ -249,14 +251,22 @@
 
     /// Takes in a whole list, or changes to it.
     pub fn listed(&mut self, whole: bool, named: Vec<Named>) {
+        self.listed_part(ListPart { named, whole, first: true, last: true });
+    }
+
+    /// Takes in some entries of a list. What a whole one does not name is gone once its last part has come.
+    fn listed_part(&mut self, part: ListPart) {
         let now = self.balance.host.shared.clock.now();
-        let mut nodes = Vec::with_capacity(named.len());
-        for named in named {
+        if part.first {
+            self.whole.clear();
+        }
+        for named in part.named {
             let Some(node) = self.balance.host.node(&named) else { continue };
             self.balance.listed(now, node, named.listed);
-            nodes.push(node);
+            self.whole.extend(part.whole.then_some(node));
         }
-        if whole {
+        if part.whole && part.last {
+            let nodes = std::mem::take(&mut self.whole);
             self.balance.listed_all(&nodes);
         }
     }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,11 +6,12 @@
 use crate::config::{self, Config};
 use crate::counters::Counters;
 use crate::desk::Desk;
+use crate::discovery::entries::entries;
+use crate::discovery::list::List;
 use crate::fleet::carrier::{self, apply};
 use crate::fleet::replication::handle::Channels;
 use crate::fleet::{self, asker::Asker, replication};
 use crate::heir::{Heir, Seat};
-use crate::list::{self, List};
 use crate::listen::listen;
 use crate::messages;
 use crate::module::Module;
@@ -86,10 +87,14 @@
     pub async fn start(config: Config, counters: Arc<Counters>) -> Result<Proxy> {
         let file = config;
         let (kept, laid) = carrier::kept(&file).await;
-        let (config, good) = match laid {
+        let (mut config, good) = match laid {
             Some(laid) => (laid.config, laid.good),
             None => (file.clone(), Vec::new()),
         };
+        // Read once, below, and held by nobody after that.
+        let mut file = file;
+        file.known.take();
+        let known = config.known.take();
         let (phases, config) = (Phases::new(counters.clone()), Arc::new(config));
         tracing::info!("{}", config.summary().replace('\n', "; "));
         let (door, desk, mailbox) = messages::door();
@@ -112,11 +117,16 @@
         let shared = Shared { clock, config, counters, door, watch, routes, upstream, long, heir };
         let config = &shared.config;
         let mut module = Module::new(shared.clone(), settings, follow, mailbox);
-        match list::entries(&config.known, config) {
-            Ok((_, whole, named)) => module.listed(whole, named),
+        let mut version = None;
+        match entries(known.as_deref().unwrap_or("{}").as_bytes(), config) {
+            Ok((known, whole, named)) => {
+                version = Some(known);
+                module.listed(whole, named);
+            }
             Err(error) => tracing::warn!("known: no list to start from: {error:#}"),
         }
-        let mut list = List::new(shared.clone(), followed);
+        drop(known);
+        let mut list = List::new(shared.clone(), followed, version);
         if config.inherited {
             // What the process before knew, and what discovery knows by now.
             match list.left(config.folder.as_deref()) {
@@ -254,6 +264,8 @@
         match turns::noted(&self.counters, what, || file.and_then(keeps)) {
             Ok(file) => {
                 self.file = file;
+                // A list is for a start.
+                self.file.known.take();
                 self.counters.reloads.add();
                 let config = self.lay().await.config;
                 tracing::info!("configuration read again: {}", config.summary().replace('\n', "; "));
--- a/crates/proxy/tests/many_nodes/main.rs
+++ b/crates/proxy/tests/many_nodes/main.rs
@@ -23,6 +23,8 @@
 const PEAK_FACTOR: f64 = 1.5;
 const PEAK_MORE_MB: f64 = 8.0;
 const PEAK_MB_PER_THOUSAND: f64 = 4.0;
+/// What a listed node that carries nothing may take.
+const LISTED_NODE_KB: f64 = 2.0;
 /// A list of this length fits into this limit.
 const LONGEST_LIST: usize = 7_200;
 const LONGEST_LIST_LIMIT_MB: u64 = 64;
@@ -50,6 +52,8 @@
     let allowed = PEAK_FACTOR * usual + PEAK_MORE_MB + PEAK_MB_PER_THOUSAND * thousands;
     println!("{usual:.1} MB at {USUAL_NODES} nodes, {many:.1} MB at {MANY_NODES}, {allowed:.1} MB allowed");
     assert!(many <= allowed, "{many:.1} MB at {MANY_NODES} nodes, {allowed:.1} MB allowed");
+    let each_kb = (many - usual) * 1024.0 / (MANY_NODES - USUAL_NODES) as f64;
+    assert!(each_kb < LISTED_NODE_KB, "{each_kb:.2} KB a listed node");
 }
 
 #[tokio::test]
--- a/crates/proxy/tests/proxy/endings.rs
+++ b/crates/proxy/tests/proxy/endings.rs
@@ -10,8 +10,8 @@
 use pumicebay::clock::Clock;
 use pumicebay::config::{Config, parse};
 use pumicebay::counters::Counters;
+use pumicebay::discovery::list::List;
 use pumicebay::heir::Seat;
-use pumicebay::list::List;
 use pumicebay::messages::{Cargo, Mailbox, door};
 use pumicebay::module::Module;
 use pumicebay::phases::{Phase, Phases};
@@ -626,7 +626,7 @@
     let (moves, discovery) = watch::channel(old);
     // The module's mailbox takes nothing more.
     while timeout(Duration::from_millis(20), shared.door.list_failed()).await.is_ok() {}
-    tokio::spawn(List::new(shared.clone(), followed).run(discovery));
+    tokio::spawn(List::new(shared.clone(), followed, None).run(discovery));
     while !counters.to_string().contains("list_answers 1\n") {
         sleep(Duration::from_millis(5)).await;
     }
--- a/crates/proxy/tests/proxy/migrate.rs
+++ b/crates/proxy/tests/proxy/migrate.rs
@@ -146,7 +146,7 @@
 async fn a_migrated_configuration_serves_a_hit_and_a_miss() {
     let world = World::start_with(&[], |config| {
         let mut json = pool();
-        json["known"] = config.known.clone();
+        json["known"] = serde_json::from_str(&config.known.take().unwrap()).unwrap();
         json["discovery"] = json!(config.discovery.to_string());
         let done = migrate(&json.to_string(), &answers()).unwrap().unwrap();
         *config = config::parse(&done.json).unwrap();
