Proxy: node numbers without a walk, and 64 log lines about nodes a second

Cause: Acts::node looked for a free number among all nodes for each new one; each listed, dismissed or cold node logged a line at once, and its name stood twice on the heap. Change: nodes.rs holds names, addresses and free numbers, each name once; line_budget.rs lets 64 lines about nodes pass in a second and says how many it left out; a node whose line was left out has it at its first use.

--- a/crates/proxy/src/module.rs
+++ b/crates/proxy/src/module.rs
@@ -3,20 +3,21 @@
 
 use crate::desk::{Order, PROBE, Whose};
 use crate::fleet::prober::Prober;
+use crate::line_budget::LineBudget;
 use crate::long::Value;
 use crate::memory::MemoryWatch;
 use crate::messages::{Answer, Back, Cargo, Event, ListPart, Mailbox, Named};
+use crate::nodes::{Known, Nodes};
 use crate::phases::Phase;
 use crate::shared::Shared;
 use crate::turns;
 use crate::upstream::attempt::{self, Errand, Target};
 use bytes::Bytes;
 use hashbrown::{HashMap, HashSet};
-use pumicebay_core::{Ask, Balance, GiveUp, Held, Host, Nanos, Node, Outcome, RequestId, Settings, Standing};
+use pumicebay_core::{Ask, Balance, GiveUp, Held, Host, Nanos, Node, Outcome, RequestId, Settings};
 use pumicebay_names::identity;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -41,9 +42,8 @@
 struct Acts {
     shared: Shared,
     follow: mpsc::Sender<()>,
-    /// By number; a number without a node is given to the next.
-    nodes: Vec<Option<Known>>,
-    uids: HashMap<Arc<str>, Node>,
+    nodes: Nodes,
+    lines: LineBudget,
     open: HashMap<RequestId, Open>,
     /// The ids of the exchanges that await their answers.
     ids: HashSet<Bytes>,
@@ -55,12 +55,6 @@
     prober: Option<Prober>,
 }
 
-struct Known {
-    uid: Arc<str>,
-    address: SocketAddr,
-    origin: bool,
-}
-
 struct Open {
     cargo: Arc<Cargo>,
     /// Taken with the final answer.
@@ -76,8 +70,8 @@
         let acts = Acts {
             shared,
             follow,
-            nodes: Vec::new(),
-            uids: HashMap::new(),
+            nodes: Nodes::default(),
+            lines: LineBudget::default(),
             open: HashMap::new(),
             ids: HashSet::new(),
             timers: BinaryHeap::new(),
@@ -127,6 +121,7 @@
         }
         let resting = self.balance.host.shared.upstream.count();
         counters.gauges.take(&self.balance.status(), resting);
+        self.balance.host.lines.report_at(now);
         if self.memory_due <= now {
             self.memory_due = now + MEMORY_EVERY;
             self.memory.look();
@@ -138,7 +133,7 @@
         match order {
             Order::Whose(uid, answer) => {
                 let acts = &self.balance.host;
-                let known = acts.uids.get(&*uid).and_then(|&node| acts.nodes[node].as_ref());
+                let known = acts.nodes.find(&uid).and_then(|node| acts.nodes.get(node));
                 let whose = |known: &Known| if known.origin { Whose::Origin } else { Whose::Cache };
                 let _ = answer.send(known.map_or(Whose::Nobody, whose));
             }
@@ -148,13 +143,13 @@
             }
             Order::Probe(uid) => {
                 let acts = &mut self.balance.host;
-                let sent = acts.uids.get(&*uid).copied().is_some_and(|node| acts.send_probe(node));
+                let sent = acts.nodes.find(&uid).is_some_and(|node| acts.send_probe(node));
                 if let Some(prober) = acts.prober.as_ref().filter(|_| !sent) {
                     prober.probed(&uid, false);
                 }
             }
             Order::Told(uid, answered) => {
-                if let Some(&node) = self.balance.host.uids.get(&*uid) {
+                if let Some(node) = self.balance.host.nodes.find(&uid) {
                     let outcome = if answered { Outcome::Completed } else { Outcome::Unreachable };
                     self.balance.probed(node, outcome);
                 }
@@ -203,7 +198,7 @@
                 }
                 self.reported(now, node, back.held);
                 let acts = &self.balance.host;
-                match (&acts.prober, acts.nodes[node].as_ref()) {
+                match (&acts.prober, acts.nodes.get(node)) {
                     // It tells this process too, where its decisions asked.
                     (Some(prober), Some(known)) => {
                         prober.probed(&known.uid, back.outcome == Outcome::Completed)
@@ -296,30 +291,29 @@
         Some(answer)
     }
 
-    /// The index of a node, new ones the first that is free. None for one that left before
-    /// it was known.
+    /// A line about nodes, which come in thousands.
+    fn log_node(&mut self, line: impl std::fmt::Display) {
+        if self.lines.allows(self.shared.clock.now()) {
+            tracing::info!("{line}");
+        } else {
+            tracing::debug!("{line}");
+        }
+    }
+
+    /// The number of a node, a new one where it is not known yet. None for one that left before it was known.
     fn node(&mut self, named: &Named) -> Option<Node> {
-        let Named { uid, address, listed } = named;
-        if let Some(&node) = self.uids.get(uid) {
-            if let Some(known) = &mut self.nodes[node] {
-                known.address = *address;
+        let (node, new) = self.nodes.number(named)?;
+        if new {
+            self.shared.counters.nodes_known.add();
+            let logged = self.lines.allows(self.shared.clock.now());
+            if let Some(known) = self.nodes.get_mut(node).filter(|_| logged) {
+                known.log(node);
             }
-            return Some(node);
         }
-        if listed.standing == Standing::Gone {
-            return None;
-        }
-        let node = self.nodes.iter().position(Option::is_none).unwrap_or(self.nodes.len());
-        tracing::info!("node {node} is {uid} at {address}");
-        self.shared.counters.nodes_known.add();
-        self.uids.insert(uid.clone(), node);
-        let known = Known { uid: uid.clone(), address: *address, origin: listed.origin };
-        self.nodes.resize_with(self.nodes.len().max(node + 1), || None);
-        self.nodes[node] = Some(known);
         Some(node)
     }
 
-    fn send_probe(&self, node: Node) -> bool {
+    fn send_probe(&mut self, node: Node) -> bool {
         let sent = self.begin(node, Errand::Probe { until: Instant::now() + PROBE });
         if sent {
             self.shared.counters.probes_sent.add();
@@ -328,8 +322,11 @@
     }
 
     /// Begins it, unless the node is known no more.
-    fn begin(&self, node: Node, errand: Errand) -> bool {
-        let Some(known) = self.nodes[node].as_ref() else { return false };
+    fn begin(&mut self, node: Node, errand: Errand) -> bool {
+        let Some(known) = self.nodes.get_mut(node) else { return false };
+        if !known.logged {
+            known.log(node);
+        }
         let target = Target { node, address: known.address, origin: known.origin };
         attempt::start(&self.shared, target, errand);
         true
@@ -386,7 +383,7 @@
     }
 
     fn probe(&mut self, node: Node) {
-        let asked = match (&self.prober, self.nodes[node].as_ref()) {
+        let asked = match (&self.prober, self.nodes.get(node)) {
             (Some(prober), Some(known)) => prober.wanted(&known.uid),
             _ => self.send_probe(node),
         };
@@ -396,10 +393,9 @@
     }
 
     fn dismiss(&mut self, node: Node) {
-        if let Some(Known { uid, .. }) = self.nodes[node].take() {
-            tracing::info!("node {node} is {uid} no more");
+        if let Some(Known { uid, .. }) = self.nodes.remove(node) {
+            self.log_node(format_args!("node {node} is {uid} no more"));
             self.shared.counters.nodes_dismissed.add();
-            self.uids.remove(&uid);
             self.shared.upstream.forget(node);
         }
     }
@@ -410,7 +406,7 @@
     }
 
     fn log(&mut self, line: &str) {
-        tracing::info!("{line}");
+        self.log_node(line);
     }
 
     fn given_up(&mut self, xchg: RequestId, reason: GiveUp, attempts: usize) {
--- a/crates/proxy/tests/many_nodes/main.rs
+++ b/crates/proxy/tests/many_nodes/main.rs
@@ -28,6 +28,8 @@
 /// A list of this length fits into this limit.
 const LONGEST_LIST: usize = 7_200;
 const LONGEST_LIST_LIMIT_MB: u64 = 64;
+/// Lines of a log in the first seconds, for a list of thousands that is then replaced by half.
+const MOST_LOG_LINES: usize = 400;
 /// How long a process holds its list while it is watched.
 const HELD: Duration = Duration::from_secs(2);
 
@@ -62,6 +64,18 @@
     println!("{peak:.1} MB at {LONGEST_LIST} nodes");
 }
 
+#[tokio::test]
+async fn a_list_of_thousands_does_not_flood_the_log() {
+    let stand_ins = Nodes::start().await;
+    let discovery = Discovery::start(stand_ins.list(MANY_NODES)).await;
+    let mut process = Process::start(&Start { discovery: &discovery, known: true, limit_mb: 512 }).await;
+    discovery.release();
+    sleep(HELD).await;
+    process.assert_alive();
+    let lines = process.said().lines().count();
+    assert!(lines < MOST_LOG_LINES, "{lines} lines");
+}
+
 /// Asks on while lists come whole, configurations move discovery, and the process is told to end; its memory limit
 /// binds.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/proxy/tests/many_nodes/stand_ins.rs
+++ b/crates/proxy/tests/many_nodes/stand_ins.rs
@@ -5,7 +5,7 @@
 use serde_json::{Value as Json, json};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -114,6 +114,19 @@
         self.told.send_modify(|told| (told.revision, told.changed) = (told.revision + 1, Some(node)));
     }
 
+    /// Half of the nodes are replaced by others, whose processes began now.
+    pub fn release(&self) {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        self.told.send_modify(|told| {
+            let mut entries = (*told.entries).clone();
+            for entry in entries.iter_mut().step_by(2) {
+                let uid = format!("{}-new", entry["uid"].as_str().unwrap());
+                (entry["uid"], entry["boot_ms"]) = (json!(uid), json!(now));
+            }
+            *told = Told { revision: told.revision + 1, entries: Arc::new(entries), changed: None };
+        });
+    }
+
     /// All nodes are told anew.
     pub fn whole(&self) {
         self.told.send_modify(|told| (told.revision, told.changed) = (told.revision + 1, None));
