Origin: fetches are bounded by what it answers and is asked, not by the number of caches

Cause: origin_few allowed 1.8 and 1.3 fetches in flight for each cache of the fleet, times four while quick: 960 a proxy at 800 caches before an origin that stops at 76. A log of the bound showed a second one: the least time counts for a minute, so in a crowd since the start the room, twice best rate times least time, followed the queue up. Change: that part is capped by what was in flight at best (up to four times while quick) or by the requests that come in a third of the shortest objective, fewer as fetches take longer; the least time is forgotten over five minutes; of proxies whose part is below one, only so many begin with a fetch. Bounds have names. The test of the line is asked for hits first: with nothing asked a proxy now takes its part alone; what it expected stands unchanged behind these.

--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -22,6 +22,8 @@
     pub host: H,
     pub(crate) rules: Rules,
     pub(crate) rng: Rand32,
+    /// The part of its first fetch that this proxy begins with, by chance.
+    pub(crate) first_fetch: f64,
     pub(crate) now: Nanos,
     pub(crate) routes: Vec<Route>,
     /// Those before the last change, and until when clients may still mean them.
@@ -56,6 +58,7 @@
         let mut balance = Balance {
             host,
             rng: Rand32::new(seed),
+            first_fetch: f64::from(Rand32::new(!seed).rand_float()),
             now,
             fleet: settings.number("fleet", 1.0),
             rules: Rules::new(&settings, &routes),
--- a/crates/core/src/policy/limits.rs
+++ b/crates/core/src/policy/limits.rs
@@ -23,14 +23,17 @@
         // Guards warm nodes from what cold ones can't take, and crowded ones from what they turn away.
         let able = self.pace.able * self.all.answered(self.now);
         let few = FEW * able / self.fleet * self.more(self.kinds.hits, QUICK);
-        measure(self.now, &mut self.all, (ROOM, few, f64::INFINITY));
+        measure(self.now, &mut self.all, Bounds { few, ..Bounds::default() });
         self.origin.into_iter().for_each(|origin| self.measure_node(origin));
     }
 
     pub(crate) fn measure_node(&mut self, node: Node) {
         let few = (FEW / self.fleet).floor().max(1.0);
         let origin = self.nodes.caches[node].listed.origin.then(|| self.origin_few(node));
-        let bounds = origin.map_or((ROOM, few, SLOW), |few| (ORIGIN_ROOM, few, f64::INFINITY));
+        let bounds = match origin {
+            Some(few) => Bounds { times: ORIGIN_ROOM, few, remembers: true, ..Bounds::default() },
+            None => Bounds { few, slow: SLOW, ..Bounds::default() },
+        };
         let cache = &mut self.nodes.caches[node];
         measure(self.now, &mut cache.flow, bounds);
         let part = cache.part(self.now, &self.rules);
@@ -65,9 +68,29 @@
     }
 }
 
+/// What the room at a node, or at all of them, follows from.
+#[derive(Clone, Copy)]
+struct Bounds {
+    /// So many times what was in flight at best, but for this many.
+    times: f64,
+    few: f64,
+    /// The room shrinks once answers take this many times their least.
+    slow: f64,
+    /// The least time outlives its minute. Guards from a crowd that lasts longer: its own waits would count as the
+    /// least, and the room would follow them upwards.
+    remembers: bool,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { times: ROOM, few: 0.0, slow: f64::INFINITY, remembers: false }
+    }
+}
+
 /// Room is what was in flight at best, so many times, or a few; it shrinks while answers take far longer.
-fn measure(now: Nanos, flow: &mut Flow, (times, few, slow): (f64, f64, f64)) {
-    let (least, lately) = (flow.minute.least_mean(now, ENOUGH), flow.answers.mean(now));
+fn measure(now: Nanos, flow: &mut Flow, Bounds { times, few, slow, remembers }: Bounds) {
+    let (minute, lately) = (flow.minute.least_mean(now, ENOUGH), flow.answers.mean(now));
+    let least = if remembers { flow.remember_least(now, minute) } else { minute };
     let best = flow.minute.peak_rate(now) * least.unwrap_or(0.0);
     if let (Some(least), Some(lately)) = (least, lately) {
         flow.squeeze = (slow * least / lately).min(1.0);
--- a/crates/core/src/policy/membership.rs
+++ b/crates/core/src/policy/membership.rs
@@ -21,7 +21,10 @@
         let before = self.nodes.caches.get(node).map_or(0, |cache| cache.listed.started);
         let started = listed.started.max(before);
         self.nodes.list(node, Listed { started, ..listed });
-        self.origin = listed.origin.then_some(node).or(self.origin);
+        if listed.origin && self.origin != Some(node) {
+            self.origin = Some(node);
+            self.begin_fetches(node);
+        }
         (started > before && !self.warm(node)).then(|| self.cool(node));
         (self.nodes.caches[node].flow.room == 0.0).then(|| self.measure_node(node));
         (!self.nodes.caches[node].ready()).then(|| self.recall());
--- a/crates/core/src/policy/origin.rs
+++ b/crates/core/src/policy/origin.rs
@@ -5,7 +5,7 @@
 use crate::fetches::Fetch;
 use crate::fleet::Finder;
 use crate::host::{GiveUp, Host, Nanos, Node, RequestId};
-use crate::policy::{ENOUGH, ORIGIN_PATIENCE, QUICK, SAVED, SECOND};
+use crate::policy::{ENOUGH, FEW, ORIGIN_PATIENCE, QUICK, SAVED, SECOND};
 use crate::state::Cache;
 
 /// Fetches in flight for each cache of the fleet, while nothing is measured and once it is.
@@ -66,12 +66,31 @@
         flow.in_flight as f64 + 1.0 <= flow.room.ceil().min(flow.room + flow.saved - reserve)
     }
 
-    /// Guards an origin that stops when asked for too much: more than its part only while quicker still.
+    /// Guards an origin that stops when asked for too much: more than its part only while quicker still, and never more
+    /// than follows from what it has answered, or from what is asked where it has answered too little. The part goes by
+    /// the number of caches, of which thousands may share what a few bore.
     pub(crate) fn origin_few(&self, node: Node) -> f64 {
         let flow = &self.nodes.caches[node].flow;
-        let known = usize::from(flow.minute.least_mean(self.now, ENOUGH).is_some());
+        let known = flow.minute.least_mean(self.now, ENOUGH).is_some();
         let quick = if self.rules.origin_falls { QUICK } else { ORIGIN_QUICK };
         let took = flow.answers.mean(self.now).unwrap_or(0.0);
-        ORIGIN_FEW[known] * self.more(took, quick) * (self.serving() / self.fleet)
+        let more = self.more(took, quick);
+        let part = ORIGIN_FEW[usize::from(known)] * more * (self.serving() / self.fleet);
+        let shown = if known { more * flow.best(self.now) } else { 0.0 };
+        part.min(shown.max(self.origin_asked(took)).max(FEW / self.fleet))
+    }
+
+    /// Of proxies whose part is less than one fetch only so many begin with one: guards an origin from one fetch of each
+    /// at once.
+    pub(crate) fn begin_fetches(&mut self, node: Node) {
+        if FEW < self.fleet {
+            self.nodes.caches[node].flow.saved = self.first_fetch;
+        }
+    }
+
+    /// Requests that come while a quick fetch takes, each of which may miss; so many fewer as fetches take longer.
+    fn origin_asked(&self, took: f64) -> f64 {
+        let quick = self.rules.objective as f64 / SECOND as f64 / QUICK;
+        self.pace.asked.peak_rate(self.now) * quick * (quick / took).min(1.0)
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -6,6 +6,8 @@
 use smallvec::SmallVec;
 
 const SECOND: Nanos = 1_000_000_000;
+/// How long the least time of answers takes to be forgotten.
+const FORGETS: Nanos = 300 * SECOND;
 
 /// A cache node, or the origin, as this proxy knows it.
 #[derive(Clone, Debug, Default)]
@@ -43,6 +45,9 @@
     pub minute: Ring<20>,
     /// Seconds in flight, lately.
     held: Ring<8>,
+    /// The least time that answers took on average, in seconds, as far as it is remembered, and as of when.
+    pub least_took: Option<f64>,
+    least_at: Nanos,
     /// Attempts that came to nothing for want of room or of time, lately.
     lost: Ring<8>,
     /// The part of its room that is left while answers take far longer than they can.
@@ -61,6 +66,8 @@
             answers: Ring::new(2 * SECOND),
             minute: Ring::new(60 * SECOND),
             held: Ring::new(2 * SECOND),
+            least_took: None,
+            least_at: 0,
             lost: Ring::new(2 * SECOND),
             squeeze: 1.0,
             room: 0.0,
@@ -92,6 +99,21 @@
         self.saved_at = now;
     }
 
+    /// How many were in flight when answers came best: the best rate of the last minute times their least time.
+    pub fn best(&self, now: Nanos) -> f64 {
+        self.minute.peak_rate(now) * self.least_took.unwrap_or(0.0)
+    }
+
+    /// The least time of answers, given that of the last minute: what was less before is forgotten slowly.
+    pub fn remember_least(&mut self, now: Nanos, minute: Option<f64>) -> Option<f64> {
+        if let (Some(minute), Some(least)) = (minute, self.least_took) {
+            let past = now.saturating_sub(self.least_at) as f64 / FORGETS as f64;
+            self.least_took = Some(minute.min(least + (minute - least) * past.min(1.0)));
+        }
+        (self.least_took, self.least_at) = (self.least_took.or(minute), now);
+        self.least_took
+    }
+
     /// How many were in flight on average, lately.
     pub fn average(&self, now: Nanos) -> f64 {
         self.held.sum_rate(now)
--- a/crates/core/tests/balance/failures.rs
+++ b/crates/core/tests/balance/failures.rs
@@ -83,6 +83,12 @@
 #[test]
 fn the_origin_is_bounded_and_its_line_serves_who_is_awaited_most() {
     let mut rig = rig(4, "retriable", &[("fleet", Value::Number(4.0))]);
+    // Before anything is asked it takes its part of nine fetches alone.
+    for key in 101..=108 {
+        rig.arrive_for(key, key);
+        rig.end(key, 0, Outcome::Completed);
+    }
+    rig.pass(SECOND / 10);
     for key in 1..=8 {
         rig.arrive_for(key, key);
         rig.end(key, 0, Outcome::Missed);
@@ -94,12 +100,53 @@
     rig.end(1, 1, Outcome::Completed);
     rig.end(2, 1, Outcome::Completed);
     rig.check(expect![[r#"
-        1 to node 1, 1 to origin, 2 to node 3, 2 to origin, 3 to node 4, 3 to origin, 4 to node 3, 4 to origin, 5 to node 2, 5 to origin, 6 to node 1, 6 to origin, 7 to node 4, 7 to origin, 8 to node 1, 8 to origin
+        101 to node 1, 102 to node 2, 103 to node 1, 104 to node 3, 105 to node 1, 106 to node 1, 107 to node 4, 108 to node 3, 1 to node 1, 1 to origin, 2 to node 3, 2 to origin, 3 to node 4, 3 to origin, 4 to node 3, 4 to origin, 5 to node 2, 5 to origin, 6 to node 1, 6 to origin, 7 to node 4, 7 to origin, 8 to node 1, 8 to origin
         -- 9 waits for what 5 fetches; the origin has not shown to be slow, and takes the others
         10 to node 4, 10 to origin
     "#]]);
 }
 
+/// Each of many caches once added to what an origin is asked at a cold start, which stopped it.
+#[test]
+fn fetches_of_a_cold_start_do_not_grow_with_the_number_of_caches() {
+    let mut rig = rig(400, "retriable", &[("fleet", Value::Number(4.0))]);
+    let mut most = 0;
+    for id in 1..=400 {
+        rig.arrive_for(id, id);
+        rig.end(id, 0, Outcome::Missed);
+        if id % 20 == 0 {
+            rig.pass(SECOND / 10);
+        }
+        most = most.max(rig.balance.status().fetches);
+    }
+    // Twenty in a tenth of a second are 67 in a third of their objective; buckets of a quarter of a second have some more.
+    assert!(most <= 90, "{most} fetches out at an origin that has answered none");
+}
+
+/// A crowd that lasts longer than a minute once counted as the origin's best.
+#[test]
+fn the_bound_does_not_follow_a_crowd_that_outlasts_what_is_measured() {
+    let mut rig = rig(400, "retriable", &[("fleet", Value::Number(4.0))]);
+    let (mut id, mut out, mut most) = (0, std::collections::VecDeque::new(), 0);
+    // The origin answers ten in a tenth of a second, however many it holds, for two minutes.
+    for tenth in 0..1200 {
+        for _ in 0..20 {
+            id += 1;
+            rig.arrive_for(id, id);
+            rig.end(id, 0, Outcome::Missed);
+            if rig.balance.status().fetches > out.len() {
+                out.push_back(id);
+            }
+        }
+        most = if tenth < 600 { 0 } else { most.max(out.len()) };
+        rig.pass(SECOND / 10);
+        let answered = out.len().min(10);
+        out.drain(..answered).for_each(|id| rig.end(id, 1, Outcome::Completed));
+    }
+    // No more than its cold start allows, as above.
+    assert!(most <= 90, "{most} fetches in the second minute");
+}
+
 /// Small tenants were shed at the busier proxies, whose part of the traffic is above the average.
 #[test]
 fn surplus_is_shed_and_others_overflow_to_the_origin() {
--- a/crates/lab/tests/lab/virtual_days.rs
+++ b/crates/lab/tests/lab/virtual_days.rs
@@ -238,3 +238,22 @@
     let again = play(&day(&found.text), "random");
     assert_eq!(again.share, found.results.share);
 }
+
+/// The more caches, the more fetches were once allowed at a cold start: hundreds of caches stopped the origin.
+#[test]
+fn a_cold_fleet_does_not_stop_its_origin_however_many_caches_and_proxies_it_has() {
+    let _shared = shared();
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/calm.toml");
+    for (nodes, proxies) in [(12, 6), (192, 1), (192, 6), (192, 60)] {
+        let set = |key: &str, value: u32| (key.to_string(), value.to_string());
+        let set = [
+            set("seconds", 12),
+            set("nodes.count", nodes),
+            set("proxies.count", proxies),
+            set("clients.warm_keys", 0),
+        ];
+        let day = scenario::read(&path, &set).expect("a sound scenario");
+        let results = play(&day, "pumicebay");
+        assert_eq!(results.origin_stops, 0, "{nodes} caches, {proxies} proxies");
+    }
+}
