Origin: one that cannot stop from too much is asked as before

Cause: its settings say that the origin can't stop (origin-fall-multiple 0); it then serves what caches have no room for, and the cap and the memory of the least time, which guard rule 4, took that away. Change: both hold only where the origin may stop.

--- a/crates/core/src/policy/limits.rs
+++ b/crates/core/src/policy/limits.rs
@@ -31,7 +31,10 @@
         let few = (FEW / self.fleet).floor().max(1.0);
         let origin = self.nodes.caches[node].listed.origin.then(|| self.origin_few(node));
         let bounds = match origin {
-            Some(few) => Bounds { times: ORIGIN_ROOM, few, remembers: true, ..Bounds::default() },
+            Some(few) => {
+                let remembers = self.rules.origin_falls;
+                Bounds { times: ORIGIN_ROOM, few, remembers, ..Bounds::default() }
+            }
             None => Bounds { few, slow: SLOW, ..Bounds::default() },
         };
         let cache = &mut self.nodes.caches[node];
--- a/crates/core/src/policy/origin.rs
+++ b/crates/core/src/policy/origin.rs
@@ -76,6 +76,9 @@
         let took = flow.answers.mean(self.now).unwrap_or(0.0);
         let more = self.more(took, quick);
         let part = ORIGIN_FEW[usize::from(known)] * more * (self.serving() / self.fleet);
+        if !self.rules.origin_falls {
+            return part;
+        }
         let shown = if known { more * flow.best(self.now) } else { 0.0 };
         part.min(shown.max(self.origin_asked(took)).max(FEW / self.fleet))
     }
@@ -83,7 +86,7 @@
     /// Of proxies whose part is less than one fetch only so many begin with one: guards an origin from one fetch of each
     /// at once.
     pub(crate) fn begin_fetches(&mut self, node: Node) {
-        if FEW < self.fleet {
+        if self.rules.origin_falls && FEW < self.fleet {
             self.nodes.caches[node].flow.saved = self.first_fetch;
         }
     }
