Lab: proxies listen below the ports that the kernel gives away

Seen: in the whole script crowds::lists_fall_silent_while_proxies_are_killed failed once: p14 did not start, 'listen: 127.0.0.1:42897: Address already in use'. Cause: free() bound port 0, closed, and handed the number on; a connection or listener of another stand-in or test could have it before the proxy listened. Change: ports from 10,000 to 29,999, below the kernel's range (32,768 on), one after another, each program from another place.

--- a/crates/lab/src/real/process.rs
+++ b/crates/lab/src/real/process.rs
@@ -14,6 +14,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tempfile::TempDir;
@@ -28,6 +29,11 @@
 /// Where the proxies are a fleet.
 const VOTERS: usize = 3;
 
+/// Where proxies listen: so many ports from the first on, and how far apart programs begin.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u16 = 20_000;
+const PORT_STRIDE: u32 = 997;
+
 type Log = Arc<Mutex<VecDeque<String>>>;
 
 struct Proxy {
@@ -236,10 +242,20 @@
     format!("{:.1} s", now as f64 / 1e9)
 }
 
-/// An address that nobody listens at.
+/// An address that nobody listens at. It lies below the ports that the kernel gives to whoever names none: else a
+/// connection or listener of a stand-in could have it before the proxy does.
 fn free() -> Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").context("a free port")?;
-    Ok(listener.local_addr()?)
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    // Programs that run beside this one begin elsewhere.
+    let first = std::process::id().wrapping_mul(PORT_STRIDE) as u16 % PORTS;
+    for _ in 0..PORTS {
+        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + first.wrapping_add(taken) % PORTS;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return Ok(listener.local_addr()?);
+        }
+    }
+    bail!("no free port from {FIRST_PORT} on")
 }
 
 async fn pong(address: SocketAddr) -> bool {
