--- a/review/common.rs
+++ b/review/common.rs
@@ -269,7 +269,9 @@
 }
 
 /// A cache node that holds every key. `answer` gets each read and writes its answer; an error ends the connection.
-pub fn cache_node(answer: impl Fn(&TcpStream, &[Vec<u8>]) -> Result<()> + Send + Sync + 'static) -> SocketAddr {
+pub fn cache_node(
+    answer: impl Fn(&TcpStream, &[Vec<u8>]) -> Result<()> + Send + Sync + 'static,
+) -> SocketAddr {
     let listener = listen(None);
     let address = listener.local_addr().unwrap();
     serve(listener, move |stream| {
@@ -360,7 +362,8 @@
 impl Proxy {
     /// Starts a proxy and waits until it answers `PING`; None if it does not within 30 s.
     pub fn start(list: &str, discovery: SocketAddr, settings: &str) -> Option<Proxy> {
-        let folder = std::env::temp_dir().join(format!("pumicebay-review-{}-{}", std::process::id(), new_id()));
+        let folder =
+            std::env::temp_dir().join(format!("pumicebay-review-{}-{}", std::process::id(), new_id()));
         fs::create_dir_all(&folder).ok()?;
         let address: SocketAddr = ([127, 0, 0, 1], free_port()).into();
         let config_head = format!(
@@ -428,7 +431,8 @@
         while Instant::now() < until {
             let id = new_id();
             let key = format!("usual-{}", answered % 20);
-            let words = [b"C.GET", key.as_bytes(), id.as_bytes(), format!("c={class},d=1000").as_bytes()].map(<[u8]>::to_vec);
+            let words = [b"C.GET", key.as_bytes(), id.as_bytes(), format!("c={class},d=1000").as_bytes()]
+                .map(<[u8]>::to_vec);
             let words: Vec<&[u8]> = words.iter().map(|word| &word[..]).collect();
             if (&stream).write_all(&command(&words)).is_err() {
                 break;
