Clients: count and log the replies that are due when a connection is closed

The replies that a client loses because the proxy closes its connection showed nowhere: `exchanges_completed` counts a request whose answer then is dropped with its connection, and `exchanges_dropped` counts only requests that had no answer yet.

`replies_lost` counts them, and a line at level warn has their number and why the connection ended. A client that has left is not counted.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -207,9 +207,8 @@
         // Lets the runtime poll the socket first, so that it knows of unread data and of a client that has
         // already left.
         let _ = self.framed.get_ref().tcp().writable().await;
-        if let Err(error) = self.serve().await {
-            tracing::debug!("client connection ended: {error}");
-        }
+        let ended = self.serve().await;
+        self.report_unanswered(&ended);
         drop(self.alive);
         if self.used {
             self.frontend.used_connections.fetch_sub(1, Ordering::Relaxed);
@@ -221,6 +220,16 @@
         }
     }
 
+    /// Logs why the connection ends, and counts the replies that are due to a client that is still connected.
+    fn report_unanswered(&self, ended: &std::io::Result<()>) {
+        let why = ended.as_ref().err().map_or("closed".into(), ToString::to_string);
+        if self.pending.is_empty() || is_disconnected(self.framed.get_ref().tcp()) {
+            return tracing::debug!("client connection ended: {why}");
+        }
+        tracing::warn!("client connection ended with {} replies due: {why}", self.pending.len());
+        self.pending.iter().for_each(|_| self.frontend.shared.counters.replies_lost.add());
+    }
+
     /// Serves commands until the connection ends: the client closed it, it broke, the client was silent for
     /// too long, or the connection is passed on or evicted.
     async fn serve(&mut self) -> std::io::Result<()> {
