Clients: a long value is buffered whole before it is sent if more was read behind it

What callers saw: a client sends a read of a long value, a write and a short read on one connection, at once or before the first byte of the value.

Cause: a reply that has begun can only be finished or cut. `Client::send_reply` began to pass on a long value after its first 16 KiB, whatever had been read behind its command; `stream_reply` then failed, `serve` ended with it, and `Client::run` dropped all of `pending`.

Change: before the first byte goes out, `has_read_more` asks what was read behind the command: commands, a part of one, a long write that has begun. If there is anything, the reply becomes `Reply::Buffering`: the value arrives whole in memory of its own (an eighth of the limit) while the connection goes on reading and running commands. A value that breaks off, takes longer than its client waits, or can never fit is answered with an error, and the replies behind it follow. With nothing behind it a value is passed on as it comes, as before, and nothing is read until it has ended.

Why it works: a close is needed only where a part of a value is with the client, and that is now only where nothing else was read.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -4,14 +4,16 @@
 use crate::clock::MILLIS;
 use crate::config::Config;
 use crate::connection_limit::{ConnectionLimit, EvictionClass};
+use crate::counters::Counters;
 use crate::messages::{Answer, ClientRequest};
 use crate::phases::Phase;
 use crate::resp::{Frame, FramePart, StreamingResp, invalid};
 use crate::routes::Routes;
 use crate::shared::Shared;
-use crate::streaming::{self, StreamedValue, Upload, Value};
+use crate::streaming::{self, BufferedValueLimit, StreamedValue, Upload, Value};
 use crate::takeover::{PassedConnection, TakeoverSocket};
 use bytes::{Bytes, BytesMut};
+use futures_util::future::BoxFuture;
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use pumicebay_core::{Nanos, RequestId, RequestParams};
 use pumicebay_names::{NANOS_PER_MICROSECOND, stable_hash};
@@ -68,6 +70,8 @@
     /// Permits for commands beyond the first on a connection. Bounds the replies that slow readers leave in
     /// memory.
     pub pipeline_permits: Arc<Semaphore>,
+    /// Limits the memory of long values that have to arrive whole before they are passed on.
+    pub buffered_values: BufferedValueLimit,
 }
 
 /// Serves the connections that the previous process passes on, for as long as this process runs.
@@ -181,13 +185,27 @@
 /// A reply that is known, or awaited from the dispatcher.
 enum Reply {
     Ready(Frame),
-    Waiting(RequestId, oneshot::Receiver<Answer>),
+    Waiting(OpenRequest),
+    /// A long value that has to arrive whole before any of it is sent.
+    Buffering(BoxFuture<'static, OutgoingReply>),
+}
+
+/// A request that the dispatcher has.
+struct OpenRequest {
+    request_id: RequestId,
+    /// When the client stops waiting.
+    deadline: Instant,
+    /// Receives the final answer.
+    answer: oneshot::Receiver<Answer>,
 }
 
 /// A reply that is ready to be written.
 enum OutgoingReply {
     Frame(Frame),
-    Streamed(StreamedValue),
+    /// A long value of which the rest is still to arrive, and how long the client would still wait when it began.
+    Arriving(StreamedValue, Duration),
+    /// A long value that has arrived whole.
+    Buffered(StreamedValue),
 }
 
 impl Client {
@@ -214,8 +232,8 @@
             self.frontend.used_connections.fetch_sub(1, Ordering::Relaxed);
         }
         for pending in std::mem::take(&mut self.pending) {
-            if let Reply::Waiting(request_id, _) = pending.reply {
-                self.frontend.shared.dispatcher.client_disconnected(request_id).await;
+            if let Reply::Waiting(request) = pending.reply {
+                self.frontend.shared.dispatcher.client_disconnected(request.request_id).await;
             }
         }
     }
@@ -263,7 +281,7 @@
                         let FramePart::Frame(frame) = part else { return self.reject(invalid("out of step")).await };
                         let reply = self.handle_command(frame, None).await;
                         sent_command = true;
-                        if !self.used && matches!(reply, Reply::Waiting(..)) {
+                        if !self.used && matches!(reply, Reply::Waiting(_)) {
                             self.mark_used();
                         }
                         let permit = || self.frontend.pipeline_permits.clone().try_acquire_owned().ok();
@@ -365,15 +383,24 @@
         }
     }
 
-    /// Writes the next reply, within the time that a client has to read it.
+    /// Writes the next reply, within the time that a client has to read it; a long value may have to be buffered first.
     async fn send_reply(&mut self, reply: OutgoingReply) -> std::io::Result<()> {
+        let reply = match reply {
+            OutgoingReply::Arriving(value, time_left) if self.has_read_more() => {
+                self.buffer_next_reply(value, time_left);
+                return Ok(());
+            }
+            reply => reply,
+        };
         self.pending.pop_front();
         match reply {
             OutgoingReply::Frame(reply) => {
                 self.framed.feed(&reply).await?;
                 self.flush().await?;
             }
-            OutgoingReply::Streamed(value) => self.stream_reply(value).await?,
+            OutgoingReply::Arriving(value, _) | OutgoingReply::Buffered(value) => {
+                self.stream_reply(value).await?;
+            }
         }
         // Releases the memory that a large value took.
         let sent = self.framed.write_buffer_mut();
@@ -383,6 +410,23 @@
         Ok(())
     }
 
+    /// Whether anything was read behind the command whose reply is the next: commands, or the beginning of one.
+    fn has_read_more(&self) -> bool {
+        let within_command = self.framed.codec().is_within_frame() || !self.framed.read_buffer().is_empty();
+        self.pending.len() > 1 || within_command
+    }
+
+    /// Keeps back the next reply, a long value, until all of it has arrived. If a value breaks off of which the client
+    /// has a part, only closing the connection tells the client, and the replies to the commands that were read behind
+    /// it are lost.
+    fn buffer_next_reply(&mut self, value: StreamedValue, time_limit: Duration) {
+        let (limit, counters) =
+            (self.frontend.buffered_values.clone(), self.frontend.shared.counters.clone());
+        if let Some(next) = self.pending.front_mut() {
+            next.reply = Reply::Buffering(Box::pin(buffer_value(value, time_limit, limit, counters)));
+        }
+    }
+
     /// Handles a command whose last argument is long: forwards the value as it arrives, or discards it if the
     /// reply comes first. The replies to earlier commands are sent before.
     async fn receive_upload(&mut self, mut words: Vec<Frame>, length: usize) -> std::io::Result<()> {
@@ -397,7 +441,7 @@
             }
             Err(_) => (Reply::Ready(Frame::error("BUSY")), None),
         };
-        if !self.used && matches!(reply, Reply::Waiting(..)) {
+        if !self.used && matches!(reply, Reply::Waiting(_)) {
             self.mark_used();
         }
         self.pending.push_back(PendingReply { reply, _permit: None });
@@ -470,7 +514,8 @@
                     ..request
                 };
                 let (request_id, answer) = self.frontend.shared.dispatcher.submit(ask, request).await;
-                Reply::Waiting(request_id, answer)
+                let deadline = self.frontend.shared.clock.instant(deadline);
+                Reply::Waiting(OpenRequest { request_id, deadline, answer })
             }
             Ok(Command::Reply(reply)) => Reply::Ready(reply),
             Ok(Command::Counters) => {
@@ -557,19 +602,45 @@
     frame.unwrap_or_else(|_| Some(Err(invalid("command without end"))))
 }
 
+/// Waits for the whole value. If it breaks off, does not fit into the memory for such values, or takes longer than
+/// `time_limit`, the request is answered as failed.
+async fn buffer_value(
+    value: StreamedValue,
+    time_limit: Duration,
+    limit: BufferedValueLimit,
+    counters: Arc<Counters>,
+) -> OutgoingReply {
+    let buffered = timeout(time_limit, value.buffer_whole(&limit)).await;
+    match buffered.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())) {
+        Ok(value) => {
+            counters.values_buffered.add();
+            OutgoingReply::Buffered(value)
+        }
+        Err(error) => {
+            tracing::info!("a long value was given up before any of it was sent to the client: {error}");
+            counters.values_given_up.add();
+            OutgoingReply::Frame(Frame::error("ERR failed"))
+        }
+    }
+}
+
 /// The next reply to send, which the caller then removes. Cancel safe.
 async fn next_reply(pending: &mut VecDeque<PendingReply>) -> OutgoingReply {
     let reply = match pending.front_mut().map(|pending| &mut pending.reply) {
         Some(Reply::Ready(reply)) => reply.clone(),
-        Some(Reply::Waiting(_, answer)) => match answer.await {
+        Some(Reply::Waiting(OpenRequest { deadline, answer, .. })) => match answer.await {
             Ok(Answer::Completed(Value::Whole(value))) => Frame::Bulk(value),
-            Ok(Answer::Completed(Value::Streamed(value))) => return OutgoingReply::Streamed(value),
+            Ok(Answer::Completed(Value::Streamed(value))) => {
+                let time_left = deadline.saturating_duration_since(value.began_at);
+                return OutgoingReply::Arriving(value, time_left);
+            }
             Ok(Answer::Shed(0)) => Frame::error("BUSY"),
             Ok(Answer::Shed(pause)) => Frame::error(format!("BUSY {}", pause.div_ceil(MILLIS))),
             Ok(Answer::Errored) => Frame::error("ERR failed"),
             Ok(Answer::Rejected(why)) => Frame::Error(why),
             Err(_) => Frame::error("ERR no answer"),
         },
+        Some(Reply::Buffering(buffered)) => return buffered.await,
         None => std::future::pending().await,
     };
     OutgoingReply::Frame(reply)
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -83,6 +83,8 @@
     pub max_pipelined_commands: usize,
     /// How many long values may be streamed at a time.
     pub max_streamed_values: usize,
+    /// How many bytes of long values may be buffered, because a client has sent further commands.
+    pub max_buffered_value_bytes: usize,
     /// The list of nodes to start from.
     pub known: ConfiguredList,
     /// The longest list of nodes that is read, in bytes of JSON text.
@@ -221,6 +223,7 @@
         max_node_connections: (sockets - client_descriptors(sockets)).min(memory / 4 / MAX_NODE_BYTES),
         max_pipelined_commands: memory / 8 / MAX_BULK_BYTES,
         max_streamed_values: memory / 8 / streaming::MAX_BUFFERED_BYTES,
+        max_buffered_value_bytes: memory / 8,
         known,
         max_list_bytes: (memory / 8).min(MAX_LIST_BYTES),
         json: json.clone(),
--- a/crates/proxy/src/resp.rs
+++ b/crates/proxy/src/resp.rs
@@ -94,6 +94,13 @@
     TrailingMembers(usize, Vec<Frame>),
 }
 
+impl StreamingResp {
+    /// Whether a frame with a long member has begun and not ended.
+    pub fn is_within_frame(&self) -> bool {
+        !matches!(self.0, State::FrameStart)
+    }
+}
+
 impl Decoder for StreamingResp {
     type Item = FramePart;
     type Error = Error;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -20,6 +20,7 @@
 use crate::phases::{Phase, PhaseWatch, Phases};
 use crate::routes::{RouteRegistry, Routes};
 use crate::shared::Shared;
+use crate::streaming::BufferedValueLimit;
 use crate::takeover::{Successor, TakeoverSocket};
 use crate::upstream::pool::{self, ConnectionPool};
 use anyhow::{Context, Result, bail, ensure};
@@ -124,6 +125,8 @@
         );
         let streamed_values = Arc::new(Semaphore::new(share(config.max_streamed_values)));
         let pipeline_permits = Arc::new(Semaphore::new(share(config.max_pipelined_commands)));
+        let max_buffered = config.max_buffered_value_bytes;
+        let buffered_values = BufferedValueLimit::new(max_buffered, share(max_buffered));
         let mut route_registry = RouteRegistry::default();
         let (settings, routes) = route_registry.apply(&config.json["settings"]);
         let (routes_sender, routes) = watch::channel(Arc::new(routes));
@@ -253,6 +256,7 @@
             limit: ConnectionLimit::new(config.max_client_connections),
             used_connections: Arc::default(),
             pipeline_permits: pipeline_permits.clone(),
+            buffered_values: buffered_values.clone(),
         };
         let (config, counters) = (config.clone(), shared.counters.clone());
         let discovery = watch::Sender::new(config.discovery);
@@ -276,6 +280,7 @@
                 upstream.grow(limits.max_node_connections / 2);
                 streamed_values.add_permits(limits.max_streamed_values / 2);
                 pipeline_permits.add_permits(limits.max_pipelined_commands / 2);
+                buffered_values.extend(limits.max_buffered_value_bytes / 2);
             });
         }
         actors.spawn(reserve_descriptors(frontend.limit.clone()));
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -1,13 +1,15 @@
-//! Values too long to be kept in memory are streamed: only a few pieces are buffered, and the sender waits
-//! for the receiver. This bounds the memory of one value; semaphores bound the number of such values.
+//! Values too long for one frame are streamed: only a few pieces are in memory, and the sender waits for the receiver.
+//! This bounds the memory of one value; semaphores bound the number of such values. A value that must be known to be
+//! whole before its first byte is passed on is buffered instead, within a limit for all such values together.
 
 use crate::resp::invalid;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use std::collections::VecDeque;
 use std::io::Error;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, mpsc};
-use tokio::time::timeout;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::{Instant, timeout};
 
 /// The most bytes of one piece.
 pub const PIECE_BYTES: usize = 16 * 1024;
@@ -46,11 +48,58 @@
 pub struct StreamedValue {
     /// The value's length in bytes.
     pub length: usize,
+    /// When its first bytes had arrived.
+    pub began_at: Instant,
     received: usize,
-    pieces: mpsc::Receiver<Bytes>,
+    pieces: Pieces,
     _permit: Option<OwnedSemaphorePermit>,
 }
 
+/// The pieces of a value that were not taken yet.
+#[derive(Debug)]
+enum Pieces {
+    /// They come from the sending end.
+    Arriving(mpsc::Receiver<Bytes>),
+    /// All of them are in memory.
+    Buffered(VecDeque<BytesMut>),
+}
+
+/// Limits the memory of all values that are buffered whole. Clones share the limit.
+#[derive(Clone, Debug)]
+pub struct BufferedValueLimit {
+    /// A permit for each [`PIECE_BYTES`].
+    permits: Arc<Semaphore>,
+    max_pieces: usize,
+}
+
+impl BufferedValueLimit {
+    /// A limit of `max_bytes`, of which `available_bytes` may be used until [`BufferedValueLimit::extend`] adds to them.
+    pub fn new(max_bytes: usize, available_bytes: usize) -> BufferedValueLimit {
+        BufferedValueLimit {
+            permits: Arc::new(Semaphore::new(available_bytes / PIECE_BYTES)),
+            max_pieces: max_bytes / PIECE_BYTES,
+        }
+    }
+
+    /// Makes so many more bytes available.
+    pub fn extend(&self, bytes: usize) {
+        self.permits.add_permits(bytes / PIECE_BYTES);
+    }
+
+    /// Waits for the memory of a value of this length.
+    ///
+    /// # Errors
+    /// At once, if the value is longer than the limit.
+    async fn acquire(&self, length: usize) -> Result<OwnedSemaphorePermit, Error> {
+        let pieces = length.div_ceil(PIECE_BYTES);
+        if pieces > self.max_pieces {
+            return Err(invalid("a streamed value does not fit into the memory for buffered values"));
+        }
+        let permit = self.permits.clone().acquire_many_owned(pieces as u32).await;
+        permit.map_err(|_| invalid("the limit of buffered values is closed"))
+    }
+}
+
 /// A value that a client is still sending. It can be taken once: a second attempt finds it gone.
 #[derive(Debug)]
 pub struct Upload {
@@ -78,7 +127,9 @@
 /// of such values is limited where it is made.
 pub fn streamed_value(length: usize, permit: Option<OwnedSemaphorePermit>) -> (ValueSender, StreamedValue) {
     let (sender, pieces) = mpsc::channel(PIECES_IN_FLIGHT);
-    (ValueSender(sender), StreamedValue { length, received: 0, pieces, _permit: permit })
+    let pieces = Pieces::Arriving(pieces);
+    let value = StreamedValue { length, began_at: Instant::now(), received: 0, pieces, _permit: permit };
+    (ValueSender(sender), value)
 }
 
 impl ValueSender {
@@ -104,8 +155,11 @@
         if self.received == self.length {
             return Ok(None);
         }
-        let piece =
-            self.pieces.recv().await.ok_or_else(|| invalid("a streamed value ended before its last byte"))?;
+        let piece = match &mut self.pieces {
+            Pieces::Arriving(pieces) => pieces.recv().await,
+            Pieces::Buffered(pieces) => pieces.pop_front().map(BytesMut::freeze),
+        };
+        let piece = piece.ok_or_else(|| invalid("a streamed value ended before its last byte"))?;
         self.received += piece.len();
         if self.received > self.length {
             Err(invalid("a streamed value is longer than announced"))
@@ -113,4 +167,31 @@
             Ok(Some(piece))
         }
     }
+
+    /// Waits until the whole value is in memory. Its sender is done then, and can't break it off any more.
+    ///
+    /// # Errors
+    /// If the value ends early, or is too long for `limit`.
+    pub async fn buffer_whole(mut self, limit: &BufferedValueLimit) -> Result<StreamedValue, Error> {
+        let permit = limit.acquire(self.length).await?;
+        let mut buffered = VecDeque::with_capacity(self.length.div_ceil(PIECE_BYTES));
+        while let Some(piece) = self.next().await? {
+            append(&mut buffered, piece);
+        }
+        let pieces = Pieces::Buffered(buffered);
+        Ok(StreamedValue { received: 0, pieces, _permit: Some(permit), ..self })
+    }
+}
+
+/// Appends to pieces that are filled up to [`PIECE_BYTES`] each. Kept as they arrive, short pieces would take far more
+/// memory than their bytes.
+fn append(pieces: &mut VecDeque<BytesMut>, mut bytes: Bytes) {
+    while !bytes.is_empty() {
+        if pieces.back().is_none_or(|last| last.len() == PIECE_BYTES) {
+            pieces.push_back(BytesMut::with_capacity(PIECE_BYTES));
+        }
+        let Some(last) = pieces.back_mut() else { return };
+        let part = bytes.split_to(bytes.len().min(PIECE_BYTES - last.len()));
+        last.extend_from_slice(&part);
+    }
 }
--- a/crates/proxy/tests/proxy/cancellation.rs
+++ b/crates/proxy/tests/proxy/cancellation.rs
@@ -21,6 +21,7 @@
 use pumicebay::resp::Frame;
 use pumicebay::routes::Routes;
 use pumicebay::shared::Shared;
+use pumicebay::streaming::BufferedValueLimit;
 use pumicebay::takeover::TakeoverSocket;
 use pumicebay::upstream::attempt::{self, NodeOperation, Target};
 use pumicebay::upstream::pool::ConnectionPool;
@@ -667,6 +668,7 @@
         limit: ConnectionLimit::new(4),
         used_connections: Arc::default(),
         pipeline_permits: Arc::new(Semaphore::new(1)),
+        buffered_values: BufferedValueLimit::new(0, 0),
         shared,
     };
     let mut client = std::net::TcpStream::connect(address).unwrap();
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -17,6 +17,7 @@
 mod nodes;
 mod operations;
 mod phases;
+mod pipelined_long_values;
 mod replication;
 mod restart;
 
@@ -442,9 +443,12 @@
                 }
                 continue;
             }
-            "breaks" => {
+            ending @ ("breaks" | "resets" | "stalls") => {
+                if key.contains("-held") {
+                    state.wait_for_release().await;
+                }
                 let _ = framed.get_mut().write_all(b"*3\r\n$200000\r\n").await;
-                let _ = framed.get_mut().write_all(&patterned_value(150_000)).await;
+                break_off(framed.get_mut(), ending).await;
                 break;
             }
             "claims" => {
@@ -479,9 +483,24 @@
     state.record(&format!("{number}: closed"));
 }
 
+/// Sends 150,000 of the 200,000 bytes of a value, and then nothing more: `breaks` ends the connection, `resets` resets
+/// it, and `stalls` keeps it open until the proxy closes it.
+async fn break_off(stream: &mut TcpStream, ending: &str) {
+    let _ = stream.write_all(&patterned_value(150_000)).await;
+    match ending {
+        "resets" => {
+            // A reset discards what the proxy has not read yet.
+            sleep(Duration::from_millis(50)).await;
+            let _ = stream.set_zero_linger();
+        }
+        "stalls" => drop(stream.read(&mut [0]).await),
+        _ => {}
+    }
+}
+
 /// An origin's connection. The second part of the key (between the first two `-`) selects the reply, for
-/// example `held` (sent once the test releases it), `error`, `away` (turned away) or `mute` (none, and the
-/// connection ends); any other key has a value.
+/// example `held` (sent once the test releases it), `error`, `away` (turned away), `mute` (none, and the
+/// connection ends) or `breaks` (part of a value); any other key has a value.
 async fn serve_origin(mut stream: TcpStream, state: StubState, number: usize) {
     let mut buffer = Vec::new();
     loop {
@@ -522,9 +541,14 @@
             "flood" => ("103 Hints", ""),
             _ => ("200 OK", "X-Pressure: inflight=3,util=0.5\r\n"),
         };
-        if key.split('-').nth(1) == Some("held") {
+        if key.contains("-held") {
             state.wait_for_release().await;
         }
+        if let Some(ending @ ("breaks" | "resets" | "stalls")) = key.split('-').nth(1) {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n").await;
+            break_off(&mut stream, ending).await;
+            break;
+        }
         let mut value = format!("origin's {}", field("X-Txn: "));
         if key == "miss-huge" {
             value = "o".repeat(300_000);
