Proxy: client connections in a folder of their own, front/, with a file for each job

`PendingReplies` replaces the deque that two places handled, and the time limits of reading a command and of writing a reply have a name each. No change of behaviour.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,8 +2,6 @@
 
 pub mod bans;
 pub mod cli;
-pub mod client_stream;
-pub mod clients;
 pub mod clock;
 pub mod config;
 pub mod connection_limit;
@@ -13,6 +11,7 @@
 pub mod dispatcher;
 pub mod event_loop;
 pub mod fleet;
+pub mod front;
 pub mod http;
 pub mod listen;
 pub mod log_limiter;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -1,7 +1,6 @@
 //! Starts the actors of a proxy and runs them through its phases.
 
 use crate::bans::{self, MaintenanceActor, Replication};
-use crate::clients::{self, Frontend};
 use crate::clock::Clock;
 use crate::config::{self, Config};
 use crate::connection_limit::ConnectionLimit;
@@ -14,6 +13,8 @@
 use crate::fleet::carrier::{self, apply};
 use crate::fleet::replication::handle::Channels;
 use crate::fleet::{self, replication, voter_client::VoterClient};
+use crate::front::frontend::Frontend;
+use crate::front::listener;
 use crate::listen::listen;
 use crate::messages;
 use crate::operator::{self, OperatorService};
@@ -270,7 +271,7 @@
         });
         let takeover_socket = takeover_socket.map(Arc::new);
         if let Some(takeover_socket) = takeover_socket.clone() {
-            actors.spawn(clients::take_over(frontend.clone(), takeover_socket));
+            actors.spawn(listener::take_over(frontend.clone(), takeover_socket));
         }
         if taking_over {
             let (upstream, streamed_values, limits) =
@@ -285,7 +286,7 @@
         }
         actors.spawn(reserve_descriptors(frontend.limit.clone()));
         actors.spawn(pool::sweep(shared.clone()));
-        actors.spawn(clients::accept(frontend, listener));
+        actors.spawn(listener::accept(frontend, listener));
         phases.enter(Phase::Serving);
         tracing::info!("listens on {address}");
         let (routes, operator) = (routes_sender, operator_address);
--- a/crates/proxy/tests/proxy/advertised_timeouts.rs
+++ b/crates/proxy/tests/proxy/advertised_timeouts.rs
@@ -6,7 +6,7 @@
 use crate::cli::{File, program};
 use crate::operations::{Folder, start_process};
 use crate::{ReceivedAttempt, StubState, TestEnvironment, configuration, target};
-use pumicebay::client_stream::enable_timestamps;
+use pumicebay::front::client_stream::enable_timestamps;
 use pumicebay::takeover::TakeoverSocket;
 use pumicebay_core::policy::deadline::advertised_timeout_ms;
 use pumicebay_names::stable_hash;
