Clients: the time to buffer a long reply to a long write counts from the write's last byte

What callers saw, since: a client that took longer than its request's time to send a long write, with a command behind it, got `-ERR failed` in place of the write's long receipt, although the write had run and its receipt was arriving.

Cause: `handle_command` reckons the deadline when the head of the write has come. For a request whose value is still to come that is too early: its time counts from its last byte, as it does for its attempt. The buffering of the reply had no time left and gave up at once.

Change: such a request has no deadline until its end has been read (`PendingReplies::last_request_received`), and its whole time until then.

Test: a_long_reply_to_a_slow_write_with_commands_behind_it_arrives; it failed before with `["-ERR failed", "+PONG"]`.

--- a/crates/proxy/src/front/connection.rs
+++ b/crates/proxy/src/front/connection.rs
@@ -287,7 +287,10 @@
                     // The receiver of the value is slow, not the client.
                     Err(_) if piece_pending => {}
                     Ok(Some(Ok(FramePart::Piece(received)))) => piece = Some(received),
-                    Ok(Some(Ok(FramePart::End(after)))) if after.is_empty() => return Ok(()),
+                    Ok(Some(Ok(FramePart::End(after)))) if after.is_empty() => {
+                        self.pending.last_request_received();
+                        return Ok(());
+                    }
                     Ok(Some(Ok(_))) => return self.reject(invalid("words behind a value")).await,
                     Ok(Some(Err(error))) => return self.reject(error).await,
                     Ok(None) => return Ok(()),
@@ -310,6 +313,8 @@
             }
             Ok(Command::Request(ask, request)) => {
                 let deadline = received_at.saturating_add(ask.client_timeout);
+                let client_timeout = Duration::from_nanos(ask.client_timeout);
+                let received_whole = upload.is_none();
                 let request = ClientRequest {
                     received_at,
                     deadline,
@@ -318,8 +323,8 @@
                     ..request
                 };
                 let (request_id, answer) = self.frontend.shared.dispatcher.submit(ask, request).await;
-                let deadline = self.frontend.shared.clock.instant(deadline);
-                Reply::Waiting(OpenRequest { request_id, deadline, answer })
+                let deadline = received_whole.then(|| self.frontend.shared.clock.instant(deadline));
+                Reply::Waiting(OpenRequest { request_id, client_timeout, deadline, answer })
             }
             Ok(Command::Reply(reply)) => Reply::Ready(reply),
             Ok(Command::Counters) => {
--- a/crates/proxy/src/front/replies.rs
+++ b/crates/proxy/src/front/replies.rs
@@ -38,8 +38,10 @@
 pub struct OpenRequest {
     /// Its id in this process.
     pub request_id: RequestId,
-    /// When the client stops waiting.
-    pub deadline: Instant,
+    /// How long the client waits from the request's last byte on.
+    pub client_timeout: Duration,
+    /// When the client stops waiting; `None` while the last byte is still to come.
+    pub deadline: Option<Instant>,
     /// Receives the final answer.
     pub answer: oneshot::Receiver<Answer>,
 }
@@ -60,6 +62,13 @@
         self.0.push_back(PendingReply { reply, _permit: permit });
     }
 
+    /// Notes that the last byte of the last request has arrived now.
+    pub fn last_request_received(&mut self) {
+        if let Some(Reply::Waiting(request)) = self.0.back_mut().map(|pending| &mut pending.reply) {
+            request.deadline = Some(Instant::now() + request.client_timeout);
+        }
+    }
+
     /// How many replies are due.
     pub fn len(&self) -> usize {
         self.0.len()
@@ -116,7 +125,8 @@
         OutgoingReply::Frame(match (&mut self.answer).await {
             Ok(Answer::Completed(Value::Whole(value))) => Frame::Bulk(value),
             Ok(Answer::Completed(Value::Streamed(value))) => {
-                let time_left = self.deadline.saturating_duration_since(value.began_at);
+                let time_left = |deadline: Instant| deadline.saturating_duration_since(value.began_at);
+                let time_left = self.deadline.map_or(self.client_timeout, time_left);
                 return OutgoingReply::Arriving(value, time_left);
             }
             Ok(Answer::Shed(0)) => Frame::error("BUSY"),
--- a/crates/proxy/tests/proxy/pipelined_long_values.rs
+++ b/crates/proxy/tests/proxy/pipelined_long_values.rs
@@ -250,3 +250,19 @@
         assert_nothing_lost(&env, 2).await;
     }
 }
+
+/// Guards against a time limit that counts from the beginning of a long write: it would give up its long reply at once.
+#[tokio::test]
+async fn a_long_reply_to_a_slow_write_with_commands_behind_it_arrives() {
+    let env = TestEnvironment::start(&[("/settings/routes/1/overall-timeout-us", json!(300_000))]).await;
+    let mut client = env.client().await;
+    let head = "*5\r\n$5\r\nC.SET\r\n$9\r\nmiss-huge\r\n$5\r\nwrite\r\n$11\r\nc=put,d=300\r\n$200000\r\n"
+        .to_string();
+    client.0.get_mut().write_all((head + &"v".repeat(199_999)).as_bytes()).await.unwrap();
+    env.wait_for_counter("exchanges_taken 1").await;
+    // Longer than the time of the request, which counts from its last byte.
+    sleep(Duration::from_millis(400)).await;
+    client.0.get_mut().write_all(b"v\r\n*1\r\n$4\r\nPING\r\n").await.unwrap();
+    assert_eq!(replies(&mut client, 2).await, ["300000 bytes", "+PONG"]);
+    assert_nothing_lost(&env, 1).await;
+}
