Streaming: a value that waits for memory to be buffered notices that its sender is gone

What callers could see: at a shutdown, while a slow reader holds the memory for buffered values, a long value that waits for some did not notice at `Leaving` that its attempt had been withdrawn; the process ends 80 ms later, and the replies behind the value would be lost.

Cause: `StreamedValue::buffer_whole` waited for `limit.acquire` alone, and a channel of pieces tells of its sender's end only to who receives.

Change: the sending end holds a oneshot sender, and the wait for memory ends with an error once that is dropped. A value with nothing taken is longer than the queue of pieces, so it can't be whole then.

--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -8,7 +8,7 @@
 use std::io::Error;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
 /// The most bytes of one piece.
@@ -52,6 +52,8 @@
     pub began_at: Instant,
     received: usize,
     pieces: Pieces,
+    /// Resolves once the sender is gone.
+    sender_gone: oneshot::Receiver<()>,
     _permit: Option<OwnedSemaphorePermit>,
 }
 
@@ -121,15 +123,26 @@
 }
 
 /// The sending end. Dropped before the last piece, it makes the receiver fail.
-pub struct ValueSender(mpsc::Sender<Bytes>);
+pub struct ValueSender {
+    pieces: mpsc::Sender<Bytes>,
+    /// Never used; tells the receiver when it is dropped.
+    _alive: oneshot::Sender<()>,
+}
 
 /// Creates both ends of a streamed value of `length` bytes. The receiving end holds `permit`, if the number
 /// of such values is limited where it is made.
 pub fn streamed_value(length: usize, permit: Option<OwnedSemaphorePermit>) -> (ValueSender, StreamedValue) {
     let (sender, pieces) = mpsc::channel(PIECES_IN_FLIGHT);
-    let pieces = Pieces::Arriving(pieces);
-    let value = StreamedValue { length, began_at: Instant::now(), received: 0, pieces, _permit: permit };
-    (ValueSender(sender), value)
+    let (alive, sender_gone) = oneshot::channel();
+    let value = StreamedValue {
+        length,
+        began_at: Instant::now(),
+        received: 0,
+        pieces: Pieces::Arriving(pieces),
+        sender_gone,
+        _permit: permit,
+    };
+    (ValueSender { pieces: sender, _alive: alive }, value)
 }
 
 impl ValueSender {
@@ -138,7 +151,7 @@
     /// # Errors
     /// If the receiver is gone, or takes nothing for `STALL_TIMEOUT`.
     pub async fn send(&self, piece: Bytes) -> Result<(), Error> {
-        match timeout(STALL_TIMEOUT, self.0.send(piece)).await {
+        match timeout(STALL_TIMEOUT, self.pieces.send(piece)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(invalid("the receiver of a streamed value is gone")),
             Err(_) => Err(invalid("the receiver of a streamed value has stalled")),
@@ -173,7 +186,12 @@
     /// # Errors
     /// If the value ends early, or is too long for `limit`.
     pub async fn buffer_whole(mut self, limit: &BufferedValueLimit) -> Result<StreamedValue, Error> {
-        let permit = limit.acquire(self.length).await?;
+        // Too long for the queue of pieces, the value is not whole if its sender is gone before any piece was taken.
+        let permit = tokio::select! {
+            biased;
+            permit = limit.acquire(self.length) => permit?,
+            _ = &mut self.sender_gone => return Err(invalid("a streamed value ended before its last byte")),
+        };
         let mut buffered = VecDeque::with_capacity(self.length.div_ceil(PIECE_BYTES));
         while let Some(piece) = self.next().await? {
             append(&mut buffered, piece);
--- a/crates/proxy/tests/proxy/pipelined_long_values.rs
+++ b/crates/proxy/tests/proxy/pipelined_long_values.rs
@@ -6,6 +6,7 @@
 use futures_util::{SinkExt, StreamExt};
 use pumicebay::phases::Phase;
 use pumicebay::resp::Frame;
+use pumicebay::streaming::{BufferedValueLimit, streamed_value};
 use serde_json::json;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -269,3 +270,44 @@
     assert_eq!(replies(&mut client, 2).await, ["300000 bytes", "+PONG"]);
     assert_nothing_lost(&env, 1).await;
 }
+
+/// Guards against a write that runs and is never answered because it came after the first byte of a value that breaks
+/// off: it stays unread, so its client may send it again. After a value that comes whole it is read and answered.
+#[tokio::test]
+async fn commands_after_the_first_byte_of_a_long_value_stay_unread_until_it_has_ended() {
+    for (key, ends_whole) in [("stalls", false), ("miss-stalls", false), ("long-65536", true)] {
+        let mut env = TestEnvironment::start(&[]).await;
+        let mut client = env.client().await;
+        client.send(&["C.GET", key, "long", "c=read,d=4000"]).await;
+        client.0.get_mut().readable().await.unwrap();
+        client.send(&["C.SET", "key", "write", "c=put,d=4000", "value"]).await;
+        sleep(Duration::from_millis(200)).await;
+        assert!(!env.origin.log().contains("PUT /key"), "{key}: {}", env.origin.log());
+        if ends_whole {
+            assert_eq!(
+                replies(&mut client, 2).await,
+                [format!("{} bytes", 4 << 20), "origin's write".into()]
+            );
+            continue;
+        }
+        // The process ends, and with it the attempt: the value breaks off.
+        env.stop().await;
+        env.phase_watch.reached(Phase::Leaving).await;
+        let reply = replies(&mut client, 1).await;
+        assert!(reply[0].starts_with("broken") || reply[0] == "closed", "{key}: {reply:?}");
+        assert!(!env.origin.log().contains("PUT /key"), "{key}: {}", env.origin.log());
+        assert_eq!(env.counter_lines("replies_lost"), "replies_lost 0\n");
+    }
+}
+
+/// Guards against replies lost at a shutdown behind a value that waits for memory: its attempt is withdrawn then, and the
+/// process does not wait until a slow client frees the memory.
+#[tokio::test]
+async fn a_value_whose_sender_is_gone_does_not_wait_for_memory() {
+    let limit = BufferedValueLimit::new(1 << 20, 0);
+    let (sender, value) = streamed_value(100_000, None);
+    sender.send(vec![b'v'; 16_000].into()).await.unwrap();
+    drop(sender);
+    let buffered = timeout(PATIENCE, value.buffer_whole(&limit)).await;
+    assert!(buffered.expect("still waiting for memory").is_err());
+}
