Tests of real processes: the process chooses its port, its log is shown on failure

Cause, as far as shown: the test took a free port, released it and gave it to a process that listens some 20 to 200 ms later. Three tests of the binary do so beside each other, each with five binds a run, so another test's socket can get the port; the clients then talk to another test's proxy and lose their connections when that one is killed.

The logs of the first 378 proxies had no panic, no error, no exit; a close by the proxy itself is thus not shown, nor wholly ruled out.

Change: second_answers.rs and many_nodes listen on port 0 and read the address from the log, as the other tests of processes do. If a test fails, the process's exit and its log are printed, which tells the two apart. Checks and bounds are unchanged.

--- a/crates/proxy/tests/many_nodes/platform.rs
+++ b/crates/proxy/tests/many_nodes/platform.rs
@@ -81,11 +81,12 @@
            "latency-objective-us": objective_ms * 1000, "overall-timeout-us": objective_ms * 2000})
 }
 
-fn configuration(options: &StartOptions, listen: SocketAddr) -> Json {
+/// The process chooses its port itself: another socket could take one that is chosen for it before it listens.
+fn configuration(options: &StartOptions) -> Json {
     let list_in_config =
         if options.list_in_config { options.discovery.whole_list() } else { json!({"targets": []}) };
     json!({
-        "name": "n0", "listen": listen.to_string(), "discovery": options.discovery.address.to_string(),
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": options.discovery.address.to_string(),
         "seed": "8c1f30d27a5be964", "known": list_in_config,
         "limits": {"cores": 1.0, "memory_mb": options.limit_mb, "sockets": 1024},
         "settings": {
@@ -100,16 +101,15 @@
     })
 }
 
-/// An address at which nothing listens.
-fn unused_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// The address at which the process of this log listens, once the log names it.
+fn listening_address(log: &str) -> Option<SocketAddr> {
+    log.lines().find_map(|line| line.split_once("INFO listens on ")?.1.parse().ok())
 }
 
 impl Process {
     /// Starts a process and waits until it answers.
     pub async fn start(options: &StartOptions<'_>) -> Process {
-        let address = unused_address();
-        let config = configuration(options, address);
+        let config = configuration(options);
         let file = tempfile::NamedTempFile::new().unwrap().into_temp_path();
         std::fs::write(&file, config.to_string()).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_pumicebay"))
@@ -137,11 +137,16 @@
                 *shared_log.lock().unwrap() += &format!("{line}\n");
             }
         });
+        // Known once the process listens.
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut process = Process { address, child, config, file, peak_kb, killed, core_waits, log };
         let polls = (START_TIMEOUT.as_millis() / 20) as usize;
         for _ in 0..polls {
             process.assert_alive();
-            if matches!(send_command(address, &[b"PING"]).await, Some(Frame::Simple(_))) {
+            if let Some(address) = listening_address(&process.log())
+                && matches!(send_command(address, &[b"PING"]).await, Some(Frame::Simple(_)))
+            {
+                process.address = address;
                 return process;
             }
             sleep(Duration::from_millis(20)).await;
--- a/crates/proxy/tests/second_answers.rs
+++ b/crates/proxy/tests/second_answers.rs
@@ -5,9 +5,11 @@
 use pumicebay::resp::{Frame, Resp};
 use serde_json::{Value as Json, json};
 use std::collections::HashMap;
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
@@ -133,29 +135,55 @@
     }
 }
 
-/// A proxy process, killed on drop.
+/// A proxy process, killed on drop. If the test has failed by then, its log and its exit are printed.
 struct Process {
     child: Child,
+    log: Arc<Mutex<String>>,
     /// Deleted on drop.
     _config: tempfile::TempPath,
 }
 
+impl Process {
+    /// Reads the log as it is written.
+    fn follow_log(&mut self) {
+        let (lines, log) = (BufReader::new(self.child.stderr.take().unwrap()), self.log.clone());
+        thread::spawn(move || {
+            for line in lines.lines().map_while(Result::ok) {
+                *log.lock().unwrap() += &format!("{line}\n");
+            }
+        });
+    }
+
+    /// The address that the process has chosen, once its log names it.
+    fn address(&self) -> Option<SocketAddr> {
+        let log = self.log.lock().unwrap();
+        log.lines().find_map(|line| line.split_once("INFO listens on ")?.1.parse().ok())
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
+        if thread::panicking() {
+            eprintln!(
+                "the proxy's exit: {:?}; its log:\n{}",
+                self.child.try_wait(),
+                self.log.lock().unwrap()
+            );
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 }
 
-/// Starts a proxy for these nodes and waits until it answers.
+/// Starts a proxy for these nodes and waits until it listens. It chooses its port itself: another test could take one
+/// that is chosen for it before it listens.
 async fn start_proxy(targets: Vec<Json>) -> (Process, SocketAddr) {
-    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let route = |name: &str, effect: &str| {
         json!({"name": name, "effect": effect, "payoff": 1.0,
                "latency-objective-us": 500_000, "overall-timeout-us": 1_000_000})
     };
     let config = json!({
-        "name": "n0", "listen": address.to_string(), "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"rev": 41, "all": true, "targets": targets},
         "settings": {
@@ -171,10 +199,11 @@
     let file = tempfile::NamedTempFile::new().unwrap().into_temp_path();
     std::fs::write(&file, config.to_string()).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_pumicebay"));
-    command.args(["serve", "--config"]).arg(&file).stdin(Stdio::null()).stderr(Stdio::null());
-    let process = Process { child: command.spawn().unwrap(), _config: file };
+    command.args(["serve", "--config"]).arg(&file).stdin(Stdio::null()).stderr(Stdio::piped());
+    let mut process = Process { child: command.spawn().unwrap(), log: Arc::default(), _config: file };
+    process.follow_log();
     for _ in 0..1500 {
-        if TcpStream::connect(address).await.is_ok() {
+        if let Some(address) = process.address() {
             return (process, address);
         }
         sleep(Duration::from_millis(20)).await;
