Streaming: a long write is answered in its client's time although the origin takes no more of it

Cause: sending a streamed value was the one step of an attempt without a deadline (upstream/attempt.rs, `run`: `connection.upload`), because the time counts from the write's last byte and nothing knew when that had arrived: the connection reads only as fast as the node takes, so the end stays in the kernel. After the upload the time limit began anew for the same reason.

Change: `UploadArrival` follows what is left of the command against the read buffer and the kernel's count of unread bytes. All steps that send end through `send_step`: cancelled, or their time is over; for a streamed value that is the client's, and the outcome `Unsent`, since the last byte was not written. The deadline after the upload is the client's at the latest.

--- a/crates/proxy/src/front/connection.rs
+++ b/crates/proxy/src/front/connection.rs
@@ -5,7 +5,8 @@
 use crate::front::commands::{Command, is_write, parse_command};
 use crate::front::frontend::Frontend;
 use crate::front::input::{disconnected, is_disconnected, next_command, next_part};
-use crate::front::replies::{OpenRequest, OutgoingReply, PendingReplies, Reply};
+use crate::front::replies::{ClientDeadline, OpenRequest, OutgoingReply, PendingReplies, Reply};
+use crate::front::upload_arrival::UploadArrival;
 use crate::front::writer::{release_buffer, write_frame, write_value};
 use crate::messages::ClientRequest;
 use crate::phases::Phase;
@@ -197,7 +198,7 @@
         self.frontend.shared.counters.bad_commands.add();
         let reply = Reply::Ready(Frame::error(format!("ERR Protocol error: {error}")));
         self.pending.push(reply, None);
-        self.send_pending_replies().await?;
+        self.send_pending_replies(None).await?;
         // Closing with unread input would reset the connection, and the client might lose the reply.
         let stream = self.framed.get_mut();
         stream.shutdown().await?;
@@ -209,13 +210,20 @@
         Ok(())
     }
 
-    /// Sends all pending replies in order. Fails once the client has disconnected.
-    async fn send_pending_replies(&mut self) -> std::io::Result<()> {
+    /// Sends all pending replies in order. Fails once the client has disconnected. Meanwhile it follows the arrival of
+    /// the write behind them, if there is one.
+    async fn send_pending_replies(&mut self, mut arrival: Option<&mut UploadArrival>) -> std::io::Result<()> {
         while !self.pending.is_empty() {
+            let client_left = async {
+                match &mut arrival {
+                    Some(arrival) => arrival.watch(&self.framed).await,
+                    None => disconnected(self.framed.get_ref().tcp()).await,
+                }
+            };
             let reply = tokio::select! {
                 biased;
                 reply = self.pending.next() => reply,
-                () = disconnected(self.framed.get_ref().tcp()) => return Err(ErrorKind::ConnectionAborted.into()),
+                () = client_left => return Err(ErrorKind::ConnectionAborted.into()),
             };
             self.send_reply(reply).await?;
         }
@@ -254,13 +262,14 @@
     /// Handles a command whose last argument is long: forwards the value as it arrives, or discards it if the
     /// reply comes first. The replies to earlier commands are sent before.
     async fn receive_upload(&mut self, mut words: Vec<Frame>, length: usize) -> std::io::Result<()> {
-        self.send_pending_replies().await?;
+        let mut arrival = UploadArrival::new(length, self.framed.get_ref().received_at());
+        self.send_pending_replies(Some(&mut arrival)).await?;
         words.push(Frame::Bulk(Bytes::new()));
         let (reply, mut sender) = match self.frontend.shared.streamed_values.clone().try_acquire_owned() {
             Ok(permit) => {
                 let (sender, value) = streaming::streamed_value(length, Some(permit));
-                let reply =
-                    self.handle_command(Frame::Array(words), Some(Box::new(Upload::new(value)))).await;
+                let upload = Box::new(Upload::new(value, arrival.last_byte()));
+                let reply = self.handle_command(Frame::Array(words), Some(upload)).await;
                 (reply, Some(sender))
             }
             Err(_) => (Reply::Ready(Frame::error("BUSY")), None),
@@ -271,8 +280,17 @@
         self.pending.push(reply, None);
         let mut piece = None;
         loop {
+            arrival.check(&self.framed);
             let (reply_pending, piece_pending) =
                 (!self.pending.is_empty(), sender.is_some() && piece.is_some());
+            let next = async {
+                if piece_pending {
+                    // The receiver of the value is slow, not the client.
+                    arrival.watch(&self.framed).await;
+                    return Ok(None);
+                }
+                timeout(SILENCE_TIMEOUT, next_part(&mut self.framed)).await
+            };
             tokio::select! {
                 biased;
                 reply = self.pending.next(), if reply_pending => {
@@ -283,12 +301,14 @@
                     piece = None;
                     sender = sender.filter(|_| sent.is_ok());
                 }
-                part = timeout(SILENCE_TIMEOUT, next_part(&mut self.framed, !piece_pending)) => match part {
-                    // The receiver of the value is slow, not the client.
-                    Err(_) if piece_pending => {}
-                    Ok(Some(Ok(FramePart::Piece(received)))) => piece = Some(received),
+                part = next => match part {
+                    Ok(Some(Ok(FramePart::Piece(received)))) => {
+                        arrival.record_taken(received.len());
+                        piece = Some(received);
+                    }
                     Ok(Some(Ok(FramePart::End(after)))) if after.is_empty() => {
-                        self.pending.last_request_received();
+                        arrival.record_end();
+                        arrival.check(&self.framed);
                         return Ok(());
                     }
                     Ok(Some(Ok(_))) => return self.reject(invalid("words behind a value")).await,
@@ -314,7 +334,7 @@
             Ok(Command::Request(ask, request)) => {
                 let deadline = received_at.saturating_add(ask.client_timeout);
                 let client_timeout = Duration::from_nanos(ask.client_timeout);
-                let received_whole = upload.is_none();
+                let last_byte = upload.as_ref().map(|upload| upload.last_byte.clone());
                 let request = ClientRequest {
                     received_at,
                     deadline,
@@ -323,7 +343,10 @@
                     ..request
                 };
                 let (request_id, answer) = self.frontend.shared.dispatcher.submit(ask, request).await;
-                let deadline = received_whole.then(|| self.frontend.shared.clock.instant(deadline));
+                let deadline = match last_byte {
+                    Some(last_byte) => ClientDeadline::AfterLastByte(last_byte),
+                    None => ClientDeadline::At(self.frontend.shared.clock.instant(deadline)),
+                };
                 Reply::Waiting(OpenRequest { request_id, client_timeout, deadline, answer })
             }
             Ok(Command::Reply(reply)) => Reply::Ready(reply),
--- a/crates/proxy/src/front/input.rs
+++ b/crates/proxy/src/front/input.rs
@@ -26,28 +26,28 @@
     disconnected(stream).now_or_never().is_some()
 }
 
-/// The next part of the client's input; `None` once it has disconnected. Without `read_more` it reads nothing
-/// and only waits for that.
+/// The next part of a command that has begun; `None` once the client has disconnected. Records when it arrived.
 pub async fn next_part(
     framed: &mut Framed<ClientStream, StreamingResp>,
-    read_more: bool,
 ) -> Option<std::io::Result<FramePart>> {
-    if !read_more {
-        disconnected(framed.get_ref().tcp()).await;
-        return None;
+    if framed.read_buffer().is_empty()
+        && let Err(error) = framed.get_mut().wait_readable().await
+    {
+        return Some(Err(error));
     }
     framed.next().await
 }
 
 /// The next command, which must be complete within `COMMAND_TIMEOUT` of its first byte; `None` once the
-/// client has disconnected.
+/// client has disconnected. Without `read_more` it reads nothing and only waits for that.
 pub async fn next_command(
     framed: &mut Framed<ClientStream, StreamingResp>,
     started: &mut Option<Instant>,
     read_more: bool,
 ) -> Option<std::io::Result<FramePart>> {
     if !read_more {
-        return next_part(framed, read_more).await;
+        disconnected(framed.get_ref().tcp()).await;
+        return None;
     }
     if framed.read_buffer().is_empty() {
         if let Err(error) = framed.get_mut().wait_readable().await {
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -8,4 +8,5 @@
 mod input;
 pub mod listener;
 mod replies;
+mod upload_arrival;
 mod writer;
--- a/crates/proxy/src/front/replies.rs
+++ b/crates/proxy/src/front/replies.rs
@@ -4,7 +4,7 @@
 use crate::counters::Counters;
 use crate::messages::Answer;
 use crate::resp::Frame;
-use crate::streaming::{BufferedValueLimit, StreamedValue, Value};
+use crate::streaming::{BufferedValueLimit, LastByteArrival, StreamedValue, Value};
 use futures_util::future::BoxFuture;
 use pumicebay_core::RequestId;
 use std::collections::VecDeque;
@@ -40,12 +40,20 @@
     pub request_id: RequestId,
     /// How long the client waits from the request's last byte on.
     pub client_timeout: Duration,
-    /// When the client stops waiting; `None` while the last byte is still to come.
-    pub deadline: Option<Instant>,
+    /// When the client stops waiting.
+    pub deadline: ClientDeadline,
     /// Receives the final answer.
     pub answer: oneshot::Receiver<Answer>,
 }
 
+/// When a client stops waiting.
+pub enum ClientDeadline {
+    /// Its request came whole.
+    At(Instant),
+    /// A streamed write: its time counts from the last byte, which may still be to come.
+    AfterLastByte(LastByteArrival),
+}
+
 /// A reply that is ready to be written.
 pub enum OutgoingReply {
     /// It is in memory as a whole.
@@ -62,13 +70,6 @@
         self.0.push_back(PendingReply { reply, _permit: permit });
     }
 
-    /// Notes that the last byte of the last request has arrived now.
-    pub fn last_request_received(&mut self) {
-        if let Some(Reply::Waiting(request)) = self.0.back_mut().map(|pending| &mut pending.reply) {
-            request.deadline = Some(Instant::now() + request.client_timeout);
-        }
-    }
-
     /// How many replies are due.
     pub fn len(&self) -> usize {
         self.0.len()
@@ -120,13 +121,21 @@
 }
 
 impl OpenRequest {
+    /// How long the client still waits at this time.
+    fn time_left(&self, now: Instant) -> Duration {
+        let deadline = match &self.deadline {
+            ClientDeadline::At(deadline) => Some(*deadline),
+            ClientDeadline::AfterLastByte(arrival) => arrival.get().map(|at| *at + self.client_timeout),
+        };
+        deadline.map_or(self.client_timeout, |deadline| deadline.saturating_duration_since(now))
+    }
+
     /// Waits for the final answer. Cancel safe.
     async fn reply(&mut self) -> OutgoingReply {
         OutgoingReply::Frame(match (&mut self.answer).await {
             Ok(Answer::Completed(Value::Whole(value))) => Frame::Bulk(value),
             Ok(Answer::Completed(Value::Streamed(value))) => {
-                let time_left = |deadline: Instant| deadline.saturating_duration_since(value.began_at);
-                let time_left = self.deadline.map_or(self.client_timeout, time_left);
+                let time_left = self.time_left(value.began_at);
                 return OutgoingReply::Arriving(value, time_left);
             }
             Ok(Answer::Shed(0)) => Frame::error("BUSY"),
--- a/crates/proxy/src/messages.rs
+++ b/crates/proxy/src/messages.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
 
 /// Events that may wait for the dispatcher.
 const EVENT_QUEUE: usize = 4096;
@@ -43,6 +45,25 @@
     pub fn client_disconnected(&self) -> bool {
         self.client_alive.strong_count() == 0
     }
+
+    /// How long the client waits from the request's last byte on.
+    fn client_timeout(&self) -> Duration {
+        Duration::from_nanos(self.deadline.saturating_sub(self.received_at))
+    }
+
+    /// When the client of a streamed write stops waiting; `None` while the last byte has not arrived.
+    pub fn upload_deadline(&self) -> Option<Instant> {
+        let arrived_at = self.upload.as_ref()?.last_byte.get()?;
+        Some(*arrived_at + self.client_timeout())
+    }
+
+    /// Returns once the client of a streamed write has stopped waiting; never for other requests.
+    pub async fn upload_time_over(&self) {
+        match &self.upload {
+            Some(upload) => sleep_until(*upload.last_byte.wait().await + self.client_timeout()).await,
+            None => std::future::pending().await,
+        }
+    }
 }
 
 /// The final answer to a request.
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -8,7 +8,7 @@
 use std::io::Error;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, SetOnce, mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
 /// The most bytes of one piece.
@@ -102,18 +102,23 @@
     }
 }
 
+/// When the last byte of a write arrived at this machine, once that is known.
+pub type LastByteArrival = Arc<SetOnce<Instant>>;
+
 /// A value that a client is still sending. It can be taken once: a second attempt finds it gone.
 #[derive(Debug)]
 pub struct Upload {
     /// The value's length in bytes.
     pub length: usize,
+    /// When the write's last byte arrived.
+    pub last_byte: LastByteArrival,
     value: Mutex<Option<StreamedValue>>,
 }
 
 impl Upload {
     /// Wraps the receiving end.
-    pub fn new(value: StreamedValue) -> Upload {
-        Upload { length: value.length, value: Mutex::new(Some(value)) }
+    pub fn new(value: StreamedValue, last_byte: LastByteArrival) -> Upload {
+        Upload { length: value.length, last_byte, value: Mutex::new(Some(value)) }
     }
 
     /// Takes the receiving end; `None` if an attempt has taken it before.
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::yield_now;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 /// The client of a request that arrived within this time is assumed to be still connected.
@@ -67,6 +67,21 @@
         old
     }
 
+    /// When the client of an attempt with a streamed value stops waiting; `None` while that is not known.
+    fn upload_deadline(&self) -> Option<Instant> {
+        if let NodeOperation::Attempt { request, .. } = self { request.upload_deadline() } else { None }
+    }
+
+    /// Returns once the client of an attempt with a streamed value has stopped waiting. The outcome says nothing about
+    /// the node, which may just have been given the value too late.
+    async fn upload_time_over(&self) -> Outcome {
+        match self {
+            NodeOperation::Attempt { request, .. } => request.upload_time_over().await,
+            NodeOperation::Probe { .. } => std::future::pending().await,
+        }
+        Outcome::Unsent
+    }
+
     /// Returns when the attempt is cancelled; never for a probe.
     async fn cancelled(&self) {
         match self.cancel_token() {
@@ -161,8 +176,7 @@
         operation.yield_to_disconnects(shared).await;
         Ok(connection)
     };
-    let mut connection = match unless_cancelled(shared, operation, before_deadline(deadline, connected)).await
-    {
+    let mut connection = match send_step(shared, operation, unreachable_at(deadline), connected).await {
         Ok(connection) => connection,
         Err(outcome) => return (Some(outcome.into()), None),
     };
@@ -177,15 +191,19 @@
     );
     // Until its last byte is written, the node cannot have run the request.
     let written = connection.write(shared, operation);
-    if let Err(outcome) = unless_cancelled(shared, operation, before_deadline(deadline, written)).await {
+    if let Err(outcome) = send_step(shared, operation, unreachable_at(deadline), written).await {
         return (Some(outcome.into()), None);
     }
     if let Some(value) = value {
-        if let Err(outcome) = unless_cancelled(shared, operation, Box::pin(connection.upload(value))).await {
+        let uploaded = Box::pin(connection.upload(value));
+        if let Err(outcome) = send_step(shared, operation, operation.upload_time_over(), uploaded).await {
             return (Some(outcome.into()), None);
         }
         // The time limit of an attempt with a streamed value counts from the value's last byte.
         deadline = Instant::now() + time_limit;
+        if let Some(client_deadline) = operation.upload_deadline() {
+            deadline = deadline.min(client_deadline);
+        }
     }
     let stall_timeout = shared.config.connect_timeout / 2;
     match timeout_at(deadline, connection.read_reply(operation, stall_timeout)).await {
@@ -265,13 +283,16 @@
     Outcome::Severed
 }
 
-/// Runs a step of sending unless the attempt is cancelled, then the outcome is `Unsent`. An attempt that waited must not
-/// start once its request is answered, its client gone or its node draining: no attempt of a request may go on after
-/// its final answer, a draining node gets no new work, and nodes do no work in vain. Cancellation is checked first each
-/// time the step could go on, so that what is cancelled before its last byte never runs.
-async fn unless_cancelled<T>(
+/// Runs a step of sending unless the attempt is cancelled, then the outcome is `Unsent`, or its time is over first, then
+/// it is what `time_over` returns. Every step that sends goes through here, so that none outlasts its request. An attempt
+/// that waited must not start once its request is answered, its client gone or its node draining: no attempt of a
+/// request may go on after its final answer, a draining node gets no new work, and nodes do no work in vain.
+/// Cancellation and time are checked first each time the step could go on, so that what is cancelled or late before its
+/// last byte never runs.
+async fn send_step<T>(
     shared: &Shared,
     operation: &NodeOperation,
+    time_over: impl Future<Output = Outcome>,
     step: impl Future<Output = Result<T, Outcome>>,
 ) -> Result<T, Outcome> {
     tokio::select! {
@@ -280,15 +301,13 @@
             shared.counters.tries_taken_back.add();
             Err(Outcome::Unsent)
         }
+        outcome = time_over => Err(outcome),
         done = step => done,
     }
 }
 
-/// Runs a step of sending. If it is not done by the deadline, the outcome is `Unreachable`: the node has not received
-/// the whole request.
-async fn before_deadline<T>(
-    deadline: Instant,
-    step: impl Future<Output = Result<T, Outcome>>,
-) -> Result<T, Outcome> {
-    timeout_at(deadline, step).await.unwrap_or(Err(Outcome::Unreachable))
+/// The outcome of a step of sending that is not done by the deadline: the node has not received the whole request.
+async fn unreachable_at(deadline: Instant) -> Outcome {
+    sleep_until(deadline).await;
+    Outcome::Unreachable
 }
--- a/crates/proxy/tests/proxy/clients.rs
+++ b/crates/proxy/tests/proxy/clients.rs
@@ -480,7 +480,7 @@
 }
 
 /// Sends a long write in chunks, all but its last byte.
-async fn begin_write(client: &mut Client, key: &str, labels: &str, value: &[u8], chunk_length: usize) {
+pub async fn begin_write(client: &mut Client, key: &str, labels: &str, value: &[u8], chunk_length: usize) {
     let arguments =
         ["C.SET", key, key, labels].map(|argument| format!("${}\r\n{argument}\r\n", argument.len()));
     let head = format!("*5\r\n{}${}\r\n", arguments.concat(), value.len());
@@ -492,7 +492,7 @@
 }
 
 /// Sends the last byte of a long write.
-async fn end_write(client: &mut Client, value: &[u8]) {
+pub async fn end_write(client: &mut Client, value: &[u8]) {
     let tail = [&value[value.len() - 1..], b"\r\n"].concat();
     client.0.get_mut().write_all(&tail).await.unwrap();
 }
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod large_list;
 mod list;
+mod long_writes;
 mod metrics;
 mod migrate;
 mod nodes;
