Streaming: a long write whose client falls silent is answered, then refused

Callers saw: a client that pauses for over 2.7 s amid a long value got neither the reply to its write nor the error, and the request stayed open.

Cause: receive_upload rejected the command while it still owned the value's sender; reject waits for the reply to the write, and the write's attempt waits for the rest of the value as long as there is a sender.

Change: the sender is dropped first.

--- a/crates/proxy/src/front/connection.rs
+++ b/crates/proxy/src/front/connection.rs
@@ -279,7 +279,7 @@
         }
         self.pending.push(reply, None);
         let mut piece = None;
-        loop {
+        let error = loop {
             arrival.check(&self.framed);
             let (reply_pending, piece_pending) =
                 (!self.pending.is_empty(), sender.is_some() && piece.is_some());
@@ -311,13 +311,16 @@
                         arrival.check(&self.framed);
                         return Ok(());
                     }
-                    Ok(Some(Ok(_))) => return self.reject(invalid("words behind a value")).await,
-                    Ok(Some(Err(error))) => return self.reject(error).await,
+                    Ok(Some(Ok(_))) => break invalid("words behind a value"),
+                    Ok(Some(Err(error))) => break error,
                     Ok(None) => return Ok(()),
-                    Err(_) => return self.reject(invalid("command without end")).await,
+                    Err(_) => break invalid("command without end"),
                 },
             }
-        }
+        };
+        // The reply to the write, which is due before the error, waits for the rest of the value.
+        drop(sender);
+        self.reject(error).await
     }
 
     /// Executes a command, or submits its request to the dispatcher.
--- a/crates/proxy/tests/proxy/long_writes.rs
+++ b/crates/proxy/tests/proxy/long_writes.rs
@@ -160,3 +160,23 @@
     assert_eq!((read.as_str(), reply.as_str()), ("value of held\n", "-BUSY 250\n"), "{}", env.counters);
     assert!(after < CLIENT_TIMEOUT + MARGIN, "{after:?}");
 }
+
+/// Guards against a wait without end for the reply to a write whose client falls silent: the write waits for the rest of
+/// the value, and the error that ends the connection waits for the reply to the write.
+#[tokio::test]
+async fn a_long_write_whose_client_falls_silent_is_answered_before_the_error() {
+    let env = TestEnvironment::start(&[]).await;
+    let mut client = env.client().await;
+    let value = patterned_value(VALUE_BYTES);
+    begin_write(&mut client, "w-silent", LABELS, &value, VALUE_BYTES).await;
+    let silent_since = Instant::now();
+    let (write, _) = reply_after(&mut client, silent_since).await;
+    let (error, after) = reply_after(&mut client, silent_since).await;
+    assert_eq!(
+        (write.as_str(), error.as_str()),
+        ("-BUSY 250\n", "-ERR Protocol error: command without end\n")
+    );
+    assert!(after < Duration::from_secs(4), "{after:?}");
+    env.origin.wait_for("closed").await;
+    assert!(!env.origin.log().contains("PUT /w-silent"), "{}", env.origin.log());
+}
