Clients: a long write begins beside the commands before it, so its client's end is seen in time

Callers saw: a client that sends a read and a write of 200 KB or more and closes 50 ms later still got a further attempt 0.45 s after (0.1 s is the limit), and a request behind such a write was told to a node with up to 0.5 s too much.

Cause: receive_upload sent the replies to all commands before the write before it read any of the value. What is not read closes the receive window, so the end of the stream stays in the client's kernel; what came behind was stamped when it was read.

Change: the write begins at once, as short ones do; replies due before it are sent meanwhile. Only its own reply ends the reading of the value.

--- a/crates/proxy/src/front/connection.rs
+++ b/crates/proxy/src/front/connection.rs
@@ -198,7 +198,7 @@
         self.frontend.shared.counters.bad_commands.add();
         let reply = Reply::Ready(Frame::error(format!("ERR Protocol error: {error}")));
         self.pending.push(reply, None);
-        self.send_pending_replies(None).await?;
+        self.send_pending_replies().await?;
         // Closing with unread input would reset the connection, and the client might lose the reply.
         let stream = self.framed.get_mut();
         stream.shutdown().await?;
@@ -210,20 +210,13 @@
         Ok(())
     }
 
-    /// Sends all pending replies in order. Fails once the client has disconnected. Meanwhile it follows the arrival of
-    /// the write behind them, if there is one.
-    async fn send_pending_replies(&mut self, mut arrival: Option<&mut UploadArrival>) -> std::io::Result<()> {
+    /// Sends all pending replies in order. Fails once the client has disconnected.
+    async fn send_pending_replies(&mut self) -> std::io::Result<()> {
         while !self.pending.is_empty() {
-            let client_left = async {
-                match &mut arrival {
-                    Some(arrival) => arrival.watch(&self.framed).await,
-                    None => disconnected(self.framed.get_ref().tcp()).await,
-                }
-            };
             let reply = tokio::select! {
                 biased;
                 reply = self.pending.next() => reply,
-                () = client_left => return Err(ErrorKind::ConnectionAborted.into()),
+                () = disconnected(self.framed.get_ref().tcp()) => return Err(ErrorKind::ConnectionAborted.into()),
             };
             self.send_reply(reply).await?;
         }
@@ -260,10 +253,10 @@
     }
 
     /// Handles a command whose last argument is long: forwards the value as it arrives, or discards it if the
-    /// reply comes first. The replies to earlier commands are sent before.
+    /// reply comes first. The replies to earlier commands are sent meanwhile: reading on is the only way to see that the
+    /// client has left behind the value.
     async fn receive_upload(&mut self, mut words: Vec<Frame>, length: usize) -> std::io::Result<()> {
         let mut arrival = UploadArrival::new(length, self.framed.get_ref().received_at());
-        self.send_pending_replies(Some(&mut arrival)).await?;
         words.push(Frame::Bulk(Bytes::new()));
         let (reply, mut sender) = match self.frontend.shared.streamed_values.clone().try_acquire_owned() {
             Ok(permit) => {
@@ -295,7 +288,8 @@
                 biased;
                 reply = self.pending.next(), if reply_pending => {
                     self.send_reply(reply).await?;
-                    sender = None;
+                    // The last reply is that of the write.
+                    sender = sender.filter(|_| !self.pending.is_empty());
                 }
                 sent = send_piece(&sender, &piece), if piece_pending => {
                     piece = None;
--- a/crates/proxy/tests/proxy/long_writes.rs
+++ b/crates/proxy/tests/proxy/long_writes.rs
@@ -1,7 +1,7 @@
 //! Long writes whose value the origin does not take in time. The client's time counts from the write's last byte, which may
 //! have arrived while the proxy still waits for the origin.
 
-use crate::clients::{begin_write, end_write};
+use crate::clients::{begin_write, end_write, long_write};
 use crate::{Client, StubState, TestEnvironment, patterned_value, target};
 use nix::sys::socket::{setsockopt, sockopt::TcpMaxSeg};
 use serde_json::json;
@@ -180,3 +180,49 @@
     env.origin.wait_for("closed").await;
     assert!(!env.origin.log().contains("PUT /w-silent"), "{}", env.origin.log());
 }
+
+/// Guards against an attempt for a client that has left: the end of its stream lies behind the value of a long write, and
+/// is seen only if the value is read while the replies to the commands before it are awaited.
+#[tokio::test]
+async fn a_client_that_leaves_behind_a_long_write_gets_no_further_attempt() {
+    for length in [200_000, 500_000, 1_000_000, 2_000_000] {
+        let env = TestEnvironment::start(&[]).await;
+        let mut client = env.client().await;
+        // The cache answers with a miss after 0.3 s; the origin would be the further attempt.
+        client.send(&["C.GET", "late", "late", "c=read,d=3000"]).await;
+        env.cache.wait_for("C.GET late").await;
+        let mut stream = client.0.into_inner();
+        let writing = tokio::spawn(async move {
+            let _ = stream.write_all(&long_write("w-behind", LABELS, &patterned_value(length))).await;
+        });
+        sleep(Duration::from_millis(50)).await;
+        writing.abort();
+        let _ = writing.await;
+        // By then the cache has answered with a miss.
+        sleep(Duration::from_millis(600)).await;
+        assert!(!env.origin.log().contains("GET /late"), "{length} bytes: {}", env.origin.log());
+    }
+}
+
+/// Guards against a node that is told that a client waits longer than it does: a request behind a long write arrives while
+/// the reply to a command before the write is awaited.
+#[tokio::test]
+async fn a_request_behind_a_long_write_keeps_its_time_of_arrival() {
+    let env = TestEnvironment::start(&[]).await;
+    let mut client = env.client().await;
+    client.send(&["C.GET", "held", "held", "c=read,d=3000"]).await;
+    env.cache.wait_for("C.GET held").await;
+    let value = patterned_value(100_000);
+    begin_write(&mut client, "w-before", LABELS, &value, value.len()).await;
+    end_write(&mut client, &value).await;
+    client.send(&["C.GET", "hit", "behind", "c=read,d=1000"]).await;
+    sleep(Duration::from_millis(500)).await;
+    env.cache.release(1);
+    env.cache.wait_for("C.GET hit behind").await;
+    let attempts = env.cache.attempts();
+    let behind = attempts.iter().find(|attempt| attempt.id == "behind").unwrap();
+    let held = attempts.iter().find(|attempt| attempt.id == "held").unwrap();
+    let waited = behind.received_at.duration_since(held.received_at);
+    let told = Duration::from_millis(behind.timeout_ms.unwrap());
+    assert!(told + waited <= CLIENT_TIMEOUT + Duration::from_millis(50), "told {told:?} after {waited:?}");
+}
