Stop: routes that were dropped do not prolong Closing past the platform's time

Cause: Routes::longest_timeout counted dropped routes, whose entries stay.

Change: only routes in force count, as for the platform.

Evidence: a_route_that_was_dropped_does_not_prolong_the_stop: Closing took 3.052 s before with 0.4 s for the longest route in force; passes now.

--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -33,9 +33,10 @@
         self.0.iter().position(named).map(|number| (number, self.0[number].overall_timeout))
     }
 
-    /// The longest overall timeout of any route.
+    /// The longest overall timeout of the routes in force. The platform reckons with no others when it stops a process.
     pub fn longest_timeout(&self) -> Duration {
-        Duration::from_nanos(self.0.iter().map(|route| route.overall_timeout).max().unwrap_or(0))
+        let in_force = self.0.iter().filter(|route| route.dropped.is_none());
+        Duration::from_nanos(in_force.map(|route| route.overall_timeout).max().unwrap_or(0))
     }
 }
 
--- a/crates/proxy/tests/proxy/phases.rs
+++ b/crates/proxy/tests/proxy/phases.rs
@@ -2,6 +2,7 @@
 
 use crate::TestEnvironment;
 use expect_test::expect;
+use pumicebay::config::parse;
 use pumicebay::phases::{Phase, Phases};
 use serde_json::json;
 use std::time::Duration;
@@ -76,6 +77,33 @@
     .assert_eq(&replies);
 }
 
+/// Guards against requests lost at a stop after a reload: the time for them ended with the longest timeout of any route
+/// ever configured, when the platform had killed the process.
+#[tokio::test]
+async fn a_route_that_was_dropped_does_not_prolong_the_stop() {
+    let short_timeouts = [0, 1].map(|route| {
+        [
+            (format!("/settings/routes/{route}/overall-timeout-us"), json!(400_000)),
+            (format!("/settings/routes/{route}/latency-objective-us"), json!(200_000)),
+        ]
+    });
+    let short_timeouts = short_timeouts.as_flattened().iter();
+    let mut overrides: Vec<_> = short_timeouts.map(|(key, value)| (key.as_str(), value.clone())).collect();
+    overrides.push(("/settings/routes/2/overall-timeout-us", json!(6_000_000)));
+    let mut env = TestEnvironment::start(&overrides).await;
+    env.config_json["settings"]["routes"].as_array_mut().unwrap().pop();
+    env.configs.send(parse(&env.config_json)).await.unwrap();
+    env.wait_for_counter("reloads 1").await;
+    let mut client = env.client().await;
+    // A command in part keeps its connection open until the proxy leaves.
+    client.0.get_mut().write_all(b"*1\r\n").await.unwrap();
+    env.stop().await;
+    env.phase_watch.reached(Phase::Closing).await;
+    let closing = Instant::now();
+    env.phase_watch.reached(Phase::Leaving).await;
+    assert!(closing.elapsed() < Duration::from_millis(1000), "{:?}", closing.elapsed());
+}
+
 /// Without open connections the proxy stops once draining is over, with some once they close, and at the
 /// latest when the platform's time is over.
 #[tokio::test(start_paused = true)]
