Stop: requests that wait without an attempt are answered before the process ends

Cause: Leaving withdraws the attempts that are out, but the balancer knew nothing of the end. What waited, or began to wait after its attempt was withdrawn, was left to its own timer, and the process ends 80 ms later.

Change: at Leaving the dispatcher calls Balancer::stop. Then nothing waits and nothing is sent; what waits is given up at once, the rest when its attempt ends (reason stopping).

Evidence: requests_that_wait_without_an_attempt_are_answered_before_the_process_ends forces the crossing for room at a cache, a turn on a key, another's fetch and room at the origin. Before: "ERR no answer" for two of the first three requests; passes now.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -51,6 +51,8 @@
     pub(crate) tenants: Tenants,
     pub(crate) demand: DemandStats,
     pub(crate) machine_types: MachineTypes,
+    /// Whether the proxy is about to end: then nothing waits and nothing is sent.
+    pub(crate) stopping: bool,
     /// When to ask discovery for the node list; `Nanos::MAX` once asked.
     pub(crate) watch_at: Nanos,
     /// The delay after the next failure of that request.
@@ -89,6 +91,7 @@
             tenants: Tenants::new(&settings),
             demand: DemandStats::default(),
             machine_types: MachineTypes::default(),
+            stopping: false,
             watch_at: 0,
             watch_backoff: TICK,
             scratch: Scratch::default(),
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -61,11 +61,13 @@
     BrokeOff,
     /// Its client's deadline has passed.
     OutOfTime,
+    /// The proxy stops, and no attempt can answer it any more.
+    Stopping,
 }
 
 impl GiveUpReason {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [GiveUpReason; 10] = {
+    pub const ALL: [GiveUpReason; 11] = {
         use GiveUpReason::*;
         [
             KeyBusy,
@@ -78,6 +80,7 @@
             NotSent,
             BrokeOff,
             OutOfTime,
+            Stopping,
         ]
     };
 
@@ -94,6 +97,7 @@
             GiveUpReason::NotSent => "not_sent",
             GiveUpReason::BrokeOff => "broke_off",
             GiveUpReason::OutOfTime => "out_of_time",
+            GiveUpReason::Stopping => "stopping",
         }
     }
 }
--- a/crates/core/src/policy/attempts.rs
+++ b/crates/core/src/policy/attempts.rs
@@ -62,6 +62,7 @@
         let (request, at_origin) = (&self.requests[&id], Some(node) == self.origin);
         let not_sent = outcome == Outcome::Unsent && self.nodes.states[node].is_ready();
         let given_up = match () {
+            () if self.stopping => Some(GiveUpReason::Stopping),
             () if not_sent => Some(GiveUpReason::NotSent),
             () if at_origin && outcome == Outcome::Saturated => Some(GiveUpReason::OriginBusy),
             () if request.response_started => Some(GiveUpReason::BrokeOff),
--- a/crates/core/src/policy/events.rs
+++ b/crates/core/src/policy/events.rs
@@ -68,6 +68,18 @@
         self.requests.contains_key(&id).then(|| self.finish(id));
     }
 
+    /// The proxy is about to end. Requests that wait are given up now, and those with an attempt in flight when that
+    /// ends: their own timers would be too late.
+    pub fn stop(&mut self, now: Nanos) {
+        self.advance_to(now);
+        self.stopping = true;
+        let waiting = self.requests.iter().filter(|(_, request)| request.awaits_decision());
+        let mut waiting: Vec<RequestId> = waiting.map(|(&id, _)| id).collect();
+        // The latest first: the end of one that others wait for would place these one within the other.
+        waiting.sort_unstable_by(|a, b| b.cmp(a));
+        self.place_waiting(waiting);
+    }
+
     /// A timer set with this token has fired: the periodic tick, or that of the request with this id.
     pub fn timer_fired(&mut self, now: Nanos, token: u64) {
         self.advance_to(now);
--- a/crates/core/src/policy/placement.rs
+++ b/crates/core/src/policy/placement.rs
@@ -17,6 +17,9 @@
 impl<H: Host, F: NodeIndex> Balancer<H, F> {
     /// Decides what happens to a request without attempts in flight: it is sent, waits or is given up.
     pub(crate) fn place_request(&mut self, id: RequestId) {
+        if self.stopping {
+            return self.give_up(id, GiveUpReason::Stopping);
+        }
         if self.waits_for_key_order(id) {
             return;
         }
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -101,8 +101,10 @@
         self.balance.host.prober = Some(prober);
     }
 
-    /// Handles control commands, timers and events, in this order of priority, until all handles are gone.
+    /// Handles control commands, the end of the process, timers and events, in this order of priority, until all handles
+    /// are gone.
     pub async fn run(mut self) {
+        let (mut leaving, mut stopped) = (self.balance.host.shared.phase.clone(), false);
         loop {
             let host = &self.balance.host;
             let now = host.shared.clock.now();
@@ -111,6 +113,10 @@
             tokio::select! {
                 biased;
                 Some(command) = self.mailbox.1.recv() => self.handle_command(command),
+                () = leaving.reached(Phase::Leaving), if !stopped => {
+                    stopped = true;
+                    self.balance.stop(self.balance.host.shared.clock.now());
+                }
                 () = sleep_until(wake) => self.run_timers(),
                 event = self.mailbox.0.recv() => match event {
                     Some(event) => {
--- a/crates/proxy/tests/proxy/phases.rs
+++ b/crates/proxy/tests/proxy/phases.rs
@@ -138,3 +138,82 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// How the process stops while a request waits without an attempt.
+struct WaitAtStop {
+    /// What the request waits for.
+    name: &'static str,
+    /// What makes it wait.
+    setting: (&'static str, serde_json::Value),
+    /// The keys of the requests, each on a connection of its own; the last one waits.
+    keys: &'static [&'static str],
+    /// The counter line that shows that it waits.
+    shown_by: &'static str,
+}
+
+/// Guards against a request that is left to its own timer when the process leaves, and is lost with it: whatever it waits
+/// for, it is answered before its connection closes, and no attempt follows.
+#[tokio::test]
+async fn requests_that_wait_without_an_attempt_are_answered_before_the_process_ends() {
+    let many_proxies = || ("/settings/fleet-size", json!(300));
+    let waits = [
+        WaitAtStop {
+            name: "room at a cache",
+            setting: many_proxies(),
+            keys: &["miss-held", "held-1", "hit"],
+            shown_by: "exchanges_taken 3",
+        },
+        WaitAtStop {
+            name: "its turn on a key",
+            setting: ("/settings/routes/0/keep-order", json!(true)),
+            keys: &["held-1", "held-1"],
+            shown_by: "exchanges_taken 2",
+        },
+        WaitAtStop {
+            name: "another's fetch",
+            setting: ("/settings/routes/0/payoff", json!(1.0)),
+            keys: &["miss-held", "miss-held"],
+            shown_by: "exchanges_taken 2",
+        },
+        WaitAtStop {
+            name: "room at the origin",
+            setting: many_proxies(),
+            keys: &["miss-held-1", "miss-held-2"],
+            shown_by: "tries_missed 2",
+        },
+    ];
+    for WaitAtStop { name, setting, keys, shown_by } in waits {
+        let long_timeout = |key| (key, json!(60_000_000));
+        let overrides = [
+            setting,
+            long_timeout("/settings/routes/0/overall-timeout-us"),
+            long_timeout("/settings/routes/0/latency-objective-us"),
+        ];
+        let mut env = TestEnvironment::start(&overrides).await;
+        let mut clients = Vec::new();
+        for (number, key) in keys.iter().enumerate() {
+            let mut client = env.client().await;
+            client.send(&["C.GET", key, &format!("id-{number}"), "c=read,d=60000"]).await;
+            env.wait_for_counter(&format!("exchanges_taken {}", number + 1)).await;
+            // The first ones hold what the last one waits for.
+            let held = |log: String| log.contains(&format!("id-{number}"));
+            while number + 1 < keys.len() && !held(env.cache.log()) && !held(env.origin.log()) {
+                sleep(Duration::from_millis(5)).await;
+            }
+            clients.push(client);
+        }
+        env.wait_for_counter(shown_by).await;
+        let sent = env.counter_lines("tries_sent");
+        env.stop().await;
+        let mut replies = Vec::new();
+        for mut client in clients {
+            replies.push(client.reply().await + &client.reply().await);
+        }
+        assert_eq!(replies, vec!["-BUSY 7500\nclosed\n"; keys.len()], "{name}");
+        env.proxy_task.await.expect("the proxy panicked");
+        assert_eq!(
+            env.counters.to_string().lines().find(|line| line.starts_with("tries_sent")),
+            sent.lines().next()
+        );
+    }
+}
