--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -6,7 +6,8 @@
 use crate::fleet;
 use crate::migrate::{self, MigrationOptions, PER_PROXY_OPTIONS};
 use crate::resp::{Frame, Resp};
-use crate::serve::{self, Proxy};
+use crate::serve::Proxy;
+use crate::signals;
 use anyhow::{Context, Result, bail};
 use futures_util::{SinkExt, StreamExt};
 use lexopt::prelude::*;
@@ -179,7 +180,7 @@
                 || config::reload(&file, environment_variable),
             )
         };
-        let (stop, configs) = (serve::termination_signal().await?, serve::reload_on_hangup(reload)?);
+        let (stop, configs) = (signals::termination_signal().await?, signals::reload_on_hangup(reload)?);
         Proxy::start(config, counters.clone()).await?.run(stop, configs).await
     });
     tracing::info!("counters: {}", counters.to_string().trim_end().replace('\n', ", "));
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher/mod.rs
@@ -1,29 +1,25 @@
 //! The dispatcher actor: the balancer of `pumicebay-core`, its mailbox, and the host that carries out what
 //! the balancer asks for. No handler ever waits for I/O.
 
-use crate::control::{ControlCommand, NodeKind, PROBE_TIMEOUT};
+mod host;
+
+use crate::control::{ControlCommand, NodeKind};
+use crate::dispatcher::host::{DispatcherHost, OpenRequest};
 use crate::event_loop;
 use crate::fleet::probe_handle::ProbeHandle;
-use crate::log_limiter::LogLimiter;
 use crate::memory::MemoryMonitor;
-use crate::messages::{Answer, AttemptResult, ClientRequest, DiscoveredNode, Event, ListPart, Mailbox};
-use crate::nodes::{NodeEntry, NodeTable};
+use crate::messages::{Answer, AttemptResult, DiscoveredNode, Event, ListPart, Mailbox};
+use crate::nodes::NodeEntry;
 use crate::phases::Phase;
 use crate::shared::Shared;
 use crate::streaming::Value;
-use crate::upstream::attempt::{self, NodeOperation, Target};
 use bytes::Bytes;
-use hashbrown::{HashMap, HashSet};
-use pumicebay_core::{
-    Balancer, GiveUpReason, Host, Nanos, Node, Outcome, ReportedLoad, RequestId, RequestParams, Settings,
-};
+use pumicebay_core::{Balancer, Nanos, Node, Outcome, ReportedLoad, RequestId, RequestParams, Settings};
 use pumicebay_names::stable_hash;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep_until};
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
 /// How long the dispatcher sleeps at most while no timer is set.
@@ -42,34 +38,6 @@
     full_list: Vec<Node>,
 }
 
-/// Carries out what the balancer asks for.
-struct DispatcherHost {
-    shared: Shared,
-    follow_discovery: mpsc::Sender<()>,
-    nodes: NodeTable,
-    log_budget: LogLimiter,
-    open_requests: HashMap<RequestId, OpenRequest>,
-    /// The ids of the requests that await their answers.
-    open_ids: HashSet<Bytes>,
-    timers: BinaryHeap<Reverse<(Nanos, u64)>>,
-    /// Attempts and probes that could not be sent, reported as soon as the balancer has returned.
-    unsent_attempts: Vec<(RequestId, usize, Node)>,
-    unsent_probes: Vec<Node>,
-    /// The prober of the fleet, if there is one: then one process probes on behalf of many.
-    prober: Option<ProbeHandle>,
-}
-
-/// A request that the balancer has not forgotten yet.
-struct OpenRequest {
-    request: Arc<ClientRequest>,
-    /// Taken when the final answer is sent.
-    answer: Option<oneshot::Sender<Answer>>,
-    /// Attempts so far, which is also the number of the next one.
-    attempts: usize,
-    /// Cancels the last attempt unless its last byte has been sent.
-    cancel: CancellationToken,
-}
-
 impl Dispatcher {
     /// Creates the dispatcher. `follow_discovery` asks discovery to send changes from now on.
     pub fn new(
@@ -79,18 +47,7 @@
         mailbox: Mailbox,
     ) -> Dispatcher {
         let (clock, config) = (shared.clock, shared.config.clone());
-        let host = DispatcherHost {
-            shared,
-            follow_discovery,
-            nodes: NodeTable::default(),
-            log_budget: LogLimiter::default(),
-            open_requests: HashMap::new(),
-            open_ids: HashSet::new(),
-            timers: BinaryHeap::new(),
-            unsent_attempts: Vec::new(),
-            unsent_probes: Vec::new(),
-            prober: None,
-        };
+        let host = DispatcherHost::new(shared, follow_discovery);
         let balance = Balancer::new(host, settings, config.seed, clock.now());
         let memory_monitor = MemoryMonitor::new(config.memory_limit_kb);
         Dispatcher { balance, mailbox, memory_monitor, memory_check_at: 0, full_list: Vec::new() }
@@ -311,151 +268,3 @@
         }
     }
 }
-
-impl DispatcherHost {
-    /// Removes and returns the next timer if it is due.
-    fn pop_due_timer(&mut self, now: Nanos) -> Option<Reverse<(Nanos, u64)>> {
-        let due = self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now);
-        if due { self.timers.pop() } else { None }
-    }
-
-    /// The sender for the final answer; `None` once the request has been answered.
-    fn take_answer(&mut self, request_id: RequestId) -> Option<oneshot::Sender<Answer>> {
-        let open = self.open_requests.get_mut(&request_id)?;
-        let answer = open.answer.take()?;
-        self.open_ids.remove(&open.request.id);
-        Some(answer)
-    }
-
-    /// Logs a line about a node. There may be thousands of nodes, so lines beyond the budget get level debug.
-    fn log_node(&mut self, line: impl std::fmt::Display) {
-        if self.log_budget.allow(self.shared.clock.now()) {
-            tracing::info!("{line}");
-        } else {
-            tracing::debug!("{line}");
-        }
-    }
-
-    /// The node's number, which is new for a node seen the first time. `None` for a node that left before it
-    /// was known.
-    fn node_number(&mut self, discovered_node: &DiscoveredNode) -> Option<Node> {
-        let (node, new) = self.nodes.upsert(discovered_node)?;
-        if new {
-            self.shared.counters.nodes_known.add();
-            let logged = self.log_budget.allow(self.shared.clock.now());
-            if let Some(known) = self.nodes.get_mut(node).filter(|_| logged) {
-                known.log_number(node);
-            }
-        }
-        Some(node)
-    }
-
-    /// Starts a probe; false if the node is no longer known.
-    fn send_probe(&mut self, node: Node) -> bool {
-        let sent =
-            self.start_attempt(node, NodeOperation::Probe { deadline: Instant::now() + PROBE_TIMEOUT });
-        if sent {
-            self.shared.counters.probes_sent.add();
-        }
-        sent
-    }
-
-    /// Starts an attempt or probe; false if the node is no longer known.
-    fn start_attempt(&mut self, node: Node, operation: NodeOperation) -> bool {
-        let Some(known) = self.nodes.get_mut(node) else { return false };
-        if !known.logged {
-            known.log_number(node);
-        }
-        let target = Target { node, address: known.address, origin: known.origin };
-        attempt::spawn(&self.shared, target, operation);
-        true
-    }
-}
-
-impl Host for DispatcherHost {
-    fn send(&mut self, request_id: RequestId, node: Node, timeout: Nanos) {
-        let until = self.shared.clock.instant(self.shared.clock.now() + timeout);
-        let Some(open) = self.open_requests.get_mut(&request_id) else { return };
-        let attempt_number = open.attempts;
-        open.attempts += 1;
-        if open.cancel.is_cancelled() {
-            open.cancel = CancellationToken::new();
-        }
-        let (request, cancel) = (open.request.clone(), open.cancel.clone());
-        let operation =
-            NodeOperation::Attempt { request_id, attempt_number, request, deadline: until, cancel };
-        // From `Leaving` on nothing is sent.
-        if self.shared.phase.current() >= Phase::Leaving || !self.start_attempt(node, operation) {
-            self.unsent_attempts.push((request_id, attempt_number, node));
-        } else {
-            self.shared.counters.tries_sent.add();
-            if let Some(open) = self.open_requests.get(&request_id) {
-                let id = String::from_utf8_lossy(&open.request.id);
-                tracing::debug!(
-                    "request {id}: attempt {attempt_number} to node {node}, {timeout} ns at most"
-                );
-            }
-        }
-    }
-
-    fn cancel_unsent(&mut self, request_id: RequestId) {
-        self.open_requests.get(&request_id).into_iter().for_each(|open| open.cancel.cancel());
-    }
-
-    fn shed(&mut self, request_id: RequestId, pause: Nanos) {
-        if let Some(answer) = self.take_answer(request_id) {
-            self.shared.counters.exchanges_shed.add();
-            let _ = answer.send(Answer::Shed(pause));
-        }
-    }
-
-    fn error(&mut self, request_id: RequestId) {
-        if let Some(answer) = self.take_answer(request_id) {
-            self.shared.counters.exchanges_errored.add();
-            let _ = answer.send(Answer::Errored);
-        }
-    }
-
-    fn release_request(&mut self, request_id: RequestId) {
-        self.open_requests.remove(&request_id);
-    }
-
-    fn set_timer(&mut self, at: Nanos, token: u64) {
-        self.timers.push(Reverse((at, token)));
-    }
-
-    fn probe(&mut self, node: Node) {
-        let sent = match (&self.prober, self.nodes.get(node)) {
-            (Some(prober), Some(known)) => prober.outcome_wanted(&known.uid),
-            _ => self.send_probe(node),
-        };
-        if !sent {
-            self.unsent_probes.push(node);
-        }
-    }
-
-    fn release_node(&mut self, node: Node) {
-        if let Some(NodeEntry { uid, .. }) = self.nodes.remove(node) {
-            self.log_node(format_args!("node {node} is no longer {uid}: removed"));
-            self.shared.counters.nodes_dismissed.add();
-            self.shared.upstream.close_idle(node);
-        }
-    }
-
-    fn watch_node_list(&mut self) {
-        // If the channel is full, a call is already waiting to be made, and one call serves both.
-        let _ = self.follow_discovery.try_send(());
-    }
-
-    fn log(&mut self, line: &str) {
-        self.log_node(line);
-    }
-
-    fn given_up(&mut self, request_id: RequestId, reason: GiveUpReason, attempts: usize) {
-        self.shared.counters.given_up.add(reason, attempts);
-        if let Some(open) = self.open_requests.get(&request_id) {
-            let (id, reason) = (String::from_utf8_lossy(&open.request.id), reason.name());
-            tracing::debug!("request {id}: given up after {attempts} attempts: {reason}");
-        }
-    }
-}
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::connection_limit::ConnectionLimit;
 use crate::control::ControlHandle;
 use crate::counters::Counters;
+use crate::descriptors;
 use crate::discovery::entries::parse_list;
 use crate::discovery::list::ListWatcher;
 use crate::dispatcher::Dispatcher;
@@ -27,29 +28,20 @@
 use anyhow::{Context, Result, bail, ensure};
 use pumicebay_accord::FencingTokens;
 use pumicebay_carrier::Resource;
-use rustix::io::Errno;
 use socket2::Socket;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::{JoinSet, spawn_blocking};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use tokio_util::task::TaskTracker;
 
 /// How long the previous process may keep serving after this one has begun to. Until then this one uses half
 /// of the limits.
 const TAKEOVER_OVERLAP: Duration = Duration::from_secs(4);
-/// File descriptors kept free, so that discovery, a configuration reload and operators do not wait until an
-/// idle client leaves.
-const RESERVED_DESCRIPTORS: usize = 4;
-/// How often the reserve is checked, and how often a reload that lacks a descriptor is tried again.
-const DESCRIPTOR_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How long a reload retries for want of a descriptor.
-const MAX_RELOAD_WAIT: Duration = Duration::from_secs(10);
 /// How long a process that takes over waits for the first list. Short, since operators wait only some seconds
 /// for the confirmation that it serves.
 const FIRST_LIST_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -284,7 +276,7 @@
                 buffered_values.extend(limits.max_buffered_value_bytes / 2);
             });
         }
-        actors.spawn(reserve_descriptors(frontend.limit.clone()));
+        actors.spawn(descriptors::reserve_descriptors(frontend.limit.clone()));
         actors.spawn(pool::sweep(shared.clone()));
         actors.spawn(listener::accept(frontend, listener));
         phases.enter(Phase::Serving);
@@ -444,62 +436,3 @@
     socket.set_nonblocking(true)?;
     Ok(TcpListener::from_std(socket.into())?)
 }
-
-/// Asks idle clients to close while fewer than `RESERVED_DESCRIPTORS` are free, for example where the
-/// platform grants fewer than the configured limits. A failed accept does so too, but connections to nodes
-/// may have used the last descriptors.
-async fn reserve_descriptors(limit: ConnectionLimit) {
-    let Ok(any) = std::fs::File::open("/dev/null") else { return std::future::pending().await };
-    loop {
-        let free: Vec<_> = (0..RESERVED_DESCRIPTORS).map_while(|_| any.try_clone().ok()).collect();
-        let missing = RESERVED_DESCRIPTORS - free.len();
-        drop(free);
-        (0..missing).for_each(|_| limit.evict_one());
-        sleep(DESCRIPTOR_CHECK_INTERVAL).await;
-    }
-}
-
-/// Reads the configuration again on each SIGHUP. Tries again for want of a descriptor, since the signal is
-/// not repeated.
-///
-/// # Errors
-/// If the signal handler can't be installed.
-pub fn reload_on_hangup(
-    read: impl Fn() -> Result<Config> + Send + 'static,
-) -> Result<mpsc::Receiver<Result<Config>>> {
-    let mut hangup = signal(SignalKind::hangup())?;
-    let (sender, configs) = mpsc::channel(1);
-    tokio::spawn(async move {
-        while hangup.recv().await.is_some() {
-            let (until, mut config) = (Instant::now() + MAX_RELOAD_WAIT, read());
-            while config.as_ref().is_err_and(out_of_descriptors) && Instant::now() < until {
-                sleep(DESCRIPTOR_CHECK_INTERVAL).await;
-                config = read();
-            }
-            if sender.send(config).await.is_err() {
-                return;
-            }
-        }
-    });
-    Ok(configs)
-}
-
-/// Whether reading failed because the process or the system has no free file descriptor.
-fn out_of_descriptors(error: &anyhow::Error) -> bool {
-    let code = error.chain().find_map(|error| error.downcast_ref::<std::io::Error>()?.raw_os_error());
-    code.is_some_and(|code| [Errno::MFILE, Errno::NFILE].contains(&Errno::from_raw_os_error(code)))
-}
-
-/// Returns a future that completes on SIGTERM or SIGINT.
-///
-/// # Errors
-/// If a signal handler can't be installed.
-pub async fn termination_signal() -> Result<impl Future<Output = ()>> {
-    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    Ok(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    })
-}
--- a/crates/proxy/tests/proxy/descriptors.rs
+++ b/crates/proxy/tests/proxy/descriptors.rs
@@ -6,7 +6,7 @@
 use crate::{StubState, configuration, serve_cache_node, serve_origin, start_server, target};
 use anyhow::Context as _;
 use pumicebay::config::parse;
-use pumicebay::serve::reload_on_hangup;
+use pumicebay::signals::reload_on_hangup;
 use serde_json::{Value as Json, json};
 use std::io::Error;
 use std::net::SocketAddr;
