--- a/crates/proxy/tests/proxy/long_writes.rs
+++ b/crates/proxy/tests/proxy/long_writes.rs
@@ -4,7 +4,7 @@
 use crate::clients::{begin_write, end_write, long_write};
 use crate::{Client, StubState, TestEnvironment, patterned_value, target};
 use nix::sys::socket::{setsockopt, sockopt::TcpMaxSeg};
-use serde_json::json;
+use serde_json::{Value as Json, json};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -69,7 +69,12 @@
 
 /// Starts a proxy with a stopped origin.
 async fn start() -> (TestEnvironment, StubState) {
-    let (env, origin) = (TestEnvironment::start(&[]).await, StubState::default());
+    start_with(&[]).await
+}
+
+/// The same with these settings.
+async fn start_with(overrides: &[(&str, Json)]) -> (TestEnvironment, StubState) {
+    let (env, origin) = (TestEnvironment::start(overrides).await, StubState::default());
     let moved =
         target("s-origin", &start_stopped_origin(origin.clone()).await.to_string(), "origin", "active");
     let list = json!({"rev": 42, "all": false, "targets": [moved]}).to_string();
@@ -226,3 +231,24 @@
     let told = Duration::from_millis(behind.timeout_ms.unwrap());
     assert!(told + waited <= CLIENT_TIMEOUT + Duration::from_millis(50), "told {told:?} after {waited:?}");
 }
+
+/// Guards against a long write that is lost with the process: it is on its way to a stopped origin when the proxy leaves.
+#[tokio::test]
+async fn a_long_write_that_the_origin_does_not_take_is_answered_before_the_process_ends() {
+    let long_timeout = |key| (key, json!(60_000_000));
+    let overrides = [
+        long_timeout("/settings/routes/1/overall-timeout-us"),
+        long_timeout("/settings/routes/1/latency-objective-us"),
+    ];
+    let (mut env, origin) = start_with(&overrides).await;
+    let mut client = env.client().await;
+    let value = patterned_value(VALUE_BYTES);
+    begin_write(&mut client, "w-leaves", "c=put,d=60000", &value, VALUE_BYTES).await;
+    end_write(&mut client, &value).await;
+    origin.wait_for("head of /w-leaves").await;
+    env.stop().await;
+    assert_eq!(client.reply().await + &client.reply().await, "-ERR failed\nclosed\n");
+    env.proxy_task.await.expect("the proxy panicked");
+    origin.release(1);
+    origin.wait_for("cut /w-leaves").await;
+}
