Clients: bytes that the kernel holds count as well before a long value's first byte goes out

What callers saw: a command that reaches the proxy's machine in the very turn in which a long value begins lies unread in the kernel as the first byte goes out. If the value then breaks off, its connection is closed over it. It has not run, but its client gets a reset in place of its reply.

Cause: `has_read_more` asked only what had been read (pending replies, a part of a command, the read buffer). `serve` looks at the next reply first, so it is not read any more once the value begins.

Change: `has_more_input` asks the kernel too (`ClientStream::unread_bytes`, which `UploadArrival` now shares). With bytes there the value is buffered, and the connection reads and runs what has come, as for commands read before.

Evidence: the test writes between the dispatcher's turn that passes the value on and the connection's, on one thread. What comes after the first byte stays unread, as before (commands_after_the_first_byte_..., unchanged).

--- a/crates/proxy/src/front/client_stream.rs
+++ b/crates/proxy/src/front/client_stream.rs
@@ -7,6 +7,7 @@
 use nix::sys::socket::sockopt::ReceiveTimestampns;
 use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt};
 use nix::sys::time::TimeSpec;
+use rustix::io::ioctl_fionread;
 use std::io::{IoSliceMut, Result};
 use std::os::fd::{AsFd, AsRawFd};
 use std::pin::Pin;
@@ -48,6 +49,11 @@
         &self.stream
     }
 
+    /// How many bytes have arrived and were not read.
+    pub fn unread_bytes(&self) -> usize {
+        ioctl_fionread(&self.stream).map_or(0, |bytes| bytes as usize)
+    }
+
     /// When the bytes read last arrived, as far as is known.
     pub fn received_at(&self) -> Instant {
         self.received_at
--- a/crates/proxy/src/front/connection.rs
+++ b/crates/proxy/src/front/connection.rs
@@ -223,12 +223,12 @@
         Ok(())
     }
 
-    /// Writes the next reply. If more was read behind its command, a long value is buffered first: if it broke off while
-    /// the client has a part of it, only closing the connection would tell the client, and the replies to what was read
+    /// Writes the next reply. If more has arrived behind its command, a long value is buffered first: if it broke off while
+    /// the client has a part of it, only closing the connection would tell the client, and the replies to what came
     /// behind it would be lost.
     async fn send_reply(&mut self, reply: OutgoingReply) -> std::io::Result<()> {
         match reply {
-            OutgoingReply::Arriving(value, time_left) if self.has_read_more() => {
+            OutgoingReply::Arriving(value, time_left) if self.has_more_input() => {
                 let Frontend { buffered_values, shared, .. } = &self.frontend;
                 self.pending.buffer_next(value, time_left, buffered_values, &shared.counters);
                 return Ok(());
@@ -246,10 +246,11 @@
         Ok(())
     }
 
-    /// Whether anything was read behind the command whose reply is the next: commands, or the beginning of one.
-    fn has_read_more(&self) -> bool {
+    /// Whether anything has arrived behind the command whose reply is the next: commands, or the beginning of one, read or
+    /// not.
+    fn has_more_input(&self) -> bool {
         let within_command = self.framed.codec().is_within_frame() || !self.framed.read_buffer().is_empty();
-        self.pending.len() > 1 || within_command
+        self.pending.len() > 1 || within_command || self.framed.get_ref().unread_bytes() > 0
     }
 
     /// Handles a command whose last argument is long: forwards the value as it arrives, or discards it if the
--- a/crates/proxy/src/front/upload_arrival.rs
+++ b/crates/proxy/src/front/upload_arrival.rs
@@ -5,7 +5,6 @@
 use crate::front::input::disconnected;
 use crate::resp::StreamingResp;
 use crate::streaming::LastByteArrival;
-use rustix::io::ioctl_fionread;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -61,8 +60,7 @@
         let stream = framed.get_ref();
         // The bytes read last came before those that are left, or with them.
         self.incomplete_at = self.incomplete_at.max(stream.received_at());
-        let in_kernel = ioctl_fionread(stream.tcp()).unwrap_or(0) as usize;
-        if framed.read_buffer().len() + in_kernel < self.bytes_left {
+        if framed.read_buffer().len() + stream.unread_bytes() < self.bytes_left {
             self.incomplete_at = Instant::now();
         } else {
             let _ = self.last_byte.set(self.incomplete_at);
--- a/crates/proxy/tests/proxy/pipelined_long_values.rs
+++ b/crates/proxy/tests/proxy/pipelined_long_values.rs
@@ -8,6 +8,8 @@
 use pumicebay::resp::Frame;
 use pumicebay::streaming::{BufferedValueLimit, streamed_value};
 use serde_json::json;
+use std::future::poll_fn;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep, timeout};
@@ -102,6 +104,37 @@
     assert_nothing_lost(&env, 2).await;
 }
 
+/// Guards against a command that had arrived before the first byte of the value went out, but was left unread and lost.
+#[tokio::test]
+async fn a_command_that_arrives_as_a_long_value_begins_is_answered() {
+    for key in BREAKING_KEYS.map(|key| format!("{key}-held")) {
+        let env = TestEnvironment::start(&[]).await;
+        let node = if key.starts_with("miss") { &env.origin } else { &env.cache };
+        let mut client = env.client().await;
+        client.send(&["C.GET", &key, "long", "c=read,d=3000"]).await;
+        node.wait_for("long").await;
+        let counters = env.counters.clone();
+        // Between the turn of the dispatcher that passes the value on and that of the connection, on the same thread.
+        let writes_at_once = tokio::spawn(async move {
+            poll_fn(|context| match counters.exchanges_completed.count() {
+                0 => {
+                    context.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                _ => Poll::Ready(()),
+            })
+            .await;
+            let command = "*4\r\n$5\r\nC.GET\r\n$3\r\nhit\r\n$5\r\nshort\r\n$13\r\nc=read,d=3000\r\n";
+            assert_eq!(client.0.get_mut().try_write(command.as_bytes()).unwrap(), command.len());
+            client
+        });
+        node.release(1);
+        let mut client = writes_at_once.await.unwrap();
+        assert_eq!(replies(&mut client, 2).await, ["-ERR failed", "value of short"], "{key}");
+        assert_nothing_lost(&env, 2).await;
+    }
+}
+
 /// Guards against the loss of a write whose long value the proxy has begun to read, and of commands behind it.
 #[tokio::test]
 async fn a_long_write_behind_a_long_value_that_breaks_off_is_answered() {
