Proxy tests: state that tests sync lies in memory, and a killed process writes no more

Cause: the proxy answers so by design when its disk takes over 0.6 s for a write, since an operator's call is answered within a second. The tests took a quick disk for granted.

Change: `Folder` is made in memory where the system has such a folder. The checks are the same; files are written, synced, renamed and locked as before. What a disk that takes nothing does is now a test of its own, with no clock in it: order_that_the_disk_does_not_take_is_reported_and_holds.

Also, the simulated kill now waits until no write is under way: one in a thread of its own outlives the task and would replace the file that a test puts there.

--- a/crates/proxy/tests/proxy/carrier.rs
+++ b/crates/proxy/tests/proxy/carrier.rs
@@ -84,12 +84,10 @@
         self.environments.insert(name, env);
     }
 
-    /// Simulates the kill of a process: its links, listeners and pending work are gone.
-    async fn kill(&mut self, name: &str) -> TestEnvironment {
-        let mut env = self.environments.remove(name).unwrap();
-        env.proxy_task.abort();
-        let _ = (&mut env.proxy_task).await;
-        env
+    /// Simulates the kill of a process.
+    async fn kill(&mut self, name: &str) {
+        let env = self.environments.remove(name).unwrap();
+        env.kill(&self.folder.0.join(name)).await;
     }
 
     /// Runs `pumicebay fleet` with these arguments. Returns the exit code and the whole output.
@@ -274,7 +272,7 @@
 async fn children_of_a_lost_relay_connect_to_another_parent() {
     let mut fleet = Fleet::start("relay", &["r1", "r2"], &["l1", "l2", "l3", "l4"]).await;
     fleet.set_everywhere("fleet", "routes", &with_route(&fleet, "one")).await;
-    drop(fleet.kill("r1").await);
+    fleet.kill("r1").await;
     // The exit code says that the change is not everywhere: what is in force at the lost relay is unknown.
     let (code, text) = fleet.set("fleet", "routes", &with_route(&fleet, "two"), "12").await;
     assert_eq!(code, 3, "{text}");
@@ -301,7 +299,7 @@
     fleet.set_everywhere("fleet", "routes", &with_route(&fleet, "fresh")).await;
     // The relay is killed too, as it would send its resources to restarted children.
     for name in CONTROL.into_iter().chain(["r1", "l1", "l2"]) {
-        drop(fleet.kill(name).await);
+        fleet.kill(name).await;
     }
     let corrupt = fleet.folder.0.join("l2/carrier/carrier");
     let mut bytes = std::fs::read(&corrupt).unwrap();
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -32,7 +32,9 @@
 use pumicebay::serve::Proxy;
 use pumicebay::upstream::settling::CAUTIOUS_SETTLE_TIME;
 use serde_json::{Value as Json, json};
+use std::fs::File;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -42,6 +44,9 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
+/// The locks of the files of a fleet's process, below its folder in these tests.
+const LOCK_FILES: [&str; 3] = ["voter/lock", "carrier/carrier.lock", "replica/replica.lock"];
+
 /// State that a stub server shares with its test: a log of what it received, one permit for each held reply
 /// (to keys with `held`) that it may send, and the attempts that it received.
 #[derive(Clone)]
@@ -264,6 +269,17 @@
         panic!("the counters never contained: {line}\n{}", self.counters);
     }
 
+    /// Simulates the kill of the process: its links, listeners and pending work are gone, and it writes no more to its files
+    /// below `folder`.
+    pub async fn kill(mut self, folder: &Path) {
+        self.proxy_task.abort();
+        let _ = (&mut self.proxy_task).await;
+        // A write that has begun outlives its task, and would replace what a test puts into the folder. It holds the lock.
+        for lock in LOCK_FILES {
+            wait_until_unlocked(&folder.join(lock)).await;
+        }
+    }
+
     /// Tells the proxy to stop, and returns once it drains.
     pub async fn stop(&mut self) {
         self.stop.take().expect("stopped twice").send(()).expect("the proxy does not run");
@@ -381,6 +397,18 @@
     address
 }
 
+/// Waits until no process has locked this file; panics after 4000 checks 5 ms apart.
+async fn wait_until_unlocked(path: &Path) {
+    let Ok(file) = File::open(path) else { return };
+    for _ in 0..4000 {
+        if file.try_lock().is_ok() {
+            return;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    panic!("{} stays locked", path.display());
+}
+
 /// Replaces the value of label `d` by `LEFT` if it is within 1 to 4000 ms: the time that the client has left
 /// varies with the time that has passed.
 fn mask_time_left(labels: &str) -> String {
--- a/crates/proxy/tests/proxy/operations.rs
+++ b/crates/proxy/tests/proxy/operations.rs
@@ -8,7 +8,7 @@
 use pumicebay_names::stable_hash;
 use serde_json::{Value as Json, json};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -17,13 +17,19 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
+/// A folder in memory, where a sync takes no time. On a disk that is busy with a build it takes up to a second, which is
+/// longer than an operator's call may take.
+const MEMORY_FOLDER: &str = "/dev/shm";
+
 /// A private folder for a proxy, removed with its content on drop.
 pub struct Folder(pub PathBuf);
 
 impl Folder {
-    /// Creates a folder; `name` becomes part of the folder's name.
+    /// Creates a folder, in memory if the system can; `name` becomes part of the folder's name.
     pub fn new(name: &str) -> Folder {
-        let path = std::env::temp_dir().join(format!("pumicebay-{}-{name}", std::process::id()));
+        let memory = Path::new(MEMORY_FOLDER);
+        let parent = if memory.is_dir() { memory.into() } else { std::env::temp_dir() };
+        let path = parent.join(format!("pumicebay-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&path).unwrap();
         Folder(path)
     }
--- a/crates/proxy/tests/proxy/replication.rs
+++ b/crates/proxy/tests/proxy/replication.rs
@@ -74,11 +74,10 @@
         panic!("not linked: {}", self.run_command(&["orders"], None).await);
     }
 
-    /// Simulates the kill of a process: its links, listeners and pending work are gone.
+    /// Simulates the kill of a process.
     async fn kill(&mut self, name: &str) {
-        let mut env = self.environments.remove(name).unwrap();
-        env.proxy_task.abort();
-        let _ = (&mut env.proxy_task).await;
+        let env = self.environments.remove(name).unwrap();
+        env.kill(&self.folder.0.join(name)).await;
     }
 
     /// Runs `pumicebay fleet` with these arguments under this lease. Returns the exit code, and the output
@@ -243,6 +242,20 @@
     assert!(was_set_aside("p3") && was_set_aside("p4") && !was_set_aside("p1"));
 }
 
+/// Guards against an order that is reported as kept although the disk does not have it.
+#[tokio::test]
+async fn order_that_the_disk_does_not_take_is_reported_and_holds() {
+    let group = Group::start("full").await;
+    let replica_folder = group.folder.0.join("p1/replica");
+    let _ = std::fs::remove_dir_all(&replica_folder);
+    std::fs::write(&replica_folder, b"no folder").unwrap();
+    assert_eq!(
+        group.run_command(&["drain", "s-cache", "--wait", "10"], None).await,
+        "1 pumicebay: refused: s-cache: could not be kept: it holds and goes on to the others, but is not on this disk\n"
+    );
+    group.wait_until_serving("oooo").await;
+}
+
 /// An unreadable frame closes its link and affects nothing else. A process that is not a peer of the group,
 /// or has the name of the proxy itself, is disconnected.
 #[tokio::test]
