--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve/mod.rs
@@ -1,8 +1,10 @@
 //! Starts the actors of a proxy and runs them through its phases.
 
-use crate::bans::{self, MaintenanceActor, Replication};
+mod maintenance;
+mod reload;
+
 use crate::clock::Clock;
-use crate::config::{self, Config};
+use crate::config::Config;
 use crate::connection_limit::ConnectionLimit;
 use crate::control::ControlHandle;
 use crate::counters::Counters;
@@ -10,10 +12,8 @@
 use crate::discovery::entries::parse_list;
 use crate::discovery::list::ListWatcher;
 use crate::dispatcher::Dispatcher;
-use crate::event_loop;
 use crate::fleet::carrier::{self, apply};
-use crate::fleet::replication::handle::Channels;
-use crate::fleet::{self, replication, voter_client::VoterClient};
+use crate::fleet::{self, voter_client::VoterClient};
 use crate::front::frontend::Frontend;
 use crate::front::listener;
 use crate::listen::listen;
@@ -26,7 +26,6 @@
 use crate::takeover::{Successor, TakeoverSocket};
 use crate::upstream::pool::{self, ConnectionPool};
 use anyhow::{Context, Result, bail, ensure};
-use pumicebay_accord::FencingTokens;
 use pumicebay_carrier::Resource;
 use socket2::Socket;
 use std::net::SocketAddr;
@@ -35,7 +34,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch};
-use tokio::task::{JoinSet, spawn_blocking};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::TaskTracker;
 
@@ -175,53 +174,19 @@
             .fleet
             .as_ref()
             .map(|section| fleet::local_process::LocalProcess::new(&config.name, section.clone()));
-        let replicated = me.as_ref().and_then(|me| me.config.replication.clone());
-        if operator.is_some() || replicated.is_some() {
-            let (maintenance, calls) = bans::channel();
-            let (handle, replication) = match (&me, replicated) {
-                (Some(me), Some(section)) => {
-                    let Channels { handle, events, states_sender, states } = replication::handle::channels();
-                    let maintenance = maintenance.clone();
-                    let context = replication::ActorContext {
-                        handle: handle.clone(),
-                        events,
-                        states_sender,
-                        maintenance,
-                    };
-                    actors.spawn(replication::start(me, section, context));
-                    (Some(handle.clone()), Some(Replication { handle, ordered: states }))
-                }
-                _ => (None, None),
-            };
-            let (watch, folder) = (shared.phase.clone(), config.folder.clone());
-            let cold = Duration::from_nanos(config.settings.time("cold", 0));
-            let (out, back) = match folder.as_deref().map(|folder| bans::load(folder, cold)) {
-                Some(Ok(found)) => found,
-                Some(Err(error)) => {
-                    tracing::warn!("maintenance: reading the stored bans failed: {error}");
-                    Default::default()
-                }
-                None => Default::default(),
-            };
-            out.iter().for_each(|uid| dispatcher.set_maintenance(clock.now(), uid, true));
-            for uid in &back {
-                dispatcher.set_maintenance(clock.now(), uid, true);
-                dispatcher.set_maintenance(clock.now(), uid, false);
-            }
-            let fences = FencingTokens::default();
-            actors.spawn(
-                MaintenanceActor { control: control.clone(), folder, out, fences, replication }.run(calls),
-            );
+        let replication = me.as_ref().and_then(|me| me.config.replication.clone());
+        if operator.is_some() || replication.is_some() {
+            let group = me.as_ref().zip(replication);
+            let handles = maintenance::start(group, &shared, &control, &mut dispatcher, &mut actors);
             if let Some(listener) = operator {
-                let counters = shared.counters.clone();
-                let operator = OperatorService {
-                    watch,
-                    counters,
-                    maintenance,
-                    replication: handle,
+                let service = OperatorService {
+                    watch: shared.phase.clone(),
+                    counters: shared.counters.clone(),
+                    maintenance: handles.calls,
+                    replication: handles.replication,
                     carrier: carrier_status,
                 };
-                actors.spawn(operator::accept(operator, listener));
+                actors.spawn(operator::accept(service, listener));
             }
         }
         let fleet = me.as_ref().filter(|me| me.config.connects_to_voters(&config.name)).map(|me| {
@@ -306,90 +271,6 @@
         })
     }
 
-    /// Applies the parts of a new configuration that can change at run time. A configuration that can't be
-    /// read, or that lacks something the last one had, changes nothing.
-    async fn reload(&mut self, file_config: Result<Config>) {
-        let keeps = |file_config: Config| {
-            config::check_nothing_removed(&self.file_config.json, &file_config.json).map(|()| file_config)
-        };
-        let what = || "checking a new configuration".into();
-        match event_loop::timed(&self.counters, what, || file_config.and_then(keeps)) {
-            Ok(file_config) => {
-                self.file_config = file_config;
-                // A list in the configuration is only used at the start.
-                self.file_config.known.take();
-                self.counters.reloads.add();
-                let config = self.apply_config().await.config;
-                tracing::info!("configuration read again: {}", config.summary().replace('\n', "; "));
-                let restart = config::keys_needing_restart(&self.config.json, &config.json);
-                if !restart.is_empty() {
-                    tracing::warn!("configuration: needs a restart: {}", restart.join(", "));
-                }
-                if let Some(carrier) = &self.carrier {
-                    carrier.send(carrier::handle::Event::FileReloaded).await;
-                }
-            }
-            Err(error) => {
-                self.counters.reloads_failed.add();
-                tracing::error!("the old configuration stays: {error:#}");
-            }
-        }
-    }
-
-    /// Puts the file's configuration in force, with the carrier's resources applied on top of it.
-    async fn apply_config(&mut self) -> apply::AppliedConfig {
-        let applied = if self.carrier_resources.is_empty() {
-            apply::AppliedConfig {
-                config: self.file_config.clone(),
-                accepted: Vec::new(),
-                refused: Vec::new(),
-            }
-        } else {
-            let (file_config, carrier_resources, accepted_resources) =
-                (self.file_config.clone(), self.carrier_resources.clone(), self.accepted_resources.clone());
-            // If many resources fail they are checked one by one, so this runs on a blocking thread and
-            // requests don't wait.
-            let applied = spawn_blocking(move || {
-                apply::apply_resources(&file_config, &carrier_resources, &accepted_resources)
-            })
-            .await;
-            applied.unwrap_or_else(|error| {
-                tracing::error!("carrier: applying its resources failed, none is in force: {error}");
-                apply::AppliedConfig {
-                    config: self.file_config.clone(),
-                    accepted: Vec::new(),
-                    refused: Vec::new(),
-                }
-            })
-        };
-        self.accepted_resources.clone_from(&applied.accepted);
-        let (settings, routes) = self.route_registry.apply(&applied.config.json["settings"]);
-        self.control.apply_settings(settings).await;
-        self.routes.send_replace(Arc::new(routes));
-        let discovery = applied.config.discovery;
-        self.discovery.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
-        for (scope, name, why) in &applied.refused {
-            tracing::error!("carrier: resource {name} for {scope} is refused: {why}");
-        }
-        applied
-    }
-
-    /// Executes a command of the carrier.
-    async fn handle_carrier_order(&mut self, order: apply::Command) {
-        match order {
-            apply::Command::Apply(resources, answer) => {
-                self.carrier_resources = resources;
-                let applied = self.apply_config().await;
-                let _ = answer.send(applied.refused);
-            }
-            apply::Command::Check(new, answer) => {
-                let (file_config, accepted_resources) =
-                    (self.file_config.clone(), self.accepted_resources.clone());
-                spawn_blocking(move || answer.send(apply::check(&file_config, &accepted_resources, &new)));
-            }
-        }
-    }
-
     /// A watch on the proxy's phase.
     pub fn watch(&self) -> PhaseWatch {
         self.phases.watch()
