--- a/crates/lab/src/capacity/measure.rs
+++ b/crates/lab/src/capacity/measure.rs
@@ -1,29 +1,22 @@
 //! Measures what resources a proxy needs. Each proxy is a real process that follows a stand-in for the
 //! discovery service. Idle proxies are measured by the number of listed nodes, which do not exist, and by the
-//! rate at which the list changes; busy proxies by the rate and the size of requests. Also measured are the
-//! memory of a table of keys, and the first voter of an idle fleet.
+//! rate at which the list changes; busy proxies by the rate and the size of requests. Also measured is the
+//! memory of a table of keys.
 
-use crate::real::http::{Response, ServerCodec};
-use crate::rig::plan::Plan;
-use crate::rig::{self, Programs};
+use crate::capacity::discovery::{Registry, change_regularly, serve_discovery};
+use crate::capacity::process::{Proxy, memory};
 use anyhow::{Context, Result, bail, ensure};
 use futures_util::{SinkExt, StreamExt};
 use pumicebay::resp::{Frame, Resp};
 use pumicebay_core::table::ReplicaTable;
 use serde::Serialize;
-use serde_json::{Value as Json, json};
-use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::Ipv4Addr;
 use std::path::Path;
-use std::process::Stdio;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::process::{Child, Command};
-use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 use tokio_util::codec::Framed;
 
@@ -48,23 +41,12 @@
     (50.0, 50_000),
     (50.0, 250_000),
 ];
-/// Numbers of processes of a fleet.
-const FLEET_SIZES: [usize; 4] = [3, 15, 60, 300];
-/// How long the traffic of a fleet's idle links is counted, in seconds.
-const IDLE_SECONDS: f64 = 16.0;
-/// How many runs are started at most until one of a fleet succeeds; each has another seed.
-const MAX_RUNS: u64 = 3;
-/// Between two readings of a voter's processor time.
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a proxy is measured.
 const MEASURE_TIME: Duration = Duration::from_secs(12);
 /// How long a proxy with the list runs before the measurement starts.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// How long a proxy may take to get the list, and then to answer a request.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
-/// The path at which discovery serves its list.
-const LIST_PATH: &str = "/registry/instances";
-
 /// The measurement of one idle proxy.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct IdleProxy {
@@ -106,20 +88,6 @@
     pub last_failure: String,
 }
 
-/// The measurement of the first voter of an idle fleet, and the traffic of all links of the fleet.
-#[derive(Clone, Debug, Serialize)]
-pub struct VoterUsage {
-    pub processes: usize,
-    /// The seed of the run.
-    pub seed: u64,
-    pub frames_per_second: f64,
-    pub kilobytes_per_second: f64,
-    /// Resident memory, in millions of bytes.
-    pub resident_mb: f64,
-    /// Processor time, in percent of one core.
-    pub core_percent: f64,
-}
-
 /// All measurements of a proxy.
 #[derive(Debug, Serialize)]
 pub struct Measurements {
@@ -319,319 +287,6 @@
     }
 }
 
-/// The list of the discovery stand-in, with counters of its answers.
-struct Registry {
-    /// The address of the only node, if that node exists.
-    cache: Option<SocketAddr>,
-    /// For each node: the version at which it last changed, whether it is active, and when it started, as a
-    /// version.
-    entries: std::sync::Mutex<Vec<(u64, bool, u64)>>,
-    version: watch::Sender<u64>,
-    /// Bytes in the bodies of all answers.
-    bytes: AtomicU64,
-    /// Bytes of the last complete list.
-    list_bytes: AtomicU64,
-    /// Number of watch calls, which ask for changes after a version.
-    watches: AtomicU64,
-    /// Number of answers to them that reported a change.
-    change_answers: AtomicU64,
-}
-
-impl Registry {
-    fn new(nodes: usize, cache: Option<SocketAddr>) -> Registry {
-        Registry {
-            cache,
-            entries: std::sync::Mutex::new(vec![(1, true, 0); nodes]),
-            version: watch::Sender::new(1),
-            bytes: AtomicU64::new(0),
-            list_bytes: AtomicU64::new(0),
-            watches: AtomicU64::new(0),
-            change_answers: AtomicU64::new(0),
-        }
-    }
-
-    /// The entries that changed after a version, or all of them.
-    fn list(&self, since: Option<u64>) -> Json {
-        let entries = self.entries.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        let changed =
-            entries.iter().enumerate().filter(|(_, entry)| since.is_none_or(|since| entry.0 > since));
-        let targets: Vec<Json> = changed.map(|(number, entry)| target(number, entry, self.cache)).collect();
-        json!({"rev": *self.version.borrow(), "all": since.is_none(), "targets": targets})
-    }
-
-    /// Makes one change: with an even count a node starts to leave, with the next count it is back as a new
-    /// process.
-    fn change(&self, count: u64) {
-        let mut entries = self.entries.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        let version = *self.version.borrow() + 1;
-        let number = (count / 2) as usize % entries.len().max(1);
-        if let Some(entry) = entries.get_mut(number) {
-            let active = count % 2 == 1;
-            *entry = (version, active, if active { version } else { entry.2 });
-        }
-        drop(entries);
-        self.version.send_replace(version);
-    }
-}
-
-/// A node's entry in the list.
-fn target(number: usize, &(_, active, started): &(u64, bool, u64), cache: Option<SocketAddr>) -> Json {
-    // Nothing listens at these addresses: an idle proxy does not connect to nodes.
-    let unused = || format!("127.{}.{}.1:7001", 1 + number / 250, 1 + number % 250);
-    let address = cache.map_or_else(unused, |cache| cache.to_string());
-    json!({
-        "uid": format!("node-{number:05}"),
-        "endpoint": address,
-        "az": format!("z{}", 1 + number % 52),
-        "model": "cache",
-        "pod_group": 0,
-        "state": if active { "active" } else { "leaving" },
-        "boot_ms": started,
-    })
-}
-
-/// Changes the list at this rate, per second, until it is aborted.
-async fn change_regularly(registry: Arc<Registry>, changes: f64) {
-    let mut due = interval(Duration::from_secs_f64(1.0 / changes));
-    due.set_missed_tick_behavior(MissedTickBehavior::Burst);
-    let mut count = 0;
-    loop {
-        due.tick().await;
-        registry.change(count);
-        count += 1;
-    }
-}
-
-/// Accepts connections as the discovery service.
-async fn serve_discovery(registry: Arc<Registry>, listener: TcpListener) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let _ = stream.set_nodelay(true);
-        let registry = registry.clone();
-        tokio::spawn(async move { serve_connection(&registry, stream).await });
-    }
-}
-
-/// Answers the requests of one connection; a watch call is held until the list changes or its wait ends.
-async fn serve_connection(registry: &Registry, stream: TcpStream) {
-    let mut framed = Framed::new(stream, ServerCodec);
-    while let Some(Ok(request)) = framed.next().await {
-        let since = request.query("index").filter(|_| request.path.starts_with(LIST_PATH));
-        if let Some(since) = since {
-            registry.watches.fetch_add(1, Ordering::Relaxed);
-            let mut versions = registry.version.subscribe();
-            let max_wait = Duration::from_millis(request.query("wait").unwrap_or(0).min(60_000));
-            let changed = async { versions.wait_for(|version| *version > since).await.is_ok() };
-            if timeout(max_wait, changed).await.unwrap_or(false) {
-                registry.change_answers.fetch_add(1, Ordering::Relaxed);
-            }
-        }
-        let body = registry.list(since).to_string();
-        registry.bytes.fetch_add(body.len() as u64, Ordering::Relaxed);
-        if since.is_none() {
-            registry.list_bytes.store(body.len() as u64, Ordering::Relaxed);
-        }
-        if framed.send(Response { status: 200, header: None, body: body.into() }).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Measures the first voter of fleets of several sizes, one after the other. `say` gets a line for each run
-/// that begins or fails. Returns an error if all runs of a size fail.
-pub fn measure_voters(programs: &Programs, say: impl Fn(&str)) -> Result<Vec<VoterUsage>> {
-    let mut measured = Vec::new();
-    for processes in FLEET_SIZES {
-        let measure = |seed| {
-            say(&format!("a fleet of {processes} processes, seed {seed}"));
-            measure_voter(programs, processes, seed)
-                .inspect_err(|error| say(&format!("measurement failed: {error:#}")))
-        };
-        let measured_voter = (1..MAX_RUNS).find_map(|seed| measure(seed).ok());
-        measured.push(measured_voter.map_or_else(|| measure(MAX_RUNS), Ok)?);
-    }
-    Ok(measured)
-}
-
-/// The measurements of voters as a text table.
-pub fn voters_table(voters: &[VoterUsage]) -> String {
-    let mut text = String::new();
-    text += "processes  seed  frames/s  KB/s  a voter: resident MB  core %\n";
-    for voter in voters {
-        text += &format!(
-            "{:>9} {:>5} {:>9.0} {:>5.1} {:>21.2} {:>7.3}\n",
-            voter.processes,
-            voter.seed,
-            voter.frames_per_second,
-            voter.kilobytes_per_second,
-            voter.resident_mb,
-            voter.core_percent
-        );
-    }
-    text
-}
-
-/// Runs a fleet of real processes and measures its first voter while no process wants a lease. Returns an
-/// error if the run fails or the idle period is missed.
-pub fn measure_voter(programs: &Programs, processes: usize, seed: u64) -> Result<VoterUsage> {
-    let plan = Plan {
-        processes,
-        idle_seconds: IDLE_SECONDS,
-        seconds: 2.0,
-        leases: 1,
-        commands_per_lease: 1,
-        ..Plan::default()
-    };
-    std::thread::scope(|scope| {
-        let run = scope.spawn(|| rig::run_plan(&plan, seed, programs));
-        let observed = observe_voter(|| run.is_finished());
-        let Ok(outcome) = run.join() else { bail!("the run of {processes} processes panicked") };
-        let (bytes, frames) = outcome?.idle_traffic.context("the run had no idle period")?;
-        let (resident_mb, core_percent) = observed?;
-        let kilobytes_per_second = bytes / 1e3;
-        Ok(VoterUsage {
-            processes,
-            seed,
-            frames_per_second: frames,
-            kilobytes_per_second,
-            resident_mb,
-            core_percent,
-        })
-    })
-}
-
-/// Resident memory in millions of bytes, and processor time in percent of one core in the middle half of the
-/// idle period, which ends when the first command is started.
-fn observe_voter(finished: impl Fn() -> bool) -> Result<(f64, f64)> {
-    let own = std::process::id();
-    let (mut voter, mut readings) = (None, Vec::new());
-    while find_child(own, &["/a1.json"]).is_none() {
-        ensure!(!finished(), "the run ended before its first command was started");
-        voter = voter.or_else(|| find_child(own, &["serve", "/p1.json"]));
-        if let Some(voter) = &voter {
-            readings.push((std::time::Instant::now(), processor_seconds(voter)?));
-        }
-        std::thread::sleep(POLL_INTERVAL);
-    }
-    let resident = memory(&voter.context("the first voter was not found among the processes")?, "VmRSS:")?;
-    let before = |part: f64| {
-        let at = std::time::Instant::now().checked_sub(Duration::from_secs_f64(IDLE_SECONDS * part));
-        readings
-            .iter()
-            .rev()
-            .find(|(seen, _)| at.is_some_and(|at| *seen <= at))
-            .context("the idle period was not observed")
-    };
-    let ((from, first), (to, last)) = (before(0.75)?, before(0.25)?);
-    let elapsed = to.duration_since(*from).as_secs_f64();
-    ensure!(elapsed > 0.0, "the idle period was not observed");
-    Ok((resident, (last - first) / elapsed * 100.0))
-}
-
-/// The process id of a child of this process whose command line has, for each suffix, an argument that ends
-/// with it.
-fn find_child(parent: u32, suffixes: &[&str]) -> Option<String> {
-    let matches = |name: &String| {
-        let read = |file: &str| std::fs::read_to_string(format!("/proc/{name}/{file}")).unwrap_or_default();
-        let status = read("status");
-        let parent_id = status.lines().find_map(|line| line.strip_prefix("PPid:")).unwrap_or_default();
-        let line = read("cmdline");
-        let has = |word: &&str| line.split('\0').any(|argument| argument.ends_with(*word));
-        parent_id.trim() == parent.to_string() && suffixes.iter().all(has)
-    };
-    let entries =
-        std::fs::read_dir("/proc").ok()?.filter_map(|entry| entry.ok()?.file_name().into_string().ok());
-    entries.filter(|name| name.bytes().all(|byte| byte.is_ascii_digit())).find(matches)
-}
-
-/// A running proxy; it is ended when this is dropped.
-struct Proxy {
-    child: Child,
-    address: SocketAddr,
-    _folder: TempDir,
-}
-
-impl Proxy {
-    fn start(program: &Path, discovery: SocketAddr) -> Result<Proxy> {
-        let folder = tempfile::tempdir().context("a folder for the configuration")?;
-        let path = folder.path().join("proxy.json");
-        let listen =
-            std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).context("a free port")?.local_addr()?;
-        std::fs::write(&path, configuration(listen, discovery).to_string())?;
-        let child = Command::new(program)
-            .args(["serve", "--config"])
-            .arg(&path)
-            .env_remove("PROXY_NAME")
-            .env_remove("PROXY_LISTEN")
-            .env_remove("PROXY_DISCOVERY")
-            .env_remove("PROXY_OPERATOR")
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .kill_on_drop(true)
-            .spawn()
-            .with_context(|| program.display().to_string())?;
-        Ok(Proxy { child, address: listen, _folder: folder })
-    }
-
-    fn id(&self) -> Result<u32> {
-        self.child.id().context("the proxy has ended")
-    }
-
-    /// A memory line of the process's status, such as `VmRSS:`, in millions of bytes.
-    fn memory(&self, name: &str) -> Result<f64> {
-        memory(&self.id()?.to_string(), name)
-    }
-
-    /// Processor time used so far, in seconds.
-    fn processor_seconds(&self) -> Result<f64> {
-        processor_seconds(&self.id()?.to_string())
-    }
-}
-
-/// Processor time used so far by all threads of a process, in seconds.
-fn processor_seconds(process: &str) -> Result<f64> {
-    let mut nanos = 0;
-    for thread in std::fs::read_dir(format!("/proc/{process}/task"))? {
-        let text = std::fs::read_to_string(thread?.path().join("schedstat"))?;
-        let used = text.split_whitespace().next().and_then(|used| used.parse::<u64>().ok());
-        nanos += used.context("schedstat: expected a number")?;
-    }
-    Ok(nanos as f64 / 1e9)
-}
-
-/// A memory line of a process's status, in millions of bytes.
-fn memory(process: &str, name: &str) -> Result<f64> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
-    let line = status.lines().find_map(|line| line.strip_prefix(name));
-    let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
-    Ok(kib.with_context(|| format!("no {name} of process {process}"))? * 1024.0 / 1e6)
-}
-
-/// The configuration of a proxy that follows the discovery stand-in.
-fn configuration(listen: SocketAddr, discovery: SocketAddr) -> Json {
-    let zones: BTreeMap<usize, String> = (1..=52).map(|zone| (zone, format!("z{zone}"))).collect();
-    json!({
-        "name": "p1",
-        "listen": listen.to_string(),
-        "discovery": discovery.to_string(),
-        "seed": "0000000000000001",
-        "settings": {
-            "discovery": "push",
-            "domain": {"mode": "aside", "origin-kind": 1},
-            "fleet-size": 16_000,
-            "me": 0,
-            "skus": ["cache", "origin"],
-            "failure-domains": zones.values().collect::<Vec<_>>(),
-            "orgs": [],
-            "permissions": {"may-probe": true, "retry-after": true, "most-upstream-tries": 4},
-            "routes": [{"name": "read", "effect": "repeatable", "payoff": 1.0,
-                "latency-objective-us": 150_000, "overall-timeout-us": 1_000_000}],
-            "rules": {"cold-us": 10_000_000, "start-capacity": 0.2, "fall-us": 1_000_000},
-            "telemetry": {"columns": [], "via": "silent"},
-        },
-    })
-}
-
 /// The memory of tables that map each key to one node. All tables are kept until the last is built, so that
 /// none reuses memory that another has freed.
 fn measure_tables() -> Result<Vec<(usize, f64)>> {
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -2,10 +2,13 @@
 //! straight lines fitted to them, and the lines' values at the target. The page `docs/CAPACITY.md` holds the
 //! tables that are generated here.
 
+mod discovery;
 pub mod fit;
 pub mod measure;
+mod process;
 pub mod slopes;
 pub mod tables;
+pub mod voter_usage;
 
 use anyhow::{Context, Result, ensure};
 use std::path::Path;
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -359,8 +359,8 @@
         Some("measure-voters") => {
             let lab = std::env::current_exe().context("path of the current executable")?;
             let programs = Programs { proxy: options.proxy.as_ref().map_or(lab.clone(), PathBuf::from), lab };
-            let voters = capacity::measure::measure_voters(&programs, |line| eprintln!("{line}"))?;
-            write_stdout(&capacity::measure::voters_table(&voters));
+            let voters = capacity::voter_usage::measure_voters(&programs, |line| eprintln!("{line}"))?;
+            write_stdout(&capacity::voter_usage::voters_table(&voters));
             if let Some(file) = &options.json {
                 write(file, &(serde_json::to_string_pretty(&voters)? + "\n"))?;
             }
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -260,7 +260,7 @@
 #[test]
 fn a_voter_is_measured() {
     let programs = Programs { proxy: LAB.into(), lab: LAB.into() };
-    let voter = capacity::measure::measure_voter(&programs, 3, 1).expect("a measurement");
+    let voter = capacity::voter_usage::measure_voter(&programs, 3, 1).expect("a measurement");
     assert!(voter.resident_mb > 1.0 && voter.core_percent > 0.0, "{voter:?}");
     assert!(voter.frames_per_second > 10.0 && voter.kilobytes_per_second > 0.5, "{voter:?}");
 }
