Settings: each replaced configuration binds for its whole time, whatever follows it

Cause: settings_changed kept one set of previous routes for two seconds and replaced it at each change, so route() combined the last two configurations only. Ruled out: the first change alone (without the second SIGHUP each write runs once), other nodes or clients (one cache, one origin, one id). By reading all settings that forbid something, the same or worse was found for the claims of ids and the overall timeout (newest configuration alone), second-copies and turn-gap-us.

Change: Superseded (core) holds a value and those that it replaced, each with its own end, and gives what all of them allow; 32 at most, then the two oldest are merged. The balancer and the table of routes use it.

second_copies and key_block_time move from PolicySettings to Route, where max_attempts, which is of all routes too, already is.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -16,6 +16,7 @@
 use crate::state::{
     DemandStats, MachineTypes, PolicySettings, RequestState, Route, Scratch, Tenants, TrafficStats,
 };
+use crate::superseded::Superseded;
 use crate::table::ReplicaTable;
 use hashbrown::HashMap;
 use oorandom::Rand32;
@@ -29,10 +30,8 @@
     /// Burst credit for fetches that this proxy starts with: a random part of one fetch.
     pub(crate) first_fetch_credit: f64,
     pub(crate) now: Nanos,
-    pub(crate) routes: Vec<Route>,
-    /// The routes before the last change of settings, and the time until which clients may still refer to
-    /// them.
-    pub(crate) previous_routes: (Nanos, Vec<Route>),
+    /// Each route, with the settings that it had before and that clients may still refer to.
+    pub(crate) routes: Vec<Superseded<Nanos, Route>>,
     /// The number of proxies that share the nodes and the origin.
     pub(crate) proxy_count: f64,
     pub(crate) nodes: Nodes<F>,
@@ -78,8 +77,7 @@
             now,
             proxy_count: settings.number("fleet", 1.0),
             settings: PolicySettings::new(&settings, &routes),
-            routes,
-            previous_routes: (0, Vec::new()),
+            routes: routes.into_iter().map(Superseded::new).collect(),
             nodes: Nodes::new(settings.time("cold", 0), REPORT_LIFETIME),
             all_caches: TrafficStats::default(),
             origin: None,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod sliding_window;
 pub mod state;
 pub mod status;
+pub mod superseded;
 pub mod table;
 
 pub use balancer::Balancer;
@@ -22,3 +23,4 @@
 };
 pub use settings::Settings;
 pub use status::Status;
+pub use superseded::{Restrict, Superseded};
--- a/crates/core/src/policy/events.rs
+++ b/crates/core/src/policy/events.rs
@@ -39,15 +39,17 @@
             request.awaits_decision(),
             (now >= request.client_deadline()).then_some(request.route.latency_objective),
         );
+        let (route, block_time) = (request.params.route, request.route.key_block_time);
         let blocked_key = request.ordering_key().filter(|_| outcome.may_still_run());
-        blocked_key
-            .into_iter()
-            .for_each(|key| self.key_queues.block_until(key, now + self.settings.key_block_time));
         // Another node served the request, so its earlier errors count against the nodes that returned them.
         let failed_nodes = match outcome.is_success() {
             true => request.take_failed_nodes(outcome == Outcome::Completed),
             false => SmallVec::new(),
         };
+        if let Some(key) = blocked_key {
+            let block_time = block_time.max(self.route(route).key_block_time);
+            self.key_queues.block_until(key, now + block_time);
+        }
         self.record_outcome(ended.node, ended.sent_at, outcome, objective_if_expired);
         failed_nodes.into_iter().for_each(|node| self.record_failure(node, Outcome::Errored));
         if answered {
--- a/crates/core/src/policy/hedging.rs
+++ b/crates/core/src/policy/hedging.rs
@@ -43,7 +43,8 @@
         let stalled_alone = matches!((in_flight.next(), in_flight.next()), (Some(only), None)
             if only.stalled && Some(only.node) != self.origin);
         stalled_alone
-            && self.settings.second_copies
+            && request.route.second_copies
+            && self.route(request.params.route).second_copies
             && !self.stopping
             && !request.answered
             && !request.response_started
--- a/crates/core/src/policy/membership.rs
+++ b/crates/core/src/policy/membership.rs
@@ -7,12 +7,13 @@
 use crate::policy::{SECOND, TICK};
 use crate::settings::Settings;
 use crate::state::{Attempt, PolicySettings, Route};
+use crate::superseded::Superseded;
 use std::collections::BTreeSet;
 
 /// The longest wait before discovery is asked again.
 const MAX_WATCH_BACKOFF: Nanos = 4 * SECOND;
 /// How long after a change of settings clients may still refer to the old ones.
-const SETTINGS_OVERLAP: Nanos = 2 * SECOND;
+pub const SETTINGS_OVERLAP: Nanos = 2 * SECOND;
 
 impl<H: Host, F: NodeIndex> Balancer<H, F> {
     /// Discovery has listed a node, or changed its entry.
@@ -65,27 +66,24 @@
     }
 
     /// Applies new settings. Routes keep their index, and open requests keep their route. For a while clients
-    /// may mean the old or the new route, and the stricter rule applies to each: an effect that may no longer
-    /// happen twice must not be repeated under the old rule.
+    /// may mean the routes of any configuration that was replaced lately, and the strictest rule applies: an
+    /// effect that may not happen twice under one of them must not be repeated.
     pub fn settings_changed(&mut self, now: Nanos, settings: &Settings) {
         self.advance_to(now);
         let routes = Route::all_from(settings);
         self.settings = PolicySettings::new(settings, &routes);
-        self.previous_routes = (now + SETTINGS_OVERLAP, std::mem::replace(&mut self.routes, routes));
+        self.routes.truncate(routes.len());
+        let added = routes.iter().skip(self.routes.len()).copied().map(Superseded::new).collect::<Vec<_>>();
+        for (known, route) in self.routes.iter_mut().zip(routes) {
+            known.replace(now, now + SETTINGS_OVERLAP, route);
+        }
+        self.routes.extend(added);
     }
 
-    /// The settings of a route for a request arriving now: for a while after a change, the stricter of the old
-    /// and the new ones.
+    /// The settings of a route for a request arriving now: the strictest of those in force and those that
+    /// still bind.
     pub(crate) fn route(&self, index: usize) -> Route {
-        let (until, previous) = &self.previous_routes;
-        let mut route = self.routes[index];
-        if let Some(previous) = previous.get(index).filter(|_| self.now < *until) {
-            route.retry_safety = route.retry_safety.max(previous.retry_safety);
-            route.dedup_window = route.dedup_window.min(previous.dedup_window);
-            route.max_attempts = route.max_attempts.min(previous.max_attempts);
-            route.keeps_order |= previous.keeps_order;
-        }
-        route
+        self.routes[index].strictest(self.now)
     }
 
     /// A request for the node list has failed. It is repeated after a growing, randomized delay: many proxies
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -8,7 +8,7 @@
 mod health;
 mod hedging;
 mod limits;
-mod membership;
+pub mod membership;
 mod origin;
 mod placement;
 mod queueing;
--- a/crates/core/src/state/route.rs
+++ b/crates/core/src/state/route.rs
@@ -3,6 +3,7 @@
 use crate::host::{DedupScope, Nanos, RetrySafety};
 use crate::settings::Settings;
 use crate::state::SECOND;
+use crate::superseded::Restrict;
 
 /// The settings that hold for all routes.
 #[derive(Clone, Copy, Debug)]
@@ -25,10 +26,6 @@
     pub may_probe: bool,
     /// Whether the proxy must ask discovery for the node list, rather than being sent it.
     pub watches_list: bool,
-    /// Whether a request may have two attempts in flight.
-    pub second_copies: bool,
-    /// How long a key is blocked after an attempt that may still be running.
-    pub key_block_time: Nanos,
 }
 
 impl PolicySettings {
@@ -45,14 +42,12 @@
             sends_retry_after: settings.flag("pauses"),
             may_probe: settings.flag("probes"),
             watches_list: settings.text("discovery") == "ask",
-            second_copies: settings.flag("second_copies"),
-            key_block_time: settings.time("turn_gap", 0),
         }
     }
 }
 
-/// The settings of one route.
-#[derive(Clone, Copy, Debug)]
+/// The settings that hold for the requests of one route.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Route {
     /// The time within which requests should be answered.
     pub latency_objective: Nanos,
@@ -66,6 +61,10 @@
     pub max_attempts: usize,
     /// Whether its requests for one key run one at a time, in the order in which they arrived.
     pub keeps_order: bool,
+    /// Whether a request may have two attempts in flight.
+    pub second_copies: bool,
+    /// How long a key is blocked after an attempt that may still be running.
+    pub key_block_time: Nanos,
     /// No longer in the settings; kept for clients that still name it.
     pub removed: bool,
 }
@@ -99,7 +98,21 @@
             payoff: settings.number(&name("payoff"), 1.0),
             max_attempts: settings.number("most_tries", 1.0) as usize,
             keeps_order: settings.flag(&name("ordered")),
+            second_copies: settings.flag("second_copies"),
+            key_block_time: settings.time("turn_gap", 0),
             removed: settings.flag(&name("dropped")),
         }
     }
 }
+
+impl Restrict for Route {
+    /// Restricts what may be done with a request. What it is worth stays.
+    fn restrict(&mut self, other: &Route) {
+        self.retry_safety = self.retry_safety.max(other.retry_safety);
+        self.dedup_window = self.dedup_window.min(other.dedup_window);
+        self.max_attempts = self.max_attempts.min(other.max_attempts);
+        self.keeps_order |= other.keeps_order;
+        self.second_copies &= other.second_copies;
+        self.key_block_time = self.key_block_time.max(other.key_block_time);
+    }
+}
--- a/crates/core/tests/balance/operations.rs
+++ b/crates/core/tests/balance/operations.rs
@@ -2,8 +2,10 @@
 
 use crate::rig::{MS, SECOND, listed, rig};
 use expect_test::expect;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use pumicebay_core::settings::Value;
-use pumicebay_core::{ListedNode, NodeStatus, Outcome, Settings};
+use pumicebay_core::{ListedNode, NodeStatus, Outcome, Restrict, Settings, Superseded};
 
 #[test]
 fn a_node_out_of_service_gets_no_requests_whatever_is_listed_until_it_is_put_back() {
@@ -116,3 +118,69 @@
         5 to node 2, 5 to node 1
     "#]]);
 }
+
+/// The settings of a series of configurations that bind a request, by name.
+const SERIES: [(&str, f64); 4] =
+    [("non_retriable", 4.0), ("retriable", 4.0), ("retriable", 3.0), ("retriable", 4.0)];
+
+/// Guards against forgetting a configuration early: each of several changes within the overlap binds for its whole time.
+#[test]
+fn the_strictest_of_several_configurations_in_quick_succession_applies() {
+    for gap_ms in [0, 100, 400, 600] {
+        let mut rig = rig(4, "non_retriable", &[]);
+        let replaced_at = rig.now;
+        let mut number = 0;
+        let mut attempts = |rig: &mut crate::rig::Rig| {
+            number += 1;
+            rig.arrive(number);
+            rig.end_attempt(number, 0, Outcome::Severed);
+            rig.balancer.host.0.matches(&format!("{number} to ")).count()
+        };
+        for (repeat, most) in SERIES.into_iter().skip(1) {
+            rig.balancer.settings_changed(rig.now, &settings(&[(repeat, 1000)], most));
+            assert_eq!(attempts(&mut rig), 1, "{gap_ms} ms apart, {repeat}, {most} attempts at most");
+            rig.advance(gap_ms * MS);
+        }
+        rig.advance(replaced_at + 1900 * MS - rig.now);
+        assert_eq!(attempts(&mut rig), 1, "{gap_ms} ms apart, at the end of the overlap");
+        rig.advance(100 * MS);
+        assert!(attempts(&mut rig) > 1, "{gap_ms} ms apart, after the overlap");
+    }
+}
+
+/// The tasks that a configuration allows, as bits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Allowed(u8);
+
+impl Restrict for Allowed {
+    fn restrict(&mut self, other: &Allowed) {
+        self.0 &= other.0;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(80), failure_persistence: None, ..ProptestConfig::default() })]
+    /// Guards against the same in any series: a value that still binds is never forgotten, and one that no longer does binds
+    /// no more, unless too many follow one another to be kept apart.
+    #[test]
+    fn what_still_binds_restricts_and_what_no_longer_does_is_dropped(
+        changes in prop::collection::vec((0_u64..40, any::<u8>()), 0..120),
+        (overlap, longest_delay) in (1_u64..60, 1_u64..40),
+    ) {
+        let mut merged = false;
+        let (mut known, mut history, mut now) = (Superseded::new(Allowed(0xff)), vec![(0, Allowed(0xff))], 0);
+        for (delay, allowed) in changes {
+            now += delay % longest_delay;
+            known.replace(now, now + overlap, Allowed(allowed));
+            history.push((now, Allowed(allowed)));
+            let ends = history.iter().skip(1).map(|(began, _)| began + overlap).chain([u64::MAX]);
+            let binding: Vec<u8> =
+                history.iter().zip(ends).filter(|(_, end)| *end > now).map(|((_, value), _)| value.0).collect();
+            let expected = binding.iter().fold(0xff, |all, allowed| all & allowed);
+            let strictest = known.strictest(now).0;
+            prop_assert_eq!(strictest & !expected, 0, "forgotten: {:08b} of {:08b}", strictest, expected);
+            merged |= binding.len() > 32;
+            prop_assert!(merged || strictest == expected, "not dropped: {:08b} of {:08b}", strictest, expected);
+        }
+    }
+}
--- a/crates/proxy/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -2,7 +2,8 @@
 //! open requests refer to it, so a number is not given to another route while anything may still mean the
 //! first.
 
-use pumicebay_core::{Nanos, Settings};
+use pumicebay_core::policy::membership::SETTINGS_OVERLAP;
+use pumicebay_core::{Nanos, Restrict, Settings, Superseded};
 use pumicebay_names as names;
 use serde_json::{Value as Json, json};
 use std::time::Duration;
@@ -27,11 +28,36 @@
     pub may_run_twice: bool,
 }
 
+/// What the requests of a route may do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct RouteLimits {
+    overall_timeout: Nanos,
+    may_run_twice: bool,
+}
+
+impl RouteLimits {
+    /// The limits in the settings of one route.
+    fn from_json(route: &Json) -> RouteLimits {
+        let parsed = names::settings_from_json(&json!({"routes": [route]}));
+        RouteLimits {
+            overall_timeout: parsed.time("route.0.overall_timeout", 0),
+            may_run_twice: parsed.text("route.0.repeat") == "retriable",
+        }
+    }
+}
+
+impl Restrict for RouteLimits {
+    fn restrict(&mut self, other: &RouteLimits) {
+        self.overall_timeout = self.overall_timeout.min(other.overall_timeout);
+        self.may_run_twice &= other.may_run_twice;
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Route {
     name: String,
-    overall_timeout: Nanos,
-    may_run_twice: bool,
+    /// Clients may refer to the limits of a replaced configuration for a while.
+    limits: Superseded<Instant, RouteLimits>,
     dropped: Option<Instant>,
 }
 
@@ -42,14 +68,15 @@
             route.name == name && route.dropped.is_none_or(|dropped| dropped.elapsed() < DROPPED_ROUTE_GRACE)
         };
         let number = self.0.iter().position(named)?;
-        let Route { overall_timeout, may_run_twice, .. } = self.0[number];
+        let RouteLimits { overall_timeout, may_run_twice } = self.0[number].limits.strictest(Instant::now());
         Some(NamedRoute { number, overall_timeout, may_run_twice })
     }
 
     /// The longest overall timeout of the routes in force. The platform reckons with no others when it stops a process.
     pub fn longest_timeout(&self) -> Duration {
         let in_force = self.0.iter().filter(|route| route.dropped.is_none());
-        Duration::from_nanos(in_force.map(|route| route.overall_timeout).max().unwrap_or(0))
+        let timeouts = in_force.map(|route| route.limits.current().overall_timeout);
+        Duration::from_nanos(timeouts.max().unwrap_or(0))
     }
 }
 
@@ -71,24 +98,31 @@
             json["dropped"] = json!(true);
         }
         for new in settings["routes"].as_array().into_iter().flatten() {
-            let name = names::text_at(new, "/name").to_string();
-            let number = self.number(&name);
-            let route = Route { name, overall_timeout: 0, may_run_twice: false, dropped: None };
-            if number == self.route_json.len() {
-                self.route_json.push(new.clone());
-                self.routes.0.push(route);
-            } else {
-                (self.route_json[number], self.routes.0[number]) = (new.clone(), route);
-            }
+            self.put_in_force(now, new);
         }
         let mut numbered = settings.clone();
         numbered["routes"] = json!(self.route_json);
-        let parsed = names::settings_from_json(&numbered);
-        for (number, route) in self.routes.0.iter_mut().enumerate() {
-            route.may_run_twice = parsed.text(&format!("route.{number}.repeat")) == "retriable";
-            route.overall_timeout = parsed.time(&format!("route.{number}.overall_timeout"), 0);
+        (names::settings_from_json(&numbered), self.routes.clone())
+    }
+
+    /// Puts a route of the newest settings in force under its number.
+    fn put_in_force(&mut self, now: Instant, json: &Json) {
+        let (name, limits) = (names::text_at(json, "/name"), RouteLimits::from_json(json));
+        let number = self.number(name);
+        let new = || Route { name: name.into(), limits: Superseded::new(limits), dropped: None };
+        match self.routes.0.get_mut(number) {
+            None => {
+                self.routes.0.push(new());
+                self.route_json.push(json.clone());
+                return;
+            }
+            Some(known) if known.name == name => {
+                known.dropped = None;
+                known.limits.replace(now, now + Duration::from_nanos(SETTINGS_OVERLAP), limits);
+            }
+            Some(dropped) => *dropped = new(),
         }
-        (parsed, self.routes.clone())
+        self.route_json[number] = json.clone();
     }
 
     /// The number that the route of this name has, else one that is free.
--- a/crates/proxy/tests/peers/main.rs
+++ b/crates/proxy/tests/peers/main.rs
@@ -9,6 +9,7 @@
 mod paused_replies;
 mod process;
 mod replaced_nodes;
+mod settings_series;
 mod slow_crowds;
 mod slow_readers;
 mod soak;
--- a/crates/proxy/tests/peers/nodes.rs
+++ b/crates/proxy/tests/peers/nodes.rs
@@ -74,10 +74,18 @@
     }
 }
 
+/// What is wrong with a reply. The request has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spoilt {
+    /// The node says that the request failed.
+    Failed,
+}
+
 /// What the nodes share: the plans by key, and when each request id has run.
 #[derive(Clone, Default)]
 pub struct Nodes {
     plans: Arc<Mutex<HashMap<String, Plan>>>,
+    spoilt: Arc<Mutex<HashMap<String, Spoilt>>>,
     runs: Arc<Mutex<HashMap<String, Vec<Instant>>>>,
     /// How often the machines of the nodes have vanished. Connections from before stay open and silent.
     vanished: Arc<AtomicUsize>,
@@ -117,6 +125,15 @@
         self.plans.lock().unwrap().insert(key.into(), plan);
     }
 
+    /// Spoils each reply for this key from now on.
+    pub fn spoil(&self, key: &str, spoilt: Spoilt) {
+        self.spoilt.lock().unwrap().insert(key.into(), spoilt);
+    }
+
+    fn spoilt(&self, key: &str) -> Option<Spoilt> {
+        self.spoilt.lock().unwrap().get(key).copied()
+    }
+
     /// The machines of all nodes vanish and come back at once, with new processes.
     pub fn vanish(&self) {
         self.vanished.fetch_add(1, Ordering::SeqCst);
@@ -226,6 +243,10 @@
             let plan = self.plan_for(key);
             self.record_run(uid, &id);
             sleep(SERVICE_TIME).await;
+            if self.spoilt(key) == Some(Spoilt::Failed) {
+                let _ = stream.write_all(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n").await;
+                continue;
+            }
             let length = plan.length;
             let (head, tail) = match plan.origin.unwrap_or(Framing::Length) {
                 Framing::Length => (format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"), ""),
--- a/crates/proxy/tests/peers/process.rs
+++ b/crates/proxy/tests/peers/process.rs
@@ -80,7 +80,7 @@
     peak_kb: Arc<AtomicU64>,
     over_limit: Arc<AtomicBool>,
     /// Deleted on drop.
-    _config: tempfile::TempPath,
+    config: tempfile::TempPath,
 }
 
 impl ProxyProcess {
@@ -98,7 +98,7 @@
         let log = follow_log(&mut child);
         let (peak_kb, over_limit) = (Arc::default(), Arc::default());
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut process = ProxyProcess { address, child, log, peak_kb, over_limit, _config: config };
+        let mut process = ProxyProcess { address, child, log, peak_kb, over_limit, config };
         for _ in 0..START_POLLS {
             if let Some(address) = listening_address(&process.log()) {
                 process.address = address;
@@ -140,6 +140,12 @@
         kill_process(Pid::from_child(&self.child), Signal::HUP).unwrap();
     }
 
+    /// Replaces the configuration and sends SIGHUP.
+    pub fn reconfigure(&self, configuration: &Json) {
+        std::fs::write(&self.config, configuration.to_string()).unwrap();
+        self.reload();
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
