Long replies: a value's last byte waits until its reply has come whole and is valid

Cause: forward_value passed on each piece when it came, the last one before the line end and the members behind it were read; StreamedValue counts length bytes as whole whatever becomes of its sender. read_reply took an array of any number of members, and nothing looked at those behind the value. Ruled out: the codec, which notices (the log says so, after the client has the value), and a second reply on the connection.

Change: ValueSender keeps the last byte back until finish(), which is called at the valid end of the message; all else goes on as it comes. Arrays of another number of members are refused at their head, the members behind a value are checked by parse_cache_reply and nested no deeper than in a short reply. The codec's Begin has named fields and tells how many members follow; the expected texts of codecs.rs follow its Debug form, nothing else in them changed.

--- a/crates/proxy/src/front/connection.rs
+++ b/crates/proxy/src/front/connection.rs
@@ -136,10 +136,10 @@
                 () = pause_over(paused_until), if paused_until.is_some() => self.pacer.resume(),
                 input = next_command(&mut self.framed, &mut self.command_started, &mut self.pacer, meter, read_more) => match input {
                     // Only the value of a write may be long.
-                    Input::Part(FramePart::Begin(words, _)) if !is_write(&words) => {
+                    Input::Part(FramePart::Begin { before: words, .. }) if !is_write(&words) => {
                         return self.reject(invalid("bulk string too long")).await;
                     }
-                    Input::Part(FramePart::Begin(words, length)) => {
+                    Input::Part(FramePart::Begin { before: words, length, .. }) => {
                         sent_command = true;
                         self.receive_upload(words, length, meter).await?;
                         last_active = Instant::now();
@@ -322,9 +322,12 @@
                     // The last reply is that of the write.
                     sender = sender.filter(|_| !self.pending.is_empty());
                 }
-                sent = send_piece(&sender, &piece), if piece_pending => {
+                sent = send_piece(&mut sender, &piece), if piece_pending => {
                     piece = None;
                     sender = sender.filter(|_| sent.is_ok());
+                    if let Some(whole) = sender.take_if(|sender| sender.is_whole()) {
+                        whole.finish()?;
+                    }
                 }
                 input = next => match input {
                     Ok(None) => return Ok(()),
@@ -397,7 +400,10 @@
 }
 
 /// Sends a piece to the receiver of the value. Cancel safe: a cancelled call has not sent it.
-async fn send_piece(sender: &Option<streaming::ValueSender>, piece: &Option<Bytes>) -> std::io::Result<()> {
+async fn send_piece(
+    sender: &mut Option<streaming::ValueSender>,
+    piece: &Option<Bytes>,
+) -> std::io::Result<()> {
     match (sender, piece) {
         (Some(sender), Some(piece)) => sender.send(piece.clone()).await,
         _ => Ok(()),
--- a/crates/proxy/src/resp.rs
+++ b/crates/proxy/src/resp.rs
@@ -73,8 +73,15 @@
 pub enum FramePart {
     /// A frame without a long member.
     Frame(Frame),
-    /// The members before the long one, and its length in bytes.
-    Begin(Vec<Frame>, usize),
+    /// The start of an array with a long member.
+    Begin {
+        /// The members before the long one.
+        before: Vec<Frame>,
+        /// The length of the long one in bytes.
+        length: usize,
+        /// How many members follow it.
+        members_after: usize,
+    },
     /// The next bytes of the long member.
     Piece(Bytes),
     /// The members after the long one.
@@ -133,9 +140,9 @@
                 State::FrameStart => match self.decode_start(buffer)? {
                     Decoded::Whole(frame) => return Ok(Some(FramePart::Frame(frame))),
                     Decoded::Partial => return Ok(None),
-                    Decoded::Long(before, length, after) => {
-                        self.state = State::LongMember(length, after);
-                        return Ok(Some(FramePart::Begin(before, length)));
+                    Decoded::Long(before, length, members_after) => {
+                        self.state = State::LongMember(length, members_after);
+                        return Ok(Some(FramePart::Begin { before, length, members_after }));
                     }
                 },
                 State::LongMember(0, after) => {
@@ -152,7 +159,7 @@
                     self.state = State::FrameStart;
                     return Ok(Some(FramePart::End(frames)));
                 }
-                State::TrailingMembers(left, frames) => match decode(buffer)? {
+                State::TrailingMembers(left, frames) => match decode_at(buffer, MAX_DEPTH - 1)? {
                     Decoded::Whole(frame) => {
                         frames.push(frame);
                         *left -= 1;
@@ -251,8 +258,13 @@
 
 /// Decodes one frame, or an array up to the bytes of its long member.
 fn decode(buffer: &mut BytesMut) -> Result<Decoded, Error> {
+    decode_at(buffer, MAX_DEPTH)
+}
+
+/// The same, for a frame in which arrays may be nested up to `depth`.
+fn decode_at(buffer: &mut BytesMut, depth: usize) -> Result<Decoded, Error> {
     let (mut at, mut spans) = (0, Spans::new());
-    match measure(buffer, &mut at, MAX_DEPTH, &mut spans)? {
+    match measure(buffer, &mut at, depth, &mut spans)? {
         Measured::Whole => {
             let frame = build_frame(&buffer.split_to(at).freeze(), &mut spans.iter());
             Ok(Decoded::Whole(frame))
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -8,6 +8,7 @@
 use std::io::Error;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::mpsc::OwnedPermit;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, SetOnce, mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
@@ -15,7 +16,7 @@
 pub const PIECE_BYTES: usize = 16 * 1024;
 /// The most pieces that are queued between the sender and the receiver.
 const PIECES_IN_FLIGHT: usize = 2;
-/// The most bytes that one value takes here: the queued pieces, one piece just read and one being written.
+/// The most bytes that one value takes here, but for its last one: the queued pieces, one just read and one being written.
 pub const MAX_BUFFERED_BYTES: usize = (PIECES_IN_FLIGHT + 2) * PIECE_BYTES;
 /// How long the sender may wait for the receiver, and a node's next piece may take, before the value is given
 /// up.
@@ -127,17 +128,26 @@
     }
 }
 
-/// The sending end. Dropped before the last piece, it makes the receiver fail.
+/// The sending end. The value's last byte is kept back until [`ValueSender::finish`] says that the message with the value has
+/// come whole and valid: until then a length that does not fit, or an end that is missing, can still show that what was sent
+/// is not the value. Dropped before, it makes the receiver fail.
 pub struct ValueSender {
     pieces: mpsc::Sender<Bytes>,
+    /// How many bytes of the value were not given to `send`.
+    remaining: usize,
+    /// The value's last byte, once all were given to `send`.
+    last_byte: Option<Bytes>,
+    /// Room for the last byte in the queue.
+    last_permit: OwnedPermit<Bytes>,
     /// Never used; tells the receiver when it is dropped.
     _alive: oneshot::Sender<()>,
 }
 
-/// Creates both ends of a streamed value of `length` bytes. The receiving end holds `permit`, if the number
+/// Creates both ends of a streamed value of `length` bytes, at least one. The receiving end holds `permit`, if the number
 /// of such values is limited where it is made.
 pub fn streamed_value(length: usize, permit: Option<OwnedSemaphorePermit>) -> (ValueSender, StreamedValue) {
-    let (sender, pieces) = mpsc::channel(PIECES_IN_FLIGHT);
+    let (sender, pieces) = mpsc::channel(PIECES_IN_FLIGHT + 1);
+    let last_permit = sender.clone().try_reserve_owned().expect("a new queue has room");
     let (alive, sender_gone) = oneshot::channel();
     let value = StreamedValue {
         length,
@@ -147,20 +157,52 @@
         sender_gone,
         _permit: permit,
     };
-    (ValueSender { pieces: sender, _alive: alive }, value)
+    let sender =
+        ValueSender { pieces: sender, remaining: length, last_byte: None, last_permit, _alive: alive };
+    (sender, value)
 }
 
 impl ValueSender {
-    /// Sends a piece, waiting for space in the queue.
+    /// Sends a piece, waiting for space in the queue, but for the value's last byte. Cancel safe: a cancelled call has sent
+    /// nothing.
     ///
     /// # Errors
-    /// If the receiver is gone, or takes nothing for `STALL_TIMEOUT`.
-    pub async fn send(&self, piece: Bytes) -> Result<(), Error> {
-        match timeout(STALL_TIMEOUT, self.pieces.send(piece)).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(invalid("the receiver of a streamed value is gone")),
-            Err(_) => Err(invalid("the receiver of a streamed value has stalled")),
+    /// If the receiver is gone, or takes nothing for `STALL_TIMEOUT`, or the value is longer than announced.
+    pub async fn send(&mut self, mut piece: Bytes) -> Result<(), Error> {
+        let Some(remaining) = self.remaining.checked_sub(piece.len()) else {
+            return Err(invalid("a streamed value is longer than announced"));
+        };
+        let permit = match timeout(STALL_TIMEOUT, self.pieces.reserve()).await {
+            Ok(Ok(permit)) => permit,
+            Ok(Err(_)) => return Err(invalid("the receiver of a streamed value is gone")),
+            Err(_) => return Err(invalid("the receiver of a streamed value has stalled")),
+        };
+        self.remaining = remaining;
+        if remaining == 0 && !piece.is_empty() {
+            let last_byte = piece.split_off(piece.len() - 1);
+            // A copy, since the rest of the piece would stay in memory with it.
+            self.last_byte = Some(Bytes::copy_from_slice(&last_byte));
+        }
+        if !piece.is_empty() {
+            permit.send(piece);
         }
+        Ok(())
+    }
+
+    /// Whether all pieces were given to `send`.
+    pub fn is_whole(&self) -> bool {
+        self.last_byte.is_some()
+    }
+
+    /// Sends the last byte. The caller has read the message to its end, and it is valid.
+    ///
+    /// # Errors
+    /// If the value is not whole.
+    pub fn finish(self) -> Result<(), Error> {
+        let last_byte =
+            self.last_byte.ok_or_else(|| invalid("a streamed value ended before its last byte"))?;
+        self.last_permit.send(last_byte);
+        Ok(())
     }
 }
 
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -8,8 +8,8 @@
 use crate::streaming::{self, STALL_TIMEOUT, StreamedValue};
 use crate::upstream::attempt::NodeOperation;
 use crate::upstream::protocol::{
-    cache_command, labels_with_time_left, origin_request, parse_cache_reply, parse_origin_response,
-    parse_probe_reply,
+    cache_command, check_cache_value_end, is_cache_value, labels_with_time_left, origin_request,
+    parse_cache_reply, parse_origin_response, parse_probe_reply,
 };
 use anyhow::{Context, Result, bail};
 use bytes::Bytes;
@@ -226,7 +226,9 @@
                         .context("cache node")?;
                     Ok(Some(Reply::Whole(back, false)))
                 }
-                Some(resp::FramePart::Begin(before, length)) if before.is_empty() && !probe => {
+                Some(resp::FramePart::Begin { before, length, members_after })
+                    if is_cache_value(&before, members_after) && !probe =>
+                {
                     let (reported_load, last) = (None, false);
                     Ok(Some(Reply::Streamed(StreamedReply { length, reported_load, last })))
                 }
@@ -254,15 +256,18 @@
         }
     }
 
-    /// The next piece of a streamed value; `None` at the end of the reply. Cancel safe.
+    /// The next piece of a streamed value; `None` at the end of the reply, which is valid then. Cancel safe.
     ///
     /// # Errors
-    /// When the value breaks off.
+    /// When the value breaks off or the reply is malformed behind it.
     pub async fn next_piece(&mut self) -> Result<Option<Bytes>> {
         match &mut self.transport {
             Transport::Cache(framed) => match next_item(framed).await? {
                 resp::FramePart::Piece(piece) => Ok(Some(piece)),
-                resp::FramePart::End(_) => Ok(None),
+                resp::FramePart::End(after) => {
+                    check_cache_value_end(after).context("cache node")?;
+                    Ok(None)
+                }
                 other => bail!("cache node: unexpected {other:?}"),
             },
             Transport::Origin(framed) => match next_item(framed).await? {
@@ -274,11 +279,15 @@
     }
 
     /// Forwards a streamed value, starting with the pieces that were read already, to the task that writes it to the
-    /// client.
+    /// client. The value's last byte follows once the reply has come whole.
     ///
     /// # Errors
-    /// When the value breaks off or the client stops reading it.
-    pub async fn forward_value(&mut self, first: Vec<Bytes>, source: streaming::ValueSender) -> Result<()> {
+    /// When the value breaks off, the reply is malformed behind it, or the client stops reading.
+    pub async fn forward_value(
+        &mut self,
+        first: Vec<Bytes>,
+        mut source: streaming::ValueSender,
+    ) -> Result<()> {
         for piece in first {
             source.send(piece).await?;
         }
@@ -288,6 +297,7 @@
             // Lets other tasks run between two pieces.
             yield_now().await;
         }
+        source.finish()?;
         Ok(())
     }
 }
--- a/crates/proxy/src/upstream/protocol.rs
+++ b/crates/proxy/src/upstream/protocol.rs
@@ -9,12 +9,16 @@
 use pumicebay_names as names;
 use smallvec::SmallVec;
 use std::io::Write;
+use std::iter;
 
 /// Load reports of this many requests or more are implausible and ignored.
 const MAX_REPORTED_LOAD: f64 = 1e9;
 /// The longest encoding of the label `d`, in bytes.
 const MAX_TIME_LABEL_BYTES: usize = 24;
 
+/// The members of a cache node's reply with a value or a miss: the value, one that is not used, and a load report.
+const CACHE_REPLY_MEMBERS: usize = 3;
+
 /// The command for a cache node: the client's own, with the label `d` set to how many milliseconds the proxy will wait.
 /// A streamed value is not part of it.
 pub fn cache_command(request: &ClientRequest, time_left_ms: u64) -> Vec<Frame> {
@@ -75,7 +79,8 @@
 pub fn parse_cache_reply(frame: Frame) -> Result<AttemptResult> {
     match frame {
         Frame::Array(parts) => {
-            let [first, _, report] = <[Frame; 3]>::try_from(parts).ok().context("unexpected array")?;
+            let [first, _, report] =
+                <[Frame; CACHE_REPLY_MEMBERS]>::try_from(parts).ok().context("unexpected array")?;
             let (outcome, value) = match first {
                 Frame::Bulk(value) => (Outcome::Completed, value),
                 Frame::Null => (Outcome::Missed, Bytes::new()),
@@ -93,6 +98,20 @@
     }
 }
 
+/// Whether an array with a long member may be a cache node's reply with a value: its first member is the value.
+pub fn is_cache_value(before: &[Frame], members_after: usize) -> bool {
+    before.is_empty() && members_after == CACHE_REPLY_MEMBERS - 1
+}
+
+/// Checks the members behind a streamed value as those behind a short one are checked.
+///
+/// # Errors
+/// When the reply is not one that a cache node gives.
+pub fn check_cache_value_end(after: Vec<Frame>) -> Result<()> {
+    let members = iter::once(Frame::Bulk(Bytes::new())).chain(after).collect();
+    parse_cache_reply(Frame::Array(members)).map(|_| ())
+}
+
 /// Parses a cache node's reply to a probe.
 ///
 /// # Errors
--- a/crates/proxy/tests/peers/main.rs
+++ b/crates/proxy/tests/peers/main.rs
@@ -13,3 +13,4 @@
 mod slow_crowds;
 mod slow_readers;
 mod soak;
+mod spoilt_replies;
--- a/crates/proxy/tests/peers/nodes.rs
+++ b/crates/proxy/tests/peers/nodes.rs
@@ -4,6 +4,7 @@
 use pumicebay::resp::{Frame, Resp};
 use serde_json::{Value as Json, json};
 use std::collections::HashMap;
+use std::io::{ErrorKind, Result};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,6 +14,8 @@
 use tokio::time::sleep;
 use tokio_util::codec::Decoder;
 
+/// How long a spoilt reply may pause behind its value.
+const PAUSE_BEHIND_VALUE: Duration = Duration::from_millis(30);
 /// How long a node takes to answer.
 const SERVICE_TIME: Duration = Duration::from_millis(4);
 /// How much of a value comes before a pause that is early in it: less than the proxy wants before it passes a value on.
@@ -74,18 +77,64 @@
     }
 }
 
-/// What is wrong with a reply. The request has run.
+/// What is unusual about a reply, without a pause. The request has run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Spoilt {
     /// The node says that the request failed.
     Failed,
+    /// It tells a length that is off by so many bytes.
+    Length(isize),
+    /// It is said to have so many members more, or fewer, than it has.
+    Members(isize),
+    /// These bytes come behind the value, and nothing more.
+    Tail(&'static [u8]),
+    /// The same, and the connection is closed.
+    Closed(&'static [u8]),
+    /// The connection is closed so many bytes before the end of the value.
+    Cut(usize),
+}
+
+/// What follows the value in a cache's reply.
+pub const CACHE_TAIL: &[u8] = b"\r\n$-1\r\n$-1\r\n";
+
+impl Spoilt {
+    /// Writes the reply with this value, with a pause behind the value if `pauses`. Fails if the connection is to be closed.
+    async fn write(self, stream: &mut TcpStream, origin: bool, value: &[u8], pauses: bool) -> Result<()> {
+        let (mut length, mut members, mut value) = (value.len(), 3, value);
+        let mut tail = if origin { &b""[..] } else { CACHE_TAIL };
+        match self {
+            Spoilt::Failed if origin => {
+                return stream.write_all(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n").await;
+            }
+            Spoilt::Failed => return stream.write_all(b"-ERR failed\r\n").await,
+            Spoilt::Length(off) => length = length.strict_add_signed(off),
+            Spoilt::Members(off) => members += off,
+            Spoilt::Tail(bytes) | Spoilt::Closed(bytes) => tail = bytes,
+            Spoilt::Cut(missing) => (value, tail) = (&value[..value.len() - missing], b""),
+        }
+        let head = match origin {
+            true => format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"),
+            false => format!("*{members}\r\n${length}\r\n"),
+        };
+        if pauses {
+            stream.write_all(&[head.as_bytes(), value].concat()).await?;
+            sleep(PAUSE_BEHIND_VALUE).await;
+            stream.write_all(tail).await?;
+        } else {
+            stream.write_all(&[head.as_bytes(), value, tail].concat()).await?;
+        }
+        match self {
+            Spoilt::Closed(_) | Spoilt::Cut(_) => Err(ErrorKind::ConnectionAborted.into()),
+            _ => Ok(()),
+        }
+    }
 }
 
 /// What the nodes share: the plans by key, and when each request id has run.
 #[derive(Clone, Default)]
 pub struct Nodes {
     plans: Arc<Mutex<HashMap<String, Plan>>>,
-    spoilt: Arc<Mutex<HashMap<String, Spoilt>>>,
+    spoilt: Arc<Mutex<HashMap<String, (Spoilt, bool)>>>,
     runs: Arc<Mutex<HashMap<String, Vec<Instant>>>>,
     /// How often the machines of the nodes have vanished. Connections from before stay open and silent.
     vanished: Arc<AtomicUsize>,
@@ -125,12 +174,12 @@
         self.plans.lock().unwrap().insert(key.into(), plan);
     }
 
-    /// Spoils each reply for this key from now on.
-    pub fn spoil(&self, key: &str, spoilt: Spoilt) {
-        self.spoilt.lock().unwrap().insert(key.into(), spoilt);
+    /// Spoils each reply for this key from now on, with a pause behind its value if `pauses`.
+    pub fn spoil(&self, key: &str, spoilt: Spoilt, pauses: bool) {
+        self.spoilt.lock().unwrap().insert(key.into(), (spoilt, pauses));
     }
 
-    fn spoilt(&self, key: &str) -> Option<Spoilt> {
+    fn spoilt(&self, key: &str) -> Option<(Spoilt, bool)> {
         self.spoilt.lock().unwrap().get(key).copied()
     }
 
@@ -216,6 +265,12 @@
                 }
                 self.record_run(uid, &id);
                 sleep(SERVICE_TIME).await;
+                if let Some((spoilt, pauses)) = self.spoilt(&key) {
+                    if spoilt.write(&mut stream, false, &value_for(&id, plan.length), pauses).await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
                 let head = format!("*3\r\n${}\r\n", plan.length);
                 if write_paused(&mut stream, &plan, head.as_bytes(), &id, b"\r\n$-1\r\n$-1\r\n")
                     .await
@@ -243,8 +298,10 @@
             let plan = self.plan_for(key);
             self.record_run(uid, &id);
             sleep(SERVICE_TIME).await;
-            if self.spoilt(key) == Some(Spoilt::Failed) {
-                let _ = stream.write_all(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n").await;
+            if let Some((spoilt, pauses)) = self.spoilt(key) {
+                if spoilt.write(&mut stream, true, &value_for(&id, plan.length), pauses).await.is_err() {
+                    return;
+                }
                 continue;
             }
             let length = plan.length;
@@ -265,13 +322,7 @@
 }
 
 /// Writes a reply with the pause of its plan.
-async fn write_paused(
-    stream: &mut TcpStream,
-    plan: &Plan,
-    head: &[u8],
-    id: &str,
-    tail: &[u8],
-) -> std::io::Result<()> {
+async fn write_paused(stream: &mut TcpStream, plan: &Plan, head: &[u8], id: &str, tail: &[u8]) -> Result<()> {
     let reply = [head, &value_for(id, plan.length), tail].concat();
     if plan.pause.is_zero() {
         return stream.write_all(&reply).await;
--- a/crates/proxy/tests/peers/settings_series.rs
+++ b/crates/proxy/tests/peers/settings_series.rs
@@ -55,7 +55,7 @@
             break;
         }
         let (key, id) = (format!("key-{number}"), format!("id-{number}"));
-        nodes.spoil(&key, Spoilt::Failed);
+        nodes.spoil(&key, Spoilt::Failed, false);
         let write = command(&[b"C.SET", key.as_bytes(), id.as_bytes(), b"c=once,d=900", b"value"]);
         let mut client = Client::connect(address).await;
         client.send(&write).await;
--- a/crates/proxy/tests/proxy/codecs.rs
+++ b/crates/proxy/tests/proxy/codecs.rs
@@ -375,18 +375,18 @@
     }
     expect![[r#"
         *3\r\n$70000\r\n
-          0 bytes, Begin([], 70000)
+          0 bytes, Begin { before: [], length: 70000, members_after: 2 }
           70000 bytes, End([Bulk(b"hit"), Null])
           0 bytes, Frame(Simple(b"next"))
         *5\r\n$5\r\nC.SE
-          0 bytes, Begin([Bulk(b"C.SET"), Bulk(b"k"), Bulk(b"i"), Bulk(b"l")], 70000)
+          0 bytes, Begin { before: [Bulk(b"C.SET"), Bulk(b"k"), Bulk(b"i"), Bulk(b"l")], length: 70000, members_after: 0 }
           70000 bytes, End([])
           0 bytes, Frame(Simple(b"next"))
         *1\r\n$70000\r\n
-          0 bytes, Begin([], 70000)
+          0 bytes, Begin { before: [], length: 70000, members_after: 0 }
           error: bulk string without end
         *2\r\n$70000\r\n
-          0 bytes, Begin([], 70000)
+          0 bytes, Begin { before: [], length: 70000, members_after: 1 }
           error: bulk string too long
         $70000\r\nvvvv
           error: bulk string too long
--- a/crates/proxy/tests/proxy/pipelined_long_values.rs
+++ b/crates/proxy/tests/proxy/pipelined_long_values.rs
@@ -338,7 +338,7 @@
 #[tokio::test]
 async fn a_value_whose_sender_is_gone_does_not_wait_for_memory() {
     let limit = BufferedValueLimit::new(1 << 20, 0);
-    let (sender, value) = streamed_value(100_000, None);
+    let (mut sender, value) = streamed_value(100_000, None);
     sender.send(vec![b'v'; 16_000].into()).await.unwrap();
     drop(sender);
     let buffered = timeout(PATIENCE, value.buffer_whole(&limit)).await;
