Long writes: a node gets the last byte of a value only when its command is valid

Cause: receive_upload gave each piece to the attempt when it came, the last one before the line end and the end of the command were read. With that byte the node has the whole request. Ruled out: the codec, which finds the missing line end, and the parser of commands, which sees the words before the value only.

Change: ValueSender::finish is called at the valid end of the command, not after the last piece; a command with words behind a long value is turned away at its head. The attempt of a bad write ends before its last byte: it never ran.

--- a/crates/proxy/src/front/connection.rs
+++ b/crates/proxy/src/front/connection.rs
@@ -136,9 +136,12 @@
                 () = pause_over(paused_until), if paused_until.is_some() => self.pacer.resume(),
                 input = next_command(&mut self.framed, &mut self.command_started, &mut self.pacer, meter, read_more) => match input {
                     // Only the value of a write may be long.
-                    Input::Part(FramePart::Begin { before: words, .. }) if !is_write(&words) => {
+                    Input::Part(FramePart::Begin { before, .. }) if !is_write(&before) => {
                         return self.reject(invalid("bulk string too long")).await;
                     }
+                    Input::Part(FramePart::Begin { members_after: 1.., .. }) => {
+                        return self.reject(invalid("words behind a value")).await;
+                    }
                     Input::Part(FramePart::Begin { before: words, length, .. }) => {
                         sent_command = true;
                         self.receive_upload(words, length, meter).await?;
@@ -274,8 +277,9 @@
         self.pending.len() > 1 || within_command || self.framed.get_ref().unread_bytes() > 0
     }
 
-    /// Handles a command whose last argument is long: forwards the value as it arrives, or discards it if the
-    /// reply comes first. The replies to earlier commands are sent meanwhile: reading on is the only way to see that the
+    /// Handles a command whose last argument is long: forwards the value as it arrives, but its last byte only once the
+    /// command has come to a valid end, since a node runs a write with that byte. Discards the value if the reply comes
+    /// first. The replies to earlier commands are sent meanwhile: reading on is the only way to see that the
     /// client has left behind the value.
     async fn receive_upload(
         &mut self,
@@ -325,9 +329,6 @@
                 sent = send_piece(&mut sender, &piece), if piece_pending => {
                     piece = None;
                     sender = sender.filter(|_| sent.is_ok());
-                    if let Some(whole) = sender.take_if(|sender| sender.is_whole()) {
-                        whole.finish()?;
-                    }
                 }
                 input = next => match input {
                     Ok(None) => return Ok(()),
@@ -336,13 +337,14 @@
                         arrival.record_taken(received.len());
                         piece = Some(received);
                     }
-                    Ok(Some(Input::Part(FramePart::End(after)))) if after.is_empty() => {
+                    Ok(Some(Input::Part(FramePart::End(_)))) => {
                         arrival.record_wait(waiting_since.elapsed());
                         arrival.record_end();
                         arrival.check(&self.framed);
-                        return Ok(());
+                        // The command is valid: only now may a node get all of it.
+                        return sender.map_or(Ok(()), streaming::ValueSender::finish);
                     }
-                    Ok(Some(Input::Part(_))) => break invalid("words behind a value"),
+                    Ok(Some(Input::Part(_))) => break invalid("out of step"),
                     Ok(Some(Input::Pause)) => {}
                     Ok(Some(Input::Disconnected)) => return Ok(()),
                     Ok(Some(Input::Failed(error))) => break error,
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -189,11 +189,6 @@
         Ok(())
     }
 
-    /// Whether all pieces were given to `send`.
-    pub fn is_whole(&self) -> bool {
-        self.last_byte.is_some()
-    }
-
     /// Sends the last byte. The caller has read the message to its end, and it is valid.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/proxy/tests/peers/bad_long_writes.rs
@@ -0,0 +1,126 @@
+//! Long writes of bad clients: lengths, ends or numbers of words that are wrong. None is a command, so none may run.
+
+use crate::clients::{Answer, Client};
+use crate::nodes::Nodes;
+use crate::process::{Options, ProxyProcess};
+use futures_util::future::join_all;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// The lengths of the values that are sent. All are streamed.
+const LENGTHS: [usize; 4] = [66_600, 100_000, 700_000, 3 << 20];
+/// How long a client may pause before it sends the end of its command.
+const PAUSE: Duration = Duration::from_millis(60);
+/// How long after the last answer a write may still come to a node.
+const SETTLING_TIME: Duration = Duration::from_millis(300);
+
+/// What a client does when it has sent its bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Afterwards {
+    Stays,
+    Closes,
+    /// It ends its sending and reads on.
+    EndsSending,
+}
+
+/// A write of a value, and how it differs from a valid one.
+#[derive(Clone, Copy, Debug)]
+struct Write {
+    /// By how much the told length is off.
+    length_off: isize,
+    /// By how much the told number of words is off.
+    words_off: isize,
+    /// What follows the value.
+    tail: &'static [u8],
+    afterwards: Afterwards,
+    /// Whether it is a whole command, with or without more behind it.
+    sound: bool,
+}
+
+const SOUND: Write =
+    Write { length_off: 0, words_off: 0, tail: b"\r\n", afterwards: Afterwards::Stays, sound: true };
+
+fn writes() -> Vec<Write> {
+    let bad = Write { sound: false, ..SOUND };
+    let lengths = [-500, -7, -2, -1, 1, 2, 500].map(|length_off| Write { length_off, ..bad });
+    let words = [-1, 1, 5].map(|words_off| Write { words_off, ..bad });
+    let tails: [&'static [u8]; 7] = [b"", b"\r", b"\n", b"\n\r", b"\r\r", b"xx", b"$3\r\nend\r\n"];
+    let tails = tails.map(|tail| Write { tail, ..bad });
+    let all = lengths.into_iter().chain(words).chain(tails);
+    let ends = [Afterwards::Stays, Afterwards::Closes, Afterwards::EndsSending];
+    let mut writes: Vec<_> =
+        all.flat_map(|write| ends.map(|afterwards| Write { afterwards, ..write })).collect();
+    writes.extend([SOUND, Write { tail: b"\r\nnoise behind it\r\n", ..SOUND }]);
+    writes
+}
+
+impl Write {
+    /// Sends the write of a value and returns the first answer that is no refusal before an error.
+    async fn send(self, proxy: SocketAddr, id: &str, length: usize, pauses: bool) -> Answer {
+        let told = length.strict_add_signed(self.length_off);
+        let labels = format!("c={},d=1900", if length.is_multiple_of(200) { "once" } else { "read" });
+        let head = format!(
+            "*{}\r\n$5\r\nC.SET\r\n$3\r\nmap\r\n${}\r\n{id}\r\n${}\r\n{labels}\r\n${told}\r\n",
+            5 + self.words_off,
+            id.len(),
+            labels.len()
+        );
+        let mut stream = TcpStream::connect(proxy).await.unwrap();
+        let value = vec![b'v'; length];
+        // The proxy may have closed the connection before all of it is sent.
+        let _ = stream.write_all(&[head.as_bytes(), &value].concat()).await;
+        if pauses {
+            sleep(PAUSE).await;
+        }
+        let _ = stream.write_all(self.tail).await;
+        match self.afterwards {
+            Afterwards::Stays => {}
+            Afterwards::Closes => return Answer::Cut,
+            Afterwards::EndsSending => _ = stream.shutdown().await,
+        }
+        Client::from_stream(stream).answer(Instant::now()).await.answer
+    }
+}
+
+/// Sends the write with values of all lengths. Returns what was wrong.
+async fn send_all(write: Write) -> Vec<String> {
+    let nodes = Nodes::default();
+    let targets = nodes.start(1).await;
+    let proxy = ProxyProcess::start(&Options::new(targets)).await;
+    let address = proxy.address;
+    let send = async |(length, pauses): (usize, bool)| {
+        let id = format!("id-{length}-{pauses}");
+        (write.send(address, &id, length, pauses).await, id)
+    };
+    let forms = LENGTHS.iter().flat_map(|&length| [(length, false), (length, true)]);
+    let answers = join_all(forms.map(send)).await;
+    sleep(SETTLING_TIME).await;
+    let mut faults = Vec::new();
+    for (answer, id) in answers {
+        let (served, runs) = (matches!(answer, Answer::Value(_)), nodes.runs(&id));
+        let answered = write.afterwards != Afterwards::Stays || answer != Answer::Silence;
+        if served != write.sound || runs != usize::from(write.sound) || !answered {
+            faults.push(format!("{write:?}, {id}: ran {runs} times, {answer:?}"));
+        }
+    }
+    faults
+}
+
+/// Guards against writes that run though no client sent them as a command: the last byte of a long value was passed on before
+/// its end, and the rest of its command, had been read.
+#[tokio::test(flavor = "multi_thread", worker_threads = 6)]
+async fn a_long_write_that_is_no_valid_command_never_runs() {
+    let mut runs = JoinSet::new();
+    let mut writes = writes().into_iter();
+    writes.by_ref().take(12).for_each(|write| drop(runs.spawn(send_all(write))));
+    let mut faults = Vec::new();
+    while let Some(run) = runs.join_next().await {
+        faults.extend(run.unwrap());
+        writes.next().into_iter().for_each(|write| drop(runs.spawn(send_all(write))));
+    }
+    assert!(faults.is_empty(), "{} faults: {faults:#?}", faults.len());
+}
