Soak: new configurations in series, spoilt replies and bad long writes

Half of the runs have a client that sends long writes that are no valid commands; an eighth of the reads of caches get a spoilt reply; up to three configurations in a row let the route that must run once be repeated, and one takes that back, within the time for which the first rule binds. A test of the table of routes joins, for the overall timeout and the claims of ids.

--- a/crates/proxy/tests/peers/bad_long_writes.rs
+++ b/crates/proxy/tests/peers/bad_long_writes.rs
@@ -20,7 +20,7 @@
 
 /// What a client does when it has sent its bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Afterwards {
+pub enum Afterwards {
     Stays,
     Closes,
     /// It ends its sending and reads on.
@@ -29,7 +29,7 @@
 
 /// A write of a value, and how it differs from a valid one.
 #[derive(Clone, Copy, Debug)]
-struct Write {
+pub struct Write {
     /// By how much the told length is off.
     length_off: isize,
     /// By how much the told number of words is off.
@@ -38,13 +38,14 @@
     tail: &'static [u8],
     afterwards: Afterwards,
     /// Whether it is a whole command, with or without more behind it.
-    sound: bool,
+    pub sound: bool,
 }
 
 const SOUND: Write =
     Write { length_off: 0, words_off: 0, tail: b"\r\n", afterwards: Afterwards::Stays, sound: true };
 
-fn writes() -> Vec<Write> {
+/// All kinds of bad writes, and two sound ones.
+pub fn writes() -> Vec<Write> {
     let bad = Write { sound: false, ..SOUND };
     let lengths = [-500, -7, -2, -1, 1, 2, 500].map(|length_off| Write { length_off, ..bad });
     let words = [-1, 1, 5].map(|words_off| Write { words_off, ..bad });
@@ -59,8 +60,8 @@
 }
 
 impl Write {
-    /// Sends the write of a value and returns the first answer that is no refusal before an error.
-    async fn send(self, proxy: SocketAddr, id: &str, length: usize, pauses: bool) -> Answer {
+    /// Sends the write of a value and returns the first answer; `None` if nobody listens.
+    pub async fn try_send(self, proxy: SocketAddr, id: &str, length: usize, pauses: bool) -> Option<Answer> {
         let told = length.strict_add_signed(self.length_off);
         let labels = format!("c={},d=1900", if length.is_multiple_of(200) { "once" } else { "read" });
         let head = format!(
@@ -69,7 +70,7 @@
             id.len(),
             labels.len()
         );
-        let mut stream = TcpStream::connect(proxy).await.unwrap();
+        let mut stream = TcpStream::connect(proxy).await.ok()?;
         let value = vec![b'v'; length];
         // The proxy may have closed the connection before all of it is sent.
         let _ = stream.write_all(&[head.as_bytes(), &value].concat()).await;
@@ -79,10 +80,10 @@
         let _ = stream.write_all(self.tail).await;
         match self.afterwards {
             Afterwards::Stays => {}
-            Afterwards::Closes => return Answer::Cut,
+            Afterwards::Closes => return Some(Answer::Cut),
             Afterwards::EndsSending => _ = stream.shutdown().await,
         }
-        Client::from_stream(stream).answer(Instant::now()).await.answer
+        Some(Client::from_stream(stream).answer(Instant::now()).await.answer)
     }
 }
 
@@ -94,7 +95,7 @@
     let address = proxy.address;
     let send = async |(length, pauses): (usize, bool)| {
         let id = format!("id-{length}-{pauses}");
-        (write.send(address, &id, length, pauses).await, id)
+        (write.try_send(address, &id, length, pauses).await.expect("the proxy listens"), id)
     };
     let forms = LENGTHS.iter().flat_map(|&length| [(length, false), (length, true)]);
     let answers = join_all(forms.map(send)).await;
--- a/crates/proxy/tests/peers/soak.rs
+++ b/crates/proxy/tests/peers/soak.rs
@@ -1,10 +1,12 @@
-//! Seeded runs that mix slow nodes, fast and slow clients, clients that leave, repeated ids, signals in series and upgrades.
+//! Seeded runs that mix slow nodes, spoilt replies, fast, slow and bad clients, clients that leave, repeated ids, new
+//! configurations and other signals in series, and upgrades.
 //! `SOAK_SEEDS=FIRST..END` plays other seeds than the few of the usual test run.
 
+use crate::bad_long_writes;
 use crate::clients::{Answer, Client, Timed, command};
 use crate::fast_clients::{self, Block};
-use crate::nodes::{Framing, Nodes, Plan, Position, value_for};
-use crate::process::{Options, ProxyProcess};
+use crate::nodes::{Framing, Nodes, Plan, Position, Spoilt, value_for};
+use crate::process::{Options, ProxyProcess, configuration};
 use crate::slow_crowds::{self, Kind};
 use oorandom::Rand32;
 use std::collections::HashSet;
@@ -27,6 +29,20 @@
 /// Longer values are timed by their first byte.
 const MAX_WHOLE_VALUE: usize = 64 * 1024;
 
+/// The longest pause between two of several new configurations. Within the time of all of them no rule that they replace ends.
+const MAX_RECONFIGURE_PAUSE_MS: u32 = 260;
+/// How replies are spoilt.
+const SPOILT: [Spoilt; 8] = [
+    Spoilt::Failed,
+    Spoilt::Length(-1),
+    Spoilt::Length(-900),
+    Spoilt::Length(9),
+    Spoilt::Members(-1),
+    Spoilt::Tail(b"noise"),
+    Spoilt::Closed(b"\r"),
+    Spoilt::Cut(1),
+];
+
 /// What was seen to be wrong in a run.
 type Faults = Arc<Mutex<Vec<String>>>;
 /// The ids of requests that must run once.
@@ -39,6 +55,7 @@
     route: &'static str,
     timeout_ms: u64,
     plan: Plan,
+    spoilt: Option<Spoilt>,
     write: Option<usize>,
 }
 
@@ -64,7 +81,17 @@
             Plan { origin, length, position, pause }
         };
         let timeout_ms = u64::from(rng.rand_range(80..longest));
-        Request { key: format!("key-{name}"), id: format!("id-{name}"), route, timeout_ms, plan, write }
+        let may_be_spoilt = origin.is_none() && write.is_none() && rng.rand_range(0..8) == 0;
+        let spoilt = may_be_spoilt.then(|| SPOILT[rng.rand_range(0..SPOILT.len() as u32) as usize]);
+        Request {
+            key: format!("key-{name}"),
+            id: format!("id-{name}"),
+            route,
+            timeout_ms,
+            plan,
+            spoilt,
+            write,
+        }
     }
 
     fn bytes(&self) -> Vec<u8> {
@@ -103,7 +130,7 @@
 
     /// A value that has begun may break off only where its node gives no more of it.
     fn cut_fault(&self) -> Option<String> {
-        let sound = self.plan.pause < Duration::from_secs(2);
+        let sound = self.plan.pause < Duration::from_secs(2) && self.spoilt.is_none();
         sound.then(|| "a sound value was cut off".into())
     }
 }
@@ -135,6 +162,10 @@
         count += 1;
         let request = Request::random(&mut rng, &format!("{number}-{count}"), has_origin);
         nodes.plan(&request.key, request.plan);
+        request
+            .spoilt
+            .into_iter()
+            .for_each(|spoilt| nodes.spoil(&request.key, spoilt, rng.rand_range(0..2) == 0));
         if request.route == "once" {
             once.lock().unwrap().insert(request.id.clone());
         }
@@ -159,11 +190,10 @@
         }
         let got = open.answer(sent_at).await;
         if let Some(fault) = request.fault(&got, &nodes).filter(|_| sent_at < ends) {
-            let Request { route, timeout_ms, plan, write, id, .. } = &request;
-            faults
-                .lock()
-                .unwrap()
-                .push(format!("{id} {route} {timeout_ms} ms, write {write:?}, {plan:?}: {fault}\n"));
+            let Request { route, timeout_ms, plan, spoilt, write, id, .. } = &request;
+            faults.lock().unwrap().push(format!(
+                "{id} {route} {timeout_ms} ms, write {write:?}, {plan:?}, {spoilt:?}: {fault}\n"
+            ));
         }
         if matches!(got.answer, Answer::Cut | Answer::Silence) {
             client = None;
@@ -172,6 +202,43 @@
     }
 }
 
+/// Sends long writes that are no valid commands, one by one, until the run ends. None may be served or run.
+async fn bad_client(run: Run) {
+    let mut rng = Rand32::new(run.seed ^ 0xbad);
+    let writes: Vec<_> = bad_long_writes::writes().into_iter().filter(|write| !write.sound).collect();
+    for number in 0.. {
+        if Instant::now() > run.ends {
+            return;
+        }
+        let id = format!("bad-{number}");
+        let write = writes[rng.rand_range(0..writes.len() as u32) as usize];
+        let length = 70_000 + rng.rand_range(0..400_000) as usize;
+        let answer = write.try_send(run.proxy, &id, length, rng.rand_range(0..2) == 0).await;
+        sleep(Duration::from_millis(u64::from(rng.rand_range(5..60)))).await;
+        if matches!(answer, Some(Answer::Value(_))) || run.nodes.runs(&id) > 0 {
+            run.faults.lock().unwrap().push(format!("{id}: {write:?} ran or was served, {answer:?}\n"));
+        }
+    }
+}
+
+/// Allows the route that must run once to be repeated, in up to three configurations in a row, and then no more.
+async fn reconfigure(proxy: &ProxyProcess, options: &Options, rng: &mut Rand32) {
+    let usual = configuration(options);
+    let mut series = Vec::new();
+    for _ in 0..rng.rand_range(0..4) {
+        let mut next = usual.clone();
+        next["settings"]["routes"][1]["effect"] =
+            ["repeatable", "by_key"][rng.rand_range(0..2) as usize].into();
+        next["settings"]["permissions"]["most-upstream-tries"] = rng.rand_range(2..5).into();
+        series.push(next);
+    }
+    series.push(usual);
+    for next in series {
+        proxy.reconfigure(&next);
+        sleep(Duration::from_millis(u64::from(rng.rand_range(0..MAX_RECONFIGURE_PAUSE_MS)))).await;
+    }
+}
+
 /// Plays one seed. Returns what was wrong.
 async fn play(seed: u64) -> Vec<String> {
     let mut rng = Rand32::new(seed);
@@ -213,7 +280,12 @@
             crowd.spawn(slow_crowds::slow_client(address, number, kind));
         }
     }
-    sleep(SERVING_TIME / 2).await;
+    if rng.rand_range(0..2) == 0 {
+        usual.spawn(bad_client(run.clone()));
+    }
+    sleep(SERVING_TIME / 4).await;
+    reconfigure(&proxy, &options, &mut rng).await;
+    sleep(SERVING_TIME / 4).await;
     for _ in 0..rng.rand_range(0..4) {
         proxy.reload();
         sleep(Duration::from_millis(u64::from(rng.rand_range(0..30)))).await;
--- a/crates/proxy/tests/proxy/config.rs
+++ b/crates/proxy/tests/proxy/config.rs
@@ -3,8 +3,10 @@
 use crate::configuration;
 use expect_test::expect;
 use pumicebay::config;
-use pumicebay::routes::RouteRegistry;
+use pumicebay::routes::{RouteRegistry, Routes};
 use serde_json::json;
+use std::time::Duration;
+use tokio::time::sleep;
 
 #[test]
 fn each_error_names_the_invalid_key() {
@@ -108,3 +110,32 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// Guards against limits of a route that are forgotten early: of several configurations in quick succession the one that allows
+/// least binds the time of its requests and whether their ids may come again, also for a route that was dropped in between.
+#[tokio::test(start_paused = true)]
+async fn a_route_keeps_the_strictest_limits_of_recent_configurations() {
+    let mut registry = RouteRegistry::default();
+    let mut apply = |timeout_ms: u64, effect: &str, listed: bool| {
+        let read = json!({"name": "read", "effect": effect, "overall-timeout-us": timeout_ms * 1000});
+        let other = json!({"name": "other", "effect": "once", "overall-timeout-us": 500_000});
+        let routes = if listed { json!([other, read]) } else { json!([other]) };
+        registry.apply(&json!({"routes": routes})).1
+    };
+    let limits = |routes: &Routes| {
+        let read = routes.find("read").unwrap();
+        (read.overall_timeout / 1_000_000, read.may_run_twice)
+    };
+    assert_eq!(limits(&apply(1000, "once", true)), (1000, false));
+    sleep(Duration::from_secs(5)).await;
+    for (timeout_ms, listed) in [(3000, true), (2500, false), (2000, true), (4000, true)] {
+        assert_eq!(limits(&apply(timeout_ms, "repeatable", listed)), (1000, false), "{timeout_ms}");
+        sleep(Duration::from_millis(499)).await;
+    }
+    let routes = apply(4000, "repeatable", true);
+    assert_eq!((limits(&routes), routes.longest_timeout()), ((1000, false), Duration::from_secs(4)));
+    sleep(Duration::from_millis(4)).await;
+    assert_eq!(limits(&routes), (2000, true));
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(limits(&routes), (4000, true));
+}
