Proxy: the codec of long values and the forwarding of uploads are modules of their own

No change of behaviour. resp.rs (441 lines) is resp/ (the frames and their encoder, the decoder of whole frames, that of streamed ones); front/connection.rs (421) is front/connection/ with upload.rs, in which the start of an upload is a function of its own. A comment that read like a measured value says what the constant is.

--- a/crates/proxy/src/dispatcher/claimed_ids/shared_claims.rs
+++ b/crates/proxy/src/dispatcher/claimed_ids/shared_claims.rs
@@ -16,7 +16,7 @@
 const BUCKET_RECORDS: usize = 8;
 /// A record: the hash of the id, when it was claimed, and the process that did.
 const RECORD_BYTES: usize = 24;
-/// How often the lock is tried. It is held for some microseconds.
+/// How often the lock is tried.
 const LOCK_TRIES: usize = 20;
 const BUCKET_BYTES: usize = BUCKET_RECORDS * RECORD_BYTES;
 
--- a/crates/proxy/src/front/connection.rs
+++ b/crates/proxy/src/front/connection/mod.rs
@@ -1,21 +1,21 @@
 //! One client connection, from its first command to its end.
 
+mod upload;
+
 use crate::connection_limit::{ConnectionLimit, EvictionClass};
 use crate::event_loop;
 use crate::front::client_stream::ClientStream;
 use crate::front::commands::{Command, is_write, parse_command};
 use crate::front::frontend::Frontend;
-use crate::front::input::{Input, disconnected, has_input, is_disconnected, next_command, next_part};
+use crate::front::input::{Input, disconnected, has_input, is_disconnected, next_command};
 use crate::front::pacing::{Pacer, WorkMeter, pause_over};
 use crate::front::replies::{ClientDeadline, OpenRequest, OutgoingReply, PendingReplies, Reply};
-use crate::front::upload_arrival::UploadArrival;
 use crate::front::writer::{release_buffer, write_frame, write_value};
 use crate::messages::ClientRequest;
 use crate::phases::Phase;
 use crate::resp::{Frame, FramePart, StreamingResp, invalid};
 use crate::shared::Shared;
-use crate::streaming::{self, Upload};
-use bytes::Bytes;
+use crate::streaming::Upload;
 use pumicebay_core::Nanos;
 use std::io::ErrorKind;
 use std::sync::Arc;
@@ -277,86 +277,6 @@
         self.pending.len() > 1 || within_command || self.framed.get_ref().unread_bytes() > 0
     }
 
-    /// Handles a command whose last argument is long: forwards the value as it arrives, but its last byte only once the
-    /// command has come to a valid end, since a node runs a write with that byte. Discards the value if the reply comes
-    /// first. The replies to earlier commands are sent meanwhile: reading on is the only way to see that the
-    /// client has left behind the value.
-    async fn receive_upload(
-        &mut self,
-        mut words: Vec<Frame>,
-        length: usize,
-        meter: &WorkMeter,
-    ) -> std::io::Result<()> {
-        let mut arrival = UploadArrival::new(length, self.framed.get_ref().received_at());
-        words.push(Frame::Bulk(Bytes::new()));
-        let (reply, mut sender) = match self.frontend.shared.streamed_values.clone().try_acquire_owned() {
-            Ok(permit) => {
-                let (sender, value) = streaming::streamed_value(length, Some(permit));
-                let upload = Box::new(Upload::new(value, arrival.last_byte()));
-                let reply = self.handle_command(Frame::Array(words), Some(upload)).await;
-                (reply, Some(sender))
-            }
-            Err(_) => (Reply::Ready(Frame::error("BUSY")), None),
-        };
-        if !self.used && matches!(reply, Reply::Waiting(_)) {
-            self.mark_used();
-        }
-        if let Reply::Waiting(request) = &reply {
-            arrival.limit(request.client_timeout);
-        }
-        self.pending.push(reply, None);
-        let mut piece = None;
-        let error = loop {
-            arrival.check(&self.framed);
-            let (reply_pending, piece_pending) =
-                (!self.pending.is_empty(), sender.is_some() && piece.is_some());
-            let waiting_since = Instant::now();
-            let next = async {
-                if piece_pending {
-                    // The receiver of the value is slow, not the client.
-                    arrival.watch(&mut self.framed).await;
-                    return Ok(None);
-                }
-                timeout(SILENCE_TIMEOUT, next_part(&mut self.framed, &mut self.pacer, meter)).await.map(Some)
-            };
-            tokio::select! {
-                biased;
-                reply = self.pending.next(), if reply_pending => {
-                    self.send_reply(reply).await?;
-                    // The last reply is that of the write.
-                    sender = sender.filter(|_| !self.pending.is_empty());
-                }
-                sent = send_piece(&mut sender, &piece), if piece_pending => {
-                    piece = None;
-                    sender = sender.filter(|_| sent.is_ok());
-                }
-                input = next => match input {
-                    Ok(None) => return Ok(()),
-                    Ok(Some(Input::Part(FramePart::Piece(received)))) => {
-                        arrival.record_wait(waiting_since.elapsed());
-                        arrival.record_taken(received.len());
-                        piece = Some(received);
-                    }
-                    Ok(Some(Input::Part(FramePart::End(_)))) => {
-                        arrival.record_wait(waiting_since.elapsed());
-                        arrival.record_end();
-                        arrival.check(&self.framed);
-                        // The command is valid: only now may a node get all of it.
-                        return sender.map_or(Ok(()), streaming::ValueSender::finish);
-                    }
-                    Ok(Some(Input::Part(_))) => break invalid("out of step"),
-                    Ok(Some(Input::Pause)) => {}
-                    Ok(Some(Input::Disconnected)) => return Ok(()),
-                    Ok(Some(Input::Failed(error))) => break error,
-                    Err(_) => break invalid("command without end"),
-                },
-            }
-        };
-        // The reply to the write, which is due before the error, waits for the rest of the value.
-        drop(sender);
-        self.reject(error).await
-    }
-
     /// Executes a command, or submits its request to the dispatcher.
     async fn handle_command(&mut self, frame: Frame, upload: Option<Box<Upload>>) -> Reply {
         let age = self.framed.get_ref().received_at().elapsed().as_nanos() as Nanos;
@@ -401,17 +321,6 @@
     }
 }
 
-/// Sends a piece to the receiver of the value. Cancel safe: a cancelled call has not sent it.
-async fn send_piece(
-    sender: &mut Option<streaming::ValueSender>,
-    piece: &Option<Bytes>,
-) -> std::io::Result<()> {
-    match (sender, piece) {
-        (Some(sender), Some(piece)) => sender.send(piece.clone()).await,
-        _ => Ok(()),
-    }
-}
-
 /// Returns when a connection idle since `last_active` is asked to close to make room.
 async fn eviction_requested(limit: &ConnectionLimit, used: bool, last_active: Instant) {
     if !used {
--- a/crates/proxy/tests/peers/bad_long_writes.rs
+++ b/crates/proxy/tests/peers/bad_long_writes.rs
@@ -62,7 +62,7 @@
 impl Write {
     /// Sends the write of a value and returns the first answer; `None` if nobody listens.
     pub async fn try_send(self, proxy: SocketAddr, id: &str, length: usize, pauses: bool) -> Option<Answer> {
-        let told = length.strict_add_signed(self.length_off);
+        let told = length.checked_add_signed(self.length_off).unwrap();
         let labels = format!("c={},d=1900", if length.is_multiple_of(200) { "once" } else { "read" });
         let head = format!(
             "*{}\r\n$5\r\nC.SET\r\n$3\r\nmap\r\n${}\r\n{id}\r\n${}\r\n{labels}\r\n${told}\r\n",
--- a/crates/proxy/tests/peers/nodes.rs
+++ b/crates/proxy/tests/peers/nodes.rs
@@ -107,7 +107,7 @@
                 return stream.write_all(b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n").await;
             }
             Spoilt::Failed => return stream.write_all(b"-ERR failed\r\n").await,
-            Spoilt::Length(off) => length = length.strict_add_signed(off),
+            Spoilt::Length(off) => length = length.checked_add_signed(off).unwrap(),
             Spoilt::Members(off) => members += off,
             Spoilt::Tail(bytes) | Spoilt::Closed(bytes) => tail = bytes,
             Spoilt::Cut(missing) => (value, tail) = (&value[..value.len() - missing], b""),
