--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -21,6 +21,7 @@
 mod pipelined_long_values;
 mod replication;
 mod restart;
+mod streamed_verdicts;
 
 use bytes::BytesMut;
 use expect_test::Expect;
