Tests: second copies, order and blocked keys over several configurations

The balancer with a configuration that bars two attempts at once and keeps order, and two that follow it 0.4 s apart and allow more: nothing more is allowed before two seconds are over.

--- a/crates/core/tests/balance/operations.rs
+++ b/crates/core/tests/balance/operations.rs
@@ -148,6 +148,58 @@
     }
 }
 
+/// Guards against the same for what holds for all routes: two attempts at once, order, and the time for which a key is blocked.
+#[test]
+fn second_copies_and_order_follow_the_strictest_of_several_configurations() {
+    let barred = [
+        ("route.0.ordered", Value::Flag(true)),
+        ("turn_gap", Value::Time(300 * MS)),
+        ("second_copies", Value::Flag(false)),
+    ];
+    let mut rig = rig(4, "retriable", &barred);
+    let mut allowed = settings(&[("retriable", 1000)], 4.0);
+    allowed.put("second_copies", Value::Flag(true));
+    for most in [4.0, 3.0] {
+        allowed.put("most_tries", Value::Number(most));
+        rig.balancer.settings_changed(rig.now, &allowed);
+        rig.advance(400 * MS);
+    }
+    rig.arrive(1);
+    rig.arrive(2);
+    rig.note("stalls: no second attempt, and the request behind it waits");
+    rig.balancer.reply_stalled(rig.now, 1, 0);
+    rig.note("given up, and may still run: the key is blocked for 300 ms");
+    rig.balancer.request_cancelled(rig.now, 1);
+    rig.end_attempt(1, 0, Outcome::Severed);
+    rig.now += 299 * MS;
+    rig.balancer.timer_fired(rig.now, 2);
+    rig.note("the block has ended");
+    rig.now += MS;
+    rig.balancer.timer_fired(rig.now, 2);
+    rig.end_attempt(2, 0, Outcome::Completed);
+    rig.note("two seconds after the changes");
+    rig.advance(1200 * MS);
+    rig.arrive(3);
+    rig.arrive(4);
+    rig.balancer.reply_stalled(rig.now, 3, 0);
+    rig.note("barred again: not for what is open, either");
+    rig.arrive(5);
+    rig.balancer.settings_changed(rig.now, &settings(&[("retriable", 1000)], 4.0));
+    rig.balancer.reply_stalled(rig.now, 5, 0);
+    rig.assert_calls(expect![[r#"
+        1 to node 4
+        -- stalls: no second attempt, and the request behind it waits
+        -- given up, and may still run: the key is blocked for 300 ms
+        1 cancelled
+        -- the block has ended
+        2 to node 4
+        -- two seconds after the changes
+        3 to node 4, 4 to node 4, 3 to node 1
+        -- barred again: not for what is open, either
+        5 to node 1
+    "#]]);
+}
+
 /// The tasks that a configuration allows, as bits.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Allowed(u8);
