--- a/crates/proxy/tests/peers/spoilt_replies.rs
+++ b/crates/proxy/tests/damaged/spoilt_replies.rs
@@ -3,7 +3,8 @@
 
 use crate::clients::{Answer, Client, command};
 use crate::nodes::{CACHE_TAIL, Framing, Nodes, Plan, Spoilt, value_for};
-use crate::process::{Options, ProxyProcess, play_all};
+use crate::play_all;
+use crate::process::{Options, ProxyProcess};
 use futures_util::future::join_all;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
--- a/crates/proxy/tests/peers/main.rs
+++ b/crates/proxy/tests/peers/main.rs
@@ -10,8 +10,6 @@
 mod paused_replies;
 mod process;
 mod replaced_nodes;
-mod settings_series;
 mod slow_crowds;
 mod slow_readers;
 mod soak;
-mod spoilt_replies;
--- a/crates/proxy/tests/peers/process.rs
+++ b/crates/proxy/tests/peers/process.rs
@@ -1,7 +1,6 @@
 //! Starts a proxy process and follows its log and its memory. A process beyond its memory limit is killed, as by the
 //! platform.
 
-use futures_util::{StreamExt, stream};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value as Json, json};
 use std::io::{BufRead, BufReader};
@@ -15,23 +14,12 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
-/// How many plays of one test go on at a time. Others with time limits run beside them.
-const PLAYS_AT_A_TIME: usize = 6;
 /// How often the memory is sampled.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
 /// How often to look whether the process listens, and how many times.
 const START_POLL: Duration = Duration::from_millis(20);
 const START_POLLS: usize = 1500;
 
-/// Plays each case in a task of its own, a few at a time, and returns all results.
-pub async fn play_all<Case, Play>(cases: Vec<Case>, play: impl Fn(Case) -> Play) -> Vec<Play::Output>
-where
-    Play: Future<Output: Send> + Send + 'static,
-{
-    let plays = stream::iter(cases.into_iter().map(|case| tokio::spawn(play(case))));
-    plays.buffer_unordered(PLAYS_AT_A_TIME).map(|played| played.expect("a play failed")).collect().await
-}
-
 /// How a proxy is configured.
 pub struct Options {
     /// The entries of the list of nodes.
